--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The node daemon.
+
+fn main() {}
