--- /dev/null
+++ b/cli/src/error.rs
@@ -0,0 +1,48 @@
+//! What can keep a command from doing what was asked.
+
+use thiserror::Error;
+
+/// What can keep a command from doing what was asked.
+#[derive(Debug, Error)]
+pub enum CliError {
+    /// A node cannot be reached, or its answer cannot be read.
+    #[error("{address}: {source}")]
+    Unreachable {
+        /// The node's address.
+        address: Box<str>,
+        /// Why.
+        source: reqwest::Error,
+    },
+    /// A node refused the request.
+    #[error("{address}: status {status}: {message}")]
+    Refused {
+        /// The node's address.
+        address: Box<str>,
+        /// The HTTP status.
+        status: u16,
+        /// The node's message.
+        message: Box<str>,
+    },
+    /// A file cannot be read or written.
+    #[error("{file}: {source}")]
+    File {
+        /// The file.
+        file: Box<str>,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// An argument has no usable value.
+    #[error("argument {name}: {reason}")]
+    Argument {
+        /// The argument.
+        name: &'static str,
+        /// What is wrong, and what was expected.
+        reason: Box<str>,
+    },
+    /// The async runtime cannot be made.
+    #[error("cannot start the runtime: {0}")]
+    Runtime(std::io::Error),
+    /// A node of the demonstration cannot be started.
+    #[error("{0}")]
+    Node(#[from] monsoonbank_daemon::error::NodeError),
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,3 +1,61 @@
-//! The command-line tool.
+//! `monsoon`: the tool of monsoonbank's operators and callers.
 
-fn main() {}
+mod addresses;
+mod arguments;
+mod client;
+mod completions;
+mod drain;
+mod error;
+mod exit_codes;
+mod state;
+
+use clap::{ArgMatches, Command};
+
+use crate::error::CliError;
+use crate::exit_codes::ExitCode;
+
+const LONG_ABOUT: &str = "\
+The tool of monsoonbank's operators and callers.
+
+Examples:
+  monsoon where 10.0.0.4:8080
+  monsoon state --node 10.0.0.4:8082 --section ownership";
+
+fn command() -> Command {
+    Command::new("monsoon")
+        .version(clap::crate_version!())
+        .about("The tool of monsoonbank's operators and callers")
+        .long_about(LONG_ABOUT)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(addresses::command())
+        .subcommand(state::command())
+        .subcommand(drain::command())
+        .subcommand(completions::command())
+}
+
+fn main() -> std::process::ExitCode {
+    let matches = command().get_matches();
+    match run(&matches) {
+        Ok(code) => code.into(),
+        Err(error) => {
+            eprintln!("monsoon: error: {error}");
+            ExitCode::from(&error).into()
+        }
+    }
+}
+
+fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let runtime = tokio::runtime::Runtime::new().map_err(CliError::Runtime)?;
+    runtime.block_on(dispatch(matches))
+}
+
+async fn dispatch(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    match matches.subcommand() {
+        Some(("where", matches)) => addresses::run(matches).await,
+        Some(("state", matches)) => state::run(matches).await,
+        Some(("drain", matches)) => drain::run(matches).await,
+        Some(("completions", matches)) => Ok(completions::run(matches, command())),
+        _ => Ok(ExitCode::Failure),
+    }
+}
--- /dev/null
+++ b/daemon/src/completions.rs
@@ -0,0 +1,460 @@
+//! `POST /v1/chat/completions` and `/v1/completions`, whole and streamed.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use monsoonbank_kernel::call::CallOutcome;
+use salvo::http::{HeaderValue, StatusCode};
+use salvo::prelude::{Json, Request, Response, handler};
+use serde_json::{Map, Value, json};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::calls::CallerEvent;
+use crate::frame::{Chunk, RequestParts};
+use crate::intake::{self, OpenAnswer, RequestShape};
+use crate::refusal::CallerError;
+use crate::shared::NodeShared;
+
+/// Bytes of a prompt that decide its cache affinity.
+const PREFIX_BYTES: usize = 256;
+
+/// Which of the two completion interfaces a request speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CompletionKind {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+impl CompletionKind {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Chat => "/v1/chat/completions",
+            Self::Text => "/v1/completions",
+        }
+    }
+
+    fn object(self, streamed: bool) -> &'static str {
+        match (self, streamed) {
+            (Self::Chat, true) => "chat.completion.chunk",
+            (Self::Chat, false) => "chat.completion",
+            (Self::Text, _) => "text_completion",
+        }
+    }
+}
+
+/// Handles one of the two completion interfaces.
+pub struct CompletionApi {
+    /// The node.
+    pub shared: Arc<NodeShared>,
+    /// The interface.
+    pub kind: CompletionKind,
+}
+
+/// What every piece of one answer has in common.
+struct AnswerFrame {
+    kind: CompletionKind,
+    id: Box<str>,
+    model: Box<str>,
+    created: u64,
+    class: Box<str>,
+    usage_wanted: bool,
+}
+
+#[handler]
+impl CompletionApi {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if let Err(error) = self.answer(request, response).await {
+            error.render(response);
+        }
+    }
+}
+
+impl CompletionApi {
+    async fn answer(
+        &self,
+        request: &mut Request,
+        response: &mut Response,
+    ) -> Result<(), CallerError> {
+        let caller = intake::identify(&self.shared, request)?;
+        let body = read_body(&self.shared, request).await?;
+        let fields = parse(&body)?;
+        let shape = shape(self.kind, &fields)?;
+        let found = intake::classify(&caller, request, &shape, body.len())?;
+        let class = caller
+            .config
+            .classes
+            .get(&found.class)
+            .map(|class| class.name.clone());
+        let parts = RequestParts {
+            method: "POST".into(),
+            path: self.kind.path().into(),
+            content_type: Some("application/json".into()),
+            key: None,
+            body,
+        };
+        let answer = intake::open(&self.shared, &caller, found, &shape, parts)?;
+        let usage_wanted = fields
+            .get("stream_options")
+            .and_then(|options| options.get("include_usage"))
+            .and_then(Value::as_bool)
+            .unwrap_or(false);
+        let frame = AnswerFrame {
+            kind: self.kind,
+            id: format!("cmpl-{}", answer.call).into(),
+            model: shape.model.into(),
+            created: unix_seconds(),
+            class: class.unwrap_or_default(),
+            usage_wanted,
+        };
+        if shape.streamed {
+            self.stream(answer, frame, response).await
+        } else {
+            self.whole(answer, &frame, response).await
+        }
+    }
+
+    async fn stream(
+        &self,
+        mut answer: OpenAnswer,
+        frame: AnswerFrame,
+        response: &mut Response,
+    ) -> Result<(), CallerError> {
+        let first = first_piece(&self.shared, &mut answer, &frame).await?;
+        let first = match first {
+            CallerEvent::Chunk(Chunk::Head {
+                status,
+                content_type,
+            }) => {
+                let body = rest_of_body(&mut answer).await;
+                render_raw(response, status, content_type.as_deref(), body);
+                return Ok(());
+            }
+            other => other,
+        };
+        let headers = response.headers_mut();
+        headers.insert(
+            "content-type",
+            HeaderValue::from_static("text/event-stream"),
+        );
+        headers.insert("cache-control", HeaderValue::from_static("no-cache"));
+        let shared = Arc::clone(&self.shared);
+        response.stream(event_stream(shared, answer, frame, first));
+        Ok(())
+    }
+
+    async fn whole(
+        &self,
+        mut answer: OpenAnswer,
+        frame: &AnswerFrame,
+        response: &mut Response,
+    ) -> Result<(), CallerError> {
+        let mut message = WholeMessage::default();
+        let mut event = first_piece(&self.shared, &mut answer, frame).await?;
+        loop {
+            match event {
+                CallerEvent::Chunk(Chunk::Head {
+                    status,
+                    content_type,
+                }) => {
+                    let body = rest_of_body(&mut answer).await;
+                    render_raw(response, status, content_type.as_deref(), body);
+                    return Ok(());
+                }
+                CallerEvent::Chunk(chunk) => message.add(&chunk),
+                CallerEvent::Finished(outcome) => {
+                    let error = CallerError::from_outcome(outcome);
+                    intake::count(&self.shared, &frame.class, error.as_ref());
+                    if let Some(error) = error {
+                        return Err(error);
+                    }
+                    response.render(Json(message.finish(frame)));
+                    return Ok(());
+                }
+            }
+            event = answer
+                .next()
+                .await
+                .unwrap_or(CallerEvent::Finished(CallOutcome::Unknown));
+        }
+    }
+}
+
+async fn first_piece(
+    shared: &NodeShared,
+    answer: &mut OpenAnswer,
+    frame: &AnswerFrame,
+) -> Result<CallerEvent, CallerError> {
+    let first = answer
+        .next()
+        .await
+        .unwrap_or(CallerEvent::Finished(CallOutcome::Unknown));
+    let CallerEvent::Finished(outcome) = first else {
+        return Ok(first);
+    };
+    let Some(error) = CallerError::from_outcome(outcome) else {
+        return Ok(first);
+    };
+    intake::count(shared, &frame.class, Some(&error));
+    Err(error)
+}
+
+fn event_stream(
+    shared: Arc<NodeShared>,
+    answer: OpenAnswer,
+    frame: AnswerFrame,
+    first: CallerEvent,
+) -> impl Stream<Item = Result<Bytes, std::convert::Infallible>> + Send + 'static {
+    let state = (answer, frame, Some(first), false);
+    futures_util::stream::unfold(state, move |(mut answer, frame, first, ended)| {
+        let shared = Arc::clone(&shared);
+        async move {
+            if ended {
+                return None;
+            }
+            let event = match first {
+                Some(event) => event,
+                None => answer.next().await?,
+            };
+            let ended = matches!(event, CallerEvent::Finished(_));
+            let text = match event {
+                CallerEvent::Chunk(chunk) => event_text(&frame, &chunk),
+                CallerEvent::Finished(outcome) => end_text(&shared, &frame, outcome),
+            };
+            Some((Ok(Bytes::from(text)), (answer, frame, None, ended)))
+        }
+    })
+}
+
+fn event_text(frame: &AnswerFrame, chunk: &Chunk) -> String {
+    let (choices, usage) = match chunk {
+        Chunk::Choices { json, .. } => (&**json, None),
+        Chunk::Usage(json) if frame.usage_wanted => ("[]", Some(json)),
+        Chunk::Usage(_) | Chunk::Head { .. } | Chunk::Data(_) => return String::new(),
+    };
+    let object = frame.kind.object(true);
+    let (id, created) = (&frame.id, frame.created);
+    let model = Value::from(&*frame.model);
+    let usage = usage.map_or_else(String::new, |json| format!(",\"usage\":{json}"));
+    format!(
+        "data: {{\"id\":\"{id}\",\"object\":\"{object}\",\"created\":{created},\
+         \"model\":{model},\"choices\":{choices}{usage}}}\n\n"
+    )
+}
+
+fn end_text(shared: &NodeShared, frame: &AnswerFrame, outcome: CallOutcome) -> String {
+    let error = CallerError::from_outcome(outcome);
+    intake::count(shared, &frame.class, error.as_ref());
+    match error {
+        None => "data: [DONE]\n\n".to_owned(),
+        Some(error) => format!("data: {}\n\n", error.body()),
+    }
+}
+
+/// Puts the pieces of an answer together for a caller that wants it whole.
+#[derive(Default)]
+struct WholeMessage {
+    text: String,
+    tool_calls: Vec<Value>,
+    finish_reason: Value,
+    usage: Option<Value>,
+}
+
+impl WholeMessage {
+    fn add(&mut self, chunk: &Chunk) {
+        match chunk {
+            Chunk::Choices { json, .. } => self.add_choice(json),
+            Chunk::Usage(json) => self.usage = serde_json::from_str(json).ok(),
+            Chunk::Head { .. } | Chunk::Data(_) => {}
+        }
+    }
+
+    fn add_choice(&mut self, json: &str) {
+        let Ok(choices) = serde_json::from_str::<Value>(json) else {
+            return;
+        };
+        let Some(choice) = choices.get(0) else {
+            return;
+        };
+        let delta = choice.get("delta");
+        let text = choice
+            .get("text")
+            .or_else(|| delta.and_then(|delta| delta.get("content")));
+        self.text
+            .push_str(text.and_then(Value::as_str).unwrap_or_default());
+        let calls = delta
+            .and_then(|delta| delta.get("tool_calls"))
+            .and_then(Value::as_array);
+        for call in calls.into_iter().flatten() {
+            self.add_tool_call(call);
+        }
+        if let Some(reason) = choice
+            .get("finish_reason")
+            .filter(|reason| !reason.is_null())
+        {
+            self.finish_reason = reason.clone();
+        }
+    }
+
+    /// Tool calls come in pieces, too: the arguments of one index belong together.
+    fn add_tool_call(&mut self, piece: &Value) {
+        let index = piece
+            .get("index")
+            .and_then(Value::as_u64)
+            .unwrap_or_default() as usize;
+        let Some(known) = self.tool_calls.get_mut(index) else {
+            self.tool_calls.push(piece.clone());
+            return;
+        };
+        let more = piece.pointer("/function/arguments").and_then(Value::as_str);
+        if let (Some(more), Some(arguments)) = (more, known.pointer_mut("/function/arguments")) {
+            *arguments = format!("{}{more}", arguments.as_str().unwrap_or_default()).into();
+        }
+    }
+
+    fn finish(self, frame: &AnswerFrame) -> Value {
+        let choice = match frame.kind {
+            CompletionKind::Text => json!({
+                "index": 0, "text": self.text, "finish_reason": self.finish_reason,
+                "logprobs": Value::Null,
+            }),
+            CompletionKind::Chat => {
+                let mut message = json!({ "role": "assistant", "content": self.text });
+                if !self.tool_calls.is_empty() {
+                    message["tool_calls"] = Value::Array(self.tool_calls);
+                }
+                json!({ "index": 0, "message": message, "finish_reason": self.finish_reason })
+            }
+        };
+        json!({
+            "id": frame.id, "object": frame.kind.object(false), "created": frame.created,
+            "model": frame.model, "choices": [choice], "usage": self.usage,
+        })
+    }
+}
+
+/// Reads a request's body, up to the bound.
+pub async fn read_body(shared: &NodeShared, request: &mut Request) -> Result<Bytes, CallerError> {
+    let bound = shared.settings.bounds.body_bytes;
+    let declared = request
+        .headers()
+        .get("content-length")
+        .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|bytes| bytes > bound) {
+        return Err(too_large(bound));
+    }
+    match request.payload_with_max_size(bound).await {
+        Ok(bytes) => Ok(bytes.clone()),
+        Err(salvo::http::ParseError::PayloadTooLarge) => Err(too_large(bound)),
+        Err(error) => Err(CallerError::not_run(
+            StatusCode::BAD_REQUEST,
+            "unreadable_body",
+            format!("the body cannot be read: {error}"),
+        )),
+    }
+}
+
+fn too_large(bound: usize) -> CallerError {
+    CallerError::not_run(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "too_large",
+        format!("the body is larger than {bound} bytes"),
+    )
+}
+
+fn parse(body: &[u8]) -> Result<Map<String, Value>, CallerError> {
+    serde_json::from_slice(body).map_err(|error| {
+        CallerError::not_run(
+            StatusCode::BAD_REQUEST,
+            "invalid_json",
+            format!("the body is not a JSON object: {error}"),
+        )
+    })
+}
+
+fn shape(
+    kind: CompletionKind,
+    fields: &Map<String, Value>,
+) -> Result<RequestShape<'_>, CallerError> {
+    let model = fields.get("model").and_then(Value::as_str);
+    let model = model.ok_or_else(|| wrong_field("model", "a string"))?;
+    let streamed = match fields.get("stream") {
+        None | Some(Value::Null) => false,
+        Some(Value::Bool(streamed)) => *streamed,
+        Some(_) => return Err(wrong_field("stream", "a boolean")),
+    };
+    if fields
+        .get("n")
+        .is_some_and(|n| !n.is_null() && n.as_u64() != Some(1))
+    {
+        return Err(wrong_field("n", "1 (one answer a call)"));
+    }
+    let bound = fields
+        .get("max_completion_tokens")
+        .or_else(|| fields.get("max_tokens"));
+    let max_tokens = match bound {
+        None | Some(Value::Null) => 0,
+        Some(bound) => {
+            let bound = bound.as_u64().and_then(|bound| u32::try_from(bound).ok());
+            bound.ok_or_else(|| wrong_field("max_tokens", "a whole number"))?
+        }
+    };
+    Ok(RequestShape {
+        model,
+        streamed,
+        max_tokens,
+        prefix: prefix(kind, fields)?,
+    })
+}
+
+fn prefix(kind: CompletionKind, fields: &Map<String, Value>) -> Result<u64, CallerError> {
+    let text = match kind {
+        CompletionKind::Chat => match fields.get("messages") {
+            Some(messages @ Value::Array(list)) if !list.is_empty() => messages.to_string(),
+            _ => return Err(wrong_field("messages", "a list with at least one message")),
+        },
+        CompletionKind::Text => match fields.get("prompt") {
+            Some(Value::String(prompt)) => prompt.clone(),
+            _ => return Err(wrong_field("prompt", "a string")),
+        },
+    };
+    let bytes = text.as_bytes();
+    Ok(xxh3_64(&bytes[..bytes.len().min(PREFIX_BYTES)]))
+}
+
+fn wrong_field(field: &str, expected: &str) -> CallerError {
+    CallerError::not_run(
+        StatusCode::BAD_REQUEST,
+        "invalid_field",
+        format!("field `{field}`: expected {expected}"),
+    )
+}
+
+/// The bytes of an answer that is passed on as it is.
+pub async fn rest_of_body(answer: &mut OpenAnswer) -> Vec<u8> {
+    let mut body = Vec::new();
+    while let Some(CallerEvent::Chunk(chunk)) = answer.next().await {
+        if let Chunk::Data(data) = chunk {
+            body.extend_from_slice(&data);
+        }
+    }
+    body
+}
+
+/// Writes an answer that is passed on as it is.
+pub fn render_raw(response: &mut Response, status: u16, content_type: Option<&str>, body: Vec<u8>) {
+    response.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY));
+    if let Some(value) = content_type.and_then(|text| HeaderValue::from_str(text).ok()) {
+        response.headers_mut().insert("content-type", value);
+    }
+    response.body(body);
+}
+
+fn unix_seconds() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |age| age.as_secs())
+}
--- /dev/null
+++ b/daemon/src/driver.rs
@@ -0,0 +1,164 @@
+//! The one task that owns the kernel: feeds it events in order and carries out its actions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use monsoonbank_kernel::event::{Action, Event};
+use monsoonbank_kernel::ids::{AttemptId, NodeId};
+use monsoonbank_kernel::kernel::Kernel;
+use monsoonbank_kernel::wire::{Message, RelayMessage, WorkMessage};
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+
+use crate::calls::Delivery;
+use crate::frame::{Chunk, Frame};
+use crate::shared::{Input, NodeShared};
+use crate::{links, platform, upstreams};
+
+/// Time between two ticks of the kernel.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// Runs the kernel until the node is killed or has finished.
+pub async fn run(
+    shared: Arc<NodeShared>,
+    mut kernel: Kernel,
+    mut inputs: mpsc::UnboundedReceiver<Input>,
+) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut actions = Vec::new();
+    loop {
+        let input = tokio::select! {
+            biased;
+            _ = ticks.tick() => Some(Input::Event(Event::Tick)),
+            input = inputs.recv() => input,
+        };
+        let Some(input) = input else {
+            return;
+        };
+        handle(&shared, &mut kernel, input, &mut actions);
+        for action in actions.drain(..) {
+            carry_out(&shared, action);
+        }
+    }
+}
+
+fn handle(shared: &Arc<NodeShared>, kernel: &mut Kernel, input: Input, actions: &mut Vec<Action>) {
+    let now = shared.now();
+    match input {
+        Input::Event(event) => kernel.handle(now, event, actions),
+        Input::Frame(from, frame) => receive(shared, kernel, from, frame, actions),
+        Input::LinkLost(node) => {
+            shared.release_waiting(node);
+            kernel.handle(now, Event::LinkDown(node), actions);
+        }
+        // Whoever asked may be gone by now.
+        Input::Dump(section, reply) => drop(reply.send(kernel.dump(section.as_deref()))),
+        Input::Gauges(reply) => drop(reply.send(kernel.gauges())),
+    }
+}
+
+fn receive(
+    shared: &Arc<NodeShared>,
+    kernel: &mut Kernel,
+    from: NodeId,
+    frame: Frame,
+    actions: &mut Vec<Action>,
+) {
+    match frame {
+        Frame::Message(message) => {
+            if let Message::Work(WorkMessage::Cancel(attempt)) = &message {
+                shared.release_if_waiting(*attempt);
+            }
+            kernel.handle(shared.now(), Event::PeerMessage { from, message }, actions);
+        }
+        Frame::Request(message, parts) => {
+            if let Message::Work(WorkMessage::Offer(work)) = &message {
+                shared.hold(work.attempt, from, Arc::new(parts));
+            }
+            kernel.handle(shared.now(), Event::PeerMessage { from, message }, actions);
+        }
+        Frame::Chunk(attempt, index, chunk) => {
+            deliver(shared, attempt, index, chunk);
+        }
+        Frame::Relayed(..) => {}
+    }
+}
+
+fn carry_out(shared: &Arc<NodeShared>, action: Action) {
+    match action {
+        Action::Send { to, message } => send(shared, to, message),
+        Action::StartAttempt(start) => upstreams::start(shared, start),
+        Action::CancelAttempt(attempt) => shared.cancel(attempt),
+        Action::FinishCall { call, outcome } => shared.calls.finish(call, outcome),
+        Action::AcceptAttempt { attempt, .. } => shared.calls.accept(attempt),
+        Action::Append { ticket, record } => platform::append(shared, ticket, record),
+        Action::ReadLog { from } => platform::read_log(shared, from),
+        Action::Order { .. } | Action::AttachCall { .. } | Action::ForgetAnswer(_) => {}
+        Action::Exit => shared.done.cancel(),
+        Action::UseConfig(config) => {
+            log::info!("event=config_in_force version={}", config.version);
+            shared.use_config(config);
+        }
+        Action::UseMembers(members) => shared.use_members(members),
+        Action::UseOwners(owners) => shared.use_owners(owners),
+    }
+}
+
+fn send(shared: &Arc<NodeShared>, to: NodeId, message: Message) {
+    let frame = match &message {
+        Message::Work(WorkMessage::Offer(work)) => {
+            shared.calls.offered(work.attempt.call, to);
+            request_frame(shared, work.attempt.call, message)
+        }
+        Message::Relay(RelayMessage::Call { spec, .. }) => {
+            let call = spec.call;
+            request_frame(shared, call, message)
+        }
+        Message::Work(
+            WorkMessage::Ended { attempt, .. } | WorkMessage::Returned { attempt, .. },
+        ) => {
+            shared.release(*attempt);
+            Frame::Message(message)
+        }
+        _ => Frame::Message(message),
+    };
+    links::send(shared, to, frame);
+}
+
+fn request_frame(
+    shared: &NodeShared,
+    call: monsoonbank_kernel::ids::CallId,
+    message: Message,
+) -> Frame {
+    match shared.calls.parts(call) {
+        Some(parts) => Frame::Request(message, (*parts).clone()),
+        None => Frame::Message(message),
+    }
+}
+
+/// Sends a piece of an answer to the entry node, which may be this one.
+pub fn send_chunk(
+    shared: &Arc<NodeShared>,
+    entry: NodeId,
+    attempt: AttemptId,
+    index: u32,
+    chunk: Chunk,
+) -> Delivery {
+    if entry == shared.profile.node {
+        return deliver(shared, attempt, index, chunk);
+    }
+    links::send(shared, entry, Frame::Chunk(attempt, index, chunk));
+    Delivery::Passed
+}
+
+fn deliver(shared: &NodeShared, attempt: AttemptId, index: u32, chunk: Chunk) -> Delivery {
+    let delivery = shared.calls.deliver(attempt, index, chunk);
+    match delivery {
+        Delivery::Dropped => shared.counters.dropped_chunks.inc(),
+        Delivery::Gap => log::error!("attempt={attempt} event=gap index={index}"),
+        Delivery::Stalled => shared.event(Event::CallCancelled(attempt.call)),
+        Delivery::Passed => {}
+    }
+    delivery
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,24 @@
-//! Nodes.
+//! A monsoonbank node: the edges between the kernel and callers, upstreams, the platform, other
+//! nodes and operators.
+
+pub mod callers;
+pub mod calls;
+pub mod completions;
+pub mod counters;
+pub mod driver;
+pub mod error;
+pub mod exit_codes;
+pub mod frame;
+pub mod intake;
+pub mod links;
+pub mod node;
+pub mod operators;
+pub mod platform;
+pub mod proof;
+pub mod refusal;
+pub mod reports;
+pub mod services;
+pub mod settings;
+pub mod shared;
+pub mod sse;
+pub mod upstreams;
--- /dev/null
+++ b/daemon/src/node.rs
@@ -0,0 +1,194 @@
+//! A running node: all its tasks, and how to stop it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use monsoonbank_kernel::clock::MonotonicClock;
+use monsoonbank_kernel::event::Event;
+use monsoonbank_kernel::ids::{Incarnation, NodeId, ZoneId};
+use monsoonbank_kernel::kernel::Kernel;
+use monsoonbank_kernel::plugin::NodeProfile;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use salvo::prelude::{Router, Server};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::error::NodeError;
+use crate::settings::Settings;
+use crate::shared::{NodeShared, SharedParts};
+use crate::{callers, driver, links, operators, platform, reports};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A running node.
+pub struct NodeHandle {
+    shared: Arc<NodeShared>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+}
+
+impl NodeHandle {
+    /// What the node's tasks share.
+    pub fn shared(&self) -> &Arc<NodeShared> {
+        &self.shared
+    }
+
+    /// Asks the node to leave: it takes nothing new and finishes what it has.
+    pub fn drain(&self) {
+        self.shared.event(Event::DrainNode);
+    }
+
+    /// Waits until the node has left.
+    pub async fn finished(&self) {
+        self.shared.done.cancelled().await;
+    }
+
+    /// Ends every task of the node at once, as a crash would.
+    pub async fn kill(&self) {
+        self.shared.kill.cancel();
+        self.shared.wait().await;
+    }
+}
+
+/// Starts a node.
+pub async fn start(settings: Settings) -> Result<NodeHandle, NodeError> {
+    let listeners = NodeListeners::bind(&settings).await?;
+    start_with(settings, listeners)
+}
+
+/// The node's listening sockets.
+pub struct NodeListeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+impl NodeListeners {
+    /// Listens on the addresses of the settings; port 0 takes a free one.
+    pub async fn bind(settings: &Settings) -> Result<Self, NodeError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind(listen.callers, "callers").await?,
+            peers: bind(listen.peers, "nodes").await?,
+            operators: bind(listen.operators, "operators").await?,
+        })
+    }
+
+    /// Addresses for callers, nodes and operators.
+    pub fn addresses(&self) -> std::io::Result<[SocketAddr; 3]> {
+        Ok([
+            self.callers.local_addr()?,
+            self.peers.local_addr()?,
+            self.operators.local_addr()?,
+        ])
+    }
+}
+
+async fn bind(address: SocketAddr, role: &'static str) -> Result<TcpListener, NodeError> {
+    let listen = |source| NodeError::Listen {
+        address,
+        role,
+        source,
+    };
+    TcpListener::bind(address).await.map_err(listen)
+}
+
+/// Starts a node on sockets that listen already.
+pub fn start_with(settings: Settings, listeners: NodeListeners) -> Result<NodeHandle, NodeError> {
+    let profile = profile(&settings)?;
+    let (inputs, receiver) = mpsc::unbounded_channel();
+    let listen = settings.listen.clone();
+    let error = |role, address| {
+        move |source| NodeError::Listen {
+            address,
+            role,
+            source,
+        }
+    };
+    let [callers, peers, operators] = listeners
+        .addresses()
+        .map_err(error("nodes", listen.peers))?;
+    let shared = Arc::new(NodeShared::new(SharedParts {
+        clock: Box::new(MonotonicClock::new()),
+        client: client().build()?,
+        single_use_client: client().pool_max_idle_per_host(0).build()?,
+        inputs,
+        profile: profile.clone(),
+        settings,
+    }));
+    shared.spawn(driver::run(
+        Arc::clone(&shared),
+        Kernel::new(profile),
+        receiver,
+    ));
+    shared.spawn(links::listen(Arc::clone(&shared), listeners.peers));
+    shared.spawn(platform::poll_hosts(Arc::clone(&shared)));
+    shared.spawn(reports::poll(Arc::clone(&shared)));
+    let acceptor = TcpAcceptor::try_from(listeners.callers);
+    let acceptor = acceptor.map_err(error("callers", listen.callers))?;
+    serve(&shared, acceptor, callers::router(&shared));
+    let acceptor = TcpAcceptor::try_from(listeners.operators);
+    let acceptor = acceptor.map_err(error("operators", listen.operators))?;
+    serve(&shared, acceptor, operators::router(&shared));
+    log::info!(
+        "event=started node={} callers={callers} peers={peers} operators={operators}",
+        shared.profile.name
+    );
+    Ok(NodeHandle {
+        shared,
+        callers,
+        peers,
+        operators,
+    })
+}
+
+fn serve(shared: &Arc<NodeShared>, acceptor: TcpAcceptor, router: Router) {
+    let bounds = &shared.settings.bounds;
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(bounds.head_timeout)
+        .with_request_body_timeout(bounds.body_timeout);
+    let server = Server::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(bounds.connections);
+    shared.spawn(async move {
+        if let Err(error) = server.try_serve(router).await {
+            log::error!("event=server_ended reason=\"{error}\"");
+        }
+    });
+}
+
+fn client() -> reqwest::ClientBuilder {
+    // Retries are the kernel's decision alone.
+    reqwest::Client::builder()
+        .no_proxy()
+        .http1_only()
+        .retry(reqwest::retry::never())
+        .redirect(reqwest::redirect::Policy::none())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+}
+
+fn profile(settings: &Settings) -> Result<NodeProfile, NodeError> {
+    let mut secret = [0; 32];
+    getrandom::fill(&mut secret)?;
+    let mut seed = [0; 8];
+    getrandom::fill(&mut seed)?;
+    let age = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Ok(NodeProfile {
+        node: NodeId::named(&settings.name),
+        name: settings.name.clone(),
+        zone: ZoneId::named(&settings.zone),
+        zone_name: settings.zone.clone(),
+        incarnation: Incarnation(age.as_micros() as u64),
+        seed: u64::from_le_bytes(seed),
+        secret,
+    })
+}
--- /dev/null
+++ b/daemon/src/operators.rs
@@ -0,0 +1,150 @@
+//! The operators' interface: state dump, metrics, health, draining.
+
+use std::sync::Arc;
+
+use monsoonbank_kernel::event::Event;
+use monsoonbank_kernel::ids::UpstreamId;
+use monsoonbank_kernel::plugin::GaugeSample;
+use prometheus::TextEncoder;
+use salvo::http::StatusCode;
+use salvo::prelude::{Json, Request, Response, Router, Text, handler};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use tokio::sync::oneshot;
+
+use crate::counters::METRIC_PREFIX;
+use crate::intake::bearer;
+use crate::refusal::CallerError;
+use crate::shared::{Input, NodeShared};
+
+#[derive(Clone, Copy)]
+enum OperatorCall {
+    State,
+    Metrics,
+    Ready,
+    DrainNode,
+    DrainUpstream,
+}
+
+struct OperatorApi {
+    shared: Arc<NodeShared>,
+    call: OperatorCall,
+}
+
+/// The routes.
+pub fn router(shared: &Arc<NodeShared>) -> Router {
+    let api = |call| OperatorApi {
+        shared: Arc::clone(shared),
+        call,
+    };
+    Router::new()
+        .push(Router::with_path("healthz").get(healthy))
+        .push(Router::with_path("readyz").get(api(OperatorCall::Ready)))
+        .push(Router::with_path("metrics").get(api(OperatorCall::Metrics)))
+        .push(Router::with_path("v1/state").get(api(OperatorCall::State)))
+        .push(Router::with_path("v1/drain").post(api(OperatorCall::DrainNode)))
+        .push(Router::with_path("v1/drain/{upstream}").post(api(OperatorCall::DrainUpstream)))
+}
+
+#[handler]
+async fn healthy(response: &mut Response) {
+    response.render(Text::Plain("ok\n"));
+}
+
+#[handler]
+impl OperatorApi {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        match self.call {
+            OperatorCall::Ready => return self.ready(response),
+            OperatorCall::Metrics => return self.metrics(response).await,
+            OperatorCall::State | OperatorCall::DrainNode | OperatorCall::DrainUpstream => {}
+        }
+        if !self.authorized(request) {
+            return unauthorized().render(response);
+        }
+        match self.call {
+            OperatorCall::State => self.state(request, response).await,
+            OperatorCall::DrainNode => self.shared.event(Event::DrainNode),
+            OperatorCall::DrainUpstream => self.drain_upstream(request, response),
+            OperatorCall::Ready | OperatorCall::Metrics => {}
+        }
+    }
+}
+
+impl OperatorApi {
+    fn authorized(&self, request: &Request) -> bool {
+        // Hashes of equal length are compared, so that the time tells nothing of the token.
+        let expected = Sha256::digest(self.shared.settings.secrets.operator_token.as_bytes());
+        bearer(request).is_some_and(|token| Sha256::digest(token) == expected)
+    }
+
+    fn ready(&self, response: &mut Response) {
+        if self.shared.config().classes.is_empty() {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            response.render(Text::Plain("no configuration yet\n"));
+        } else {
+            response.render(Text::Plain("ready\n"));
+        }
+    }
+
+    async fn state(&self, request: &mut Request, response: &mut Response) {
+        let section = request.query::<String>("section").map(Into::into);
+        let (reply, answer) = oneshot::channel();
+        self.shared.input(Input::Dump(section, reply));
+        let state = answer.await.unwrap_or(Value::Null);
+        let profile = &self.shared.profile;
+        response.render(Json(json!({
+            "node": profile.name,
+            "zone": profile.zone_name,
+            "incarnation": profile.incarnation.0,
+            "open_calls": self.shared.calls.len(),
+            "held_requests": self.shared.held(),
+            "state": state,
+        })));
+    }
+
+    async fn metrics(&self, response: &mut Response) {
+        let (reply, answer) = oneshot::channel();
+        self.shared.input(Input::Gauges(reply));
+        let gauges = answer.await.unwrap_or_default();
+        let families = self.shared.counters.registry.gather();
+        let mut text = TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default();
+        for gauge in &gauges {
+            text.push_str(&gauge_text(gauge));
+        }
+        response.render(Text::Plain(text));
+    }
+
+    fn drain_upstream(&self, request: &mut Request, response: &mut Response) {
+        let name = request.param::<String>("upstream").unwrap_or_default();
+        let upstream = UpstreamId::named(&name);
+        if !self.shared.config().upstreams.contains_key(&upstream) {
+            let message = format!("no upstream is called `{name}`");
+            return CallerError::not_run(StatusCode::NOT_FOUND, "no_upstream", message)
+                .render(response);
+        }
+        self.shared.event(Event::DrainUpstream(upstream));
+    }
+}
+
+fn gauge_text(gauge: &GaugeSample) -> String {
+    let name = format!("{METRIC_PREFIX}_{}", gauge.name);
+    let label = match gauge.kind {
+        "" => String::new(),
+        kind => format!("{{kind=\"{kind}\"}}"),
+    };
+    format!(
+        "# HELP {name} {}\n# TYPE {name} gauge\n{name}{label} {}\n",
+        gauge.help, gauge.value
+    )
+}
+
+fn unauthorized() -> CallerError {
+    CallerError::not_run(
+        StatusCode::UNAUTHORIZED,
+        "unknown_token",
+        "expected `Authorization: Bearer` with the operators' token",
+    )
+}
--- /dev/null
+++ b/daemon/src/reports.rs
@@ -0,0 +1,101 @@
+//! Asks the upstreams that this node owns for their load and their cache events.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use monsoonbank_kernel::call::LoadReport;
+use monsoonbank_kernel::config::{PoolKind, Upstream};
+use monsoonbank_kernel::event::Event;
+use monsoonbank_kernel::ids::UpstreamId;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::shared::NodeShared;
+
+/// Time between two looks at each upstream.
+const POLL: Duration = Duration::from_millis(500);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+#[derive(Deserialize)]
+struct LoadAnswer {
+    running: u32,
+    waiting: u32,
+    age_ms: u64,
+    leaving: bool,
+}
+
+#[derive(Deserialize)]
+struct CachePage {
+    next: u64,
+    events: Vec<CacheRow>,
+}
+
+#[derive(Deserialize)]
+struct CacheRow {
+    prefix: Box<str>,
+    held: bool,
+}
+
+/// Polls until the node ends.
+pub async fn poll(shared: Arc<NodeShared>) {
+    let mut offsets: BTreeMap<UpstreamId, u64> = BTreeMap::new();
+    loop {
+        let config = shared.config();
+        let owned = shared.owned();
+        offsets.retain(|id, _| owned.contains(id));
+        for id in owned {
+            let Some(upstream) = config.upstreams.get(&id) else {
+                continue;
+            };
+            let kind = config.pools.get(&upstream.pool).map(|pool| pool.kind);
+            if kind == Some(PoolKind::Model) {
+                ask(&shared, id, upstream, offsets.entry(id).or_default()).await;
+            }
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn ask(shared: &Arc<NodeShared>, id: UpstreamId, upstream: &Upstream, offset: &mut u64) {
+    let address = &upstream.spec.address;
+    let Some(load) = get::<LoadAnswer>(shared, &format!("http://{address}/load")).await else {
+        shared.event(Event::UpstreamUnreachable(id));
+        return;
+    };
+    let report = LoadReport {
+        running: load.running,
+        waiting: load.waiting,
+        age: Duration::from_millis(load.age_ms),
+        leaving: load.leaving,
+    };
+    shared.event(Event::UpstreamReported {
+        upstream: id,
+        report,
+    });
+    let url = format!("http://{address}/cache-events?from={offset}");
+    let Some(page) = get::<CachePage>(shared, &url).await else {
+        return;
+    };
+    *offset = page.next;
+    for row in page.events {
+        if let Ok(prefix) = u64::from_str_radix(&row.prefix, 16) {
+            shared.event(Event::CacheChanged {
+                upstream: id,
+                prefix,
+                held: row.held,
+            });
+        }
+    }
+}
+
+async fn get<T: DeserializeOwned>(shared: &NodeShared, url: &str) -> Option<T> {
+    let response = shared
+        .client
+        .get(url)
+        .timeout(REPORT_TIMEOUT)
+        .send()
+        .await
+        .ok()?;
+    response.error_for_status().ok()?.json().await.ok()
+}
--- /dev/null
+++ b/daemon/src/services.rs
@@ -0,0 +1,144 @@
+//! `/services/{name}/…`: calls to plain services, any method.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use monsoonbank_kernel::call::CallOutcome;
+use salvo::http::StatusCode;
+use salvo::prelude::{Request, Response, handler};
+
+use crate::calls::CallerEvent;
+use crate::completions::{read_body, render_raw};
+use crate::frame::{Chunk, RequestParts};
+use crate::intake::{self, OpenAnswer, RequestShape};
+use crate::refusal::CallerError;
+use crate::shared::NodeShared;
+
+/// Path under which plain services stand.
+pub const SERVICES_PATH: &str = "/services/";
+/// Header of the idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Handles calls to plain services.
+pub struct ServiceApi {
+    /// The node.
+    pub shared: Arc<NodeShared>,
+}
+
+#[handler]
+impl ServiceApi {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if let Err(error) = self.answer(request, response).await {
+            error.render(response);
+        }
+    }
+}
+
+impl ServiceApi {
+    async fn answer(
+        &self,
+        request: &mut Request,
+        response: &mut Response,
+    ) -> Result<(), CallerError> {
+        let caller = intake::identify(&self.shared, request)?;
+        let body = read_body(&self.shared, request).await?;
+        let target = request
+            .uri()
+            .path_and_query()
+            .map_or("", |target| target.as_str())
+            .to_owned();
+        let (service, path) = split_target(&target)?;
+        let shape = RequestShape {
+            model: service,
+            ..RequestShape::default()
+        };
+        let found = intake::classify(&caller, request, &shape, body.len())?;
+        let class = caller.config.classes.get(&found.class).cloned();
+        let key = text_header(request, KEY_HEADER);
+        if class.as_ref().is_some_and(|class| !class.repeatable) && key.is_none() {
+            return Err(key_required());
+        }
+        let parts = request_parts(request, path, key, body);
+        let answer = intake::open(&self.shared, &caller, found, &shape, parts)?;
+        let name = class.map(|class| class.name.clone()).unwrap_or_default();
+        let result = collect(answer, response).await;
+        intake::count(&self.shared, &name, result.as_ref().err());
+        result
+    }
+}
+
+async fn collect(mut answer: OpenAnswer, response: &mut Response) -> Result<(), CallerError> {
+    let mut head = None;
+    let mut body = Vec::new();
+    loop {
+        let event = answer
+            .next()
+            .await
+            .unwrap_or(CallerEvent::Finished(CallOutcome::Unknown));
+        match event {
+            CallerEvent::Chunk(Chunk::Head {
+                status,
+                content_type,
+            }) => {
+                head = Some((status, content_type));
+            }
+            CallerEvent::Chunk(Chunk::Data(data)) => body.extend_from_slice(&data),
+            CallerEvent::Chunk(_) => {}
+            CallerEvent::Finished(outcome) => {
+                if let Some(error) = CallerError::from_outcome(outcome) {
+                    return Err(error);
+                }
+                let (status, content_type) = head.unwrap_or((502, None));
+                render_raw(response, status, content_type.as_deref(), body);
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Splits `/services/{name}/rest?query` into the name and `/rest?query`.
+fn split_target(target: &str) -> Result<(&str, &str), CallerError> {
+    let rest = target.strip_prefix(SERVICES_PATH).unwrap_or_default();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, path) = rest.split_at(end);
+    if name.is_empty() {
+        return Err(CallerError::not_run(
+            StatusCode::NOT_FOUND,
+            "no_service",
+            "expected /services/{name}/…",
+        ));
+    }
+    Ok((name, if path.is_empty() { "/" } else { path }))
+}
+
+fn request_parts(
+    request: &Request,
+    path: &str,
+    key: Option<Box<str>>,
+    body: Bytes,
+) -> RequestParts {
+    let path = if path.starts_with('/') {
+        path.into()
+    } else {
+        format!("/{path}").into()
+    };
+    RequestParts {
+        method: request.method().as_str().into(),
+        path,
+        content_type: text_header(request, "content-type"),
+        key,
+        body,
+    }
+}
+
+fn text_header(request: &Request, name: &str) -> Option<Box<str>> {
+    request.headers().get(name)?.to_str().ok().map(Into::into)
+}
+
+fn key_required() -> CallerError {
+    CallerError::not_run(
+        StatusCode::PRECONDITION_REQUIRED,
+        "key_required",
+        "this class may not be repeated: send the call with an Idempotency-Key",
+    )
+}
--- /dev/null
+++ b/daemon/src/upstreams.rs
@@ -0,0 +1,295 @@
+//! Attempts at upstreams: sends the request, passes the answer's pieces on, tells how it ended.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use monsoonbank_kernel::call::{AttemptEnd, AttemptStart, Tier};
+use monsoonbank_kernel::config::{PoolKind, Upstream};
+use monsoonbank_kernel::event::Event;
+use monsoonbank_kernel::ids::{AttemptId, NodeId};
+use reqwest::header::{CONTENT_TYPE, HeaderValue};
+use reqwest::{Method, Response, StatusCode};
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+use crate::calls::Delivery;
+use crate::driver;
+use crate::frame::{Chunk, RequestParts};
+use crate::shared::{NodeShared, StartedWork};
+use crate::sse::{EventSplitter, ServerEvent};
+
+/// Header by which an upstream says that it did not run a request that it refuses.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+/// Header that names the attempt to the upstream.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// The kernel is told of progress each time this many tokens have come.
+const PROGRESS_TOKENS: u32 = 16;
+/// Largest answer to a refused request that is passed on.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
+
+/// One attempt under way.
+struct RunningAttempt {
+    shared: Arc<NodeShared>,
+    attempt: AttemptId,
+    entry: NodeId,
+    index: u32,
+    first_index: u32,
+}
+
+/// Starts an attempt in a task of its own.
+pub fn start(shared: &Arc<NodeShared>, start: AttemptStart) {
+    let attempt = start.work.attempt;
+    let Some(StartedWork {
+        entry,
+        parts,
+        cancel,
+    }) = shared.start(attempt)
+    else {
+        log::error!("attempt={attempt} event=request_missing");
+        shared.event(Event::AttemptEnded {
+            attempt,
+            end: AttemptEnd::Unsent,
+        });
+        return;
+    };
+    let first_index = start.work.resume_from;
+    let own = Arc::clone(shared);
+    shared.spawn(async move {
+        let running = RunningAttempt {
+            shared: own,
+            attempt,
+            entry,
+            index: first_index,
+            first_index,
+        };
+        run(running, &start, &parts, &cancel).await;
+    });
+}
+
+async fn run(
+    mut running: RunningAttempt,
+    start: &AttemptStart,
+    parts: &RequestParts,
+    cancel: &CancellationToken,
+) {
+    let end = tokio::select! {
+        end = exchange(&mut running, start, parts) => Some(end),
+        () = cancel.cancelled() => None,
+    };
+    let tokens = running.index - running.first_index;
+    let end = end.unwrap_or(AttemptEnd::Cancelled { tokens });
+    running.shared.stopped(running.attempt);
+    running.shared.event(Event::AttemptEnded {
+        attempt: running.attempt,
+        end,
+    });
+}
+
+async fn exchange(
+    running: &mut RunningAttempt,
+    start: &AttemptStart,
+    parts: &RequestParts,
+) -> AttemptEnd {
+    let config = running.shared.config();
+    let Some(upstream) = config.upstreams.get(&start.upstream) else {
+        return AttemptEnd::Unsent;
+    };
+    let kind = config
+        .pools
+        .get(&upstream.pool)
+        .map_or(PoolKind::Service, |pool| pool.kind);
+    let Some(request) = build(running, start, parts, upstream, kind) else {
+        return AttemptEnd::Unsent;
+    };
+    running.shared.event(Event::AttemptSent(running.attempt));
+    let response = match request.send().await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return AttemptEnd::Unsent,
+        Err(error) => {
+            log::debug!(
+                "attempt={} event=broken reason=\"{error}\"",
+                running.attempt
+            );
+            return AttemptEnd::Broken { tokens: 0 };
+        }
+    };
+    if refused(&response) {
+        return AttemptEnd::Refused;
+    }
+    match kind {
+        PoolKind::Model if response.status().is_success() => stream_tokens(running, response).await,
+        PoolKind::Model if response.status().is_server_error() => AttemptEnd::Broken { tokens: 0 },
+        PoolKind::Model | PoolKind::Service => pass_on(running, response, kind).await,
+    }
+}
+
+fn refused(response: &Response) -> bool {
+    response.headers().contains_key(NOT_RUN_HEADER)
+        || response.status() == StatusCode::TOO_MANY_REQUESTS
+}
+
+fn build(
+    running: &RunningAttempt,
+    start: &AttemptStart,
+    parts: &RequestParts,
+    upstream: &Upstream,
+    kind: PoolKind,
+) -> Option<reqwest::RequestBuilder> {
+    let spec = &start.work.spec;
+    let method = Method::from_bytes(parts.method.as_bytes()).ok()?;
+    let url = format!("http://{}{}", upstream.spec.address, parts.path);
+    let shared = &running.shared;
+    let client = if spec.repeatable {
+        &shared.client
+    } else {
+        &shared.single_use_client
+    };
+    let body = match kind {
+        PoolKind::Model => engine_body(&parts.body, spec.tier, running.first_index)?,
+        PoolKind::Service => parts.body.clone(),
+    };
+    let mut request = client
+        .request(method, url)
+        .header(REQUEST_ID_HEADER, running.attempt.to_string())
+        .body(body);
+    if let Some(content_type) = &parts.content_type {
+        request = request.header(CONTENT_TYPE, &**content_type);
+    }
+    if let Some(key) = &parts.key {
+        request = request.header("idempotency-key", &**key);
+    }
+    Some(request)
+}
+
+/// The engine always streams, whatever the caller asked for: so a broken answer can be resumed.
+fn engine_body(body: &[u8], tier: Tier, resume_from: u32) -> Option<Bytes> {
+    let mut value: Value = serde_json::from_slice(body).ok()?;
+    let fields = value.as_object_mut()?;
+    fields.insert("stream".into(), Value::Bool(true));
+    fields.insert(
+        "stream_options".into(),
+        serde_json::json!({ "include_usage": true }),
+    );
+    fields.insert("priority".into(), tier.0.into());
+    if resume_from > 0 {
+        fields.insert("resume_tokens".into(), resume_from.into());
+    }
+    serde_json::to_vec(&value).ok().map(Bytes::from)
+}
+
+async fn stream_tokens(running: &mut RunningAttempt, response: Response) -> AttemptEnd {
+    let mut splitter = EventSplitter::default();
+    let mut body = response.bytes_stream();
+    while let Some(Ok(bytes)) = body.next().await {
+        splitter.push(&bytes);
+        while let Some(event) = splitter.next_event() {
+            match event {
+                ServerEvent::Data(json) => token_chunk(running, &json),
+                ServerEvent::Done => {
+                    return AttemptEnd::Complete {
+                        tokens: running.index - running.first_index,
+                    };
+                }
+            }
+        }
+    }
+    AttemptEnd::Broken {
+        tokens: running.index - running.first_index,
+    }
+}
+
+fn token_chunk(running: &mut RunningAttempt, json: &str) {
+    let Ok(mut value) = serde_json::from_str::<Value>(json) else {
+        log::warn!("attempt={} event=bad_chunk", running.attempt);
+        return;
+    };
+    if let Some(usage) = value.get("usage").filter(|usage| !usage.is_null()) {
+        emit(running, Chunk::Usage(usage.to_string().into()));
+    }
+    let Some(choices) = value.get_mut("choices").map(Value::take) else {
+        return;
+    };
+    let Some(choice) = choices.get(0) else {
+        return;
+    };
+    let token = carries_token(choice);
+    emit(
+        running,
+        Chunk::Choices {
+            json: choices.to_string().into(),
+            token,
+        },
+    );
+    let tokens = running.index - running.first_index;
+    if token && (tokens == 1 || tokens.is_multiple_of(PROGRESS_TOKENS)) {
+        running.shared.event(Event::AttemptProgress {
+            attempt: running.attempt,
+            tokens,
+        });
+    }
+}
+
+fn carries_token(choice: &Value) -> bool {
+    let filled = |value: Option<&Value>| {
+        value.is_some_and(|value| !value.is_null() && value.as_str() != Some(""))
+    };
+    let delta = choice.get("delta");
+    filled(choice.get("text"))
+        || filled(delta.and_then(|delta| delta.get("content")))
+        || filled(delta.and_then(|delta| delta.get("tool_calls")))
+}
+
+async fn pass_on(running: &mut RunningAttempt, response: Response, kind: PoolKind) -> AttemptEnd {
+    let content_type = response
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(text)
+        .map(Into::into);
+    let status = response.status().as_u16();
+    emit(
+        running,
+        Chunk::Head {
+            status,
+            content_type,
+        },
+    );
+    let mut body = response.bytes_stream();
+    let mut size = 0;
+    while let Some(part) = body.next().await {
+        let Ok(data) = part else {
+            return AttemptEnd::Broken {
+                tokens: running.index,
+            };
+        };
+        size += data.len();
+        if kind == PoolKind::Model && size > MAX_ERROR_BYTES {
+            return AttemptEnd::Broken {
+                tokens: running.index,
+            };
+        }
+        emit(running, Chunk::Data(data));
+    }
+    AttemptEnd::Complete {
+        tokens: running.index - running.first_index,
+    }
+}
+
+fn text(value: &HeaderValue) -> Option<&str> {
+    value.to_str().ok()
+}
+
+fn emit(running: &mut RunningAttempt, chunk: Chunk) {
+    let index = running.index;
+    running.index += u32::from(chunk.counts());
+    let delivery = driver::send_chunk(
+        &running.shared,
+        running.entry,
+        running.attempt,
+        index,
+        chunk,
+    );
+    if delivery == Delivery::Stalled {
+        log::warn!("attempt={} event=caller_stalled", running.attempt);
+    }
+}
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -27,6 +27,7 @@
 #[derive(Debug, Default)]
 pub struct ConfigurationFold {
     next: u64,
+    reading: bool,
     config: Arc<Config>,
 }
 
@@ -49,6 +50,13 @@
 
 impl Plugin for ConfigurationFold {
     fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
+        if matches!(event, Event::Tick) && !self.reading {
+            self.reading = true;
+            context.act(Action::ReadLog { from: self.next });
+        }
+        if matches!(event, Event::LogUnavailable) {
+            self.reading = false;
+        }
         let Event::LogRead { records, .. } = event else {
             return;
         };
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -182,4 +182,10 @@
     },
     /// The node has finished everything and may exit.
     Exit,
+    /// This configuration is in force at this node now.
+    UseConfig(Arc<Config>),
+    /// These are the nodes now.
+    UseMembers(Arc<MemberView>),
+    /// These are the owners of upstreams now.
+    UseOwners(Arc<OwnerMap>),
 }
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -1,6 +1,7 @@
 //! The kernel: hands each event to every plug-in and collects the actions.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -54,6 +55,7 @@
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
+            actions.extend(snapshot(&event));
             for slot in &mut self.slots {
                 let mut context = Context {
                     now,
@@ -86,3 +88,13 @@
             .collect()
     }
 }
+
+/// Tells the process around the kernel of the state that its edges work with.
+fn snapshot(event: &Event) -> Option<Action> {
+    match event {
+        Event::ConfigApplied(config) => Some(Action::UseConfig(Arc::clone(config))),
+        Event::MembersChanged(view) => Some(Action::UseMembers(Arc::clone(view))),
+        Event::OwnersChanged(owners) => Some(Action::UseOwners(Arc::clone(owners))),
+        _ => None,
+    }
+}
