Add the stand-ins: engine, service, log and host list

The daemon, its tests and the demo need the systems around the router as tasks of one process, with faults that can be switched on and with run counters that do not depend on the router.

An engine batches continuously, keeps a prefix cache, orders its queue by `priority`, skips `resume_tokens` and stops when the connection closes. Its answer is a pure function of the prompt (`answer::expected_answer`), so a caller can check every token.

--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,276 @@
+//! A model engine: continuous batching, a prefix cache, priorities, resume and cancel.
+//!
+//! Its answers are a pure function of the prompt, see [`crate::answer`].
+
+use std::io;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_json::Value;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep};
+
+use crate::batch::{Batch, BatchSpeed};
+use crate::cache::PrefixCache;
+use crate::desk::EngineDesk;
+use crate::faults::{CrashFault, EngineFaults};
+use crate::runs::{RunRecord, RunTotals};
+use crate::server::{HttpServer, lock};
+use crate::weights::WeightStore;
+
+/// Time that the last tokens before a crash get to leave their sockets.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
+/// What an engine is like.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// The models that it serves; any model when empty.
+    pub models: Vec<Box<str>>,
+    /// Requests at a time.
+    pub slots: usize,
+    /// Requests that may wait; more are refused.
+    pub queue: usize,
+    /// Length of a step (one token for each request) with one request.
+    pub step: Duration,
+    /// What each further request adds to a step.
+    pub step_per_job: Duration,
+    /// Time for each prompt token that the prefix cache does not hold.
+    pub prefill_per_token: Duration,
+    /// Tokens in an answer when the request names no number.
+    pub answer_tokens: RangeInclusive<u32>,
+    /// Blocks (see [`crate::answer::BLOCK_BYTES`]) that the prefix cache holds.
+    pub cache_blocks: usize,
+    /// Delay of cache events.
+    pub cache_event_delay: Duration,
+    /// Each so manyth cache event is missing; none when 0.
+    pub cache_event_gap: u64,
+    /// Lag of the load report.
+    pub report_lag: Duration,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+    /// Where weights come from; models load at once when absent.
+    pub weights: Option<WeightStore>,
+    /// Size of a model's weights, in bytes.
+    pub model_bytes: u64,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            models: Vec::new(),
+            slots: 50,
+            queue: 200,
+            step: Duration::from_millis(5),
+            step_per_job: Duration::from_micros(50),
+            prefill_per_token: Duration::from_micros(20),
+            answer_tokens: 4..=40,
+            cache_blocks: 4096,
+            cache_event_delay: Duration::from_millis(500),
+            cache_event_gap: 10,
+            report_lag: Duration::from_millis(500),
+            checks_fencing: true,
+            weights: None,
+            model_bytes: 1_000_000,
+        }
+    }
+}
+
+/// An order that reached the engine.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OrderRecord {
+    /// Its fencing number.
+    pub fencing: u64,
+    /// The order.
+    pub order: Value,
+    /// Whether it was taken.
+    pub accepted: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct OrderBook {
+    pub(crate) newest: u64,
+    pub(crate) orders: Vec<OrderRecord>,
+}
+
+/// The engine's state, shared by its tasks.
+pub(crate) struct Engine {
+    pub(crate) settings: EngineSettings,
+    pub(crate) batch: Mutex<Batch>,
+    pub(crate) models: Mutex<Vec<Box<str>>>,
+    pub(crate) orders: Mutex<OrderBook>,
+    pub(crate) work: Notify,
+    faults: watch::Sender<EngineFaults>,
+    server: HttpServer,
+}
+
+impl Engine {
+    /// The faults that hold now.
+    pub(crate) fn faults(&self) -> EngineFaults {
+        *self.faults.borrow()
+    }
+
+    /// Waits while the engine is frozen.
+    pub(crate) async fn thaw(&self) {
+        let mut faults = self.faults.subscribe();
+        // The sender lives as long as `self`.
+        let _ = faults.wait_for(|faults| !faults.frozen).await;
+    }
+
+    /// Replaces the faults; a crash without a token count comes at once.
+    pub(crate) fn set_faults(self: &Arc<Self>, faults: EngineFaults) {
+        self.faults.send_replace(faults);
+        {
+            let mut batch = lock(&self.batch);
+            batch.history.freeze(faults.report_frozen, Instant::now());
+            batch.crash_after = faults.crash.and_then(|crash| crash.after_tokens);
+        }
+        let Some(crash) = faults.crash else {
+            return;
+        };
+        if crash.after_tokens.is_none() {
+            tokio::spawn(Arc::clone(self).crash_for(crash));
+        }
+    }
+
+    async fn crash_for(self: Arc<Self>, crash: CrashFault) {
+        sleep(FLUSH_TIME).await;
+        self.crash().await;
+        let Some(pause) = crash.restart_after_ms else {
+            return;
+        };
+        sleep(Duration::from_millis(pause)).await;
+        // A port that was taken meanwhile leaves the engine down.
+        let _ = self.open().await;
+    }
+
+    async fn crash(&self) {
+        self.faults.send_modify(|faults| faults.crash = None);
+        self.server.close().await;
+        lock(&self.batch).break_all(Instant::now());
+    }
+
+    async fn open(self: &Arc<Self>) -> io::Result<()> {
+        let desk = EngineDesk {
+            engine: Arc::clone(self),
+        };
+        self.server.open(desk).await
+    }
+
+    /// Makes tokens for as long as the engine exists.
+    async fn run(self: Arc<Self>) {
+        loop {
+            let wait = {
+                let batch = lock(&self.batch);
+                (!batch.is_idle()).then(|| batch.step_time())
+            };
+            let Some(wait) = wait else {
+                self.work.notified().await;
+                continue;
+            };
+            sleep(wait.mul_f64(self.faults().straggle.max(0.01))).await;
+            self.thaw().await;
+            let crash = lock(&self.batch).step(Instant::now());
+            if crash {
+                let fault = self.faults().crash.unwrap_or_default();
+                Arc::clone(&self).crash_for(fault).await;
+            }
+        }
+    }
+}
+
+/// A running engine; dropping it stops the engine.
+pub struct EngineHandle {
+    engine: Arc<Engine>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+/// Starts an engine on `address` ("127.0.0.1:0" takes any free port).
+pub async fn start(address: &str, settings: EngineSettings) -> io::Result<EngineHandle> {
+    let speed = BatchSpeed {
+        slots: settings.slots,
+        queue: settings.queue,
+        step: settings.step,
+        step_per_job: settings.step_per_job,
+        prefill_per_token: settings.prefill_per_token,
+    };
+    let cache = PrefixCache::new(
+        settings.cache_blocks,
+        settings.cache_event_delay,
+        settings.cache_event_gap,
+    );
+    let engine = Arc::new(Engine {
+        models: Mutex::new(settings.models.clone()),
+        batch: Mutex::new(Batch::new(speed, cache)),
+        orders: Mutex::default(),
+        work: Notify::new(),
+        faults: watch::Sender::new(EngineFaults::default()),
+        server: HttpServer::bind(address).await?,
+        settings,
+    });
+    engine.open().await?;
+    let task = tokio::spawn(Arc::clone(&engine).run());
+    Ok(EngineHandle { engine, task })
+}
+
+impl EngineHandle {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.engine.server.address()
+    }
+
+    /// The faults that hold now.
+    pub fn faults(&self) -> EngineFaults {
+        self.engine.faults()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.engine.set_faults(faults);
+    }
+
+    /// Drops every connection and request, and closes the port.
+    pub async fn crash(&self) {
+        self.engine.crash().await;
+    }
+
+    /// Opens the port again after a crash.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.engine.open().await
+    }
+
+    /// Sums over the runs so far.
+    pub fn totals(&self) -> RunTotals {
+        lock(&self.engine.batch).book.totals()
+    }
+
+    /// Every run so far.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        lock(&self.engine.batch).book.records().to_vec()
+    }
+
+    /// Every order that arrived so far.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        lock(&self.engine.orders).orders.clone()
+    }
+
+    /// The models that it serves now.
+    pub fn models(&self) -> Vec<Box<str>> {
+        lock(&self.engine.models).clone()
+    }
+
+    /// Stops it for good.
+    pub async fn stop(self) {
+        self.task.abort();
+        self.engine.crash().await;
+    }
+}
+
+impl Drop for EngineHandle {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.engine.server.abort();
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,21 @@
 //! Small stand-ins for the systems around monsoonbank, with faults that can be switched on.
+//!
+//! Each stand-in is an HTTP server on a loopback port of its own, run as tasks of the calling
+//! process, so that several dozen fit into one test. Each counts what it ran by itself: tests
+//! compare those counts with what the router said.
+
+pub mod answer;
+mod batch;
+mod cache;
+mod chat;
+mod desk;
+pub mod engine;
+pub mod faults;
+pub mod hosts;
+pub mod log;
+mod reply;
+mod report;
+pub mod runs;
+mod server;
+pub mod service;
+pub mod weights;
--- /dev/null
+++ b/standin/src/service.rs
@@ -0,0 +1,250 @@
+//! A plain service: echoes what it is sent, and counts runs by idempotency key.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use salvo::http::StatusCode;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response};
+use serde_json::{Value, json};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+use crate::faults::{CrashFault, ServiceFaults};
+use crate::reply::{JsonReply, read_json, read_text};
+use crate::server::{HttpServer, lock};
+
+/// What a service is like.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// Its name, which it puts into every answer.
+    pub name: Box<str>,
+    /// Time that a request takes.
+    pub work: Duration,
+    /// Requests at a time; others wait.
+    pub slots: usize,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            name: "service".into(),
+            work: Duration::from_millis(5),
+            slots: 50,
+        }
+    }
+}
+
+#[derive(Default)]
+struct ServiceState {
+    faults: ServiceFaults,
+    runs: u64,
+    refused: u64,
+    running: usize,
+    by_key: BTreeMap<Box<str>, u32>,
+}
+
+struct Service {
+    settings: ServiceSettings,
+    slots: Semaphore,
+    state: Mutex<ServiceState>,
+    server: HttpServer,
+}
+
+struct ServiceDesk {
+    service: Arc<Service>,
+}
+
+impl Service {
+    async fn open(self: &Arc<Self>) -> io::Result<()> {
+        let desk = ServiceDesk {
+            service: Arc::clone(self),
+        };
+        self.server.open(desk).await
+    }
+
+    fn set_faults(self: &Arc<Self>, faults: ServiceFaults) {
+        lock(&self.state).faults = faults;
+        if let Some(crash) = faults.crash {
+            tokio::spawn(Arc::clone(self).crash_for(crash));
+        }
+    }
+
+    async fn crash_for(self: Arc<Self>, crash: CrashFault) {
+        lock(&self.state).faults.crash = None;
+        self.server.close().await;
+        let Some(pause) = crash.restart_after_ms else {
+            return;
+        };
+        sleep(Duration::from_millis(pause)).await;
+        // A port that was taken meanwhile leaves the service down.
+        let _ = self.open().await;
+    }
+
+    fn page(&self, path: &str) -> Option<JsonReply> {
+        let state = lock(&self.state);
+        match path {
+            "/load" => Some(JsonReply::ok(json!({
+                "running": state.running.min(self.settings.slots),
+                "waiting": state.running.saturating_sub(self.settings.slots),
+                "age_ms": 0,
+                "leaving": false,
+            }))),
+            "/runs" => Some(JsonReply::ok(json!({
+                "runs": state.runs,
+                "refused": state.refused,
+                "by_key": state.by_key,
+            }))),
+            _ => None,
+        }
+    }
+
+    /// Runs a request; whether its response is to be lost.
+    async fn run(&self, key: Option<Box<str>>) -> bool {
+        let _presence = Presence::enter(self);
+        // The semaphore is never closed.
+        let _slot = self.slots.acquire().await;
+        let slow = {
+            let mut state = lock(&self.state);
+            state.runs += 1;
+            if let Some(key) = key {
+                *state.by_key.entry(key).or_default() += 1;
+            }
+            state.faults.slow_ms
+        };
+        sleep(self.settings.work + Duration::from_millis(slow)).await;
+        let mut state = lock(&self.state);
+        let lost = state.faults.lose_responses > 0;
+        state.faults.lose_responses = state.faults.lose_responses.saturating_sub(1);
+        lost
+    }
+}
+
+/// Counts a request as present until it is dropped.
+struct Presence<'a> {
+    service: &'a Service,
+}
+
+impl<'a> Presence<'a> {
+    fn enter(service: &'a Service) -> Self {
+        lock(&service.state).running += 1;
+        Self { service }
+    }
+}
+
+impl Drop for Presence<'_> {
+    fn drop(&mut self) {
+        lock(&self.service.state).running -= 1;
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for ServiceDesk {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        control: &mut FlowCtrl,
+    ) {
+        let path = request.uri().path().to_owned();
+        if let Some(reply) = self.service.page(&path) {
+            reply.write(response);
+            return;
+        }
+        if path == "/faults" {
+            change_faults(&self.service, request).await.write(response);
+            return;
+        }
+        if lock(&self.service.state).faults.refuse {
+            lock(&self.service.state).refused += 1;
+            JsonReply::not_run(StatusCode::SERVICE_UNAVAILABLE, "refused").write(response);
+            return;
+        }
+        let body = read_text(request).await;
+        let key = request.header::<String>("idempotency-key").map(Into::into);
+        if self.service.run(key).await {
+            control.conn().abort();
+            return;
+        }
+        let echo = json!({
+            "service": self.service.settings.name,
+            "method": request.method().as_str(),
+            "path": path,
+            "body": body,
+        });
+        JsonReply::ok(echo).write(response);
+    }
+}
+
+async fn change_faults(service: &Arc<Service>, request: &mut Request) -> JsonReply {
+    match read_json::<ServiceFaults>(request).await {
+        Ok(faults) => {
+            service.set_faults(faults);
+            JsonReply::ok(Value::Null)
+        }
+        Err(reply) => reply,
+    }
+}
+
+/// A running service; dropping it stops the service.
+pub struct ServiceHandle {
+    service: Arc<Service>,
+}
+
+/// Starts a service on `address` ("127.0.0.1:0" takes any free port).
+pub async fn start(address: &str, settings: ServiceSettings) -> io::Result<ServiceHandle> {
+    let service = Arc::new(Service {
+        slots: Semaphore::new(settings.slots),
+        state: Mutex::default(),
+        server: HttpServer::bind(address).await?,
+        settings,
+    });
+    service.open().await?;
+    Ok(ServiceHandle { service })
+}
+
+impl ServiceHandle {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.service.server.address()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.service.set_faults(faults);
+    }
+
+    /// Drops every connection and closes the port.
+    pub async fn crash(&self) {
+        self.service.server.close().await;
+    }
+
+    /// Opens the port again after a crash.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.service.open().await
+    }
+
+    /// Runs by idempotency key.
+    pub fn runs_by_key(&self) -> BTreeMap<Box<str>, u32> {
+        lock(&self.service.state).by_key.clone()
+    }
+
+    /// Runs in all.
+    pub fn runs(&self) -> u64 {
+        lock(&self.service.state).runs
+    }
+
+    /// Stops it for good.
+    pub async fn stop(self) {
+        self.service.server.close().await;
+    }
+}
+
+impl Drop for ServiceHandle {
+    fn drop(&mut self) {
+        self.service.server.abort();
+    }
+}
