Serve a call over the whole path: caller, entry node, owner, engine and back

Cause: the parts stood, but no call had crossed them. Change: integration tests over real sockets: three nodes, three engines, a plain service, the log and the host list as stand-ins; prompt prefixes are hashed as engines name them.

--- a/daemon/src/completions.rs
+++ b/daemon/src/completions.rs
@@ -410,21 +410,29 @@
     })
 }
 
+/// Engines name prefixes by the hash of the first bytes of the prompt's text.
 fn prefix(kind: CompletionKind, fields: &Map<String, Value>) -> Result<u64, CallerError> {
     let text = match kind {
-        CompletionKind::Chat => match fields.get("messages") {
-            Some(messages @ Value::Array(list)) if !list.is_empty() => messages.to_string(),
+        CompletionKind::Chat => match fields.get("messages").and_then(Value::as_array) {
+            Some(messages) if !messages.is_empty() => joined_contents(messages),
             _ => return Err(wrong_field("messages", "a list with at least one message")),
         },
-        CompletionKind::Text => match fields.get("prompt") {
-            Some(Value::String(prompt)) => prompt.clone(),
-            _ => return Err(wrong_field("prompt", "a string")),
+        CompletionKind::Text => match fields.get("prompt").and_then(Value::as_str) {
+            Some(prompt) => prompt.to_owned(),
+            None => return Err(wrong_field("prompt", "a string")),
         },
     };
     let bytes = text.as_bytes();
     Ok(xxh3_64(&bytes[..bytes.len().min(PREFIX_BYTES)]))
 }
 
+fn joined_contents(messages: &[Value]) -> String {
+    let contents = messages
+        .iter()
+        .filter_map(|message| message.get("content")?.as_str());
+    contents.collect::<Vec<_>>().join("\n")
+}
+
 fn wrong_field(field: &str, expected: &str) -> CallerError {
     CallerError::not_run(
         StatusCode::BAD_REQUEST,
--- /dev/null
+++ b/daemon/tests/common/mod.rs
@@ -0,0 +1,191 @@
+//! A small fleet on loopback: stand-ins, nodes and one HTTP client.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use monsoonbank_daemon::intake::token_hash;
+use monsoonbank_daemon::node::{self, NodeHandle, NodeListeners};
+use monsoonbank_daemon::settings::Settings;
+use monsoonbank_standin::engine::{self, EngineHandle, EngineSettings};
+use monsoonbank_standin::hosts::{self, HostRole, HostRow, HostSettings, HostsHandle};
+use monsoonbank_standin::log::{self, LogHandle, LogSettings};
+use monsoonbank_standin::service::{self, ServiceHandle, ServiceSettings};
+use reqwest::Client;
+use serde_json::{Value, json};
+
+/// Token of the only workspace.
+pub const TOKEN: &str = "desk-token";
+/// Token of operators.
+pub const OPERATOR_TOKEN: &str = "operator-token";
+const ANY_PORT: &str = "127.0.0.1:0";
+/// Longest wait for a condition; far above what it takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Stand-ins and nodes.
+pub struct TestFleet {
+    pub log: LogHandle,
+    pub hosts: HostsHandle,
+    pub engines: Vec<EngineHandle>,
+    pub service: ServiceHandle,
+    pub nodes: Vec<NodeHandle>,
+    pub client: Client,
+}
+
+/// Settings of a node with free ports.
+pub fn settings(name: &str, zone: &str, log: &LogHandle, hosts: &HostsHandle) -> Settings {
+    let text = format!(
+        "name: {name}\nzone: {zone}\n\
+         listen: {{callers: '{ANY_PORT}', peers: '{ANY_PORT}', operators: '{ANY_PORT}'}}\n\
+         platform: {{log: 'http://{}', hosts: 'http://{}', hosts_poll: 200ms}}\n\
+         secrets: {{peer_key: fleet-key, operator_token: {OPERATOR_TOKEN}}}\n",
+        log.address(),
+        hosts.address()
+    );
+    Settings::parse("test", &text).expect("settings of the test")
+}
+
+/// The configuration: one model on `engines`, one plain service, three classes.
+pub fn configuration(engines: &[EngineHandle], service: &ServiceHandle) -> Value {
+    let mut upstreams: Vec<Value> = engines
+        .iter()
+        .enumerate()
+        .map(|(index, engine)| {
+            json!({ "name": format!("engine-{index}"), "pool": "writer",
+                "zone": format!("zone-{}", index % 3), "slots": 50,
+                "address": engine.address().to_string() })
+        })
+        .collect();
+    upstreams.push(
+        json!({ "name": "gate-0", "pool": "gate", "zone": "zone-0", "slots": 50,
+        "address": service.address().to_string() }),
+    );
+    json!({
+        "tiers": [{ "tier": 0, "floor": 0.0 }, { "tier": 1, "floor": 0.2 },
+            { "tier": 2, "floor": 0.1 }],
+        "classes": [
+            { "name": "chat", "tier": 1, "target": "30s", "repeatable": true },
+            { "name": "pass-check", "tier": 0, "target": "30s", "repeatable": true },
+            { "name": "locker-release", "tier": 0, "target": "30s", "repeatable": false },
+        ],
+        "workspaces": [{ "name": "desk", "token_sha256": token_hash(TOKEN.as_bytes()) }],
+        "pools": [{ "name": "writer", "kind": "model" }, { "name": "gate", "kind": "service" }],
+        "upstreams": upstreams,
+        "rules": [
+            { "name": "lockers", "when": { "path_prefix": "/services/gate/lockers" },
+                "then": { "class": "locker-release" } },
+            { "name": "passes", "when": { "path_prefix": "/services/" },
+                "then": { "class": "pass-check" } },
+            { "name": "chat", "then": { "class": "chat" } },
+        ],
+    })
+}
+
+impl TestFleet {
+    /// Starts `nodes` nodes in three zones before `engines` engines and one service.
+    pub async fn start(nodes: usize, engines: usize) -> Self {
+        let log = log::start(ANY_PORT, LogSettings::default())
+            .await
+            .expect("log");
+        let settings = HostSettings {
+            lag: Duration::from_millis(200),
+        };
+        let hosts = hosts::start(ANY_PORT, settings).await.expect("hosts");
+        let mut started = Vec::new();
+        for _ in 0..engines {
+            let settings = EngineSettings {
+                models: vec!["writer".into()],
+                ..Default::default()
+            };
+            started.push(engine::start(ANY_PORT, settings).await.expect("engine"));
+        }
+        let service = service::start(ANY_PORT, ServiceSettings::default())
+            .await
+            .expect("service");
+        let mut fleet = Self {
+            log,
+            hosts,
+            engines: started,
+            service,
+            nodes: Vec::new(),
+            client: Client::builder().no_proxy().build().expect("client"),
+        };
+        fleet.publish();
+        for index in 0..nodes {
+            fleet
+                .add_node(&format!("node-{index}"), &format!("zone-{}", index % 3))
+                .await;
+        }
+        fleet.ready().await;
+        fleet
+    }
+
+    /// Puts the configuration on the log.
+    pub fn publish(&self) {
+        let file = configuration(&self.engines, &self.service);
+        let record = json!({ "kind": "change", "id": "first", "replaces": 0, "file": file });
+        self.log.append(record);
+    }
+
+    /// Starts one more node and lists it.
+    pub async fn add_node(&mut self, name: &str, zone: &str) {
+        let settings = settings(name, zone, &self.log, &self.hosts);
+        let listeners = NodeListeners::bind(&settings).await.expect("listeners");
+        let [callers, peers, _] = listeners.addresses().expect("addresses");
+        let mut rows = self.hosts.rows();
+        rows.retain(|row| &*row.name != name);
+        rows.push(HostRow {
+            name: name.into(),
+            zone: zone.into(),
+            role: HostRole::Node,
+            peer_address: peers.to_string().into(),
+            caller_address: callers.to_string().into(),
+            leaving: false,
+        });
+        self.hosts.set_rows(rows);
+        self.nodes
+            .push(node::start_with(settings, listeners).expect("node"));
+    }
+
+    /// Waits until every node has the configuration and sees every other.
+    pub async fn ready(&self) {
+        let count = self.nodes.len();
+        for node in &self.nodes {
+            let shared = node.shared();
+            wait_until("nodes are ready", || {
+                !shared.config().classes.is_empty() && shared.members().members.len() >= count
+            })
+            .await;
+        }
+    }
+
+    /// Posts JSON to a node's callers' interface.
+    pub async fn post(&self, node: usize, path: &str, body: &Value) -> reqwest::Response {
+        let url = format!("http://{}{path}", self.nodes[node].callers);
+        let request = self.client.post(url).bearer_auth(TOKEN).json(body);
+        request.send().await.expect("an answer")
+    }
+
+    /// Gets JSON from a node's callers' interface.
+    pub async fn get(&self, node: usize, path: &str) -> Value {
+        let url = format!("http://{}{path}", self.nodes[node].callers);
+        let request = self.client.get(url).bearer_auth(TOKEN);
+        request
+            .send()
+            .await
+            .expect("an answer")
+            .json()
+            .await
+            .expect("JSON")
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "not in time: {what}");
+}
