--- a/kernel/src/keys.rs
+++ b/kernel/src/keys.rs
@@ -1,1 +1,211 @@
 //! Idempotency keys: minted by one run of one node, which alone may run their calls, once.
+//!
+//! A key's text is `mb1.NODE.INCARNATION.SEQUENCE.SECOND.MAC`: the minter, a number that the
+//! minter never uses twice, the second of the minter's clock at which it was minted, and a message
+//! authentication code over all of it and the workspace (HMAC-SHA-256 of RFC 2104 and FIPS 180-4,
+//! truncated to 128 bits). Only the minter ever checks a key, so the secret never leaves its memory.
+
+pub mod memory;
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use hmac::{Hmac, KeyInit, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use thiserror::Error;
+
+use crate::ids::{Incarnation, NodeId, WorkspaceId};
+use crate::plugin::NodeProfile;
+
+/// Time from minting during which a key may run its call.
+pub const KEY_LIFE: Duration = Duration::from_mins(15);
+
+const VERSION: &str = "mb1";
+const MAC_BYTES: usize = 16;
+
+/// A key as it came with a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestKey {
+    /// The key's text.
+    pub text: Box<str>,
+    /// Hash of the request's method, path and body; a key answers for one request only.
+    pub fingerprint: u64,
+}
+
+impl From<&str> for RequestKey {
+    fn from(text: &str) -> Self {
+        Self {
+            text: text.into(),
+            fingerprint: 0,
+        }
+    }
+}
+
+/// The readable part of a key; says who minted it, proves nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyParts {
+    /// The minter.
+    pub node: NodeId,
+    /// The minter's run.
+    pub incarnation: Incarnation,
+    /// The key's number within the run.
+    pub sequence: u64,
+    /// Second of the minter's clock at which the key was minted.
+    pub second: u64,
+    mac: [u8; MAC_BYTES],
+}
+
+/// Why a text is no key.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum KeyError {
+    /// Not the form of a key.
+    #[error("malformed idempotency key")]
+    Malformed,
+    /// Minted by another node, or by another run of this node.
+    #[error("idempotency key of another minter")]
+    OtherMinter,
+    /// The authentication code is not this minter's for this workspace.
+    #[error("idempotency key not minted for this workspace")]
+    Forged,
+}
+
+impl KeyParts {
+    /// Reads a key's text. Every key has exactly one accepted spelling.
+    pub fn parse(text: &str) -> Result<Self, KeyError> {
+        let fields: Vec<&str> = text.splitn(7, '.').collect();
+        let [version, node, incarnation, sequence, second, mac] = fields[..] else {
+            return Err(KeyError::Malformed);
+        };
+        if version != VERSION {
+            return Err(KeyError::Malformed);
+        }
+        Ok(Self {
+            node: NodeId(number(node)?),
+            incarnation: Incarnation(number(incarnation)?),
+            sequence: number(sequence)?,
+            second: number(second)?,
+            mac: code(mac)?,
+        })
+    }
+
+    /// Time since the key was minted, on the minter's clock.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(Duration::from_secs(self.second))
+    }
+}
+
+fn number(text: &str) -> Result<u64, KeyError> {
+    let canonical = !text.is_empty()
+        && text.len() <= 16
+        && (text.len() == 1 || !text.starts_with('0'))
+        && text.bytes().all(lower_hex);
+    if !canonical {
+        return Err(KeyError::Malformed);
+    }
+    u64::from_str_radix(text, 16).map_err(|_| KeyError::Malformed)
+}
+
+fn code(text: &str) -> Result<[u8; MAC_BYTES], KeyError> {
+    if text.len() != 2 * MAC_BYTES || !text.bytes().all(lower_hex) {
+        return Err(KeyError::Malformed);
+    }
+    let mut code = [0; MAC_BYTES];
+    for (index, byte) in code.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16)
+            .map_err(|_| KeyError::Malformed)?;
+    }
+    Ok(code)
+}
+
+fn lower_hex(byte: u8) -> bool {
+    byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte)
+}
+
+/// Checks keys of this run; knows the secret and nothing else.
+#[derive(Clone)]
+pub struct KeyChecker {
+    node: NodeId,
+    incarnation: Incarnation,
+    secret: [u8; 32],
+}
+
+impl KeyChecker {
+    /// The checker of a node's run.
+    pub fn new(profile: &NodeProfile) -> Self {
+        Self {
+            node: profile.node,
+            incarnation: profile.incarnation,
+            secret: profile.secret,
+        }
+    }
+
+    /// Whether this run minted the key for the workspace. Compares in constant time.
+    pub fn check(&self, parts: &KeyParts, workspace: WorkspaceId) -> Result<(), KeyError> {
+        if (parts.node, parts.incarnation) != (self.node, self.incarnation) {
+            return Err(KeyError::OtherMinter);
+        }
+        self.mac(parts.sequence, parts.second, workspace)?
+            .verify_truncated_left(&parts.mac)
+            .map_err(|_| KeyError::Forged)
+    }
+
+    fn mac(
+        &self,
+        sequence: u64,
+        second: u64,
+        workspace: WorkspaceId,
+    ) -> Result<Hmac<Sha256>, KeyError> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.secret).map_err(|_| KeyError::Forged)?;
+        mac.update(VERSION.as_bytes());
+        for field in [
+            self.node.0,
+            self.incarnation.0,
+            sequence,
+            second,
+            workspace.0,
+        ] {
+            mac.update(&field.to_be_bytes());
+        }
+        Ok(mac)
+    }
+}
+
+/// Mints keys for the edge that gives them to callers; clones share one sequence.
+#[derive(Clone)]
+pub struct KeyMint {
+    checker: KeyChecker,
+    sequence: Arc<AtomicU64>,
+}
+
+impl KeyMint {
+    /// The mint of a node's run. Make one a process: two would mint the same keys.
+    pub fn new(profile: &NodeProfile) -> Self {
+        Self {
+            checker: KeyChecker::new(profile),
+            sequence: Arc::new(AtomicU64::new(1)),
+        }
+    }
+
+    /// A new key for the workspace; `now` is the time on the kernel's clock.
+    pub fn mint(&self, workspace: WorkspaceId, now: Duration) -> Box<str> {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let second = now.as_secs();
+        let checker = &self.checker;
+        let mut text = format!(
+            "{VERSION}.{:x}.{:x}.{sequence:x}.{second:x}.",
+            checker.node.0, checker.incarnation.0
+        );
+        let mac = checker
+            .mac(sequence, second, workspace)
+            .expect("HMAC takes a secret of any length")
+            .finalize()
+            .into_bytes();
+        for byte in &mac[..MAC_BYTES] {
+            write!(text, "{byte:02x}").expect("a string takes all text");
+        }
+        text.into()
+    }
+}
