--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -1,12 +1,12 @@
 //! The plug-in of the owner node: queues work and hands it to the upstreams that the node owns.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
-use crate::call::{AttemptEnd, AttemptStart, LoadSummary, ReturnReason, WorkSpec};
+use crate::call::{AttemptEnd, AttemptStart, LoadSummary, RefusalReason, ReturnReason, WorkSpec};
 use crate::config::Config;
 use crate::event::{Action, Event};
 use crate::ids::{AttemptId, NodeId, PoolId, UpstreamId};
@@ -36,6 +36,8 @@
     queues: BTreeMap<PoolId, VecDeque<QueuedWork>>,
     running: BTreeMap<AttemptId, RunningWork>,
     in_flight: BTreeMap<UpstreamId, u32>,
+    /// Offers seen of calls that may not be repeated: a doubled one is not taken twice.
+    seen: BTreeSet<AttemptId>,
 }
 
 impl WorkDispatcher {
@@ -63,6 +65,9 @@
 
     fn offer(&mut self, entry: NodeId, work: WorkSpec, context: &mut Context<'_>) {
         let pool = work.spec.pool;
+        if !work.spec.repeatable && !self.seen.insert(work.attempt) {
+            return;
+        }
         if self.owned(pool, context.profile.node).next().is_none() {
             let load = self.summary(pool, context.profile.node);
             let reason = ReturnReason::NotOwner;
@@ -137,20 +142,70 @@
     }
 
     fn cancel(&mut self, attempt: AttemptId, context: &mut Context<'_>) {
-        for queue in self.queues.values_mut() {
-            queue.retain(|queued| queued.work.attempt != attempt);
-        }
+        let reason = ReturnReason::Refused {
+            reason: RefusalReason::Cancelled,
+            retry_after: None,
+        };
+        self.give_back(reason, context, |queued| queued.work.attempt == attempt);
         if self.running.contains_key(&attempt) {
             context.act(Action::CancelAttempt(attempt));
         }
     }
+
+    fn give_back(
+        &mut self,
+        reason: ReturnReason,
+        context: &mut Context<'_>,
+        chosen: impl Fn(&QueuedWork) -> bool,
+    ) {
+        let mut back = Vec::new();
+        for queue in self.queues.values_mut() {
+            let (gone, kept) = queue.drain(..).partition::<Vec<_>, _>(&chosen);
+            queue.extend(kept);
+            back.extend(gone);
+        }
+        for queued in back {
+            let load = self.summary(queued.work.spec.pool, context.profile.node);
+            let attempt = queued.work.attempt;
+            let returned = WorkMessage::Returned {
+                attempt,
+                reason,
+                load,
+            };
+            context.send(queued.entry, returned);
+        }
+    }
+
+    fn owners_changed(&mut self, owners: &Arc<OwnerMap>, context: &mut Context<'_>) {
+        self.owners = Arc::clone(owners);
+        let node = context.profile.node;
+        let lost: Vec<PoolId> = self
+            .queues
+            .keys()
+            .copied()
+            .filter(|pool| self.owned(*pool, node).next().is_none())
+            .collect();
+        self.give_back(ReturnReason::NotOwner, context, |queued| {
+            lost.contains(&queued.work.spec.pool)
+        });
+    }
+
+    fn asked(&self, from: NodeId, attempts: &[AttemptId], context: &mut Context<'_>) {
+        let queued = || self.queues.values().flatten();
+        let holds = |attempt: &AttemptId| {
+            self.running.contains_key(attempt)
+                || queued().any(|queued| queued.work.attempt == *attempt)
+        };
+        let (held, missing) = attempts.iter().copied().partition(holds);
+        context.send(from, WorkMessage::Held { held, missing });
+    }
 }
 
 impl Plugin for WorkDispatcher {
     fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
         match event {
             Event::ConfigApplied(config) => self.config = Arc::clone(config),
-            Event::OwnersChanged(owners) => self.owners = Arc::clone(owners),
+            Event::OwnersChanged(owners) => self.owners_changed(owners, context),
             Event::PeerMessage {
                 from,
                 message: Message::Work(WorkMessage::Offer(work)),
@@ -163,6 +218,12 @@
             } => {
                 self.cancel(*attempt, context);
             }
+            Event::PeerMessage {
+                from,
+                message: Message::Work(WorkMessage::Ask(attempts)),
+            } => {
+                self.asked(*from, attempts, context);
+            }
             Event::AttemptSent(attempt) => {
                 if let Some(running) = self.running.get(attempt) {
                     context.send(running.entry, WorkMessage::Started(*attempt));
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -6,6 +6,7 @@
 use crate::call::{AttemptEnd, AttemptStart, CallOutcome, CallSpec, LoadReport};
 use crate::config::Config;
 use crate::ids::{AttemptId, CallId, NodeId, UpstreamId};
+use crate::keys::RequestKey;
 use crate::leases::OrderRequest;
 use crate::membership::{HostEntry, MemberView};
 use crate::ownership::OwnerMap;
@@ -20,7 +21,7 @@
         /// The call.
         spec: CallSpec,
         /// The idempotency key, if the caller sent one.
-        key: Option<Box<str>>,
+        key: Option<RequestKey>,
     },
     /// The caller went away.
     CallCancelled(CallId),
@@ -120,6 +121,26 @@
     UpstreamLeaving(UpstreamId),
     /// This node is leaving: no new calls, queued work goes to other nodes.
     NodeLeaving,
+    /// The call is within its workspace's limits.
+    CallAdmitted {
+        /// The call.
+        spec: CallSpec,
+        /// The idempotency key, if the caller sent one.
+        key: Option<RequestKey>,
+    },
+    /// The call that this node held is over.
+    CallFinished(CallId),
+    /// The entry node's edge passes nothing more of this attempt on. The edge raises it for each
+    /// open attempt at an owner after `LinkDown` for that owner, and in answer to
+    /// [`Action::WithdrawAttempt`].
+    AttemptLost {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Tokens of this attempt that went on to the caller.
+        tokens: u32,
+        /// Whether any byte of the offer left the socket; true when the owner is this node.
+        sent: bool,
+    },
 }
 
 /// A request of the kernel to the process around it.
@@ -136,21 +157,26 @@
     StartAttempt(AttemptStart),
     /// Stop the attempt at the upstream.
     CancelAttempt(AttemptId),
-    /// The call is over; tell the caller.
+    /// The call is over; tell the caller. For a call that another node relayed here the edge only
+    /// closes what it holds of it: the outcome goes in a message.
     FinishCall {
         /// The call.
         call: CallId,
         /// How it ended.
         outcome: CallOutcome,
     },
-    /// Tokens of this attempt, from this index on, are the ones that the caller gets from now on.
+    /// Tokens of this attempt, from this index on, are the ones that the caller gets from now on;
+    /// those of every other attempt of the call are dropped. Tokens of a newer attempt that come
+    /// before it is accepted are held, not dropped.
     AcceptAttempt {
         /// The attempt.
         attempt: AttemptId,
         /// Tokens that the caller already has.
         resume_from: u32,
     },
-    /// This call repeats one that ran, or still runs: the caller gets the answer of `original`.
+    /// This call repeats one that ran, or still runs: the caller gets the answer of `original`
+    /// from its beginning. `FinishCall` follows for the repeat when the original is over. An edge
+    /// that no longer has the whole answer tells the caller `unknown`.
     AttachCall {
         /// The repeat.
         call: CallId,
@@ -182,4 +208,6 @@
     },
     /// The node has finished everything and may exit.
     Exit,
+    /// Pass on nothing more of this attempt, and raise [`Event::AttemptLost`] for it.
+    WithdrawAttempt(AttemptId),
 }
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -27,8 +27,15 @@
 impl Kernel {
     /// A kernel with every registered plug-in.
     pub fn new(profile: NodeProfile) -> Self {
-        let mut registrations: Vec<&Registration> =
-            inventory::iter::<Registration>.into_iter().collect();
+        Self::with_plugins(profile, |_| true)
+    }
+
+    /// A kernel with the registered plug-ins whose name is chosen.
+    pub fn with_plugins(profile: NodeProfile, chosen: impl Fn(&str) -> bool) -> Self {
+        let mut registrations: Vec<&Registration> = inventory::iter::<Registration>
+            .into_iter()
+            .filter(|registration| chosen(registration.name))
+            .collect();
         registrations.sort_by_key(|registration| (registration.order, registration.name));
         let slots = registrations
             .into_iter()
@@ -45,6 +52,13 @@
         }
     }
 
+    /// Puts another plug-in in the place of the one with this name, to measure it against that.
+    pub fn replace(&mut self, name: &str, plugin: Box<dyn Plugin>) {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.name == name) {
+            slot.plugin = plugin;
+        }
+    }
+
     /// Who this node is.
     pub fn profile(&self) -> &NodeProfile {
         &self.profile
--- a/kernel/src/routing.rs
+++ b/kernel/src/routing.rs
@@ -1,257 +1,163 @@
 //! The plug-in of the entry node: chooses the owner that a call goes to and ends each call once.
+//!
+//! A call ends in exactly one of: the whole answer; `not_run`, only if nothing of it ran; `unknown`.
+//! A call that may not be repeated is offered to another owner only while nothing of it can have
+//! run. Any other call goes on elsewhere from the tokens that its caller has.
 
-use std::collections::BTreeMap;
+mod answers;
+pub mod attempt;
+mod keyed;
+mod offers;
+pub mod open;
+pub mod owners;
+pub mod retry;
+mod watch;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
-use crate::call::{
-    AttemptEnd, CallOutcome, CallSpec, LoadSummary, RefusalReason, ReturnReason, WorkSpec,
-};
+use crate::call::CallOutcome;
 use crate::config::Config;
 use crate::event::{Action, Event};
-use crate::ids::{AttemptId, CallId, NodeId, PoolId};
+use crate::ids::{CallId, NodeId};
+use crate::keys::KeyChecker;
+use crate::keys::memory::{CallOrigin, KeyMemory};
+use crate::membership::{MemberView, NodeState};
 use crate::ownership::OwnerMap;
-use crate::plugin::{Context, NodeProfile, Plugin, Registration};
-use crate::wire::{Message, WorkMessage};
+use crate::plugin::{Context, GaugeSample, NodeProfile, Plugin, Registration};
+use crate::routing::open::{OpenCall, RelayedCall};
+use crate::routing::owners::OwnerBoard;
+use crate::routing::retry::RetryBudget;
+use crate::wire::{Message, RelayMessage};
 
-/// Tries of one call before it is given up.
-const MAX_ATTEMPTS: u32 = 4;
+/// How the router decides where measurements left a choice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RouterSettings {
+    /// Whether an urgent call that waits long at its owner is offered to a second one as well,
+    /// rather than taken back from the first.
+    pub hedging: bool,
+}
 
-#[derive(Debug)]
-struct OpenCall {
-    spec: CallSpec,
-    deadline: Duration,
-    number: u32,
-    owner: NodeId,
-    started: bool,
-    tokens: u32,
+#[derive(Debug, Default)]
+struct RouterTotals {
+    whole: u64,
+    not_run: u64,
+    unknown: u64,
+    retries: u64,
+    hedges: u64,
 }
 
 /// Calls that entered at this node and are not over.
-#[derive(Debug, Default)]
 pub struct CallRouter {
+    settings: RouterSettings,
     config: Arc<Config>,
     owners: Arc<OwnerMap>,
+    view: Arc<MemberView>,
+    board: OwnerBoard,
+    budget: RetryBudget,
     calls: BTreeMap<CallId, OpenCall>,
-    loads: BTreeMap<(PoolId, NodeId), LoadSummary>,
+    relayed: BTreeMap<CallId, RelayedCall>,
+    joined: BTreeSet<CallId>,
+    wakes: BTreeSet<(Duration, CallId)>,
+    checker: KeyChecker,
+    memory: KeyMemory,
+    leaving: bool,
+    totals: RouterTotals,
 }
 
 impl CallRouter {
-    fn choose(&self, pool: PoolId) -> Option<NodeId> {
-        let members = self.config.members.get(&pool)?;
-        let mut slots: BTreeMap<NodeId, u32> = BTreeMap::new();
-        for upstream in members {
-            if let Some(owner) = self.owners.owners.get(upstream) {
-                *slots.entry(*owner).or_default() += self.config.upstreams[upstream].spec.slots;
-            }
+    /// A router for a node's run.
+    pub fn new(profile: &NodeProfile, settings: RouterSettings) -> Self {
+        Self {
+            settings,
+            config: Arc::default(),
+            owners: Arc::default(),
+            view: Arc::default(),
+            board: OwnerBoard::default(),
+            budget: RetryBudget::default(),
+            calls: BTreeMap::new(),
+            relayed: BTreeMap::new(),
+            joined: BTreeSet::new(),
+            wakes: BTreeSet::new(),
+            checker: KeyChecker::new(profile),
+            memory: KeyMemory::default(),
+            leaving: false,
+            totals: RouterTotals::default(),
         }
-        let load = |node: NodeId, slots: u32| {
-            let sent = self
-                .calls
-                .values()
-                .filter(|call| call.owner == node && call.spec.pool == pool)
-                .count() as u32;
-            let told = self.loads.get(&(pool, node)).copied().unwrap_or_default();
-            let waiting: u32 = told.waiting.iter().sum();
-            u64::from((told.running + waiting).max(sent)) * 1_000 / u64::from(slots.max(1))
-        };
-        slots
-            .into_iter()
-            .min_by_key(|(node, slots)| load(*node, *slots))
-            .map(|(node, _)| node)
-    }
-
-    fn offer(&mut self, call: CallId, context: &mut Context<'_>) {
-        let Some(open) = self.calls.get(&call) else {
-            return;
-        };
-        let owner = self.choose(open.spec.pool);
-        let tried = open.number;
-        match owner {
-            Some(owner) if tried < MAX_ATTEMPTS => self.send_offer(call, owner, context),
-            _ => self.refuse(
-                call,
-                RefusalReason::NoUpstream,
-                Some(Duration::from_secs(1)),
-                context,
-            ),
-        }
-    }
-
-    fn send_offer(&mut self, call: CallId, owner: NodeId, context: &mut Context<'_>) {
-        let Some(open) = self.calls.get_mut(&call) else {
-            return;
-        };
-        open.number += 1;
-        open.owner = owner;
-        open.started = false;
-        let attempt = AttemptId {
-            call,
-            number: open.number,
-        };
-        let time_left = open.deadline.saturating_sub(context.now);
-        let spec = CallSpec {
-            time_left,
-            ..open.spec
-        };
-        let resume_from = open.tokens;
-        context.act(Action::AcceptAttempt {
-            attempt,
-            resume_from,
-        });
-        let work = WorkSpec {
-            attempt,
-            spec,
-            resume_from,
-        };
-        context.send(owner, WorkMessage::Offer(work));
     }
 
-    fn refuse(
-        &mut self,
-        call: CallId,
-        reason: RefusalReason,
-        retry_after: Option<Duration>,
-        context: &mut Context<'_>,
-    ) {
-        self.finish(
-            call,
-            CallOutcome::NotRun {
-                reason,
-                retry_after,
-            },
-            context,
-        );
+    fn rebuild(&mut self, context: &Context<'_>) {
+        let zone = context.profile.zone;
+        self.board
+            .rebuild(&self.config, &self.owners, &self.view, zone);
     }
 
+    /// Ends a call that this node holds.
     fn finish(&mut self, call: CallId, outcome: CallOutcome, context: &mut Context<'_>) {
-        if self.calls.remove(&call).is_some() {
-            context.act(Action::FinishCall { call, outcome });
-        }
-    }
-
-    fn arrive(&mut self, spec: CallSpec, context: &mut Context<'_>) {
-        let open = OpenCall {
-            spec,
-            deadline: context.now + spec.time_left,
-            number: 0,
-            owner: context.profile.node,
-            started: false,
-            tokens: 0,
-        };
-        self.calls.insert(spec.call, open);
-        self.offer(spec.call, context);
-    }
-
-    fn current(&mut self, attempt: AttemptId) -> Option<&mut OpenCall> {
-        self.calls
-            .get_mut(&attempt.call)
-            .filter(|open| open.number == attempt.number)
-    }
-
-    fn ended(&mut self, attempt: AttemptId, end: AttemptEnd, context: &mut Context<'_>) {
-        let Some(open) = self.current(attempt) else {
+        let Some(open) = self.calls.remove(&call) else {
             return;
         };
-        let repeatable = open.spec.repeatable;
-        match end {
-            AttemptEnd::Complete { tokens } => {
-                let tokens = open.tokens + tokens;
-                self.finish(attempt.call, CallOutcome::Whole { tokens }, context);
-            }
-            AttemptEnd::Refused | AttemptEnd::Unsent => self.offer(attempt.call, context),
-            AttemptEnd::Broken { tokens } | AttemptEnd::Cancelled { tokens } if repeatable => {
-                open.tokens += tokens;
-                self.offer(attempt.call, context);
-            }
-            AttemptEnd::Broken { .. } | AttemptEnd::Cancelled { .. } => {
-                self.finish(attempt.call, CallOutcome::Unknown, context);
-            }
+        self.wakes.remove(&(open.wake, call));
+        for attempt in open.attempts() {
+            self.board.closed(open.spec.pool, attempt.owner);
         }
-    }
-
-    fn returned(&mut self, attempt: AttemptId, reason: ReturnReason, context: &mut Context<'_>) {
-        if self.current(attempt).is_none() {
+        self.settle(call, open.origin, outcome, context);
+        let Some(sequence) = open.key else {
             return;
+        };
+        for (repeat, origin) in self.memory.end(sequence, outcome, context.now) {
+            self.joined.remove(&repeat);
+            self.settle(repeat, origin, outcome, context);
         }
-        match reason {
-            ReturnReason::Refused {
-                reason,
-                retry_after,
-            } => {
-                self.refuse(attempt.call, reason, retry_after, context);
-            }
-            ReturnReason::NotOwner | ReturnReason::Leaving => self.offer(attempt.call, context),
+        if !matches!(outcome, CallOutcome::Whole { .. }) {
+            context.act(Action::ForgetAnswer(call));
         }
     }
 
-    fn work_message(&mut self, from: NodeId, message: &WorkMessage, context: &mut Context<'_>) {
-        match message {
-            WorkMessage::Started(attempt) => {
-                if let Some(open) = self.current(*attempt) {
-                    open.started = true;
-                }
-            }
-            WorkMessage::Returned {
-                attempt,
-                reason,
-                load,
-            } => {
-                self.learn(from, attempt.call, *load);
-                self.returned(*attempt, *reason, context);
-            }
-            WorkMessage::Ended { attempt, end, load } => {
-                self.learn(from, attempt.call, *load);
-                self.ended(*attempt, *end, context);
-            }
-            WorkMessage::Load { pool, load } => {
-                self.loads.insert((*pool, from), *load);
-            }
-            WorkMessage::Offer(_) | WorkMessage::Cancel(_) => {}
+    /// Tells everyone concerned that a call is over.
+    fn settle(
+        &mut self,
+        call: CallId,
+        origin: CallOrigin,
+        outcome: CallOutcome,
+        context: &mut Context<'_>,
+    ) {
+        match outcome {
+            CallOutcome::Whole { .. } => self.totals.whole += 1,
+            CallOutcome::NotRun { .. } => self.totals.not_run += 1,
+            CallOutcome::Unknown => self.totals.unknown += 1,
         }
-    }
-
-    fn learn(&mut self, from: NodeId, call: CallId, load: LoadSummary) {
-        if let Some(open) = self.calls.get(&call) {
-            self.loads.insert((open.spec.pool, from), load);
+        if let CallOrigin::Relay(node) = origin {
+            context.send(node, RelayMessage::Finished { call, outcome });
         }
+        context.act(Action::FinishCall { call, outcome });
+        context.raise(Event::CallFinished(call));
     }
 
-    fn cancel(&mut self, call: CallId, context: &mut Context<'_>) {
-        let Some(open) = self.calls.get(&call) else {
-            return;
+    /// Nodes whose run that was known before is over.
+    fn ended_runs(&self, view: &MemberView, own: NodeId) -> Vec<NodeId> {
+        let over = |node: &NodeId, run: u64| {
+            view.members.get(node).is_none_or(|member| {
+                member.state == NodeState::Dead || (run != 0 && member.incarnation.0 > run)
+            })
         };
-        let attempt = AttemptId {
-            call,
-            number: open.number,
-        };
-        context.send(open.owner, WorkMessage::Cancel(attempt));
-        let outcome = if open.started {
-            CallOutcome::Unknown
-        } else {
-            CallOutcome::NotRun {
-                reason: RefusalReason::Cancelled,
-                retry_after: None,
-            }
-        };
-        self.finish(call, outcome, context);
+        self.view
+            .members
+            .iter()
+            .filter(|(node, member)| **node != own && over(node, member.incarnation.0))
+            .map(|(node, _)| *node)
+            .collect()
     }
 
-    fn link_down(&mut self, node: NodeId, context: &mut Context<'_>) {
-        let lost: Vec<CallId> = self
-            .calls
-            .iter()
-            .filter(|(_, open)| open.owner == node)
-            .map(|(call, _)| *call)
-            .collect();
-        for call in lost {
-            if self.calls[&call].spec.repeatable {
-                self.offer(call, context);
-            } else {
-                self.finish(call, CallOutcome::Unknown, context);
-            }
+    fn members_changed(&mut self, view: &Arc<MemberView>, context: &mut Context<'_>) {
+        let ended = self.ended_runs(view, context.profile.node);
+        self.view = Arc::clone(view);
+        self.rebuild(context);
+        for node in ended {
+            self.node_gone(node, context);
         }
     }
 }
@@ -259,28 +165,90 @@
 impl Plugin for CallRouter {
     fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
         match event {
-            Event::ConfigApplied(config) => self.config = Arc::clone(config),
-            Event::OwnersChanged(owners) => self.owners = Arc::clone(owners),
-            Event::CallArrived { spec, .. } => self.arrive(*spec, context),
+            Event::CallAdmitted { spec, key } => self.admit(*spec, key.as_ref(), context),
             Event::CallCancelled(call) => self.cancel(*call, context),
-            Event::LinkDown(node) => self.link_down(*node, context),
-            Event::PeerMessage {
-                from,
-                message: Message::Work(message),
-            } => {
-                self.work_message(*from, message, context);
+            Event::PeerMessage { from, message } => match message {
+                Message::Work(message) => self.work_message(*from, message, context),
+                Message::Relay(message) => self.relay_message(*from, message, context),
+                _ => {}
+            },
+            Event::AttemptLost {
+                attempt,
+                tokens,
+                sent,
+            } => self.attempt_lost(*attempt, *tokens, *sent, context),
+            Event::LinkDown(node) => {
+                self.board.link_down(*node, context.now);
+                self.minter_gone(*node, context);
             }
+            Event::LinkUp(node) => self.board.link_up(*node),
+            Event::Tick => self.tick(context),
+            Event::ConfigApplied(config) => {
+                self.config = Arc::clone(config);
+                self.rebuild(context);
+            }
+            Event::OwnersChanged(owners) => {
+                self.owners = Arc::clone(owners);
+                self.rebuild(context);
+            }
+            Event::MembersChanged(view) => self.members_changed(view, context),
+            Event::NodeLeaving => self.leaving = true,
             _ => {}
         }
     }
 
     fn dump(&self) -> Value {
-        json!({ "open_calls": self.calls.len() })
+        json!({
+            "open_calls": self.calls.len(),
+            "open_offers": self.board.open(),
+            "relayed_calls": self.relayed.len(),
+            "timers": self.wakes.len(),
+            "keys_remembered": self.memory.len(),
+            "answers_kept": self.memory.answers(),
+            "repeats_waiting": self.joined.len(),
+            "reduced_retry_budgets": self.budget.len(),
+            "retries": self.totals.retries,
+            "hedges": self.totals.hedges,
+        })
+    }
+
+    fn gauges(&self) -> Vec<GaugeSample> {
+        let sample = |name, help, kind, value| GaugeSample {
+            name,
+            help,
+            kind,
+            value,
+        };
+        let outcomes = "Calls that ended at this node, by outcome.";
+        let totals = &self.totals;
+        vec![
+            sample("calls_ended", outcomes, "whole", totals.whole as f64),
+            sample("calls_ended", outcomes, "not_run", totals.not_run as f64),
+            sample("calls_ended", outcomes, "unknown", totals.unknown as f64),
+            sample(
+                "call_retries",
+                "Tries after a call's first.",
+                "",
+                totals.retries as f64,
+            ),
+            sample(
+                "open_calls",
+                "Calls that entered at this node and are not over.",
+                "",
+                self.calls.len() as f64,
+            ),
+            sample(
+                "keys_remembered",
+                "Idempotency keys whose outcome is remembered.",
+                "",
+                self.memory.len() as f64,
+            ),
+        ]
     }
 }
 
-fn build(_profile: &NodeProfile) -> Box<dyn Plugin> {
-    Box::<CallRouter>::default()
+fn build(profile: &NodeProfile) -> Box<dyn Plugin> {
+    Box::new(CallRouter::new(profile, RouterSettings::default()))
 }
 
 inventory::submit! {
--- /dev/null
+++ b/kernel/src/routing/answers.rs
@@ -0,0 +1,247 @@
+//! What owners, and the edge, tell of tries.
+
+use crate::call::{CallOutcome, LoadSummary, RefusalReason};
+use crate::event::Action;
+use crate::ids::{AttemptId, CallId, NodeId};
+use crate::plugin::Context;
+use crate::routing::CallRouter;
+use crate::routing::attempt::{AttemptNews, AttemptVerdict, OpenAttempt};
+use crate::wire::WorkMessage;
+
+impl CallRouter {
+    /// Takes in an owner's message.
+    pub(super) fn work_message(
+        &mut self,
+        from: NodeId,
+        message: &WorkMessage,
+        context: &mut Context<'_>,
+    ) {
+        match message {
+            WorkMessage::Started(attempt) => {
+                self.hear(*attempt, AttemptNews::Started, context);
+            }
+            WorkMessage::Returned {
+                attempt,
+                reason,
+                load,
+            } => {
+                self.learn(from, attempt.call, *load, context);
+                self.hear(*attempt, AttemptNews::Returned(*reason), context);
+            }
+            WorkMessage::Ended { attempt, end, load } => {
+                self.learn(from, attempt.call, *load, context);
+                self.hear(*attempt, AttemptNews::Ended(*end), context);
+            }
+            WorkMessage::Load { pool, load } => self.board.learn(*pool, from, *load, context.now),
+            WorkMessage::Held { held, missing } => self.told_held(held, missing, context),
+            WorkMessage::Offer(_) | WorkMessage::Cancel(_) | WorkMessage::Ask(_) => {}
+        }
+    }
+
+    fn learn(&mut self, from: NodeId, call: CallId, load: LoadSummary, context: &Context<'_>) {
+        if let Some(open) = self.calls.get(&call) {
+            self.board.learn(open.spec.pool, from, load, context.now);
+        }
+    }
+
+    /// The edge passes nothing more of a try on.
+    pub(super) fn attempt_lost(
+        &mut self,
+        attempt: AttemptId,
+        tokens: u32,
+        sent: bool,
+        context: &mut Context<'_>,
+    ) {
+        self.hear(attempt, AttemptNews::Lost { tokens, sent }, context);
+    }
+
+    fn hear(&mut self, attempt: AttemptId, news: AttemptNews, context: &mut Context<'_>) {
+        let call = attempt.call;
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let hedge = open.hedge.as_ref().map(|hedge| hedge.number);
+        if hedge == Some(attempt.number) {
+            self.hear_hedge(attempt, news, context);
+            return;
+        }
+        let Some(found) = open.find(attempt.number) else {
+            self.hear_old(attempt, news);
+            return;
+        };
+        let verdict = found.hear(news);
+        let found = *found;
+        if verdict != AttemptVerdict::Open {
+            open.attempt = None;
+            self.board.closed(open.spec.pool, found.owner);
+            self.conclude(call, &found, verdict, context);
+        } else if news == AttemptNews::Started {
+            self.drop_hedge(call, context);
+            self.watch(call, context.now);
+        }
+    }
+
+    /// News of a try that was given up here: only whether it ran still matters.
+    fn hear_old(&mut self, attempt: AttemptId, news: AttemptNews) {
+        let Some(open) = self.calls.get_mut(&attempt.call) else {
+            return;
+        };
+        let Some(place) = open.unsettled.iter().position(|old| *old == attempt.number) else {
+            return;
+        };
+        match news {
+            AttemptNews::Returned(_) => {}
+            AttemptNews::Started | AttemptNews::Ended(_) => open.tainted = true,
+            AttemptNews::Lost { .. } => return,
+        }
+        open.unsettled.swap_remove(place);
+    }
+
+    /// News of a call's second try. If it starts first, the first try is given up; the second
+    /// answers only once the edge has said that no token of the first went on.
+    fn hear_hedge(&mut self, attempt: AttemptId, news: AttemptNews, context: &mut Context<'_>) {
+        let Some(open) = self.calls.get_mut(&attempt.call) else {
+            return;
+        };
+        let Some(mut hedge) = open.hedge else {
+            return;
+        };
+        let verdict = hedge.hear(news);
+        open.hedge = Some(hedge);
+        if verdict == AttemptVerdict::Open {
+            if let Some(first) = open.attempt
+                && news == AttemptNews::Started
+            {
+                let first = open.attempt_id(first.number);
+                self.withdraw(first, context);
+            }
+            return;
+        }
+        open.hedge = None;
+        open.tainted |= !matches!(verdict, AttemptVerdict::NotRun(_));
+        self.board.closed(open.spec.pool, hedge.owner);
+    }
+
+    fn conclude(
+        &mut self,
+        call: CallId,
+        attempt: &OpenAttempt,
+        verdict: AttemptVerdict,
+        context: &mut Context<'_>,
+    ) {
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        match verdict {
+            AttemptVerdict::Open => {}
+            AttemptVerdict::Whole { tokens } => {
+                let tokens = open.tokens + tokens;
+                self.drop_hedge(call, context);
+                self.finish(call, CallOutcome::Whole { tokens }, context);
+            }
+            AttemptVerdict::NotRun(cause) => {
+                if open.cancelled {
+                    self.drop_hedge(call, context);
+                    self.give_up(call, RefusalReason::Cancelled, None, context);
+                } else if !self.promote_hedge(call, context) {
+                    self.not_run(call, attempt.owner, cause, context);
+                }
+            }
+            AttemptVerdict::MayHaveRun { tokens } => {
+                if tokens == 0 && attempt.may_be_confirmed() {
+                    open.unsettled.push(attempt.number);
+                } else {
+                    open.tainted = true;
+                }
+                open.tokens += tokens;
+                self.go_on(call, attempt, tokens, context);
+            }
+        }
+    }
+
+    /// Decides on a call whose try may have run.
+    fn go_on(
+        &mut self,
+        call: CallId,
+        attempt: &OpenAttempt,
+        tokens: u32,
+        context: &mut Context<'_>,
+    ) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        if open.cancelled || !open.spec.repeatable {
+            self.drop_hedge(call, context);
+            self.finish(call, CallOutcome::Unknown, context);
+            return;
+        }
+        if tokens > 0 {
+            // The second try began without them, so its answer does not follow on.
+            self.drop_hedge(call, context);
+        }
+        if !self.promote_hedge(call, context) {
+            self.resume(call, attempt, context);
+        }
+    }
+
+    /// Makes the second try of a hedged call its only one.
+    fn promote_hedge(&mut self, call: CallId, context: &mut Context<'_>) -> bool {
+        let Some(open) = self.calls.get_mut(&call) else {
+            return false;
+        };
+        let Some(hedge) = open.hedge.take() else {
+            return false;
+        };
+        context.act(Action::AcceptAttempt {
+            attempt: open.attempt_id(hedge.number),
+            resume_from: open.tokens,
+        });
+        open.attempt = Some(hedge);
+        self.watch(call, context.now);
+        true
+    }
+
+    /// Cancels the second try of a hedged call. None of its tokens went on.
+    fn drop_hedge(&mut self, call: CallId, context: &mut Context<'_>) {
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let Some(hedge) = open.hedge.take() else {
+            return;
+        };
+        open.unsettled.push(hedge.number);
+        let cancel = WorkMessage::Cancel(open.attempt_id(hedge.number));
+        self.board.closed(open.spec.pool, hedge.owner);
+        context.send(hedge.owner, cancel);
+    }
+
+    /// Gives a try up: its owner is told, and the edge asked how far it came.
+    pub(super) fn withdraw(&mut self, attempt: AttemptId, context: &mut Context<'_>) {
+        let Some(open) = self.calls.get_mut(&attempt.call) else {
+            return;
+        };
+        let Some(found) = open.find(attempt.number) else {
+            return;
+        };
+        found.withdraw();
+        let owner = found.owner;
+        context.send(owner, WorkMessage::Cancel(attempt));
+        context.act(Action::WithdrawAttempt(attempt));
+        self.watch(attempt.call, context.now);
+    }
+
+    /// A node's run is over: every try there is, too.
+    pub(super) fn node_gone(&mut self, node: NodeId, context: &mut Context<'_>) {
+        let lost: Vec<AttemptId> = self
+            .calls
+            .values()
+            .flat_map(|open| open.attempts().map(move |attempt| (open, attempt)))
+            .filter(|(_, attempt)| attempt.owner == node)
+            .map(|(open, attempt)| open.attempt_id(attempt.number))
+            .collect();
+        for attempt in lost {
+            self.withdraw(attempt, context);
+        }
+        self.minter_gone(node, context);
+    }
+}
--- /dev/null
+++ b/kernel/src/routing/keyed.rs
@@ -0,0 +1,210 @@
+//! Calls with an idempotency key: run here if this run of this node minted the key, else relayed.
+
+use std::time::Duration;
+
+use crate::call::{CallOutcome, CallSpec, RefusalReason};
+use crate::event::Action;
+use crate::ids::{CallId, NodeId};
+use crate::keys::memory::{CallOrigin, KeyVerdict};
+use crate::keys::{KeyError, KeyParts, RequestKey};
+use crate::membership::NodeState;
+use crate::plugin::Context;
+use crate::routing::CallRouter;
+use crate::routing::offers::not_run;
+use crate::routing::open::RelayedCall;
+use crate::routing::watch::MAX_UNANSWERED;
+use crate::wire::RelayMessage;
+
+/// Time without news after which a minter is asked for a relayed call.
+const RELAY_PATIENCE: Duration = Duration::from_secs(5);
+/// Longest time between two questions.
+const MAX_RELAY_PATIENCE: Duration = Duration::from_mins(1);
+/// Time between two questions when the first found no answer.
+const ASK_AGAIN: Duration = Duration::from_secs(2);
+
+impl CallRouter {
+    /// Takes in a call that may not be repeated and has a key.
+    pub(super) fn admit_keyed(
+        &mut self,
+        spec: CallSpec,
+        key: &RequestKey,
+        origin: CallOrigin,
+        context: &mut Context<'_>,
+    ) {
+        let Ok(parts) = KeyParts::parse(&key.text) else {
+            self.refuse_key(spec.call, origin, context);
+            return;
+        };
+        let foreign = parts.node != context.profile.node;
+        if foreign && origin == CallOrigin::Caller {
+            self.relay(spec, key, &parts, context);
+            return;
+        }
+        match self.checker.check(&parts, spec.workspace) {
+            Ok(()) => self.admit_own(spec, key.fingerprint, &parts, origin, context),
+            // The run that minted it is gone, and with it what it knew.
+            Err(KeyError::OtherMinter) => {
+                self.settle(spec.call, origin, CallOutcome::Unknown, context);
+            }
+            Err(KeyError::Malformed | KeyError::Forged) => {
+                self.refuse_key(spec.call, origin, context);
+            }
+        }
+    }
+
+    fn refuse_key(&mut self, call: CallId, origin: CallOrigin, context: &mut Context<'_>) {
+        self.settle(call, origin, not_run(RefusalReason::Key, None), context);
+    }
+
+    fn admit_own(
+        &mut self,
+        spec: CallSpec,
+        fingerprint: u64,
+        parts: &KeyParts,
+        origin: CallOrigin,
+        context: &mut Context<'_>,
+    ) {
+        let call = spec.call;
+        let verdict = self
+            .memory
+            .admit(parts, fingerprint, call, origin, context.now);
+        match verdict {
+            KeyVerdict::Run => self.open(spec, origin, Some(parts.sequence), context),
+            KeyVerdict::Join { original } => {
+                self.joined.insert(call);
+                context.act(Action::AttachCall { call, original });
+            }
+            KeyVerdict::Repeat { original, outcome } => {
+                if matches!(outcome, CallOutcome::Whole { .. }) {
+                    context.act(Action::AttachCall { call, original });
+                }
+                self.settle(call, origin, outcome, context);
+            }
+            KeyVerdict::Doubled => {}
+            KeyVerdict::Conflict => self.refuse_key(call, origin, context),
+            KeyVerdict::Expired => self.settle(call, origin, CallOutcome::Unknown, context),
+        }
+    }
+
+    /// Hands a call to the node that minted its key, if that run can still be there.
+    fn relay(
+        &mut self,
+        spec: CallSpec,
+        key: &RequestKey,
+        parts: &KeyParts,
+        context: &mut Context<'_>,
+    ) {
+        let call = spec.call;
+        let reachable = self.view.members.get(&parts.node).is_some_and(|member| {
+            member.state != NodeState::Dead && member.incarnation <= parts.incarnation
+        });
+        if !reachable {
+            self.settle(call, CallOrigin::Caller, CallOutcome::Unknown, context);
+            return;
+        }
+        let key = key.clone();
+        context.send(parts.node, RelayMessage::Call { spec, key });
+        let relayed = RelayedCall {
+            minter: parts.node,
+            unanswered: 0,
+            patience: RELAY_PATIENCE,
+            wake: context.now + RELAY_PATIENCE,
+        };
+        self.wakes.insert((relayed.wake, call));
+        self.relayed.insert(call, relayed);
+    }
+
+    /// Takes in a message about a relayed call.
+    pub(super) fn relay_message(
+        &mut self,
+        from: NodeId,
+        message: &RelayMessage,
+        context: &mut Context<'_>,
+    ) {
+        match message {
+            RelayMessage::Call { spec, key } => {
+                if spec.call.node == from && !self.calls.contains_key(&spec.call) {
+                    self.admit_keyed(*spec, key, CallOrigin::Relay(from), context);
+                }
+            }
+            // The call goes on: its caller may collect the answer with the same key.
+            RelayMessage::Cancel(_) => {}
+            RelayMessage::Finished { call, outcome } => {
+                self.finish_relayed(*call, from, *outcome, context);
+            }
+            RelayMessage::Ask(call) => {
+                if self.calls.contains_key(call) || self.joined.contains(call) {
+                    context.send(from, RelayMessage::Held(*call));
+                }
+            }
+            RelayMessage::Held(call) => self.relayed_held(*call, context.now),
+        }
+    }
+
+    fn finish_relayed(
+        &mut self,
+        call: CallId,
+        from: NodeId,
+        outcome: CallOutcome,
+        context: &mut Context<'_>,
+    ) {
+        let is_its = |relayed: &RelayedCall| relayed.minter == from;
+        if !self.relayed.get(&call).is_some_and(is_its) {
+            return;
+        }
+        if let Some(relayed) = self.relayed.remove(&call) {
+            self.wakes.remove(&(relayed.wake, call));
+            self.settle(call, CallOrigin::Caller, outcome, context);
+        }
+    }
+
+    /// The caller of a relayed call left.
+    pub(super) fn cancel_relayed(&mut self, call: CallId, context: &mut Context<'_>) {
+        let Some(relayed) = self.relayed.get(&call) else {
+            return;
+        };
+        let minter = relayed.minter;
+        context.send(minter, RelayMessage::Cancel(call));
+        self.finish_relayed(call, minter, CallOutcome::Unknown, context);
+    }
+
+    /// The minter of relayed calls is cut off or gone; it may have run them.
+    pub(super) fn minter_gone(&mut self, node: NodeId, context: &mut Context<'_>) {
+        let lost: Vec<CallId> = self
+            .relayed
+            .iter()
+            .filter(|(_, relayed)| relayed.minter == node)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in lost {
+            self.finish_relayed(call, node, CallOutcome::Unknown, context);
+        }
+    }
+
+    /// Asks the minter for a relayed call, or gives up one whose minter answers nothing.
+    pub(super) fn look_at_relayed(&mut self, call: CallId, context: &mut Context<'_>) {
+        let Some(relayed) = self.relayed.get_mut(&call) else {
+            return;
+        };
+        if relayed.unanswered >= MAX_UNANSWERED {
+            let minter = relayed.minter;
+            self.finish_relayed(call, minter, CallOutcome::Unknown, context);
+            return;
+        }
+        relayed.unanswered += 1;
+        context.send(relayed.minter, RelayMessage::Ask(call));
+        relayed.wake = context.now + ASK_AGAIN;
+        self.wakes.insert((relayed.wake, call));
+    }
+
+    fn relayed_held(&mut self, call: CallId, now: Duration) {
+        let Some(relayed) = self.relayed.get_mut(&call) else {
+            return;
+        };
+        self.wakes.remove(&(relayed.wake, call));
+        relayed.unanswered = 0;
+        relayed.patience = (relayed.patience * 2).min(MAX_RELAY_PATIENCE);
+        relayed.wake = now + relayed.patience;
+        self.wakes.insert((relayed.wake, call));
+    }
+}
--- /dev/null
+++ b/kernel/src/routing/owners.rs
@@ -0,0 +1,354 @@
+//! Which owner a call is offered to.
+//!
+//! Candidates are the nodes that own upstreams of the call's pool. What is known of each: the
+//! queue summary on its last answer, the offers made since, and the offers of this node that are
+//! still open. A few candidates are all compared; of many, two are drawn (M. Mitzenmacher, *The
+//! Power of Two Choices in Randomized Load Balancing*, 2001), because many entry nodes that all
+//! pick the least loaded by old news pick the same one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::call::{CallSpec, LoadSummary};
+use crate::config::Config;
+use crate::ids::{NodeId, PoolId, ZoneId};
+use crate::membership::{MemberView, NodeState};
+use crate::ownership::OwnerMap;
+
+/// Most candidates that are all compared.
+const COMPARE_ALL: usize = 16;
+/// Load a slot below which an owner has room.
+const ROOM: f64 = 0.9;
+/// Load a slot by which an owner in another availability zone must be better.
+const ZONE_MARGIN: f64 = 0.25;
+/// Load a slot by which another owner must be better than the one that may hold the prefix.
+const PREFIX_MARGIN: f64 = 0.25;
+/// Load a slot that is added for a node that does not answer its peers now.
+const SUSPECT_LOAD: f64 = 10.0;
+/// Share of a summary's weight below which it no longer shuts an owner out.
+const OLD_NEWS: f64 = 0.25;
+/// Age at which a queue summary counts half.
+const NEWS_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Time for which a node whose link broke gets no offers.
+const LINK_REST: Duration = Duration::from_secs(1);
+
+/// How an owner is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OwnerPolicy {
+    /// The least loaded of a few, the better of two among many.
+    #[default]
+    LeastLoaded,
+    /// Always the better of two.
+    TwoChoices,
+    /// At random, in proportion to slots.
+    EqualShares,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    node: NodeId,
+    slots: u32,
+    suspect: bool,
+}
+
+#[derive(Debug, Default)]
+struct PoolOwners {
+    near: Vec<Candidate>,
+    far: Vec<Candidate>,
+    all: BTreeMap<NodeId, Candidate>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnerLoad {
+    told: Option<(Duration, LoadSummary)>,
+    /// Offers made since the summary.
+    since: u32,
+    /// Offers that are not over.
+    open: u32,
+}
+
+/// The owners of each pool, and what is known of their load.
+#[derive(Debug, Default)]
+pub struct OwnerBoard {
+    policy: OwnerPolicy,
+    pools: BTreeMap<PoolId, PoolOwners>,
+    loads: BTreeMap<(PoolId, NodeId), OwnerLoad>,
+    resting: BTreeMap<NodeId, Duration>,
+}
+
+impl OwnerBoard {
+    /// An empty board with a policy.
+    pub fn new(policy: OwnerPolicy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in who owns what. Nodes that are leaving or dead are no candidates.
+    pub fn rebuild(&mut self, config: &Config, owners: &OwnerMap, view: &MemberView, zone: ZoneId) {
+        self.pools.clear();
+        for (pool, upstreams) in &config.members {
+            let mut slots: BTreeMap<NodeId, u32> = BTreeMap::new();
+            for upstream in upstreams {
+                if let Some(owner) = owners.owners.get(upstream) {
+                    *slots.entry(*owner).or_default() += config.upstreams[upstream].spec.slots;
+                }
+            }
+            let entry = self.pools.entry(*pool).or_default();
+            for (node, slots) in slots {
+                let Some(member) = view.members.get(&node) else {
+                    continue;
+                };
+                if matches!(member.state, NodeState::Leaving | NodeState::Dead) {
+                    continue;
+                }
+                let suspect = member.state == NodeState::Suspect;
+                let candidate = Candidate {
+                    node,
+                    slots,
+                    suspect,
+                };
+                entry.all.insert(node, candidate);
+                if member.zone == zone {
+                    entry.near.push(candidate);
+                } else {
+                    entry.far.push(candidate);
+                }
+            }
+        }
+        let pools = &self.pools;
+        self.loads.retain(|(pool, node), load| {
+            let owns = || {
+                pools
+                    .get(pool)
+                    .is_some_and(|owners| owners.all.contains_key(node))
+            };
+            load.open > 0 || owns()
+        });
+    }
+
+    /// Whether the pool has upstreams at all.
+    pub fn knows(&self, pool: PoolId) -> bool {
+        self.pools.contains_key(&pool)
+    }
+
+    /// Takes in an owner's queue summary.
+    pub fn learn(&mut self, pool: PoolId, node: NodeId, load: LoadSummary, now: Duration) {
+        let known = self.loads.entry((pool, node)).or_default();
+        known.told = Some((now, load));
+        known.since = 0;
+    }
+
+    /// Counts an offer.
+    pub fn offered(&mut self, pool: PoolId, node: NodeId) {
+        let load = self.loads.entry((pool, node)).or_default();
+        load.since += 1;
+        load.open += 1;
+    }
+
+    /// Counts the end of an offer.
+    pub fn closed(&mut self, pool: PoolId, node: NodeId) {
+        if let Some(load) = self.loads.get_mut(&(pool, node)) {
+            load.open = load.open.saturating_sub(1);
+        }
+    }
+
+    /// Gives a node a rest after its link broke.
+    pub fn link_down(&mut self, node: NodeId, now: Duration) {
+        self.resting.retain(|_, until| *until > now);
+        self.resting.insert(node, now + LINK_REST);
+    }
+
+    /// Ends the rest of a node.
+    pub fn link_up(&mut self, node: NodeId) {
+        self.resting.remove(&node);
+    }
+
+    /// Offers that are not over, at all owners.
+    pub fn open(&self) -> u32 {
+        self.loads.values().map(|load| load.open).sum()
+    }
+
+    /// The owner to offer a call to, none of `tried`.
+    pub fn choose(
+        &self,
+        spec: &CallSpec,
+        tried: &[NodeId],
+        now: Duration,
+        random: &mut Pcg64Mcg,
+    ) -> Option<NodeId> {
+        let owners = self.pools.get(&spec.pool)?;
+        let search = OwnerSearch {
+            board: self,
+            spec,
+            tried,
+            now,
+        };
+        let near = search.best(&owners.near, random);
+        if let Some((node, load)) = near
+            && load < ROOM
+        {
+            return Some(node);
+        }
+        let far = search.best(&owners.far, random);
+        let (Some((near, near_load)), Some((far, far_load))) = (near, far) else {
+            return near.or(far).map(|(node, _)| node);
+        };
+        let better = far_load + ZONE_MARGIN < near_load;
+        Some(if better { far } else { near })
+    }
+
+    /// Whether an owner that is none of `tried` seems to have a free slot.
+    pub fn has_room(
+        &self,
+        spec: &CallSpec,
+        tried: &[NodeId],
+        now: Duration,
+        random: &mut Pcg64Mcg,
+    ) -> bool {
+        self.choose(spec, tried, now, random)
+            .is_some_and(|node| self.node_load(spec, node, now) < ROOM)
+    }
+
+    fn node_load(&self, spec: &CallSpec, node: NodeId, now: Duration) -> f64 {
+        let owners = self.pools.get(&spec.pool);
+        owners
+            .and_then(|owners| owners.all.get(&node))
+            .map_or(f64::INFINITY, |candidate| self.load(spec, *candidate, now))
+    }
+
+    /// Work a slot ahead of the call at an owner, as far as is known.
+    fn load(&self, spec: &CallSpec, candidate: Candidate, now: Duration) -> f64 {
+        let penalty = if candidate.suspect { SUSPECT_LOAD } else { 0.0 };
+        let known = self.loads.get(&(spec.pool, candidate.node));
+        penalty + known.map_or(0.0, |known| known.ahead(spec, candidate.slots, now))
+    }
+}
+
+impl OwnerLoad {
+    fn ahead(&self, spec: &CallSpec, configured: u32, now: Duration) -> f64 {
+        let open = f64::from(self.open);
+        let Some((at, told)) = self.told else {
+            return open / f64::from(configured.max(1));
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        let weight = 0.5_f64.powf(age / NEWS_HALF_LIFE.as_secs_f64());
+        if told.slots == 0 && weight > OLD_NEWS {
+            return f64::INFINITY;
+        }
+        let slots = if told.slots == 0 {
+            configured
+        } else {
+            told.slots
+        };
+        let tier = usize::from(spec.tier.0).min(told.waiting.len() - 1);
+        let waiting: u32 = told.waiting[..=tier].iter().sum();
+        let counted = f64::from(told.running + waiting) * weight + f64::from(self.since);
+        counted.max(open) / f64::from(slots.max(1))
+    }
+}
+
+/// One choice among the owners of a pool.
+struct OwnerSearch<'a> {
+    board: &'a OwnerBoard,
+    spec: &'a CallSpec,
+    tried: &'a [NodeId],
+    now: Duration,
+}
+
+impl OwnerSearch<'_> {
+    fn best(&self, among: &[Candidate], random: &mut Pcg64Mcg) -> Option<(NodeId, f64)> {
+        if among.is_empty() {
+            return None;
+        }
+        let best = match self.board.policy {
+            OwnerPolicy::EqualShares => self.by_share(among, random),
+            OwnerPolicy::LeastLoaded if among.len() <= COMPARE_ALL => self.least(among, random),
+            OwnerPolicy::LeastLoaded | OwnerPolicy::TwoChoices => self.of_two(among, random),
+        }?;
+        let keeper = self.prefix_keeper(among);
+        Some(
+            keeper
+                .filter(|(_, load)| keeps(*load, best.1))
+                .unwrap_or(best),
+        )
+    }
+
+    /// The owner that the prefix belongs to, by rendezvous hashing.
+    fn prefix_keeper(&self, among: &[Candidate]) -> Option<(NodeId, f64)> {
+        if self.spec.prefix == 0 || self.board.policy == OwnerPolicy::EqualShares {
+            return None;
+        }
+        let prefix = self.spec.prefix;
+        among
+            .iter()
+            .max_by_key(|candidate| xxh3_64_with_seed(&candidate.node.0.to_le_bytes(), prefix))
+            .filter(|candidate| self.allowed(candidate))
+            .map(|candidate| self.weigh(candidate))
+    }
+
+    fn least(&self, among: &[Candidate], random: &mut Pcg64Mcg) -> Option<(NodeId, f64)> {
+        let start = random.random_range(0..among.len());
+        let (before, after) = among.split_at(start);
+        after
+            .iter()
+            .chain(before)
+            .filter(|candidate| self.allowed(candidate))
+            .map(|candidate| self.weigh(candidate))
+            .min_by(|one, two| one.1.total_cmp(&two.1))
+    }
+
+    fn of_two(&self, among: &[Candidate], random: &mut Pcg64Mcg) -> Option<(NodeId, f64)> {
+        let first = self.draw(among, random)?;
+        let second = self.draw(among, random)?;
+        Some(if second.1 < first.1 { second } else { first })
+    }
+
+    /// An allowed candidate at random: the next one after a random place.
+    fn draw(&self, among: &[Candidate], random: &mut Pcg64Mcg) -> Option<(NodeId, f64)> {
+        let start = random.random_range(0..among.len());
+        let (before, after) = among.split_at(start);
+        after
+            .iter()
+            .chain(before)
+            .find(|candidate| self.allowed(candidate))
+            .map(|candidate| self.weigh(candidate))
+    }
+
+    fn by_share(&self, among: &[Candidate], random: &mut Pcg64Mcg) -> Option<(NodeId, f64)> {
+        let allowed = || among.iter().filter(|candidate| self.allowed(candidate));
+        let total: u32 = allowed().map(|candidate| candidate.slots).sum();
+        let mut place = random.random_range(0..total.max(1));
+        allowed()
+            .find(|candidate| {
+                let found = place < candidate.slots;
+                place = place.saturating_sub(candidate.slots);
+                found
+            })
+            .map(|candidate| (candidate.node, 0.0))
+    }
+
+    fn weigh(&self, candidate: &Candidate) -> (NodeId, f64) {
+        let load = self.board.load(self.spec, *candidate, self.now);
+        (candidate.node, load)
+    }
+
+    fn allowed(&self, candidate: &Candidate) -> bool {
+        let resting = self
+            .board
+            .resting
+            .get(&candidate.node)
+            .is_some_and(|until| *until > self.now);
+        !resting && !self.tried.contains(&candidate.node)
+    }
+}
+
+/// Whether an owner that may hold the prefix is good enough beside the best.
+fn keeps(load: f64, best: f64) -> bool {
+    load < ROOM || load <= best + PREFIX_MARGIN
+}
--- a/kernel/src/wire.rs
+++ b/kernel/src/wire.rs
@@ -6,6 +6,7 @@
 use crate::call::{AttemptEnd, CallOutcome, CallSpec, LoadSummary, ReturnReason, WorkSpec};
 use crate::configuration::ConfigurationMessage;
 use crate::ids::{AttemptId, CallId, PoolId};
+use crate::keys::RequestKey;
 use crate::limits::LimitMessage;
 use crate::membership::MembershipMessage;
 
@@ -60,6 +61,15 @@
         /// The queue now.
         load: LoadSummary,
     },
+    /// Entry to owner: does the owner still hold these? Sent when nothing was heard for long.
+    Ask(Vec<AttemptId>),
+    /// Owner to entry: the answer.
+    Held {
+        /// Held, queued or running.
+        held: Vec<AttemptId>,
+        /// Not held: never came, or over.
+        missing: Vec<AttemptId>,
+    },
 }
 
 /// A call with an idempotency key that reached a node other than the key's minter.
@@ -70,8 +80,8 @@
     Call {
         /// The call, numbered by the relaying node.
         spec: CallSpec,
-        /// The key's text.
-        key: Box<str>,
+        /// The key.
+        key: RequestKey,
     },
     /// The caller left.
     Cancel(CallId),
@@ -82,4 +92,8 @@
         /// How it ended.
         outcome: CallOutcome,
     },
+    /// Is this call still open? Sent when nothing was heard for long.
+    Ask(CallId),
+    /// The call is still open.
+    Held(CallId),
 }
--- /dev/null
+++ b/kernel/tests/calls/faults.rs
@@ -0,0 +1,271 @@
+//! One fault each, and the outcome that the caller must see.
+
+use std::time::Duration;
+
+use monsoonbank_kernel::call::{AttemptEnd, CallOutcome, LoadSummary, RefusalReason};
+use monsoonbank_kernel::event::Event;
+use monsoonbank_kernel::wire::{Message, WorkMessage};
+
+use crate::fleet::{Fleet, TOKENS, node_id};
+
+fn whole(outcome: CallOutcome) -> bool {
+    outcome == CallOutcome::Whole { tokens: TOKENS }
+}
+
+fn unknown(outcome: CallOutcome) -> bool {
+    outcome == CallOutcome::Unknown
+}
+
+fn not_run(outcome: CallOutcome) -> bool {
+    matches!(outcome, CallOutcome::NotRun { .. })
+}
+
+/// The owner that got the call's first offer, if it is not the entry node.
+fn offered(fleet: &Fleet) -> usize {
+    fleet.wire[0].to
+}
+
+/// Takes every slot of the entry node, so that the next call goes to another owner.
+fn busy(fleet: &mut Fleet) {
+    while fleet.wire.is_empty() {
+        fleet.arrive(0, true, None);
+    }
+    fleet.wire.clear();
+}
+
+/// Names each case: what kind of call arrives at node 0 with its offer on the wire, what goes
+/// wrong, what its caller must be told, and how often it has run.
+macro_rules! cases {
+    ($($name:ident: $repeatable:ident, $fault:expr => $outcome:path, $runs:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut fleet = Fleet::new(3, 1);
+                busy(&mut fleet);
+                let call = fleet.arrive(0, stringify!($repeatable) == "repeatable", None);
+                let fault: fn(&mut Fleet) = $fault;
+                fault(&mut fleet);
+                fleet.settle();
+                fleet.assert_at_rest();
+                let outcomes = &fleet.outcomes[&call];
+                assert_eq!(outcomes.len(), 1, "{outcomes:?}");
+                assert!($outcome(outcomes[0]), "{outcomes:?}");
+                assert_eq!(fleet.ran.get(&call).copied().unwrap_or_default(), $runs);
+                if whole(outcomes[0]) {
+                    assert_eq!(fleet.got[&call], (0..TOKENS).collect::<Vec<_>>());
+                }
+            }
+        )*
+    };
+}
+
+/// Delivers the offer; the call's try is the last one at the engines.
+fn queued(fleet: &mut Fleet) -> usize {
+    fleet.deliver_all();
+    fleet.runs.len() - 1
+}
+
+fn streaming(fleet: &mut Fleet) -> usize {
+    let run = queued(fleet);
+    fleet.start(run);
+    fleet.token(run);
+    fleet.deliver_all();
+    run
+}
+
+fn kill_owner(fleet: &mut Fleet) {
+    let owner = fleet.runs[fleet.runs.len() - 1].owner;
+    fleet.kill(owner);
+    fleet.bury();
+}
+
+fn cut_owner(fleet: &mut Fleet) {
+    let owner = fleet.runs[fleet.runs.len() - 1].owner;
+    fleet.cut(0, owner);
+}
+
+cases! {
+    no_fault: repeatable, |_| {} => whole, 1;
+    stream_breaks_and_resumes: repeatable, |fleet| {
+        let run = streaming(fleet);
+        fleet.break_off(run);
+    } => whole, 2;
+    confirmation_breaks: unrepeatable, |fleet| {
+        let run = streaming(fleet);
+        fleet.break_off(run);
+    } => unknown, 1;
+    upstream_refuses_confirmation: unrepeatable, |fleet| {
+        let run = queued(fleet);
+        fleet.end(run, AttemptEnd::Refused);
+    } => whole, 1;
+    nothing_left_the_socket: unrepeatable, |fleet| {
+        let run = queued(fleet);
+        fleet.end(run, AttemptEnd::Unsent);
+    } => whole, 1;
+    owner_dies_before_start: repeatable, |fleet| {
+        queued(fleet);
+        kill_owner(fleet);
+    } => whole, 1;
+    owner_dies_with_queued_confirmation: unrepeatable, |fleet| {
+        queued(fleet);
+        kill_owner(fleet);
+    } => unknown, 0;
+    owner_dies_while_streaming: repeatable, |fleet| {
+        streaming(fleet);
+        kill_owner(fleet);
+    } => whole, 2;
+    link_breaks_while_streaming: repeatable, |fleet| {
+        streaming(fleet);
+        cut_owner(fleet);
+    } => whole, 2;
+    started_message_lost_with_link: unrepeatable, |fleet| {
+        let run = queued(fleet);
+        fleet.start(run);
+        fleet.wire.clear();
+        cut_owner(fleet);
+    } => unknown, 1;
+    offer_lost: repeatable, |fleet| fleet.wire.clear() => whole, 1;
+    confirmation_offer_lost: unrepeatable, |fleet| fleet.wire.clear() => unknown, 0;
+    answer_lost: repeatable, |fleet| {
+        let run = queued(fleet);
+        fleet.complete(run);
+        fleet.wire.clear();
+    } => whole, 2;
+    confirmation_answer_lost: unrepeatable, |fleet| {
+        let run = queued(fleet);
+        fleet.complete(run);
+        fleet.wire.clear();
+    } => unknown, 1;
+    offer_doubled: unrepeatable, |fleet| {
+        let again = fleet.wire[0].clone();
+        fleet.wire.push(again);
+    } => whole, 1;
+    answer_doubled: repeatable, |fleet| {
+        let run = queued(fleet);
+        fleet.complete(run);
+        fleet.wire.extend(fleet.wire.clone());
+    } => whole, 1;
+    answer_overtakes_start: unrepeatable, |fleet| {
+        let run = queued(fleet);
+        fleet.complete(run);
+        fleet.wire.reverse();
+    } => whole, 1;
+    owner_paused: repeatable, |fleet| {
+        let owner = offered(fleet);
+        let late = std::mem::take(&mut fleet.wire);
+        for _ in 0..20 {
+            fleet.pass(Duration::from_secs(1));
+            fleet.wire.retain(|frame| frame.to != owner);
+            fleet.deliver_all();
+        }
+        fleet.wire = late;
+    } => whole, 2;
+    caller_leaves_stream: unrepeatable, |fleet| {
+        let run = streaming(fleet);
+        let call = fleet.runs[run].work.attempt.call;
+        fleet.tell(0, Event::CallCancelled(call));
+    } => unknown, 1;
+    caller_leaves_before_sending: unrepeatable, |fleet| {
+        let run = queued(fleet);
+        let call = fleet.runs[run].work.attempt.call;
+        fleet.tell(0, Event::CallCancelled(call));
+    } => not_run, 0;
+}
+
+/// An offer to a node whose link cannot be made has not left, so it is made to another.
+#[test]
+fn link_cannot_be_made() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.cut(0, 1);
+    fleet.cut(0, 2);
+    busy_alone(&mut fleet);
+    let call = fleet.arrive(0, false, None);
+    fleet.settle();
+    assert_eq!(fleet.outcomes[&call].len(), 1);
+    assert!(whole(fleet.outcomes[&call][0]) || not_run(fleet.outcomes[&call][0]));
+}
+
+fn busy_alone(fleet: &mut Fleet) {
+    for _ in 0..2 {
+        fleet.arrive(0, true, None);
+    }
+}
+
+/// An owner that no longer owns gives its queue back, and the calls go to the new owner.
+#[test]
+fn owner_changes_while_queued() {
+    let mut fleet = Fleet::new(2, 1);
+    let calls: Vec<_> = (0..8).map(|_| fleet.arrive(0, false, None)).collect();
+    fleet.deliver_all();
+    fleet.kill(1);
+    fleet.bury();
+    fleet.restart(1);
+    fleet.settle();
+    for call in calls {
+        let outcomes = &fleet.outcomes[&call];
+        assert_eq!(outcomes.len(), 1);
+        let runs = fleet.ran.get(&call).copied().unwrap_or_default();
+        assert!(runs <= 1);
+        assert!(!not_run(outcomes[0]) || runs == 0);
+    }
+}
+
+/// With no owner at all a call waits a little, then ends without having run.
+#[test]
+fn no_owner() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.tell(0, Event::OwnersChanged(std::sync::Arc::default()));
+    let call = fleet.arrive(0, false, None);
+    assert!(!fleet.outcomes.contains_key(&call));
+    fleet.settle();
+    let CallOutcome::NotRun {
+        reason,
+        retry_after,
+    } = fleet.outcomes[&call][0]
+    else {
+        panic!("{:?}", fleet.outcomes[&call]);
+    };
+    assert!(matches!(
+        reason,
+        RefusalReason::Deadline | RefusalReason::NoUpstream
+    ));
+    assert!(retry_after.is_some());
+}
+
+/// A caller leaves while its call waits at the owner, which confirms that it did not run.
+#[test]
+fn caller_leaves_queue() {
+    let mut fleet = Fleet::new(1, 1);
+    let calls: Vec<_> = (0..3).map(|_| fleet.arrive(0, false, None)).collect();
+    fleet.tell(0, Event::CallCancelled(calls[2]));
+    let outcome = CallOutcome::NotRun {
+        reason: RefusalReason::Cancelled,
+        retry_after: None,
+    };
+    assert_eq!(fleet.outcomes[&calls[2]], [outcome]);
+    fleet.settle();
+    assert!(!fleet.ran.contains_key(&calls[2]));
+}
+
+/// A late answer of an older try changes nothing.
+#[test]
+fn older_try_answers_late() {
+    let mut fleet = Fleet::new(3, 1);
+    busy(&mut fleet);
+    let call = fleet.arrive(0, true, None);
+    let owner = offered(&fleet);
+    let run = streaming(&mut fleet);
+    let attempt = fleet.runs[run].work.attempt;
+    fleet.cut(0, owner);
+    fleet.heal();
+    for end in [AttemptEnd::Complete { tokens: 9 }, AttemptEnd::Refused] {
+        let load = LoadSummary::default();
+        let message = Message::Work(WorkMessage::Ended { attempt, end, load });
+        let from = node_id(owner);
+        fleet.tell(0, Event::PeerMessage { from, message });
+    }
+    assert!(!fleet.outcomes.contains_key(&call));
+    fleet.settle();
+    assert!(whole(fleet.outcomes[&call][0]));
+    assert_eq!(fleet.got[&call], (0..TOKENS).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/kernel/tests/calls/main.rs
@@ -0,0 +1,5 @@
+//! Calls at their entry node: honest outcomes, retries, and keys, under faults.
+
+mod faults;
+mod fleet;
+mod keys;
