Pass calls through the limits before routing

Routing acted on an arrival at once, so a limit could only be checked in a race with it. Limits now see the arrival first and raise CallAdmitted, which routing takes; CallFinished tells them when a call no longer counts.

--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -120,6 +120,15 @@
     UpstreamLeaving(UpstreamId),
     /// This node is leaving: no new calls, queued work goes to other nodes.
     NodeLeaving,
+    /// A call that arrived is within its workspace's limits.
+    CallAdmitted {
+        /// The call.
+        spec: CallSpec,
+        /// The idempotency key, if the caller sent one.
+        key: Option<Box<str>>,
+    },
+    /// A call that entered here is over, whichever way.
+    CallFinished(CallId),
 }
 
 /// A request of the kernel to the process around it.
--- a/kernel/src/routing.rs
+++ b/kernel/src/routing.rs
@@ -129,6 +129,7 @@
     fn finish(&mut self, call: CallId, outcome: CallOutcome, context: &mut Context<'_>) {
         if self.calls.remove(&call).is_some() {
             context.act(Action::FinishCall { call, outcome });
+            context.raise(Event::CallFinished(call));
         }
     }
 
@@ -261,7 +262,7 @@
         match event {
             Event::ConfigApplied(config) => self.config = Arc::clone(config),
             Event::OwnersChanged(owners) => self.owners = Arc::clone(owners),
-            Event::CallArrived { spec, .. } => self.arrive(*spec, context),
+            Event::CallAdmitted { spec, .. } => self.arrive(*spec, context),
             Event::CallCancelled(call) => self.cancel(*call, context),
             Event::LinkDown(node) => self.link_down(*node, context),
             Event::PeerMessage {
