--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -1,181 +1,489 @@
 //! The plug-in of the owner node: queues work and hands it to the upstreams that the node owns.
 
-use std::collections::{BTreeMap, VecDeque};
+pub mod admission;
+pub mod arena;
+pub mod choice;
+pub mod engine;
+pub mod estimate;
+pub mod fair;
+pub mod floors;
+pub mod health;
+pub mod held;
+pub mod news;
+pub mod past;
+pub mod pool;
+pub mod preemption;
+pub mod runs;
+pub mod state;
+pub mod tier;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::Value;
 
-use crate::call::{AttemptEnd, AttemptStart, LoadSummary, ReturnReason, WorkSpec};
-use crate::config::Config;
+use crate::call::{AttemptEnd, AttemptStart, LoadSummary, RefusalReason, ReturnReason, WorkSpec};
+use crate::config::{Config, PoolKind};
+use crate::dispatch::estimate::cost_of;
+use crate::dispatch::health::HealthSign;
+use crate::dispatch::held::{HeldWork, StopCause, WorkArena, WorkKey};
+use crate::dispatch::news::LoadNews;
+use crate::dispatch::past::PastAttempts;
+use crate::dispatch::pool::{Decision, PoolState};
+use crate::dispatch::runs::RunEnd;
 use crate::event::{Action, Event};
 use crate::ids::{AttemptId, NodeId, PoolId, UpstreamId};
 use crate::ownership::OwnerMap;
-use crate::plugin::{Context, NodeProfile, Plugin, Registration};
+use crate::plugin::{Context, GaugeSample, NodeProfile, Plugin, Registration};
 use crate::wire::{Message, WorkMessage};
 
-#[derive(Debug)]
-struct QueuedWork {
-    work: WorkSpec,
-    entry: NodeId,
-    deadline: Duration,
-}
-
-#[derive(Debug)]
-struct RunningWork {
-    work: WorkSpec,
-    entry: NodeId,
-    upstream: UpstreamId,
-}
-
 /// Work that this node holds as an owner.
 #[derive(Debug, Default)]
 pub struct WorkDispatcher {
     config: Arc<Config>,
     owners: Arc<OwnerMap>,
-    queues: BTreeMap<PoolId, VecDeque<QueuedWork>>,
-    running: BTreeMap<AttemptId, RunningWork>,
-    in_flight: BTreeMap<UpstreamId, u32>,
+    arena: WorkArena,
+    attempts: BTreeMap<AttemptId, WorkKey>,
+    past: PastAttempts,
+    pools: BTreeMap<PoolId, PoolState>,
+    news: LoadNews,
+    leaving: bool,
+    leaving_upstreams: BTreeSet<UpstreamId>,
+    decisions: Vec<Decision>,
+    counts: state::DispatchCounts,
 }
 
 impl WorkDispatcher {
-    fn owned(&self, pool: PoolId, node: NodeId) -> impl Iterator<Item = (UpstreamId, u32)> + '_ {
+    fn owned(&self, pool: PoolId, node: NodeId) -> BTreeMap<UpstreamId, u32> {
         self.config
             .members
             .get(&pool)
             .into_iter()
             .flatten()
-            .filter(move |upstream| self.owners.owners.get(upstream) == Some(&node))
+            .filter(|upstream| self.owners.owners.get(upstream) == Some(&node))
             .map(|upstream| (*upstream, self.config.upstreams[upstream].spec.slots))
+            .collect()
     }
 
-    fn summary(&self, pool: PoolId, node: NodeId) -> LoadSummary {
-        let mut load = LoadSummary::default();
-        for (upstream, slots) in self.owned(pool, node) {
-            load.slots += slots;
-            load.running += self.in_flight.get(&upstream).copied().unwrap_or_default();
+    fn reconfigure(&mut self, context: &mut Context<'_>) {
+        let node = context.profile.node;
+        let known = &self.config.upstreams;
+        self.leaving_upstreams
+            .retain(|upstream| known.contains_key(upstream));
+        for (pool, spec) in &self.config.pools {
+            let owned = self.owned(*pool, node);
+            if owned.is_empty() && !self.pools.contains_key(pool) {
+                continue;
+            }
+            let plain = spec.kind == PoolKind::Service;
+            let state = self.pools.entry(*pool).or_default();
+            state.configure(context.now, &self.config, plain, &owned);
+            for upstream in self
+                .leaving_upstreams
+                .iter()
+                .filter(|id| owned.contains_key(id))
+            {
+                state.upstream_leaves(*upstream);
+            }
         }
-        for queued in self.queues.get(&pool).into_iter().flatten() {
-            load.waiting[usize::from(queued.work.spec.tier.0.min(2))] += 1;
+        let gone: Vec<PoolId> = self
+            .pools
+            .keys()
+            .filter(|pool| !self.config.pools.contains_key(pool))
+            .copied()
+            .collect();
+        for pool in gone {
+            if let Some(state) = self.pools.get_mut(&pool) {
+                state.configure(context.now, &self.config, false, &BTreeMap::new());
+            }
+        }
+        let lost: Vec<PoolId> = self
+            .pools
+            .iter()
+            .filter(|(_, state)| !state.is_owned())
+            .map(|(pool, _)| *pool)
+            .collect();
+        for pool in lost {
+            self.hand_back(pool, ReturnReason::NotOwner, context);
         }
-        load
+        self.pools.retain(|_, state| !state.is_idle());
+        self.fill_all(context);
     }
 
     fn offer(&mut self, entry: NodeId, work: WorkSpec, context: &mut Context<'_>) {
+        let attempt = work.attempt;
+        if self.attempts.contains_key(&attempt) || self.past.contains(attempt) {
+            return;
+        }
         let pool = work.spec.pool;
-        if self.owned(pool, context.profile.node).next().is_none() {
-            let load = self.summary(pool, context.profile.node);
-            let reason = ReturnReason::NotOwner;
-            context.send(
-                entry,
-                WorkMessage::Returned {
-                    attempt: work.attempt,
-                    reason,
-                    load,
-                },
-            );
+        let Some(state) = self.pools.get_mut(&pool).filter(|state| state.is_owned()) else {
+            self.give_back(entry, work, ReturnReason::NotOwner, context);
+            return;
+        };
+        if self.leaving {
+            self.give_back(entry, work, ReturnReason::Leaving, context);
             return;
         }
+        self.news.heard(context.now, pool, entry);
         let deadline = context.now + work.spec.time_left;
-        self.queues.entry(pool).or_default().push_back(QueuedWork {
+        let prompt = work.spec.prompt_tokens + work.resume_from;
+        let expected = state.outputs.tokens(&work.spec);
+        let first_token = state.pace.first_token.expect(prompt);
+        let held = HeldWork {
             work,
             entry,
             deadline,
-        });
+            latest_start: deadline.saturating_sub(first_token),
+            cost: cost_of(work.spec.prompt_tokens, expected),
+            passed: 0,
+            requeues: 0,
+            ran: false,
+            run: None,
+        };
+        let key = self.arena.insert(held);
+        self.attempts.insert(attempt, key);
+        state.offer(context.now, key, &self.arena, &mut self.decisions);
         self.fill(pool, context);
     }
 
     fn fill(&mut self, pool: PoolId, context: &mut Context<'_>) {
-        loop {
-            let free = self
-                .owned(pool, context.profile.node)
-                .map(|(upstream, slots)| {
-                    let used = self.in_flight.get(&upstream).copied().unwrap_or_default();
-                    (upstream, slots.saturating_sub(used))
-                })
-                .filter(|(_, free)| *free > 0)
-                .max_by_key(|(_, free)| *free);
-            let Some((upstream, _)) = free else {
-                return;
-            };
-            let Some(queue) = self.queues.get_mut(&pool) else {
-                return;
-            };
-            let next = queue
-                .iter()
-                .enumerate()
-                .min_by_key(|(_, queued)| (queued.work.spec.tier, queued.deadline))
-                .map(|(index, _)| index);
-            let Some(queued) = next.and_then(|index| queue.remove(index)) else {
-                return;
+        let Some(state) = self.pools.get_mut(&pool) else {
+            return;
+        };
+        state.fill(context.now, &mut self.arena, &mut self.decisions);
+        for decision in std::mem::take(&mut self.decisions) {
+            self.carry_out(decision, context);
+        }
+    }
+
+    fn fill_all(&mut self, context: &mut Context<'_>) {
+        let pools: Vec<PoolId> = self.pools.keys().copied().collect();
+        for pool in pools {
+            self.fill(pool, context);
+        }
+    }
+
+    fn carry_out(&mut self, decision: Decision, context: &mut Context<'_>) {
+        match decision {
+            Decision::Start(key) => {
+                let held = &self.arena[key];
+                let Some(run) = held.run else {
+                    return;
+                };
+                self.counts.started += 1;
+                context.act(Action::StartAttempt(AttemptStart {
+                    work: held.work,
+                    upstream: run.upstream,
+                }));
+            }
+            Decision::Stop(key) => {
+                let held = &self.arena[key];
+                match held.run.and_then(|run| run.stop) {
+                    Some(StopCause::Preempted) => self.counts.preempted += 1,
+                    Some(StopCause::Moved) => self.counts.moved += 1,
+                    _ => {}
+                }
+                context.act(Action::CancelAttempt(held.work.attempt));
+            }
+            Decision::Refuse(key, refusal) => {
+                let Some(held) = self.drop_work(key, context.now) else {
+                    return;
+                };
+                match refusal.reason {
+                    RefusalReason::Deadline => self.counts.refused_deadline += 1,
+                    _ => self.counts.refused_overloaded += 1,
+                }
+                let reason = ReturnReason::Refused {
+                    reason: refusal.reason,
+                    retry_after: Some(refusal.retry_after),
+                };
+                self.answer_returned(held.entry, &held.work, reason, context);
+            }
+        }
+    }
+
+    /// Forgets held work, but remembers that its attempt is over.
+    fn drop_work(&mut self, key: WorkKey, now: Duration) -> Option<HeldWork> {
+        let held = self.arena.remove(key)?;
+        self.attempts.remove(&held.work.attempt);
+        self.past.add(now, held.work.attempt);
+        Some(held)
+    }
+
+    fn load(&self, pool: PoolId, now: Duration) -> LoadSummary {
+        self.pools
+            .get(&pool)
+            .map(|state| state.summary(now))
+            .unwrap_or_default()
+    }
+
+    fn answer_returned(
+        &mut self,
+        entry: NodeId,
+        work: &WorkSpec,
+        reason: ReturnReason,
+        context: &mut Context<'_>,
+    ) {
+        let pool = work.spec.pool;
+        let load = self.load(pool, context.now);
+        self.news.told(context.now, pool, entry, load);
+        let attempt = work.attempt;
+        context.send(
+            entry,
+            WorkMessage::Returned {
+                attempt,
+                reason,
+                load,
+            },
+        );
+    }
+
+    /// Answers an offer that was never taken in.
+    fn give_back(
+        &mut self,
+        entry: NodeId,
+        work: WorkSpec,
+        reason: ReturnReason,
+        context: &mut Context<'_>,
+    ) {
+        self.past.add(context.now, work.attempt);
+        self.answer_returned(entry, &work, reason, context);
+    }
+
+    fn answer_ended(&mut self, held: &HeldWork, end: AttemptEnd, context: &mut Context<'_>) {
+        let pool = held.work.spec.pool;
+        let load = self.load(pool, context.now);
+        self.news.told(context.now, pool, held.entry, load);
+        let attempt = held.work.attempt;
+        context.send(held.entry, WorkMessage::Ended { attempt, end, load });
+    }
+
+    /// Gives all waiting work of a pool back to the nodes that it came from.
+    fn hand_back(&mut self, pool: PoolId, reason: ReturnReason, context: &mut Context<'_>) {
+        let waiting: Vec<WorkKey> = self
+            .arena
+            .iter()
+            .filter(|(_, held)| held.work.spec.pool == pool && held.run.is_none())
+            .map(|(key, _)| key)
+            .collect();
+        for key in waiting {
+            self.withdraw(key);
+            let Some(held) = self.drop_work(key, context.now) else {
+                continue;
             };
-            *self.in_flight.entry(upstream).or_default() += 1;
-            let work = queued.work;
-            self.running.insert(
-                work.attempt,
-                RunningWork {
-                    work,
-                    entry: queued.entry,
-                    upstream,
-                },
-            );
-            context.act(Action::StartAttempt(AttemptStart { work, upstream }));
+            if held.ran || held.passed > 0 {
+                let tokens = held.passed;
+                self.answer_ended(&held, AttemptEnd::Cancelled { tokens }, context);
+            } else {
+                self.answer_returned(held.entry, &held.work, reason, context);
+            }
+        }
+    }
+
+    fn withdraw(&mut self, key: WorkKey) {
+        let held = &self.arena[key];
+        if let Some(state) = self.pools.get_mut(&held.work.spec.pool) {
+            state.dequeue(key, held);
+        }
+    }
+
+    fn sent(&mut self, attempt: AttemptId, context: &mut Context<'_>) {
+        let Some(key) = self.attempts.get(&attempt) else {
+            return;
+        };
+        let held = &mut self.arena[*key];
+        let Some(run) = &mut held.run else {
+            return;
+        };
+        let first = !run.sent && !held.ran;
+        run.sent = true;
+        if first {
+            let entry = held.entry;
+            context.send(entry, WorkMessage::Started(attempt));
+        }
+    }
+
+    fn progress(&mut self, attempt: AttemptId, tokens: u32, context: &mut Context<'_>) {
+        let Some(key) = self.attempts.get(&attempt).copied() else {
+            return;
+        };
+        let pool = self.arena[key].work.spec.pool;
+        let Some(state) = self.pools.get_mut(&pool) else {
+            return;
+        };
+        if state.progress(context.now, key, tokens, &mut self.arena) {
+            self.fill(pool, context);
         }
     }
 
     fn ended(&mut self, attempt: AttemptId, end: AttemptEnd, context: &mut Context<'_>) {
-        let Some(running) = self.running.remove(&attempt) else {
+        let Some(key) = self.attempts.get(&attempt).copied() else {
+            return;
+        };
+        let pool = self.arena[key].work.spec.pool;
+        let Some(state) = self.pools.get_mut(&pool) else {
             return;
         };
-        if let Some(count) = self.in_flight.get_mut(&running.upstream) {
-            *count = count.saturating_sub(1);
+        if self.arena[key].run.is_none() {
+            return;
+        }
+        let outcome = state.ended(context.now, key, end, &mut self.arena);
+        match outcome {
+            RunEnd::Requeued if !self.leaving => {
+                state.enqueue(context.now, key, &self.arena[key]);
+            }
+            RunEnd::Requeued => {
+                if let Some(held) = self.drop_work(key, context.now) {
+                    let tokens = held.passed;
+                    self.answer_ended(&held, AttemptEnd::Cancelled { tokens }, context);
+                }
+            }
+            RunEnd::Over(end) => {
+                if let Some(held) = self.drop_work(key, context.now) {
+                    self.answer_ended(&held, end, context);
+                }
+            }
         }
-        let pool = running.work.spec.pool;
-        let load = self.summary(pool, context.profile.node);
-        context.send(running.entry, WorkMessage::Ended { attempt, end, load });
         self.fill(pool, context);
+        self.pools.retain(|_, state| !state.is_idle());
     }
 
     fn cancel(&mut self, attempt: AttemptId, context: &mut Context<'_>) {
-        for queue in self.queues.values_mut() {
-            queue.retain(|queued| queued.work.attempt != attempt);
+        let Some(key) = self.attempts.get(&attempt).copied() else {
+            self.past.add(context.now, attempt);
+            return;
+        };
+        self.abandon(key, context);
+    }
+
+    /// Drops waiting work, or asks a run to stop for good.
+    fn abandon(&mut self, key: WorkKey, context: &mut Context<'_>) {
+        let held = &self.arena[key];
+        let attempt = held.work.attempt;
+        if held.run.is_none() {
+            self.withdraw(key);
+            self.drop_work(key, context.now);
+            return;
         }
-        if self.running.contains_key(&attempt) {
+        if let Some(state) = self.pools.get_mut(&held.work.spec.pool)
+            && state.stop(key, StopCause::Unwanted, &mut self.arena)
+        {
             context.act(Action::CancelAttempt(attempt));
         }
     }
+
+    fn link_down(&mut self, node: NodeId, context: &mut Context<'_>) {
+        self.news.forget(node);
+        let orphans: Vec<WorkKey> = self
+            .arena
+            .iter()
+            .filter(|(_, held)| held.entry == node && node != context.profile.node)
+            .filter(|(_, held)| held.run.is_none() || held.work.spec.repeatable)
+            .map(|(key, _)| key)
+            .collect();
+        for key in orphans {
+            self.abandon(key, context);
+        }
+    }
+
+    fn leave(&mut self, context: &mut Context<'_>) {
+        self.leaving = true;
+        let pools: Vec<PoolId> = self.pools.keys().copied().collect();
+        for pool in pools {
+            self.hand_back(pool, ReturnReason::Leaving, context);
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<'_>) {
+        self.past.forget(context.now);
+        for state in self.pools.values_mut() {
+            state.tick(context.now);
+        }
+        self.fill_all(context);
+        let loads: BTreeMap<PoolId, LoadSummary> = self
+            .pools
+            .iter()
+            .map(|(pool, state)| (*pool, state.summary(context.now)))
+            .collect();
+        for (pool, node, load) in self.news.due(context.now, &loads) {
+            context.send(node, WorkMessage::Load { pool, load });
+        }
+    }
+
+    fn pool_of(&self, upstream: UpstreamId) -> Option<PoolId> {
+        self.config.upstreams.get(&upstream).map(|found| found.pool)
+    }
+
+    fn on_upstream(&mut self, event: &Event, upstream: UpstreamId, context: &mut Context<'_>) {
+        if let Event::UpstreamLeaving(_) = event {
+            self.leaving_upstreams.insert(upstream);
+        }
+        let Some(pool) = self.pool_of(upstream) else {
+            return;
+        };
+        let Some(state) = self.pools.get_mut(&pool) else {
+            return;
+        };
+        match event {
+            Event::UpstreamReported { report, .. } => {
+                state.reported(context.now, upstream, report);
+            }
+            Event::UpstreamUnreachable(_) => {
+                state.strike(context.now, upstream, HealthSign::Grave);
+            }
+            Event::CacheChanged { prefix, held, .. } => {
+                state.cache_changed(upstream, *prefix, *held);
+                return;
+            }
+            Event::UpstreamLeaving(_) => state.upstream_leaves(upstream),
+            _ => {}
+        }
+        self.fill(pool, context);
+    }
 }
 
 impl Plugin for WorkDispatcher {
     fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
         match event {
-            Event::ConfigApplied(config) => self.config = Arc::clone(config),
-            Event::OwnersChanged(owners) => self.owners = Arc::clone(owners),
+            Event::ConfigApplied(config) => {
+                self.config = Arc::clone(config);
+                self.reconfigure(context);
+            }
+            Event::OwnersChanged(owners) => {
+                self.owners = Arc::clone(owners);
+                self.reconfigure(context);
+            }
             Event::PeerMessage {
                 from,
                 message: Message::Work(WorkMessage::Offer(work)),
-            } => {
-                self.offer(*from, *work, context);
-            }
+            } => self.offer(*from, *work, context),
             Event::PeerMessage {
                 message: Message::Work(WorkMessage::Cancel(attempt)),
                 ..
-            } => {
-                self.cancel(*attempt, context);
-            }
-            Event::AttemptSent(attempt) => {
-                if let Some(running) = self.running.get(attempt) {
-                    context.send(running.entry, WorkMessage::Started(*attempt));
-                }
+            } => self.cancel(*attempt, context),
+            Event::AttemptSent(attempt) => self.sent(*attempt, context),
+            Event::AttemptProgress { attempt, tokens } => {
+                self.progress(*attempt, *tokens, context);
             }
             Event::AttemptEnded { attempt, end } => self.ended(*attempt, *end, context),
+            Event::UpstreamReported { upstream, .. }
+            | Event::CacheChanged { upstream, .. }
+            | Event::UpstreamUnreachable(upstream)
+            | Event::UpstreamLeaving(upstream) => self.on_upstream(event, *upstream, context),
+            Event::LinkDown(node) => self.link_down(*node, context),
+            Event::NodeLeaving => self.leave(context),
+            Event::Tick => self.tick(context),
             _ => {}
         }
     }
 
     fn dump(&self) -> Value {
-        let queued: usize = self.queues.values().map(VecDeque::len).sum();
-        json!({ "queued": queued, "running": self.running.len() })
+        self.state()
+    }
+
+    fn gauges(&self) -> Vec<GaugeSample> {
+        self.samples()
     }
 }
 
--- /dev/null
+++ b/kernel/src/dispatch/choice.rs
@@ -0,0 +1,57 @@
+//! Which upstream a call goes to: the least loaded for its speed, with a bonus for a cached prefix.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::call::CallSpec;
+use crate::dispatch::engine::EngineState;
+use crate::ids::UpstreamId;
+
+/// Share of an upstream's slots that a cached prefix outweighs.
+const CACHE_BONUS: f64 = 0.15;
+
+/// Share of slots added to every load, so that an idle slow upstream still counts as slower.
+const BASE_LOAD: f64 = 0.25;
+
+/// The pool's middle speed, in seconds for a token; none while no upstream has shown one.
+pub fn median_speed(engines: &BTreeMap<UpstreamId, EngineState>) -> Option<f64> {
+    let mut speeds: Vec<f64> = engines
+        .values()
+        .filter(|engine| engine.owned)
+        .filter_map(|engine| engine.speed.get())
+        .collect();
+    speeds.sort_by(f64::total_cmp);
+    speeds.get(speeds.len().saturating_sub(1) / 2).copied()
+}
+
+/// The best upstream with a free slot for the call.
+pub fn choose(
+    engines: &BTreeMap<UpstreamId, EngineState>,
+    median: Option<f64>,
+    spec: &CallSpec,
+    now: Duration,
+) -> Option<UpstreamId> {
+    let mut best: Option<(f64, UpstreamId)> = None;
+    for (upstream, engine) in engines {
+        if engine.free(now) == 0 {
+            continue;
+        }
+        let score = score(engine, median, spec, now);
+        if best.is_none_or(|(least, _)| score < least) {
+            best = Some((score, *upstream));
+        }
+    }
+    best.map(|(_, upstream)| upstream)
+}
+
+fn score(engine: &EngineState, median: Option<f64>, spec: &CallSpec, now: Duration) -> f64 {
+    let used = engine.in_flight + engine.foreign(now);
+    let load = f64::from(used) / f64::from(engine.slots.max(1));
+    let slowness = match (engine.speed.get(), median) {
+        (Some(speed), Some(median)) if median > 0.0 => speed / median,
+        _ => 1.0,
+    };
+    let cached = spec.prefix != 0 && engine.prefixes.holds(spec.prefix);
+    let bonus = if cached { CACHE_BONUS } else { 0.0 };
+    (load + BASE_LOAD) * slowness - bonus
+}
--- /dev/null
+++ b/kernel/src/dispatch/estimate.rs
@@ -0,0 +1,148 @@
+//! Online estimates: output length by class and workspace, time to the first token, pace.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::call::CallSpec;
+use crate::ids::{ClassId, WorkspaceId};
+
+/// Cost of one generated token. A prompt token costs 1, since engines read a prompt about this
+/// much faster than they write.
+pub const TOKEN_COST: u64 = 16;
+
+/// Output length assumed of a class that nothing is known of, in tokens.
+const FIRST_GUESS: f64 = 128.0;
+
+/// Calls of the whole class that weigh as much as the workspace's own.
+const CLASS_WEIGHT: f64 = 8.0;
+
+/// Most pairs of class and workspace that are remembered.
+const MAX_PAIRS: usize = 65_536;
+
+/// An exponentially weighted mean that starts as a plain mean.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MovingMean {
+    mean: f64,
+    samples: u32,
+}
+
+impl MovingMean {
+    /// Takes in a sample; the newest `window` samples weigh most.
+    pub fn add(&mut self, sample: f64, window: u32) {
+        self.samples = self.samples.saturating_add(1);
+        let weight = 1.0 / f64::from(self.samples.min(window));
+        self.mean += (sample - self.mean) * weight;
+    }
+
+    /// The mean, if there was a sample.
+    pub fn get(&self) -> Option<f64> {
+        (self.samples > 0).then_some(self.mean)
+    }
+
+    /// Number of samples.
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+}
+
+/// Expected output lengths.
+#[derive(Debug, Default)]
+pub struct OutputEstimate {
+    classes: BTreeMap<ClassId, MovingMean>,
+    pairs: BTreeMap<(ClassId, WorkspaceId), MovingMean>,
+}
+
+impl OutputEstimate {
+    /// Expected tokens of the call's whole answer: the workspace's mean, drawn towards the mean of
+    /// the class while samples are few, never above what the caller takes.
+    pub fn tokens(&self, spec: &CallSpec) -> u32 {
+        let class = self.classes.get(&spec.class).and_then(MovingMean::get);
+        let class = class.unwrap_or(FIRST_GUESS);
+        let pair = self.pairs.get(&(spec.class, spec.workspace));
+        let expected = pair.map_or(class, |pair| {
+            let samples = f64::from(pair.samples().min(64));
+            let own = pair.get().unwrap_or(class);
+            (own * samples + class * CLASS_WEIGHT) / (samples + CLASS_WEIGHT)
+        });
+        let most = if spec.max_tokens == 0 {
+            u32::MAX
+        } else {
+            spec.max_tokens
+        };
+        (expected.round() as u32).clamp(1, most)
+    }
+
+    /// Takes in the length of a whole answer.
+    pub fn observe(&mut self, spec: &CallSpec, tokens: u32) {
+        let sample = f64::from(tokens);
+        self.classes
+            .entry(spec.class)
+            .or_default()
+            .add(sample, 1_000);
+        let pair = (spec.class, spec.workspace);
+        if self.pairs.len() >= MAX_PAIRS && !self.pairs.contains_key(&pair) {
+            self.pairs.pop_first();
+        }
+        self.pairs.entry(pair).or_default().add(sample, 100);
+    }
+}
+
+/// Cost of reading `prompt` tokens and writing `output` tokens.
+pub fn cost_of(prompt: u32, output: u32) -> u64 {
+    u64::from(prompt) + u64::from(output) * TOKEN_COST
+}
+
+/// Time from start to first token as a line over prompt length, by least squares in which old
+/// samples fade.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FirstTokenModel {
+    weight: f64,
+    sum_x: f64,
+    sum_y: f64,
+    sum_xx: f64,
+    sum_xy: f64,
+}
+
+const FADE: f64 = 0.995;
+
+impl FirstTokenModel {
+    /// Takes in the time that a prompt of `tokens` took to its first token.
+    pub fn add(&mut self, tokens: u32, time: Duration) {
+        let (x, y) = (f64::from(tokens), time.as_secs_f64());
+        self.weight = self.weight * FADE + 1.0;
+        self.sum_x = self.sum_x * FADE + x;
+        self.sum_y = self.sum_y * FADE + y;
+        self.sum_xx = self.sum_xx * FADE + x * x;
+        self.sum_xy = self.sum_xy * FADE + x * y;
+    }
+
+    /// Expected time for a prompt of `tokens`; zero as long as nothing is known.
+    pub fn expect(&self, tokens: u32) -> Duration {
+        if self.weight == 0.0 {
+            return Duration::ZERO;
+        }
+        let (mean_x, mean_y) = (self.sum_x / self.weight, self.sum_y / self.weight);
+        let variance = self.sum_xx / self.weight - mean_x * mean_x;
+        let covariance = self.sum_xy / self.weight - mean_x * mean_y;
+        let slope = if variance > 1.0 {
+            (covariance / variance).max(0.0)
+        } else {
+            0.0
+        };
+        let seconds = mean_y + slope * (f64::from(tokens) - mean_x);
+        Duration::from_secs_f64(seconds.clamp(mean_y * 0.2, 600.0))
+    }
+}
+
+/// How fast a pool works off its queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PoolPace {
+    /// Cost that one slot works off in a second.
+    pub slot_rate: MovingMean,
+    /// Seconds that a run holds its slot.
+    pub hold: MovingMean,
+    /// Seconds from asking a run to stop until its slot is free.
+    pub stop: MovingMean,
+    /// Time to the first token.
+    pub first_token: FirstTokenModel,
+}
--- /dev/null
+++ b/kernel/src/dispatch/fair.rs
@@ -0,0 +1,284 @@
+//! The queue of one tier: workspaces share it fairly, and within its share each workspace's work
+//! goes earliest deadline first.
+//!
+//! Every workspace has a start tag: the cost that it was served, over its weight (start-time fair
+//! queueing, Goyal et al. 1996). A workspace whose tag is within a lead of the smallest one is
+//! eligible, and of the eligible ones the earliest deadline is served first (as in earliest
+//! eligible virtual deadline first, Stoica and Abdel-Wahab 1995, but with the real deadline). So a
+//! deadline decides among workspaces that are near their share, and the share decides otherwise.
+//! Every operation takes time logarithmic in workspaces and queued calls.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::dispatch::arena::{Arena, ArenaKey};
+use crate::dispatch::held::WorkKey;
+use crate::ids::WorkspaceId;
+
+/// Names a workspace's share.
+type ShareKey = ArenaKey<WorkspaceShare>;
+
+/// Virtual cost of a unit of cost at weight 1.
+const TAG_SCALE: u64 = 64;
+
+/// Cost by which a workspace of weight 1 may be ahead of the one that was served least.
+pub const DEFAULT_LEAD: u64 = 8_192;
+
+/// Width of the intervals by which queued cost is counted by deadline, as a power of two of
+/// milliseconds.
+const BUCKET_BITS: u32 = 8;
+
+#[derive(Debug)]
+struct WorkspaceShare {
+    weight: u64,
+    start: u64,
+    eligible: bool,
+    cost: u64,
+    queue: BTreeSet<(Duration, WorkKey)>,
+}
+
+/// What the queue must know of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueItem {
+    /// The work.
+    pub key: WorkKey,
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// The deadline.
+    pub deadline: Duration,
+    /// The estimated cost.
+    pub cost: u64,
+}
+
+/// The queue of one tier.
+#[derive(Debug)]
+pub struct FairQueue {
+    lead: u64,
+    floor: u64,
+    ceiling: u64,
+    weight: u64,
+    len: usize,
+    cost: u64,
+    shares: Arena<WorkspaceShare>,
+    names: BTreeMap<WorkspaceId, ShareKey>,
+    starts: BTreeSet<(u64, ShareKey)>,
+    eligible: BTreeSet<(Duration, ShareKey)>,
+    buckets: BTreeMap<u64, u64>,
+}
+
+impl Default for FairQueue {
+    fn default() -> Self {
+        Self::with_lead(DEFAULT_LEAD)
+    }
+}
+
+fn bucket_of(deadline: Duration) -> u64 {
+    (deadline.as_millis() as u64) >> BUCKET_BITS
+}
+
+impl FairQueue {
+    /// An empty queue in which a workspace may be `lead` of cost ahead.
+    pub fn with_lead(lead: u64) -> Self {
+        Self {
+            lead: lead.saturating_mul(TAG_SCALE),
+            floor: 0,
+            ceiling: 0,
+            weight: 0,
+            len: 0,
+            cost: 0,
+            shares: Arena::default(),
+            names: BTreeMap::new(),
+            starts: BTreeSet::new(),
+            eligible: BTreeSet::new(),
+            buckets: BTreeMap::new(),
+        }
+    }
+
+    /// Queued calls.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Estimated cost of everything queued.
+    pub fn cost(&self) -> u64 {
+        self.cost
+    }
+
+    /// Workspaces remembered, with work queued or not.
+    pub fn shares(&self) -> usize {
+        self.shares.len()
+    }
+
+    /// Queues a call of a workspace with this weight.
+    pub fn push(&mut self, item: QueueItem, weight: u32) {
+        let key = self.share(item.workspace);
+        self.detach(key);
+        let share = &mut self.shares[key];
+        share.weight = u64::from(weight.max(1));
+        share.queue.insert((item.deadline, item.key));
+        share.cost += item.cost;
+        self.len += 1;
+        self.cost += item.cost;
+        *self.buckets.entry(bucket_of(item.deadline)).or_default() += item.cost;
+        self.attach(key);
+    }
+
+    /// Takes a call out; whether it was there.
+    pub fn remove(&mut self, item: QueueItem) -> bool {
+        let Some(key) = self.names.get(&item.workspace).copied() else {
+            return false;
+        };
+        if !self.shares[key].queue.contains(&(item.deadline, item.key)) {
+            return false;
+        }
+        self.detach(key);
+        let share = &mut self.shares[key];
+        share.queue.remove(&(item.deadline, item.key));
+        share.cost -= item.cost;
+        self.len -= 1;
+        self.cost -= item.cost;
+        self.take_bucket(bucket_of(item.deadline), item.cost);
+        self.attach(key);
+        self.forget_when_idle();
+        true
+    }
+
+    /// The call that is to be served next.
+    pub fn first(&self) -> Option<WorkKey> {
+        let (_, share) = self.eligible.first()?;
+        self.shares[*share].queue.first().map(|(_, key)| *key)
+    }
+
+    /// The last call of the workspace that was served most, and the workspace: what goes first when
+    /// the queue is full.
+    pub fn last(&self) -> Option<WorkKey> {
+        let (_, share) = self.starts.last()?;
+        self.shares[*share].queue.last().map(|(_, key)| *key)
+    }
+
+    /// Counts `cost` as served to the workspace; a negative one gives back what an estimate was too
+    /// high by.
+    pub fn charge(&mut self, workspace: WorkspaceId, cost: i64) {
+        let key = self.share(workspace);
+        let share = &self.shares[key];
+        let tags = cost.unsigned_abs() * TAG_SCALE / share.weight;
+        let start = if cost < 0 {
+            share.start.saturating_sub(tags)
+        } else {
+            share.start + tags
+        };
+        self.detach(key);
+        self.shares[key].start = start;
+        self.ceiling = self.ceiling.max(start);
+        self.attach(key);
+        self.forget_when_idle();
+    }
+
+    /// Estimated cost queued with a deadline before this one, or little later.
+    pub fn cost_before(&self, deadline: Duration) -> u64 {
+        self.buckets
+            .range(..=bucket_of(deadline))
+            .map(|(_, cost)| cost)
+            .sum()
+    }
+
+    /// Cost that is served, at fair shares, before a call that the workspace would queue now.
+    pub fn fair_cost_before(&self, workspace: WorkspaceId, weight: u32) -> u64 {
+        let share = self.names.get(&workspace).map(|key| &self.shares[*key]);
+        let own = share.map_or(0, |share| share.cost);
+        let weight = u64::from(weight.max(1));
+        let others = match share {
+            Some(share) if !share.queue.is_empty() => self.weight,
+            _ => self.weight + weight,
+        };
+        (own / weight).saturating_mul(others).min(self.cost)
+    }
+
+    fn share(&mut self, workspace: WorkspaceId) -> ShareKey {
+        if let Some(key) = self.names.get(&workspace) {
+            return *key;
+        }
+        let key = self.shares.insert(WorkspaceShare {
+            weight: 1,
+            start: self.floor,
+            eligible: false,
+            cost: 0,
+            queue: BTreeSet::new(),
+        });
+        self.names.insert(workspace, key);
+        key
+    }
+
+    fn detach(&mut self, key: ShareKey) {
+        let share = &mut self.shares[key];
+        let Some((head, _)) = share.queue.first() else {
+            return;
+        };
+        self.weight -= share.weight;
+        self.starts.remove(&(share.start, key));
+        if share.eligible {
+            self.eligible.remove(&(*head, key));
+            share.eligible = false;
+        }
+    }
+
+    fn attach(&mut self, key: ShareKey) {
+        let share = &mut self.shares[key];
+        if let Some((head, _)) = share.queue.first() {
+            share.start = share.start.max(self.floor);
+            self.weight += share.weight;
+            self.starts.insert((share.start, key));
+            share.eligible = share.start <= self.floor + self.lead;
+            if share.eligible {
+                self.eligible.insert((*head, key));
+            }
+        }
+        self.raise_floor();
+    }
+
+    fn raise_floor(&mut self) {
+        let Some((least, _)) = self.starts.first() else {
+            return;
+        };
+        if *least <= self.floor {
+            return;
+        }
+        let before = self.floor + self.lead;
+        self.floor = *least;
+        let after = self.floor + self.lead;
+        let from = (before, ArenaKey::last());
+        let to = (after, ArenaKey::last());
+        for (_, key) in self.starts.range(from..=to) {
+            let share = &mut self.shares[*key];
+            let Some((head, _)) = share.queue.first() else {
+                continue;
+            };
+            share.eligible = true;
+            self.eligible.insert((*head, *key));
+        }
+    }
+
+    fn take_bucket(&mut self, bucket: u64, cost: u64) {
+        let Some(held) = self.buckets.get_mut(&bucket) else {
+            return;
+        };
+        *held -= cost;
+        if *held == 0 {
+            self.buckets.remove(&bucket);
+        }
+    }
+
+    /// An empty queue owes nobody: past use does not count once all of it was served.
+    fn forget_when_idle(&mut self) {
+        if self.len == 0 {
+            self.floor = self.floor.max(self.ceiling);
+            self.shares = Arena::default();
+            self.names.clear();
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/dispatch/runs.rs
@@ -0,0 +1,352 @@
+//! The life of a run on an upstream, and what it teaches: speed, health, output lengths.
+
+use std::time::Duration;
+
+use crate::call::{AttemptEnd, LoadReport};
+use crate::dispatch::choice::median_speed;
+use crate::dispatch::estimate::{MovingMean, TOKEN_COST, cost_of};
+use crate::dispatch::health::{HealthSign, HealthState};
+use crate::dispatch::held::{HeldWork, MAX_REQUEUES, StopCause, WorkArena, WorkKey, WorkRun};
+use crate::dispatch::pool::PoolState;
+use crate::ids::UpstreamId;
+
+/// Times the pool's middle speed beyond which an upstream is a straggler.
+const STRAGGLER: f64 = 3.0;
+
+/// Times the pool's middle speed within which a straggler is fit again.
+const RECOVERED: f64 = 2.0;
+
+/// Samples of speed before an upstream is judged by it.
+const LEAST_SPEED_SAMPLES: u32 = 8;
+
+/// Samples of speed that weigh most.
+const SPEED_WINDOW: u32 = 24;
+
+/// What becomes of held work when its run is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// It waits again.
+    Requeued,
+    /// It is over; tell the entry node this.
+    Over(AttemptEnd),
+}
+
+impl PoolState {
+    /// Takes in that the run has this many tokens now; whether [`PoolState::fill`] has to look at
+    /// the pool because of it.
+    pub fn progress(
+        &mut self,
+        now: Duration,
+        key: WorkKey,
+        tokens: u32,
+        arena: &mut WorkArena,
+    ) -> bool {
+        let held = &mut arena[key];
+        let Some(run) = held.run else {
+            return false;
+        };
+        let fresh = tokens.saturating_sub(run.tokens);
+        if fresh == 0 {
+            return false;
+        }
+        if let Some(tier) = self.tiers.get_mut(&held.work.spec.tier) {
+            tier.unwatch(key, held);
+        }
+        let prompt = held.work.spec.prompt_tokens + held.work.resume_from;
+        if run.tokens == 0 {
+            self.unquiet(key, &run);
+            self.pace
+                .first_token
+                .add(prompt, now.saturating_sub(run.started));
+        } else {
+            let time = now.saturating_sub(run.heard).as_secs_f64();
+            self.speed_sample(run.upstream, time / f64::from(fresh));
+        }
+        if let Some(engine) = self.engines.get_mut(&run.upstream) {
+            engine.health.progressed();
+        }
+        held.run = Some(WorkRun {
+            tokens,
+            heard: now,
+            ..run
+        });
+        self.charge_excess(held, tokens);
+        if run.stop.is_none()
+            && let Some(tier) = self.tiers.get_mut(&held.work.spec.tier)
+        {
+            tier.watch(key, held);
+        }
+        self.judge(now, run.upstream)
+    }
+
+    /// Charges the workspace for tokens beyond the estimate as they come.
+    fn charge_excess(&mut self, held: &mut HeldWork, tokens: u32) {
+        let spent = cost_of(held.work.spec.prompt_tokens, tokens);
+        let Some(excess) = spent.checked_sub(held.cost).filter(|excess| *excess > 0) else {
+            return;
+        };
+        held.cost = spent;
+        if let Some(tier) = self.tiers.get_mut(&held.work.spec.tier) {
+            tier.queue
+                .charge(held.work.spec.workspace, excess.cast_signed());
+        }
+    }
+
+    fn unquiet(&mut self, key: WorkKey, run: &WorkRun) {
+        if let Some(due) = run.due {
+            self.quiet.remove(&(due, key));
+        }
+    }
+
+    fn speed_sample(&mut self, upstream: UpstreamId, seconds: f64) {
+        let Some(engine) = self.engines.get_mut(&upstream) else {
+            return;
+        };
+        engine.speed.add(seconds, SPEED_WINDOW);
+        let samples = engine.speed.samples();
+        if samples <= LEAST_SPEED_SAMPLES || samples.is_multiple_of(16) {
+            self.median = median_speed(&self.engines);
+        }
+    }
+
+    /// Ejects a straggler, and puts one back in service that has recovered; whether either
+    /// happened.
+    fn judge(&mut self, now: Duration, upstream: UpstreamId) -> bool {
+        let others = self.in_service_beside(upstream);
+        let most_are_fit = others * 2 >= self.engines.len();
+        let Some(engine) = self.engines.get_mut(&upstream) else {
+            return false;
+        };
+        let (Some(speed), Some(median)) = (engine.speed.get(), self.median) else {
+            return false;
+        };
+        let probing = matches!(engine.health.state, HealthState::Probing { .. });
+        let least = if probing { 2 } else { LEAST_SPEED_SAMPLES };
+        if engine.speed.samples() < least {
+            return false;
+        }
+        if speed <= median * RECOVERED && !engine.health.in_service() {
+            engine.health.admit(now);
+            return true;
+        }
+        if speed <= median * STRAGGLER || !(probing || most_are_fit) {
+            return false;
+        }
+        let was_in_service = engine.health.eject(now);
+        if was_in_service {
+            self.ejected.push(upstream);
+        }
+        was_in_service
+    }
+
+    fn in_service_beside(&self, upstream: UpstreamId) -> usize {
+        self.engines
+            .iter()
+            .filter(|(other, engine)| **other != upstream && engine.health.in_service())
+            .count()
+    }
+
+    /// Takes in that a run is over, and says what becomes of its work.
+    pub fn ended(
+        &mut self,
+        now: Duration,
+        key: WorkKey,
+        end: AttemptEnd,
+        arena: &mut WorkArena,
+    ) -> RunEnd {
+        self.settle(now);
+        let held = &mut arena[key];
+        let Some(run) = held.run.take() else {
+            return RunEnd::Over(end);
+        };
+        self.release(now, key, held, &run);
+        self.unquiet(key, &run);
+        self.learn(now, held, &run, end);
+        let ran_before = held.ran;
+        held.ran |= run.sent;
+        let tokens = tokens_of(end);
+        if self.goes_on(held, &run, end) {
+            held.passed += tokens;
+            held.work.resume_from += tokens;
+            held.requeues += 1;
+            held.cost = self.remaining_cost(held);
+            return RunEnd::Requeued;
+        }
+        RunEnd::Over(whole_end(held, ran_before, end))
+    }
+
+    fn release(&mut self, now: Duration, key: WorkKey, held: &HeldWork, run: &WorkRun) {
+        if let Some(tier) = self.tiers.get_mut(&held.work.spec.tier) {
+            tier.running -= 1;
+            tier.stopping -= u32::from(run.stop.is_some());
+            let with_run = HeldWork {
+                run: Some(*run),
+                ..*held
+            };
+            tier.unwatch(key, &with_run);
+        }
+        if let Some(engine) = self.engines.get_mut(&run.upstream) {
+            engine.count(now, engine.in_flight.saturating_sub(1));
+        }
+        self.engines
+            .retain(|_, engine| engine.owned || engine.in_flight > 0);
+    }
+
+    fn learn(&mut self, now: Duration, held: &mut HeldWork, run: &WorkRun, end: AttemptEnd) {
+        let spec = held.work.spec;
+        let time = now.saturating_sub(run.started).as_secs_f64();
+        let tokens = tokens_of(end);
+        if let AttemptEnd::Complete { .. } = end {
+            self.outputs.observe(&spec, held.passed + tokens);
+            if self.plain {
+                self.pace
+                    .first_token
+                    .add(0, now.saturating_sub(run.started));
+                self.speed_sample(run.upstream, time);
+                self.judge(now, run.upstream);
+            }
+        }
+        let spent = cost_of(spec.prompt_tokens, tokens.max(run.tokens));
+        if time > 0.0 && run.sent {
+            self.pace.hold.add(time, 500);
+            self.pace.slot_rate.add(spent as f64 / time, 500);
+        }
+        let charged = held.cost;
+        held.cost = spent;
+        if let Some(tier) = self.tiers.get_mut(&spec.tier) {
+            let correction = spent.cast_signed() - charged.cast_signed();
+            tier.queue.charge(spec.workspace, correction);
+        }
+        self.judge_end(now, run, end);
+    }
+
+    fn judge_end(&mut self, now: Duration, run: &WorkRun, end: AttemptEnd) {
+        match end {
+            AttemptEnd::Complete { .. } => self.judge_complete(now, run.upstream),
+            AttemptEnd::Refused => self.strike(now, run.upstream, HealthSign::Slight),
+            AttemptEnd::Unsent | AttemptEnd::Broken { .. } => {
+                self.strike(now, run.upstream, HealthSign::Grave);
+            }
+            AttemptEnd::Cancelled { .. } => {
+                if let Some(engine) = self.engines.get_mut(&run.upstream)
+                    && let HealthState::Probing { running } = &mut engine.health.state
+                {
+                    *running = false;
+                }
+            }
+        }
+    }
+
+    fn judge_complete(&mut self, now: Duration, upstream: UpstreamId) {
+        let Some(engine) = self.engines.get_mut(&upstream) else {
+            return;
+        };
+        engine.health.progressed();
+        let HealthState::Probing { .. } = engine.health.state else {
+            return;
+        };
+        let slow = match (engine.speed.get(), self.median) {
+            (Some(speed), Some(median)) => speed > median * RECOVERED,
+            _ => false,
+        };
+        if slow {
+            engine.health.eject(now);
+        } else {
+            engine.health.admit(now);
+        }
+    }
+
+    fn goes_on(&self, held: &HeldWork, run: &WorkRun, end: AttemptEnd) -> bool {
+        if run.stop == Some(StopCause::Unwanted) || !self.is_owned() {
+            return false;
+        }
+        match end {
+            AttemptEnd::Cancelled { .. } => run.stop.is_some() && held.can_move(),
+            AttemptEnd::Unsent => !run.sent && held.requeues < MAX_REQUEUES && self.has_service(),
+            _ => false,
+        }
+    }
+
+    fn has_service(&self) -> bool {
+        self.engines
+            .values()
+            .any(|engine| engine.owned && !engine.leaving && engine.health.in_service())
+    }
+
+    /// Estimated cost of what is left after a part was passed on.
+    fn remaining_cost(&self, held: &HeldWork) -> u64 {
+        let spec = &held.work.spec;
+        let expected = self.outputs.tokens(spec);
+        let left = expected.saturating_sub(held.work.resume_from);
+        let left = left.max(expected / 4).max(1);
+        cost_of(spec.prompt_tokens, left).max(TOKEN_COST)
+    }
+
+    /// Takes in an upstream's report of its load.
+    pub fn reported(&mut self, now: Duration, upstream: UpstreamId, report: &LoadReport) {
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.report(now, report);
+            engine.health.reported(now);
+        }
+    }
+
+    /// Takes in a cache event.
+    pub fn cache_changed(&mut self, upstream: UpstreamId, prefix: u64, held: bool) {
+        let Some(engine) = self.engines.get_mut(&upstream) else {
+            return;
+        };
+        if held {
+            engine.prefixes.add(prefix);
+        } else {
+            engine.prefixes.remove(prefix);
+        }
+    }
+
+    /// An upstream gets nothing new from now on.
+    pub fn upstream_leaves(&mut self, upstream: UpstreamId) {
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.leaving = true;
+        }
+    }
+
+    /// Lets time pass for the upstreams' health.
+    pub fn tick(&mut self, now: Duration) {
+        for engine in self.engines.values_mut() {
+            let before = engine.health.state;
+            engine.health.tick(now);
+            let probing = engine.health.state == HealthState::Probing { running: false };
+            if probing && before != engine.health.state {
+                engine.speed = MovingMean::default();
+            }
+        }
+    }
+}
+
+fn tokens_of(end: AttemptEnd) -> u32 {
+    match end {
+        AttemptEnd::Complete { tokens }
+        | AttemptEnd::Broken { tokens }
+        | AttemptEnd::Cancelled { tokens } => tokens,
+        AttemptEnd::Refused | AttemptEnd::Unsent => 0,
+    }
+}
+
+/// The end as the entry node must see it: with the tokens of earlier runs of the same attempt, and
+/// as "not run" only if no run of it can have reached an upstream.
+fn whole_end(held: &HeldWork, ran_before: bool, end: AttemptEnd) -> AttemptEnd {
+    let passed = held.passed;
+    match end {
+        AttemptEnd::Complete { tokens } => AttemptEnd::Complete {
+            tokens: passed + tokens,
+        },
+        AttemptEnd::Broken { tokens } => AttemptEnd::Broken {
+            tokens: passed + tokens,
+        },
+        AttemptEnd::Cancelled { tokens } => AttemptEnd::Cancelled {
+            tokens: passed + tokens,
+        },
+        AttemptEnd::Unsent if held.ran => AttemptEnd::Broken { tokens: passed },
+        AttemptEnd::Refused if ran_before => AttemptEnd::Broken { tokens: passed },
+        AttemptEnd::Refused | AttemptEnd::Unsent => end,
+    }
+}
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -27,8 +27,15 @@
 impl Kernel {
     /// A kernel with every registered plug-in.
     pub fn new(profile: NodeProfile) -> Self {
-        let mut registrations: Vec<&Registration> =
-            inventory::iter::<Registration>.into_iter().collect();
+        Self::with_plugins(profile, |_| true)
+    }
+
+    /// A kernel with the registered plug-ins whose names pass `wanted`, to drive one part alone.
+    pub fn with_plugins(profile: NodeProfile, wanted: impl Fn(&str) -> bool) -> Self {
+        let mut registrations: Vec<&Registration> = inventory::iter::<Registration>
+            .into_iter()
+            .filter(|registration| wanted(registration.name))
+            .collect();
         registrations.sort_by_key(|registration| (registration.order, registration.name));
         let slots = registrations
             .into_iter()
--- /dev/null
+++ b/kernel/tests/dispatch/main.rs
@@ -0,0 +1,5 @@
+//! The owner's side of scheduling.
+
+mod failures;
+mod order;
+mod world;
