--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -120,6 +120,8 @@
     UpstreamLeaving(UpstreamId),
     /// This node is leaving: no new calls, queued work goes to other nodes.
     NodeLeaving,
+    /// An upstream that was leaving was registered anew: it may get work again.
+    UpstreamReturned(UpstreamId),
 }
 
 /// A request of the kernel to the process around it.
--- a/kernel/src/membership.rs
+++ b/kernel/src/membership.rs
@@ -1,14 +1,43 @@
-//! The plug-in that knows which nodes exist, live and leave.
+//! The plug-in that knows which nodes exist, live and leave, and which upstreams leave.
+//!
+//! The platform's host list says who exists. Whether a node answers is found by probes inside its
+//! group ([`group`], [`probe`]). News goes to the group at once, along with probes, and through
+//! bridges to other zones ([`zone`]); what was missed is repaired by digests ([`sync`]).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use crate::event::Event;
 use crate::ids::{Incarnation, NodeId, ZoneId};
-use crate::plugin::{Context, NodeProfile, Plugin, Registration};
+use crate::plugin::{Context, GaugeSample, NodeProfile, Plugin, Registration};
+use crate::wire::Message;
+
+pub mod group;
+mod hosts;
+pub mod message;
+mod news;
+pub mod outbox;
+pub mod probe;
+pub mod record;
+pub mod sync;
+pub mod table;
+pub mod upstream;
+pub mod zone;
+
+pub use message::MembershipMessage;
+
+use group::PeerGroup;
+use outbox::NewsOutbox;
+use probe::ProbeTable;
+use record::NodeRecord;
+use sync::RepairTimer;
+use table::{NodeRow, NodeTable};
+use upstream::UpstreamTable;
+use zone::ZoneTable;
 
 /// A row of the platform's host list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,19 +66,6 @@
     Upstream,
 }
 
-/// Messages about liveness.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MembershipMessage {
-    /// "I live."
-    Ping {
-        /// The sender's run.
-        incarnation: Incarnation,
-        /// Whether the sender is leaving.
-        leaving: bool,
-    },
-}
-
 /// Whether a node can be given work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -73,7 +89,7 @@
     pub zone: ZoneId,
     /// The availability zone's name.
     pub zone_name: Box<str>,
-    /// The newest run seen.
+    /// The newest run seen; 0 when the node was never heard of.
     pub incarnation: Incarnation,
     /// The state.
     pub state: NodeState,
@@ -91,51 +107,187 @@
 }
 
 /// Keeps the membership.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MembershipTable {
+    node: NodeId,
+    rows: NodeTable,
+    upstreams: UpstreamTable,
+    zones: ZoneTable,
+    group: PeerGroup,
+    prober: ProbeTable,
+    outbox: NewsOutbox,
+    repair: RepairTimer,
+    hosts: Vec<HostEntry>,
     view: Arc<MemberView>,
+    started: Option<Duration>,
+    dirty: bool,
 }
 
-impl Plugin for MembershipTable {
-    fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
-        let Event::HostList(hosts) = event else {
+impl MembershipTable {
+    fn new(profile: &NodeProfile) -> Self {
+        let mut table = Self {
+            node: profile.node,
+            rows: NodeTable::default(),
+            upstreams: UpstreamTable::default(),
+            zones: ZoneTable::default(),
+            group: PeerGroup::default(),
+            prober: ProbeTable::default(),
+            outbox: NewsOutbox::default(),
+            repair: RepairTimer::default(),
+            hosts: Vec::new(),
+            view: Arc::default(),
+            started: None,
+            dirty: false,
+        };
+        let host = HostEntry {
+            name: profile.name.clone(),
+            zone: profile.zone_name.clone(),
+            role: HostRole::Node,
+            peer_address: "".into(),
+            caller_address: "".into(),
+            leaving: false,
+        };
+        let mut row = NodeRow::new(&host);
+        row.zone = profile.zone;
+        row.listed = false;
+        row.record = NodeRecord::started(profile.incarnation);
+        table.rows.insert(profile.node, row);
+        table
+    }
+
+    fn receive(&mut self, from: NodeId, message: &MembershipMessage, context: &mut Context<'_>) {
+        self.hear(from, context.now);
+        match message {
+            MembershipMessage::Ping(sequence, digest, news) => {
+                self.answer_ping(from, *sequence, news, context);
+                self.compare(from, *digest, context);
+            }
+            MembershipMessage::Ack(sequence, digest, news) => {
+                self.merge(from, news, context);
+                self.take_ack(*sequence, from, context);
+                self.compare(from, *digest, context);
+            }
+            MembershipMessage::ProbeFor(sequence, target) => {
+                self.probe_for(from, *sequence, *target, context);
+            }
+            MembershipMessage::Reached(sequence) => self.take_reached(*sequence),
+            MembershipMessage::News(news) => self.take_news(from, news, context),
+            MembershipMessage::Compare(pairs) => self.answer_compare(from, pairs, context),
+            MembershipMessage::Bridge(answer, digest, beats) => {
+                self.take_bridge(from, *answer, beats, context);
+                self.compare(from, *digest, context);
+            }
+        }
+    }
+
+    /// A message proves that the way from the sender works; what it held against the sender's
+    /// link, or against all because it heard nobody, no longer stands.
+    fn hear(&mut self, from: NodeId, now: Duration) {
+        if self.group.ring.binary_search(&from).is_ok() || self.group.dead.contains(&from) {
+            self.prober.hear(now);
+        }
+        let Some(row) = self.rows.get_mut(from) else {
             return;
         };
-        let members = hosts
-            .iter()
-            .filter(|host| host.role == HostRole::Node)
-            .map(|host| {
-                let member = Member {
-                    name: host.name.clone(),
-                    zone: ZoneId::named(&host.zone),
-                    zone_name: host.zone.clone(),
-                    incarnation: Incarnation(0),
-                    state: if host.leaving {
-                        NodeState::Leaving
-                    } else {
-                        NodeState::Live
-                    },
-                    peer_address: host.peer_address.clone(),
-                    caller_address: host.caller_address.clone(),
-                };
-                (NodeId::named(&host.name), member)
-            })
-            .collect();
-        let view = MemberView { members };
+        self.dirty |= row.doubt.is_some();
+        row.doubt = None;
+    }
+
+    fn tick(&mut self, context: &mut Context<'_>) {
+        if self.started.is_none() {
+            return;
+        }
+        self.tick_probes(context);
+        self.tick_zones(context);
+        self.tick_news(context);
+    }
+
+    fn publish(&mut self, context: &mut Context<'_>) {
+        self.dirty = false;
+        if self.started.is_none() {
+            return;
+        }
+        self.group = PeerGroup::of(&self.rows, context.profile);
+        let members = self.rows.rows().iter().map(|(node, row)| {
+            let lost = self.group.zoned
+                && row.zone != context.profile.zone
+                && self.zones.is_lost(row.zone);
+            (*node, row.member(lost))
+        });
+        let view = MemberView {
+            members: members.collect(),
+        };
         if view != *self.view {
             self.view = Arc::new(view);
             context.raise(Event::MembersChanged(Arc::clone(&self.view)));
         }
     }
 
+    fn count(&self, state: NodeState) -> f64 {
+        let members = self.view.members.values();
+        members.filter(|member| member.state == state).count() as f64
+    }
+}
+
+impl Plugin for MembershipTable {
+    fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
+        match event {
+            Event::HostList(hosts) => self.list(hosts, context),
+            Event::Tick => self.tick(context),
+            Event::PeerMessage {
+                from,
+                message: Message::Membership(message),
+            } => self.receive(*from, message, context),
+            Event::LinkDown(node) => self.link_down(*node, context),
+            Event::LinkUp(node) => self.link_up(*node),
+            Event::NodeLeaving => self.leave(),
+            Event::DrainUpstream(upstream) => self.drain_upstream(*upstream, context),
+            Event::UpstreamReported { upstream, report } => {
+                self.upstream_report(*upstream, report.leaving, context);
+            }
+            _ => return,
+        }
+        if self.dirty {
+            self.publish(context);
+        }
+    }
+
     fn dump(&self) -> Value {
         let members: Vec<&Member> = self.view.members.values().collect();
-        json!({ "members": members })
+        let lost: Vec<String> = self.zones.lost().map(|zone| zone.to_string()).collect();
+        let leaving: Vec<String> = self.upstreams.leaving().map(|id| id.to_string()).collect();
+        json!({
+            "members": members,
+            "zoned": self.group.zoned,
+            "bridge_rank": self.group.rank,
+            "lost_zones": lost,
+            "leaving_upstreams": leaving,
+            "suspicions": self.prober.suspicions(),
+            "untold_news": self.outbox.len(),
+        })
+    }
+
+    fn gauges(&self) -> Vec<GaugeSample> {
+        let states = [
+            ("live", NodeState::Live),
+            ("suspect", NodeState::Suspect),
+            ("leaving", NodeState::Leaving),
+            ("dead", NodeState::Dead),
+        ];
+        states
+            .into_iter()
+            .map(|(kind, state)| GaugeSample {
+                name: "members",
+                help: "Nodes known, by state.",
+                kind,
+                value: self.count(state),
+            })
+            .collect()
     }
 }
 
-fn build(_profile: &NodeProfile) -> Box<dyn Plugin> {
-    Box::<MembershipTable>::default()
+fn build(profile: &NodeProfile) -> Box<dyn Plugin> {
+    Box::new(MembershipTable::new(profile))
 }
 
 inventory::submit! {
--- /dev/null
+++ b/kernel/src/membership/hosts.rs
@@ -0,0 +1,104 @@
+//! What the platform's host list changes: who exists, and who is told to leave.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{NodeId, ZoneId};
+use crate::membership::outbox::{NewsAudience, NewsKey};
+use crate::membership::table::NodeRow;
+use crate::membership::{HostEntry, HostRole, MembershipTable};
+use crate::plugin::Context;
+
+impl MembershipTable {
+    /// Takes in the host list.
+    pub(super) fn list(&mut self, hosts: &[HostEntry], context: &mut Context<'_>) {
+        if self.started.is_some() && hosts == &*self.hosts {
+            return;
+        }
+        self.hosts = hosts.to_vec();
+        let listed: BTreeMap<NodeId, &HostEntry> = hosts
+            .iter()
+            .filter(|host| host.role == HostRole::Node)
+            .map(|host| (NodeId::named(&host.name), host))
+            .collect();
+        for (node, host) in &listed {
+            self.list_node(*node, host);
+        }
+        self.unlist(&listed);
+        self.dirty = true;
+        let zones: Vec<ZoneId> = self.rows.rows().values().map(|row| row.zone).collect();
+        self.zones.name(zones.into_iter());
+        for change in self.upstreams.list(hosts) {
+            self.upstream_changed(change, true, context);
+        }
+        if self.started.is_none() {
+            self.start(context);
+        }
+    }
+
+    fn list_node(&mut self, node: NodeId, host: &HostEntry) {
+        let Some(row) = self.rows.get_mut(node) else {
+            let mut row = NodeRow::new(host);
+            row.list_leaving = host.leaving;
+            self.rows.insert(node, row);
+            return;
+        };
+        row.listed = true;
+        // The flag rises for the run that is known now; a later run begins without it.
+        if host.leaving != row.host.leaving {
+            row.list_leaving = host.leaving && node != self.node;
+        }
+        if row.host.zone != host.zone && node != self.node {
+            let mut moved = row.clone();
+            moved.zone = ZoneId::named(&host.zone);
+            moved.host = host.clone();
+            self.rows.insert(node, moved);
+            return;
+        }
+        row.host = host.clone();
+    }
+
+    /// A node that the list no longer shows is forgotten once it is dead, or leaves. While it
+    /// answers it stays: a list that lost rows must not take down the fleet.
+    fn unlist(&mut self, listed: &BTreeMap<NodeId, &HostEntry>) {
+        let own = self.node;
+        let missing: Vec<NodeId> = self
+            .rows
+            .rows()
+            .keys()
+            .filter(|node| **node != own && !listed.contains_key(node))
+            .copied()
+            .collect();
+        for node in missing {
+            if let Some(row) = self.rows.get_mut(node) {
+                row.listed = false;
+            }
+            self.forget_if_gone(node);
+        }
+    }
+
+    /// Drops a row that is neither listed nor alive.
+    pub(super) fn forget_if_gone(&mut self, node: NodeId) {
+        let gone = self
+            .rows
+            .get(node)
+            .is_some_and(|row| node != self.node && !row.listed && !row.is_serving());
+        if gone {
+            self.rows.remove(node);
+            self.prober.clear(node);
+            self.dirty = true;
+        }
+    }
+
+    fn start(&mut self, context: &mut Context<'_>) {
+        self.started = Some(context.now);
+        let audience = NewsAudience {
+            group: true,
+            world: false,
+        };
+        self.outbox.add(NewsKey::Node(self.node), audience);
+        self.publish(context);
+        if let Some(peer) = self.group.successor(self.node) {
+            self.ask_repair(peer, context);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/membership/news.rs
@@ -0,0 +1,290 @@
+//! Telling news and taking it in.
+
+use crate::event::Event;
+use crate::ids::{NodeId, UpstreamId, ZoneId};
+use crate::membership::MembershipTable;
+use crate::membership::message::{MembershipMessage, NewsBatch};
+use crate::membership::outbox::{NewsAudience, NewsKey};
+use crate::membership::record::{NodeHealth, NodeNews, NodeRecord};
+use crate::membership::table::LocalDoubt;
+use crate::membership::upstream::UpstreamChange;
+use crate::plugin::Context;
+
+/// Bridges of a zone that pass its news on at once; the others help in repairs.
+const TELLING_BRIDGES: usize = 2;
+
+impl MembershipTable {
+    /// The present content of news.
+    pub(super) fn batch(&self, keys: &[NewsKey]) -> NewsBatch {
+        let mut batch = NewsBatch::default();
+        for key in keys {
+            match key {
+                NewsKey::Node(node) => {
+                    let row = self.rows.get(*node);
+                    batch
+                        .0
+                        .extend(row.map(|row| NodeNews::new(*node, &row.record)));
+                }
+                NewsKey::Upstream(upstream) => batch.1.extend(self.upstreams.news(*upstream)),
+                NewsKey::Zone(zone) => batch.2.extend(self.zones.news(*zone)),
+            }
+        }
+        batch
+    }
+
+    /// News that goes along with a probe of `peer`; what is held against the peer itself always
+    /// does, so that it can refute.
+    pub(super) fn riding_news(&mut self, peer: NodeId) -> NewsBatch {
+        let mut keys = self.outbox.ride();
+        let doubted = self
+            .rows
+            .get(peer)
+            .is_some_and(|row| row.record.health != NodeHealth::Live);
+        if doubted && !keys.contains(&NewsKey::Node(peer)) {
+            keys.push(NewsKey::Node(peer));
+        }
+        self.batch(&keys)
+    }
+
+    /// Tells news at once, as far as the allowance reaches.
+    pub(super) fn tick_news(&mut self, context: &mut Context<'_>) {
+        let keys = self.outbox.take_group(self.group.ring.len(), context.now);
+        if !keys.is_empty() {
+            let receivers = self.group.ring.clone();
+            self.tell(&receivers, &keys, context);
+        }
+        if !self.group.zoned {
+            return;
+        }
+        let receivers = self.group.counterparts(context.profile.zone);
+        let keys = self.outbox.take_world(receivers.len(), context.now);
+        if !keys.is_empty() {
+            self.tell(&receivers, &keys, context);
+        }
+    }
+
+    fn tell(&self, receivers: &[NodeId], keys: &[NewsKey], context: &mut Context<'_>) {
+        let batch = self.batch(keys);
+        for receiver in receivers {
+            context.send(*receiver, MembershipMessage::News(batch.clone()));
+        }
+    }
+
+    /// Notes that a node's record changed; `here` when it was found out here or came from another
+    /// zone, so that this node tells its group.
+    pub(super) fn note_change(&mut self, node: NodeId, here: bool) {
+        let world = self
+            .rows
+            .get(node)
+            .is_some_and(|row| self.speaks_for(row.zone));
+        let audience = NewsAudience { group: here, world };
+        self.outbox.add(NewsKey::Node(node), audience);
+        self.dirty = true;
+        self.forget_if_gone(node);
+    }
+
+    fn speaks_for(&self, zone: ZoneId) -> bool {
+        let own = self.rows.get(self.node).is_some_and(|row| row.zone == zone);
+        own && self.group.rank.is_some_and(|rank| rank < TELLING_BRIDGES)
+    }
+
+    fn is_outside(&self, from: NodeId) -> bool {
+        let own = self.rows.get(self.node).map(|row| row.zone);
+        self.group.zoned && self.rows.get(from).map(|row| row.zone) != own
+    }
+
+    /// Takes in news that came without a probe. A suspect that is first heard of this way is asked
+    /// at once, so that it learns of the suspicion by more than one way.
+    pub(super) fn take_news(&mut self, from: NodeId, news: &NewsBatch, context: &mut Context<'_>) {
+        let suspects = self.merge(from, news, context);
+        for suspect in suspects {
+            self.ping(suspect, context);
+        }
+    }
+
+    /// Takes in news; gives back the nodes that became suspects by it.
+    pub(super) fn merge(
+        &mut self,
+        from: NodeId,
+        news: &NewsBatch,
+        context: &mut Context<'_>,
+    ) -> Vec<NodeId> {
+        let mut suspects = Vec::new();
+        for node_news in &news.0 {
+            let node = node_news.0;
+            let Some(record) = node_news.record() else {
+                continue;
+            };
+            if node == self.node {
+                self.refute(&record);
+            } else if self.merge_node(from, node, record, context) {
+                suspects.push(node);
+            }
+        }
+        self.merge_marks(from, news, context);
+        suspects
+    }
+
+    /// Gets past news of this node that is newer than its own: it raises its epoch above it.
+    fn refute(&mut self, told: &NodeRecord) {
+        let Some(row) = self.rows.get(self.node) else {
+            return;
+        };
+        if !told.supersedes(&row.record) {
+            return;
+        }
+        let record = NodeRecord {
+            epoch: told.epoch.saturating_add(1),
+            ..row.record
+        };
+        self.rows.set_record(self.node, record);
+        self.note_change(self.node, true);
+    }
+
+    /// Says that this node leaves; sticky for this run.
+    pub(super) fn leave(&mut self) {
+        let Some(row) = self.rows.get(self.node) else {
+            return;
+        };
+        if row.record.leaving {
+            return;
+        }
+        let record = NodeRecord {
+            epoch: row.record.epoch.saturating_add(1),
+            leaving: true,
+            ..row.record
+        };
+        self.rows.set_record(self.node, record);
+        self.note_change(self.node, true);
+    }
+
+    fn merge_node(
+        &mut self,
+        from: NodeId,
+        node: NodeId,
+        mut record: NodeRecord,
+        context: &mut Context<'_>,
+    ) -> bool {
+        let outside = self.is_outside(from);
+        let distant = self.is_outside(node);
+        let Some(row) = self.rows.get_mut(node) else {
+            return false;
+        };
+        let known = row.record;
+        if distant && record.health == NodeHealth::Suspect {
+            record.health = NodeHealth::Live;
+        }
+        if !record.supersedes(&known) {
+            if from == node && known.supersedes(&record) {
+                self.correct(node, context);
+            }
+            return false;
+        }
+        if record.incarnation == known.incarnation {
+            record.leaving |= known.leaving;
+        } else {
+            row.list_leaving &= known.epoch == 0;
+        }
+        if record.health == NodeHealth::Live {
+            row.doubt = row.doubt.filter(|doubt| *doubt != LocalDoubt::Lost);
+        }
+        self.rows.set_record(node, record);
+        if record.health == NodeHealth::Suspect {
+            self.prober.told(node, context.now);
+        } else {
+            self.prober.clear(node);
+        }
+        self.repair.learn(context.now);
+        self.note_change(node, outside && record.health != NodeHealth::Suspect);
+        record.health == NodeHealth::Suspect
+    }
+
+    /// Tells a node what is known of it, when it is behind its own news.
+    fn correct(&self, node: NodeId, context: &mut Context<'_>) {
+        let news = self.batch(&[NewsKey::Node(node)]);
+        context.send(node, MembershipMessage::News(news));
+    }
+
+    fn merge_marks(&mut self, from: NodeId, news: &NewsBatch, context: &mut Context<'_>) {
+        let outside = self.is_outside(from);
+        for upstream_news in &news.1 {
+            let (new, change) = self.upstreams.merge(*upstream_news);
+            if new {
+                self.repair.learn(context.now);
+                self.note_upstream(upstream_news.0, outside);
+            }
+            raise_change(change, context);
+        }
+        if outside {
+            return;
+        }
+        for zone_news in &news.2 {
+            if self.zones.merge(*zone_news) {
+                self.repair.learn(context.now);
+                let key = NewsKey::Zone(zone_news.0);
+                self.outbox.add(key, NewsAudience::default());
+                self.dirty = true;
+            }
+        }
+    }
+
+    fn note_upstream(&mut self, upstream: UpstreamId, here: bool) {
+        let speaks = self.group.rank.is_some_and(|rank| rank < TELLING_BRIDGES);
+        let audience = NewsAudience {
+            group: here,
+            world: speaks,
+        };
+        self.outbox.add(NewsKey::Upstream(upstream), audience);
+    }
+
+    /// Tells everyone of a change that was found out here.
+    pub(super) fn upstream_changed(
+        &mut self,
+        change: UpstreamChange,
+        here: bool,
+        context: &mut Context<'_>,
+    ) {
+        let (UpstreamChange::Leaving(upstream) | UpstreamChange::Returned(upstream)) = change;
+        self.note_upstream(upstream, here);
+        raise_change(Some(change), context);
+    }
+
+    /// An operator wants an upstream to get nothing new.
+    pub(super) fn drain_upstream(&mut self, upstream: UpstreamId, context: &mut Context<'_>) {
+        if let Some(change) = self.upstreams.drain(upstream) {
+            self.upstream_changed(change, true, context);
+        }
+    }
+
+    /// An upstream said whether it leaves.
+    pub(super) fn upstream_report(
+        &mut self,
+        upstream: UpstreamId,
+        leaving: bool,
+        context: &mut Context<'_>,
+    ) {
+        if let Some(change) = self.upstreams.report(upstream, leaving, context.now) {
+            self.upstream_changed(change, true, context);
+        }
+    }
+
+    /// The link to a node was made.
+    pub(super) fn link_up(&mut self, node: NodeId) {
+        if let Some(row) = self.rows.get_mut(node)
+            && row.doubt == Some(LocalDoubt::LinkDown)
+        {
+            row.doubt = None;
+            self.dirty = true;
+        }
+    }
+}
+
+fn raise_change(change: Option<UpstreamChange>, context: &mut Context<'_>) {
+    match change {
+        Some(UpstreamChange::Leaving(upstream)) => context.raise(Event::UpstreamLeaving(upstream)),
+        Some(UpstreamChange::Returned(upstream)) => {
+            context.raise(Event::UpstreamReturned(upstream));
+        }
+        None => {}
+    }
+}
--- /dev/null
+++ b/kernel/src/membership/outbox.rs
@@ -0,0 +1,153 @@
+//! News that is still to be told: at once to a group or to other zones, and along with probes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{NodeId, UpstreamId, ZoneId};
+
+/// How often a piece of news rides along with a probe or its answer.
+const RIDES: u8 = 4;
+/// Most pieces of news in one probe.
+const RIDES_PER_PROBE: usize = 6;
+/// Most pieces of news in one message.
+const NEWS_PER_MESSAGE: usize = 32;
+/// Messages that may be sent at once after a quiet time.
+const BURST_MESSAGES: f64 = 128.0;
+/// Messages a second that may be sent in the long run.
+const MESSAGES_PER_SECOND: f64 = 10.0;
+
+/// What a piece of news is about; its content is looked up when it is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum NewsKey {
+    /// A node.
+    Node(NodeId),
+    /// An upstream.
+    Upstream(UpstreamId),
+    /// A zone.
+    Zone(ZoneId),
+}
+
+/// Who is told at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NewsAudience {
+    /// The nodes that probe each other with this one.
+    pub group: bool,
+    /// A bridge in every other zone.
+    pub world: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingNews {
+    rides: u8,
+    audience: NewsAudience,
+}
+
+/// News that is still to be told.
+#[derive(Debug)]
+pub struct NewsOutbox {
+    pending: BTreeMap<NewsKey, PendingNews>,
+    tokens: f64,
+    filled: Duration,
+}
+
+impl Default for NewsOutbox {
+    fn default() -> Self {
+        Self {
+            pending: BTreeMap::new(),
+            tokens: BURST_MESSAGES,
+            filled: Duration::ZERO,
+        }
+    }
+}
+
+impl NewsOutbox {
+    /// Pieces of news that are still to be told.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Whether everything is told.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Notes news.
+    pub fn add(&mut self, key: NewsKey, audience: NewsAudience) {
+        let entry = self.pending.entry(key).or_insert(PendingNews {
+            rides: RIDES,
+            audience,
+        });
+        entry.rides = RIDES;
+        entry.audience.group |= audience.group;
+        entry.audience.world |= audience.world;
+    }
+
+    /// News to go along with a probe.
+    pub fn ride(&mut self) -> Vec<NewsKey> {
+        let keys: Vec<NewsKey> = self
+            .pending
+            .iter()
+            .filter(|(_, news)| news.rides > 0)
+            .map(|(key, _)| *key)
+            .take(RIDES_PER_PROBE)
+            .collect();
+        for key in &keys {
+            if let Some(news) = self.pending.get_mut(key) {
+                news.rides -= 1;
+            }
+        }
+        self.drop_told();
+        keys
+    }
+
+    /// News for the group, if `receivers` messages may be sent now.
+    pub fn take_group(&mut self, receivers: usize, now: Duration) -> Vec<NewsKey> {
+        self.take(receivers, now, |audience| &mut audience.group)
+    }
+
+    /// News for other zones, if `receivers` messages may be sent now.
+    pub fn take_world(&mut self, receivers: usize, now: Duration) -> Vec<NewsKey> {
+        self.take(receivers, now, |audience| &mut audience.world)
+    }
+
+    fn take(
+        &mut self,
+        receivers: usize,
+        now: Duration,
+        flag: fn(&mut NewsAudience) -> &mut bool,
+    ) -> Vec<NewsKey> {
+        let wanted = self
+            .pending
+            .values_mut()
+            .any(|news| *flag(&mut news.audience));
+        if !wanted || !self.spend(receivers, now) {
+            return Vec::new();
+        }
+        let mut keys = Vec::new();
+        for (key, news) in &mut self.pending {
+            let wanted = flag(&mut news.audience);
+            if *wanted && keys.len() < NEWS_PER_MESSAGE {
+                *wanted = false;
+                keys.push(*key);
+            }
+        }
+        self.drop_told();
+        keys
+    }
+
+    fn spend(&mut self, messages: usize, now: Duration) -> bool {
+        let elapsed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = now;
+        self.tokens = (self.tokens + elapsed * MESSAGES_PER_SECOND).min(BURST_MESSAGES);
+        if self.tokens < (messages as f64).min(BURST_MESSAGES) {
+            return false;
+        }
+        self.tokens -= messages as f64;
+        true
+    }
+
+    fn drop_told(&mut self) {
+        self.pending
+            .retain(|_, news| news.rides > 0 || news.audience != NewsAudience::default());
+    }
+}
--- /dev/null
+++ b/kernel/src/membership/probe.rs
@@ -0,0 +1,385 @@
+//! Failure detection inside a group.
+//!
+//! After SWIM (Das, Gupta, Motivala: "SWIM: Scalable Weakly-consistent Infection-style Process
+//! Group Membership Protocol", 2002): a probe a period, indirect probes through others against one
+//! bad link, a suspicion that the suspect may refute. Unlike SWIM every second probe goes to the
+//! next node on a ring, so that the wait for the first probe of a dead node has a bound.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::ids::NodeId;
+use crate::membership::MembershipTable;
+use crate::membership::message::{MembershipMessage, NewsBatch};
+use crate::membership::outbox::{NewsAudience, NewsKey};
+use crate::membership::record::{NodeHealth, NodeRecord};
+use crate::membership::table::LocalDoubt;
+use crate::plugin::Context;
+
+/// Time between two probes of a node.
+pub const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Wait for the answer of a probe.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Wait for the answer of probes through other nodes.
+pub const INDIRECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Nodes that are asked to probe in this one's place.
+pub const INDIRECT_PROBES: usize = 3;
+/// Time that a suspect has to refute.
+pub const SUSPICION_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same, where the link to it broke as well.
+pub const BROKEN_LINK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time that a suspect has where the suspicion came from another node.
+pub const TOLD_SUSPICION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two probes of nodes that are dead but listed.
+pub const DEAD_PROBE_PERIOD: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug)]
+struct OpenProbe {
+    target: NodeId,
+    indirect: bool,
+    until: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RelayedProbe {
+    origin: NodeId,
+    sequence: u32,
+    until: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenSuspicion {
+    began: Duration,
+    until: Duration,
+}
+
+/// Probes and suspicions that are not decided yet.
+#[derive(Debug, Default)]
+pub struct ProbeTable {
+    sequence: u32,
+    probes: BTreeMap<u32, OpenProbe>,
+    relays: BTreeMap<u32, RelayedProbe>,
+    suspicions: BTreeMap<NodeId, OpenSuspicion>,
+    order: Vec<NodeId>,
+    watch_turn: bool,
+    next_probe: Duration,
+    next_dead_probe: Duration,
+    heard: Duration,
+}
+
+impl ProbeTable {
+    /// Suspicions that are not decided yet.
+    pub fn suspicions(&self) -> usize {
+        self.suspicions.len()
+    }
+
+    /// Notes that a node of the group was heard.
+    pub fn hear(&mut self, now: Duration) {
+        self.heard = now;
+    }
+
+    /// Notes a suspicion that another node told.
+    pub fn told(&mut self, node: NodeId, now: Duration) {
+        self.suspicions.entry(node).or_insert(OpenSuspicion {
+            began: now,
+            until: now + TOLD_SUSPICION_TIMEOUT,
+        });
+    }
+
+    /// Forgets a suspicion.
+    pub fn clear(&mut self, node: NodeId) {
+        self.suspicions.remove(&node);
+    }
+
+    fn number(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    fn is_probing(&self, target: NodeId) -> bool {
+        self.probes.values().any(|probe| probe.target == target)
+    }
+}
+
+/// A duration between 0.9 and 1.1 times `period`, so that nodes do not act in step.
+pub fn jitter(period: Duration, context: &mut Context<'_>) -> Duration {
+    period.mul_f64(context.random.random_range(0.9..1.1))
+}
+
+impl MembershipTable {
+    /// Does what is due in failure detection.
+    pub(super) fn tick_probes(&mut self, context: &mut Context<'_>) {
+        self.expire_probes(context);
+        self.expire_suspicions(context);
+        self.start_probe(context);
+        self.probe_dead(context);
+    }
+
+    fn expire_probes(&mut self, context: &mut Context<'_>) {
+        let now = context.now;
+        self.prober.relays.retain(|_, relay| relay.until > now);
+        let due: Vec<(u32, OpenProbe)> = self
+            .prober
+            .probes
+            .iter()
+            .filter(|(_, probe)| probe.until <= now)
+            .map(|(sequence, probe)| (*sequence, *probe))
+            .collect();
+        for (sequence, probe) in due {
+            if probe.indirect {
+                self.prober.probes.remove(&sequence);
+                self.suspect(probe.target, context);
+            } else {
+                self.probe_indirectly(sequence, probe.target, context);
+            }
+        }
+    }
+
+    fn probe_indirectly(&mut self, sequence: u32, target: NodeId, context: &mut Context<'_>) {
+        let Some(probe) = self.prober.probes.get_mut(&sequence) else {
+            return;
+        };
+        probe.indirect = true;
+        probe.until = context.now + INDIRECT_TIMEOUT;
+        for helper in self.helpers(target, context) {
+            context.send(helper, MembershipMessage::ProbeFor(sequence, target));
+        }
+    }
+
+    fn helpers(&self, target: NodeId, context: &mut Context<'_>) -> Vec<NodeId> {
+        let mut others: Vec<NodeId> = self
+            .group
+            .ring
+            .iter()
+            .filter(|node| **node != target)
+            .copied()
+            .collect();
+        shuffle(&mut others, INDIRECT_PROBES, context);
+        others.truncate(INDIRECT_PROBES);
+        others
+    }
+
+    fn expire_suspicions(&mut self, context: &mut Context<'_>) {
+        let now = context.now;
+        let due: Vec<(NodeId, OpenSuspicion)> = self
+            .prober
+            .suspicions
+            .iter()
+            .filter(|(_, suspicion)| suspicion.until <= now)
+            .map(|(node, suspicion)| (*node, *suspicion))
+            .collect();
+        for (node, suspicion) in due {
+            self.prober.suspicions.remove(&node);
+            if self.prober.heard > suspicion.began {
+                self.declare_dead(node);
+            } else {
+                self.lose(node);
+            }
+        }
+    }
+
+    fn declare_dead(&mut self, node: NodeId) {
+        let Some(row) = self.rows.get(node) else {
+            return;
+        };
+        let record = NodeRecord {
+            health: NodeHealth::Dead,
+            ..row.record
+        };
+        self.rows.set_record(node, record);
+        self.note_change(node, true);
+    }
+
+    /// Gives a node up without telling anyone: who hears from nobody may be the one that is cut
+    /// off, and its word would only make all the others refute it later.
+    fn lose(&mut self, node: NodeId) {
+        if let Some(row) = self.rows.get_mut(node) {
+            row.doubt = Some(LocalDoubt::Lost);
+            self.dirty = true;
+        }
+    }
+
+    fn suspect(&mut self, node: NodeId, context: &mut Context<'_>) {
+        let Some(row) = self.rows.get(node) else {
+            return;
+        };
+        if row.is_dead() {
+            return;
+        }
+        let timeout = match row.doubt {
+            Some(LocalDoubt::LinkDown) => BROKEN_LINK_TIMEOUT,
+            _ => SUSPICION_TIMEOUT,
+        };
+        let now = context.now;
+        let suspicion = self.prober.suspicions.entry(node).or_insert(OpenSuspicion {
+            began: now,
+            until: now + timeout,
+        });
+        suspicion.until = suspicion.until.min(now + timeout);
+        let record = NodeRecord {
+            health: NodeHealth::Suspect,
+            ..row.record
+        };
+        if record == row.record {
+            return;
+        }
+        self.rows.set_record(node, record);
+        self.outbox
+            .add(NewsKey::Node(node), NewsAudience::default());
+        self.dirty = true;
+        let mut told = self.helpers(node, context);
+        told.push(node);
+        let news = self.batch(&[NewsKey::Node(node)]);
+        for receiver in told {
+            context.send(receiver, MembershipMessage::News(news.clone()));
+        }
+    }
+
+    fn start_probe(&mut self, context: &mut Context<'_>) {
+        if context.now < self.prober.next_probe {
+            return;
+        }
+        let next = self.prober.next_probe + jitter(PROBE_PERIOD, context);
+        self.prober.next_probe = next.max(context.now + PROBE_PERIOD / 2);
+        self.prober.watch_turn = !self.prober.watch_turn;
+        let target = if self.prober.watch_turn {
+            self.group.successor(context.profile.node)
+        } else {
+            self.next_random(context)
+        };
+        if let Some(target) = target {
+            self.probe(target, context);
+        }
+    }
+
+    fn next_random(&mut self, context: &mut Context<'_>) -> Option<NodeId> {
+        if self.prober.order.is_empty() {
+            let mut order = self.group.ring.clone();
+            let all = order.len();
+            shuffle(&mut order, all, context);
+            self.prober.order = order;
+        }
+        let next = self.prober.order.pop()?;
+        let known = self.group.ring.binary_search(&next).is_ok();
+        known.then_some(next)
+    }
+
+    fn probe_dead(&mut self, context: &mut Context<'_>) {
+        if context.now < self.prober.next_dead_probe {
+            return;
+        }
+        self.prober.next_dead_probe = context.now + jitter(DEAD_PROBE_PERIOD, context);
+        if self.group.dead.is_empty() {
+            return;
+        }
+        let index = context.random.random_range(0..self.group.dead.len());
+        self.ping(self.group.dead[index], context);
+    }
+
+    fn probe(&mut self, target: NodeId, context: &mut Context<'_>) -> u32 {
+        let sequence = self.ping(target, context);
+        let probe = OpenProbe {
+            target,
+            indirect: false,
+            until: context.now + PROBE_TIMEOUT,
+        };
+        self.prober.probes.insert(sequence, probe);
+        sequence
+    }
+
+    /// Sends a ping whose answer nobody waits for.
+    pub(super) fn ping(&mut self, target: NodeId, context: &mut Context<'_>) -> u32 {
+        let sequence = self.prober.number();
+        let news = self.riding_news(target);
+        let message = MembershipMessage::Ping(sequence, self.digest_for(target, context), news);
+        context.send(target, message);
+        sequence
+    }
+
+    /// A broken link is a hint, not a proof: the node is probed at once, through others as well.
+    pub(super) fn link_down(&mut self, node: NodeId, context: &mut Context<'_>) {
+        self.doubt_link(node);
+        let watched = self.group.ring.binary_search(&node).is_ok();
+        if !watched {
+            return;
+        }
+        if let Some(suspicion) = self.prober.suspicions.get_mut(&node) {
+            let until = context.now + BROKEN_LINK_TIMEOUT;
+            suspicion.until = suspicion.until.min(until);
+            return;
+        }
+        if self.prober.is_probing(node) {
+            return;
+        }
+        let sequence = self.probe(node, context);
+        self.probe_indirectly(sequence, node, context);
+    }
+
+    /// Answers a ping.
+    pub(super) fn answer_ping(
+        &mut self,
+        from: NodeId,
+        sequence: u32,
+        news: &NewsBatch,
+        context: &mut Context<'_>,
+    ) {
+        self.merge(from, news, context);
+        let news = self.riding_news(from);
+        let digest = self.digest_for(from, context);
+        context.send(from, MembershipMessage::Ack(sequence, digest, news));
+    }
+
+    /// Takes in the answer of a ping.
+    pub(super) fn take_ack(&mut self, sequence: u32, from: NodeId, context: &mut Context<'_>) {
+        if let Some(relay) = self.prober.relays.remove(&sequence) {
+            context.send(relay.origin, MembershipMessage::Reached(relay.sequence));
+        }
+        let asked = self.prober.probes.get(&sequence);
+        if asked.is_some_and(|probe| probe.target == from) {
+            self.prober.probes.remove(&sequence);
+        }
+    }
+
+    /// Another node reached the one that this node could not: it lives, but not for this node.
+    pub(super) fn take_reached(&mut self, sequence: u32) {
+        if let Some(probe) = self.prober.probes.remove(&sequence) {
+            self.doubt_link(probe.target);
+        }
+    }
+
+    fn doubt_link(&mut self, node: NodeId) {
+        if let Some(row) = self.rows.get_mut(node)
+            && row.doubt.is_none()
+        {
+            row.doubt = Some(LocalDoubt::LinkDown);
+            self.dirty = true;
+        }
+    }
+
+    /// Pings a node in another one's place.
+    pub(super) fn probe_for(
+        &mut self,
+        origin: NodeId,
+        sequence: u32,
+        target: NodeId,
+        context: &mut Context<'_>,
+    ) {
+        let own = self.ping(target, context);
+        let relay = RelayedProbe {
+            origin,
+            sequence,
+            until: context.now + INDIRECT_TIMEOUT * 2,
+        };
+        self.prober.relays.insert(own, relay);
+    }
+}
+
+/// Moves a random choice of `count` nodes to the front (Fisher and Yates).
+fn shuffle(nodes: &mut [NodeId], count: usize, context: &mut Context<'_>) {
+    for index in 0..count.min(nodes.len()) {
+        let other = context.random.random_range(index..nodes.len());
+        nodes.swap(index, other);
+    }
+}
--- /dev/null
+++ b/kernel/src/membership/sync.rs
@@ -0,0 +1,153 @@
+//! Repair: nodes whose digests differ compare digests of zones and send the records of those.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::ids::NodeId;
+use crate::membership::MembershipTable;
+use crate::membership::message::{MembershipMessage, NewsBatch};
+use crate::membership::probe::jitter;
+use crate::membership::record::NodeNews;
+use crate::membership::zone::zone_tag;
+use crate::plugin::Context;
+
+/// A difference must stand for so long before it is repaired; news on its way settles most.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Least time between two repairs that a node asks for.
+const MIN_REPAIR_GAP: Duration = Duration::from_millis(500);
+/// The same, after repairs that brought nothing new.
+const MAX_REPAIR_GAP: Duration = Duration::from_secs(30);
+/// Most records in one answer.
+const RECORDS_PER_REPAIR: usize = 64;
+/// Stands for the marks on upstreams among the zones' tags.
+const UPSTREAM_TAG: u32 = 0;
+/// Stands for the marks on zones among the zones' tags.
+const ZONE_MARK_TAG: u32 = 1;
+
+/// When this node may ask for a repair again.
+#[derive(Debug, Default)]
+pub struct RepairTimer {
+    next: Duration,
+    gap: Duration,
+    changed: Duration,
+    started: bool,
+}
+
+impl RepairTimer {
+    /// Notes that something new was learned.
+    pub fn learn(&mut self, now: Duration) {
+        self.changed = now;
+        self.gap = MIN_REPAIR_GAP;
+        self.next = self.next.min(now + MIN_REPAIR_GAP);
+    }
+
+    fn is_due(&self, now: Duration) -> bool {
+        let settled = !self.started || now >= self.changed + SETTLE_TIME;
+        settled && now >= self.next
+    }
+}
+
+fn fold(digest: u64) -> u32 {
+    (digest >> 32) as u32 ^ digest as u32
+}
+
+impl MembershipTable {
+    /// Digest of what this node knows and `peer` should know as well.
+    pub(super) fn digest_for(&self, peer: NodeId, context: &Context<'_>) -> u32 {
+        let mut digest = self.rows.digest() ^ self.upstreams.digest();
+        if self.shares_marks(peer, context) {
+            digest ^= self.zones.digest();
+        }
+        fold(digest)
+    }
+
+    fn shares_marks(&self, peer: NodeId, context: &Context<'_>) -> bool {
+        self.rows
+            .get(peer)
+            .is_some_and(|row| row.zone == context.profile.zone)
+    }
+
+    /// Asks for what this node lacks, if the peer's digest differs from its own for long enough.
+    pub(super) fn compare(&mut self, from: NodeId, digest: u32, context: &mut Context<'_>) {
+        if digest == self.digest_for(from, context) {
+            self.repair.started = true;
+            self.repair.gap = MIN_REPAIR_GAP;
+            return;
+        }
+        if self.repair.is_due(context.now) {
+            self.ask_repair(from, context);
+        }
+    }
+
+    /// Asks a peer for what this node lacks.
+    pub(super) fn ask_repair(&mut self, peer: NodeId, context: &mut Context<'_>) {
+        let pairs: Vec<u32> = self
+            .tagged_digests(peer, context)
+            .into_iter()
+            .flat_map(|(tag, digest)| [tag, digest])
+            .collect();
+        let gap = self.repair.gap.max(MIN_REPAIR_GAP);
+        self.repair.next = context.now + jitter(gap, context);
+        self.repair.gap = (gap * 2).min(MAX_REPAIR_GAP);
+        context.send(peer, MembershipMessage::Compare(pairs));
+    }
+
+    fn tagged_digests(&self, peer: NodeId, context: &Context<'_>) -> BTreeMap<u32, u32> {
+        let mut digests: BTreeMap<u32, u32> = self
+            .rows
+            .digests()
+            .iter()
+            .map(|(zone, digest)| (zone_tag(*zone), fold(*digest)))
+            .collect();
+        digests.insert(UPSTREAM_TAG, fold(self.upstreams.digest()));
+        if self.shares_marks(peer, context) {
+            digests.insert(ZONE_MARK_TAG, fold(self.zones.digest()));
+        }
+        digests
+    }
+
+    /// Answers with the records of the zones whose digests differ. A long answer is cut at a random
+    /// place; the asker asks again.
+    pub(super) fn answer_compare(
+        &mut self,
+        from: NodeId,
+        pairs: &[u32],
+        context: &mut Context<'_>,
+    ) {
+        let theirs: BTreeMap<u32, u32> = pairs
+            .chunks_exact(2)
+            .map(|pair| (pair[0], pair[1]))
+            .collect();
+        let mut differing = self.tagged_digests(from, context);
+        differing.retain(|tag, digest| theirs.get(tag) != Some(digest));
+        let mut batch = self.records_of(&differing, context);
+        if differing.contains_key(&UPSTREAM_TAG) {
+            batch.1 = self.upstreams.all_news().take(RECORDS_PER_REPAIR).collect();
+        }
+        if differing.contains_key(&ZONE_MARK_TAG) {
+            batch.2 = self.zones.all_news();
+        }
+        if !batch.is_empty() {
+            context.send(from, MembershipMessage::News(batch));
+        }
+    }
+
+    fn records_of(&self, differing: &BTreeMap<u32, u32>, context: &mut Context<'_>) -> NewsBatch {
+        let mut news: Vec<NodeNews> = self
+            .rows
+            .rows()
+            .iter()
+            .filter(|(_, row)| row.record.epoch > 0)
+            .filter(|(_, row)| differing.contains_key(&zone_tag(row.zone)))
+            .map(|(node, row)| NodeNews::new(*node, &row.record))
+            .collect();
+        if news.len() > RECORDS_PER_REPAIR {
+            let start = context.random.random_range(0..news.len());
+            news.rotate_left(start);
+            news.truncate(RECORDS_PER_REPAIR);
+        }
+        NewsBatch(news, Vec::new(), Vec::new())
+    }
+}
--- /dev/null
+++ b/kernel/src/membership/zone.rs
@@ -0,0 +1,217 @@
+//! Talk between zones: bridges compare digests and pass on a heartbeat of each zone.
+//!
+//! A zone that cannot be reached is marked as a whole. Records of its nodes stay as they are, so
+//! that its return costs one mark and not a refutation a node.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::ids::{NodeId, ZoneId};
+use crate::membership::MembershipTable;
+use crate::membership::message::{MembershipMessage, ZoneNews};
+use crate::membership::outbox::{NewsAudience, NewsKey};
+use crate::membership::probe::jitter;
+use crate::plugin::Context;
+
+/// Time between two rounds of a bridge, each with one bridge of another zone.
+pub const BRIDGE_PERIOD: Duration = Duration::from_secs(1);
+/// A zone whose heartbeat stands still for so long is given up.
+pub const ZONE_TIMEOUT: Duration = Duration::from_secs(12);
+
+#[derive(Clone, Copy, Debug)]
+struct ZoneBeat {
+    beat: u32,
+    heard: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ZoneMark {
+    version: u32,
+    lost: bool,
+}
+
+/// Heartbeats of zones, as bridges see them, and this zone's marks on other zones.
+#[derive(Debug, Default)]
+pub struct ZoneTable {
+    beats: BTreeMap<ZoneId, ZoneBeat>,
+    marks: BTreeMap<ZoneId, ZoneMark>,
+    tags: BTreeMap<u32, ZoneId>,
+    next_round: Duration,
+    bridge_since: Option<Duration>,
+}
+
+/// Short name of a zone in messages.
+pub fn zone_tag(zone: ZoneId) -> u32 {
+    zone.0 as u32
+}
+
+impl ZoneTable {
+    /// Whether the zone is given up.
+    pub fn is_lost(&self, zone: ZoneId) -> bool {
+        self.marks.get(&zone).is_some_and(|mark| mark.lost)
+    }
+
+    /// The zones that are given up.
+    pub fn lost(&self) -> impl Iterator<Item = ZoneId> + '_ {
+        self.marks
+            .iter()
+            .filter(|(_, mark)| mark.lost)
+            .map(|(zone, _)| *zone)
+    }
+
+    /// Names the zones that exist.
+    pub fn name(&mut self, zones: impl Iterator<Item = ZoneId>) {
+        self.tags = zones.map(|zone| (zone_tag(zone), zone)).collect();
+    }
+
+    /// The news of a mark.
+    pub fn news(&self, zone: ZoneId) -> Option<ZoneNews> {
+        let mark = self.marks.get(&zone)?;
+        Some(ZoneNews(zone, mark.version, mark.lost))
+    }
+
+    /// All marks.
+    pub fn all_news(&self) -> Vec<ZoneNews> {
+        self.marks
+            .iter()
+            .map(|(zone, mark)| ZoneNews(*zone, mark.version, mark.lost))
+            .collect()
+    }
+
+    /// Digest of the marks.
+    pub fn digest(&self) -> u64 {
+        self.marks.iter().fold(0, |all, (zone, mark)| {
+            let word = u64::from(mark.version) << 1 | u64::from(mark.lost);
+            all ^ (zone.0 ^ word).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        })
+    }
+
+    /// Takes in another node's mark; tells whether it was news.
+    pub fn merge(&mut self, news: ZoneNews) -> bool {
+        let ZoneNews(zone, version, lost) = news;
+        let mark = self.marks.entry(zone).or_default();
+        if (version, lost) <= (mark.version, mark.lost) {
+            return false;
+        }
+        *mark = ZoneMark { version, lost };
+        true
+    }
+
+    fn set(&mut self, zone: ZoneId, lost: bool) {
+        let mark = self.marks.entry(zone).or_default();
+        mark.version += 1;
+        mark.lost = lost;
+    }
+
+    fn hear(&mut self, zone: ZoneId, beat: u32, now: Duration) {
+        let known = self
+            .beats
+            .entry(zone)
+            .or_insert(ZoneBeat { beat, heard: now });
+        if beat > known.beat {
+            *known = ZoneBeat { beat, heard: now };
+        }
+    }
+
+    fn advance(&mut self, zone: ZoneId, now: Duration) {
+        let beat = self
+            .beats
+            .get(&zone)
+            .map_or(1, |known| known.beat.saturating_add(1));
+        self.hear(zone, beat, now);
+    }
+
+    fn pairs(&self) -> Vec<u32> {
+        self.beats
+            .iter()
+            .flat_map(|(zone, known)| [zone_tag(*zone), known.beat])
+            .collect()
+    }
+
+    fn verdict(&self, zone: ZoneId, now: Duration) -> Option<bool> {
+        let since = self.bridge_since?;
+        let heard = self.beats.get(&zone).map_or(since, |known| known.heard);
+        let lost = now.saturating_sub(heard.max(since)) > ZONE_TIMEOUT;
+        let known_since = heard > since;
+        (lost || known_since).then_some(lost)
+    }
+}
+
+impl MembershipTable {
+    /// Does what is due between zones, if this node is a bridge.
+    pub(super) fn tick_zones(&mut self, context: &mut Context<'_>) {
+        if self.group.rank.is_none() {
+            self.zones.bridge_since = None;
+            return;
+        }
+        self.zones.bridge_since.get_or_insert(context.now);
+        if context.now < self.zones.next_round {
+            return;
+        }
+        self.zones.next_round = context.now + jitter(BRIDGE_PERIOD, context);
+        if self.group.rank == Some(0) {
+            self.zones.advance(context.profile.zone, context.now);
+            self.judge_zones(context);
+        }
+        if let Some(peer) = self.random_bridge(context) {
+            self.send_bridge(peer, true, context);
+        }
+    }
+
+    fn random_bridge(&self, context: &mut Context<'_>) -> Option<NodeId> {
+        let others = self.group.bridges.len().checked_sub(1).filter(|n| *n > 0)?;
+        let index = context.random.random_range(0..others);
+        let own = context.profile.zone;
+        let mut zones = self.group.bridges.iter().filter(|(zone, _)| **zone != own);
+        let (_, bridges) = zones.nth(index)?;
+        let index = context.random.random_range(0..bridges.len());
+        Some(bridges[index])
+    }
+
+    fn send_bridge(&mut self, to: NodeId, answer: bool, context: &mut Context<'_>) {
+        let digest = self.digest_for(to, context);
+        let message = MembershipMessage::Bridge(answer, digest, self.zones.pairs());
+        context.send(to, message);
+    }
+
+    fn judge_zones(&mut self, context: &mut Context<'_>) {
+        let zones: Vec<ZoneId> = self.zones.tags.values().copied().collect();
+        for zone in zones {
+            if zone == context.profile.zone {
+                continue;
+            }
+            let Some(lost) = self.zones.verdict(zone, context.now) else {
+                continue;
+            };
+            if lost != self.zones.is_lost(zone) {
+                self.zones.set(zone, lost);
+                let audience = NewsAudience {
+                    group: true,
+                    world: false,
+                };
+                self.outbox.add(NewsKey::Zone(zone), audience);
+                self.dirty = true;
+            }
+        }
+    }
+
+    /// Takes in another zone's heartbeats, and answers if that is wanted.
+    pub(super) fn take_bridge(
+        &mut self,
+        from: NodeId,
+        answer: bool,
+        beats: &[u32],
+        context: &mut Context<'_>,
+    ) {
+        for pair in beats.chunks_exact(2) {
+            if let Some(zone) = self.zones.tags.get(&pair[0]).copied() {
+                self.zones.hear(zone, pair[1], context.now);
+            }
+        }
+        if answer {
+            self.send_bridge(from, false, context);
+        }
+    }
+}
--- a/kernel/src/wire.rs
+++ b/kernel/src/wire.rs
@@ -16,6 +16,7 @@
     /// Work between an entry node and an owner.
     Work(WorkMessage),
     /// Liveness and membership.
+    #[serde(rename = "m")]
     Membership(MembershipMessage),
     /// Configuration records passed between nodes.
     Configuration(ConfigurationMessage),
--- /dev/null
+++ b/kernel/tests/common/mod.rs
@@ -0,0 +1,183 @@
+//! Kernels that hand each other messages by the test's own hand.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use monsoonbank_kernel::event::{Action, Event};
+use monsoonbank_kernel::ids::{Incarnation, NodeId, ZoneId};
+use monsoonbank_kernel::kernel::Kernel;
+use monsoonbank_kernel::membership::{HostEntry, HostRole};
+use monsoonbank_kernel::plugin::NodeProfile;
+use monsoonbank_kernel::wire::Message;
+use serde_json::Value;
+
+/// Time between two ticks.
+pub const STEP: Duration = Duration::from_millis(50);
+
+/// A message under way.
+#[derive(Clone, Debug)]
+pub struct Envelope {
+    pub from: NodeId,
+    pub to: NodeId,
+    pub message: Message,
+}
+
+/// Some kernels, the messages between them, and what the platform shows.
+pub struct Fleet {
+    pub now: Duration,
+    pub kernels: BTreeMap<NodeId, Kernel>,
+    pub hosts: Vec<HostEntry>,
+    pub queue: VecDeque<Envelope>,
+    /// Directed links that lose everything.
+    pub cut: BTreeSet<(NodeId, NodeId)>,
+    /// What kernels asked for besides sending.
+    pub actions: Vec<(NodeId, Action)>,
+    /// Messages handed over so far.
+    pub delivered: usize,
+}
+
+pub fn id(name: &str) -> NodeId {
+    NodeId::named(name)
+}
+
+pub fn profile(name: &str, zone: &str, incarnation: u64) -> NodeProfile {
+    NodeProfile {
+        node: id(name),
+        name: name.into(),
+        zone: ZoneId::named(zone),
+        zone_name: zone.into(),
+        incarnation: Incarnation(incarnation),
+        seed: id(name).0 ^ incarnation,
+        secret: [7; 32],
+    }
+}
+
+pub fn host(name: &str, zone: &str, role: HostRole) -> HostEntry {
+    HostEntry {
+        name: name.into(),
+        zone: zone.into(),
+        role,
+        peer_address: format!("peer-{name}").into(),
+        caller_address: format!("call-{name}").into(),
+        leaving: false,
+    }
+}
+
+impl Fleet {
+    /// A fleet of nodes given as name and zone, all started and listed.
+    pub fn new(nodes: &[(&str, &str)]) -> Self {
+        let mut fleet = Self {
+            now: Duration::from_secs(1),
+            kernels: BTreeMap::new(),
+            hosts: Vec::new(),
+            queue: VecDeque::new(),
+            cut: BTreeSet::new(),
+            actions: Vec::new(),
+            delivered: 0,
+        };
+        for (name, zone) in nodes {
+            fleet.hosts.push(host(name, zone, HostRole::Node));
+        }
+        for (name, zone) in nodes {
+            fleet.start(name, zone, 100);
+        }
+        fleet
+    }
+
+    /// Starts a run of a node, which reads the host list.
+    pub fn start(&mut self, name: &str, zone: &str, incarnation: u64) {
+        let kernel = Kernel::new(profile(name, zone, incarnation));
+        self.kernels.insert(id(name), kernel);
+        self.give(id(name), Event::HostList(self.hosts.clone()));
+    }
+
+    /// Ends a run at once; peers see broken links if `seen`.
+    pub fn kill(&mut self, name: &str, seen: bool) {
+        self.kernels.remove(&id(name));
+        if seen {
+            for node in self.kernels.keys().copied().collect::<Vec<_>>() {
+                self.give(node, Event::LinkDown(id(name)));
+            }
+        }
+    }
+
+    /// Every node reads the host list as it is now.
+    pub fn list(&mut self) {
+        for node in self.kernels.keys().copied().collect::<Vec<_>>() {
+            self.give(node, Event::HostList(self.hosts.clone()));
+        }
+    }
+
+    /// Gives one kernel an event and takes its actions.
+    pub fn give(&mut self, node: NodeId, event: Event) {
+        let Some(kernel) = self.kernels.get_mut(&node) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        kernel.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.queue.push_back(Envelope {
+                    from: node,
+                    to,
+                    message,
+                }),
+                other => self.actions.push((node, other)),
+            }
+        }
+    }
+
+    /// Hands over the oldest message, unless its link is cut.
+    pub fn deliver(&mut self, envelope: Envelope) {
+        let Envelope { from, to, message } = envelope;
+        if !self.cut.contains(&(from, to)) {
+            self.delivered += 1;
+            self.give(to, Event::PeerMessage { from, message });
+        }
+    }
+
+    /// Hands over everything, and all that comes of it.
+    pub fn settle(&mut self) {
+        while let Some(envelope) = self.queue.pop_front() {
+            self.deliver(envelope);
+        }
+    }
+
+    /// Lets time pass, with ticks and messages.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for node in self.kernels.keys().copied().collect::<Vec<_>>() {
+                self.give(node, Event::Tick);
+            }
+            self.settle();
+        }
+    }
+
+    /// Cuts all links between the two sides, in both directions.
+    pub fn part(&mut self, one: &[&str], other: &[&str]) {
+        for a in one {
+            for b in other {
+                self.cut.insert((id(a), id(b)));
+                self.cut.insert((id(b), id(a)));
+            }
+        }
+    }
+
+    /// One section of a node's state dump.
+    pub fn dump(&self, node: &str, section: &str) -> Value {
+        self.kernels[&id(node)].dump(Some(section))[section].clone()
+    }
+
+    /// How `node` sees `other`: the state's name, or "" when it is not in its view.
+    pub fn sees(&self, node: &str, other: &str) -> String {
+        let dump = self.dump(node, "membership");
+        let members = dump["members"].as_array().cloned().unwrap_or_default();
+        let found = members.iter().find(|member| member["name"] == other);
+        let state = found.and_then(|member| member["state"].as_str());
+        state.unwrap_or_default().to_owned()
+    }
+}
