Assign owners zone by zone with a bound on the load of a node

Every membership change worked out all upstreams against all nodes. Now only zones whose nodes or upstreams changed are worked out, suspects keep what they own, and a node's slots are bounded at 1.25 times the mean of its zone.

--- a/kernel/src/ownership.rs
+++ b/kernel/src/ownership.rs
@@ -1,6 +1,10 @@
-//! The plug-in that gives every upstream one owner node, by rendezvous hashing.
+//! The plug-in that gives every upstream one owner node, by rendezvous hashing with bounded loads.
+//!
+//! Rendezvous hashing after Thaler and Ravishankar ("Using name-based mappings to increase hit
+//! rates", 1998); the bound after Mirrokni, Thorup and Zadimoghaddam ("Consistent hashing with
+//! bounded loads", 2016).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde_json::{Value, json};
@@ -8,10 +12,14 @@
 
 use crate::config::Config;
 use crate::event::Event;
-use crate::ids::{NodeId, UpstreamId};
+use crate::ids::{NodeId, UpstreamId, ZoneId};
 use crate::membership::{MemberView, NodeState};
 use crate::plugin::{Context, NodeProfile, Plugin, Registration};
 
+/// A node owns at most this many times the mean of the slots in its zone, rounded up by one
+/// upstream. docs/decisions/ownership.md has the figures behind it.
+pub const LOAD_BOUND: f64 = 1.25;
+
 /// Which node owns which upstream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OwnerMap {
@@ -19,11 +27,19 @@
     pub owners: BTreeMap<UpstreamId, NodeId>,
 }
 
+/// An upstream and the slots that it weighs.
+pub type UpstreamLoad = (UpstreamId, u32);
+
+type UpstreamsByZone = BTreeMap<ZoneId, Vec<UpstreamLoad>>;
+type NodesByZone = BTreeMap<ZoneId, Vec<NodeId>>;
+
 /// Computes the owners.
 #[derive(Debug, Default)]
 pub struct OwnershipTable {
     config: Arc<Config>,
     view: Arc<MemberView>,
+    upstreams: UpstreamsByZone,
+    nodes: NodesByZone,
     owners: Arc<OwnerMap>,
 }
 
@@ -31,37 +47,159 @@
     xxh3_64_with_seed(&node.0.to_le_bytes(), upstream.0)
 }
 
-/// The owner of each upstream: of the live nodes, those in the upstream's own availability zone
-/// first, the one with the highest hash (rendezvous hashing).
+fn upstreams_by_zone(config: &Config) -> UpstreamsByZone {
+    let mut zones = UpstreamsByZone::new();
+    for (id, upstream) in &config.upstreams {
+        let loads = zones.entry(upstream.zone).or_default();
+        loads.push((*id, upstream.spec.slots.max(1)));
+    }
+    zones
+}
+
+/// Nodes that may own: a suspect one still does, so that a short pause moves nothing.
+fn nodes_by_zone(view: &MemberView) -> NodesByZone {
+    let mut zones = NodesByZone::new();
+    for (node, member) in &view.members {
+        if matches!(member.state, NodeState::Live | NodeState::Suspect) {
+            zones.entry(member.zone).or_default().push(*node);
+        }
+    }
+    zones
+}
+
+/// The owner of each of the upstreams among the nodes: the one with the highest hash that is not
+/// yet at its bound (`bound` times the mean load); without a bound simply the highest.
+pub fn assign_among(
+    upstreams: &[UpstreamLoad],
+    nodes: &[NodeId],
+    bound: Option<f64>,
+) -> Vec<(UpstreamId, NodeId)> {
+    let total: u32 = upstreams.iter().map(|(_, slots)| slots).sum();
+    let mean = f64::from(total) / nodes.len().max(1) as f64;
+    let limit = bound.map_or(f64::INFINITY, |bound| bound * mean);
+    let mut loads = vec![0_u32; nodes.len()];
+    let mut owners = Vec::with_capacity(upstreams.len());
+    for (upstream, slots) in upstreams {
+        let best = (0..nodes.len())
+            .filter(|index| f64::from(loads[*index]) < limit)
+            .max_by_key(|index| weight(nodes[*index], *upstream));
+        if let Some(index) = best {
+            loads[index] += slots;
+            owners.push((*upstream, nodes[index]));
+        }
+    }
+    owners
+}
+
+fn assign_zone(
+    zone: ZoneId,
+    upstreams: &[UpstreamLoad],
+    nodes: &NodesByZone,
+) -> Vec<(UpstreamId, NodeId)> {
+    if let Some(own) = nodes.get(&zone) {
+        return assign_among(upstreams, own, Some(LOAD_BOUND));
+    }
+    let all: Vec<NodeId> = nodes.values().flatten().copied().collect();
+    assign_among(upstreams, &all, Some(LOAD_BOUND))
+}
+
+/// The owner of each upstream, worked out from nothing: a node of the upstream's own availability
+/// zone, or of any zone when that one has none.
 pub fn assign(config: &Config, view: &MemberView) -> OwnerMap {
-    let live: Vec<_> = view
-        .members
-        .iter()
-        .filter(|(_, member)| member.state == NodeState::Live)
-        .collect();
-    let owners = config
-        .upstreams
+    let nodes = nodes_by_zone(view);
+    let owners = upstreams_by_zone(config)
         .iter()
-        .filter_map(|(id, upstream)| {
-            let owner = live
-                .iter()
-                .max_by_key(|(node, member)| (member.zone == upstream.zone, weight(**node, *id)))?;
-            Some((*id, *owner.0))
-        })
+        .flat_map(|(zone, upstreams)| assign_zone(*zone, upstreams, &nodes))
         .collect();
     OwnerMap { owners }
 }
 
+impl OwnershipTable {
+    fn set_config(&mut self, config: &Arc<Config>) -> BTreeSet<ZoneId> {
+        self.config = Arc::clone(config);
+        let upstreams = upstreams_by_zone(config);
+        let changed = differing(&self.upstreams, &upstreams);
+        self.upstreams = upstreams;
+        changed
+    }
+
+    fn set_view(&mut self, view: &Arc<MemberView>) -> BTreeSet<ZoneId> {
+        self.view = Arc::clone(view);
+        let nodes = nodes_by_zone(view);
+        let mut changed = differing(&self.nodes, &nodes);
+        if !changed.is_empty() {
+            let orphans = self
+                .upstreams
+                .keys()
+                .filter(|zone| !nodes.contains_key(zone));
+            changed.extend(orphans.copied());
+        }
+        self.nodes = nodes;
+        changed
+    }
+
+    /// Works out the owners in these zones anew; none is left from before.
+    fn recompute(&mut self, zones: &BTreeSet<ZoneId>) -> bool {
+        let mut changes = Vec::new();
+        for zone in zones {
+            let Some(upstreams) = self.upstreams.get(zone) else {
+                continue;
+            };
+            let owners = assign_zone(*zone, upstreams, &self.nodes);
+            let moved = owners
+                .into_iter()
+                .filter(|(upstream, node)| self.owners.owners.get(upstream) != Some(node));
+            changes.extend(moved);
+        }
+        let stale = self.stale();
+        if changes.is_empty() && stale.is_empty() {
+            return false;
+        }
+        let owners = &mut Arc::make_mut(&mut self.owners).owners;
+        owners.extend(changes);
+        for upstream in stale {
+            owners.remove(&upstream);
+        }
+        true
+    }
+
+    /// Upstreams that still have an owner, but are no longer configured or have no node left.
+    fn stale(&self) -> Vec<UpstreamId> {
+        let nobody = self.nodes.is_empty();
+        self.owners
+            .owners
+            .keys()
+            .filter(|upstream| nobody || !self.config.upstreams.contains_key(upstream))
+            .copied()
+            .collect()
+    }
+
+    fn name_of(&self, node: NodeId) -> String {
+        let member = self.view.members.get(&node);
+        member.map_or_else(|| node.to_string(), |found| found.name.to_string())
+    }
+}
+
+fn differing<T: PartialEq>(
+    before: &BTreeMap<ZoneId, T>,
+    after: &BTreeMap<ZoneId, T>,
+) -> BTreeSet<ZoneId> {
+    before
+        .keys()
+        .chain(after.keys())
+        .filter(|zone| before.get(zone) != after.get(zone))
+        .copied()
+        .collect()
+}
+
 impl Plugin for OwnershipTable {
     fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
-        match event {
-            Event::ConfigApplied(config) => self.config = Arc::clone(config),
-            Event::MembersChanged(view) => self.view = Arc::clone(view),
+        let zones = match event {
+            Event::ConfigApplied(config) => self.set_config(config),
+            Event::MembersChanged(view) => self.set_view(view),
             _ => return,
-        }
-        let owners = assign(&self.config, &self.view);
-        if owners != *self.owners {
-            self.owners = Arc::new(owners);
+        };
+        if !zones.is_empty() && self.recompute(&zones) {
             context.raise(Event::OwnersChanged(Arc::clone(&self.owners)));
         }
     }
@@ -72,17 +210,10 @@
             .owners
             .iter()
             .map(|(upstream, node)| {
-                let upstream = self
-                    .config
-                    .upstreams
-                    .get(upstream)
-                    .map_or_else(|| upstream.to_string(), |found| found.spec.name.to_string());
-                let node = self
-                    .view
-                    .members
-                    .get(node)
-                    .map_or_else(|| node.to_string(), |found| found.name.to_string());
-                (upstream, node)
+                let known = self.config.upstreams.get(upstream);
+                let name =
+                    known.map_or_else(|| upstream.to_string(), |found| found.spec.name.to_string());
+                (name, self.name_of(*node))
             })
             .collect();
         json!({ "owners": owners })
