--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -173,6 +173,10 @@
         }
     }
 
+    fn open_work(&self) -> usize {
+        self.queues.values().map(VecDeque::len).sum::<usize>() + self.running.len()
+    }
+
     fn dump(&self) -> Value {
         let queued: usize = self.queues.values().map(VecDeque::len).sum();
         json!({ "queued": queued, "running": self.running.len() })
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -53,6 +53,10 @@
 
     /// Handles one event at `now`, and all that plug-ins tell each other because of it.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        let open_work = match event {
+            Event::Tick => self.open_work(),
+            _ => 0,
+        };
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
             actions.extend(snapshot(&event));
@@ -61,6 +65,7 @@
                     now,
                     profile: &self.profile,
                     random: &mut self.random,
+                    open_work,
                     actions,
                     events: &mut self.events,
                 };
@@ -69,6 +74,11 @@
         }
     }
 
+    /// Calls and work that must end before the node may exit.
+    pub fn open_work(&self) -> usize {
+        self.slots.iter().map(|slot| slot.plugin.open_work()).sum()
+    }
+
     /// The state dump: one section a plug-in, or only the section named.
     pub fn dump(&self, section: Option<&str>) -> Value {
         let sections: Map<String, Value> = self
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 //! sockets, no threads and no clock, so the code that the daemon runs on real time is the code
 //! that benchmarks and fuzzers run on virtual time.
 
+pub mod addresses;
 pub mod call;
 pub mod clock;
 pub mod config;
--- a/kernel/src/plugin.rs
+++ b/kernel/src/plugin.rs
@@ -36,6 +36,9 @@
     pub profile: &'a NodeProfile,
     /// Random numbers, the same for the same seed and events.
     pub random: &'a mut Pcg64Mcg,
+    /// Calls and work that the node's plug-ins held when the event came in; counted for
+    /// [`Event::Tick`] only, 0 for every other event.
+    pub open_work: usize,
     pub(crate) actions: &'a mut Vec<Action>,
     pub(crate) events: &'a mut VecDeque<Event>,
 }
@@ -83,6 +86,11 @@
     /// The plug-in's section of the state dump; never secrets, prompts or keys.
     fn dump(&self) -> Value;
 
+    /// Calls and work that must end before the node may exit.
+    fn open_work(&self) -> usize {
+        0
+    }
+
     /// The plug-in's metrics.
     fn gauges(&self) -> Vec<GaugeSample> {
         Vec::new()
--- a/kernel/src/routing.rs
+++ b/kernel/src/routing.rs
@@ -274,6 +274,10 @@
         }
     }
 
+    fn open_work(&self) -> usize {
+        self.calls.len()
+    }
+
     fn dump(&self) -> Value {
         json!({ "open_calls": self.calls.len() })
     }
