--- a/cli/src/addresses.rs
+++ b/cli/src/addresses.rs
@@ -49,8 +49,7 @@
 
 fn print_addresses(answer: &Value) {
     let addresses = answer.get("addresses").and_then(Value::as_array);
-    for row in addresses.into_iter().flatten() {
-        let field = |name| row.get(name).and_then(Value::as_str).unwrap_or_default();
-        println!("{}\t{}", field("address"), field("zone"));
+    for address in addresses.into_iter().flatten() {
+        println!("{}", address.as_str().unwrap_or_default());
     }
 }
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -2,18 +2,20 @@
 
 use std::sync::Arc;
 
+use monsoonbank_kernel::addresses::caller_addresses;
 use monsoonbank_kernel::config::PoolKind;
-use monsoonbank_kernel::membership::NodeState;
+use monsoonbank_kernel::ids::ZoneId;
 use salvo::prelude::{Json, Request, Response, Router, handler};
 use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::completions::{CompletionApi, CompletionKind};
 use crate::intake;
 use crate::services::ServiceApi;
 use crate::shared::NodeShared;
 
-/// How long a caller may keep the answer to "which addresses".
-const ADDRESSES_KEEP_SECONDS: u64 = 2;
+/// Most idempotency keys in one answer.
+const MAX_KEYS: usize = 64;
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 4;
 
@@ -66,28 +68,30 @@
 #[handler]
 impl AddressesApi {
     fn handle(&self, request: &mut Request, response: &mut Response) {
-        let zone = request.query::<String>("zone").unwrap_or_default();
+        let zone = request.query::<String>("zone");
+        let zone = zone.map(|name| ZoneId::named(&name));
+        let seed = request.remote_addr().to_string();
         let members = self.shared.members();
-        let mut live: Vec<_> = members
-            .members
-            .values()
-            .filter(|member| member.state == NodeState::Live)
-            .map(|member| {
-                (
-                    *member.zone_name != *zone,
-                    &member.caller_address,
-                    &member.zone_name,
-                )
-            })
-            .collect();
-        live.sort();
-        let addresses: Vec<Value> = live
-            .into_iter()
-            .take(MAX_ADDRESSES)
-            .map(|(_, address, zone)| json!({ "address": address, "zone": zone }))
-            .collect();
+        let seed = xxh3_64(seed.as_bytes());
+        let found = caller_addresses(&members, zone, MAX_ADDRESSES, seed);
+        let keys = self.keys(request);
         response.render(Json(json!({
-            "addresses": addresses, "keep_seconds": ADDRESSES_KEEP_SECONDS,
+            "addresses": found.addresses,
+            "keep_seconds": found.keep.as_secs(),
+            "idempotency_keys": keys,
         })));
     }
 }
+
+impl AddressesApi {
+    /// Fresh keys for a workspace that asks for some.
+    fn keys(&self, request: &mut Request) -> Vec<Box<str>> {
+        let wanted = request.query::<usize>("keys").unwrap_or(0);
+        let Ok(caller) = intake::identify(&self.shared, request) else {
+            return Vec::new();
+        };
+        let now = self.shared.now();
+        let mint = || self.shared.mint.mint(caller.workspace, now);
+        (0..wanted.min(MAX_KEYS)).map(|_| mint()).collect()
+    }
+}
--- a/daemon/src/completions.rs
+++ b/daemon/src/completions.rs
@@ -11,11 +11,11 @@
 use serde_json::{Map, Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::calls::CallerEvent;
 use crate::frame::{Chunk, RequestParts};
 use crate::intake::{self, OpenAnswer, RequestShape};
 use crate::refusal::CallerError;
 use crate::shared::NodeShared;
+use crate::sink::CallerEvent;
 
 /// Bytes of a prompt that decide its cache affinity.
 const PREFIX_BYTES: usize = 256;
--- a/daemon/src/driver.rs
+++ b/daemon/src/driver.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::event::{Action, Event};
-use monsoonbank_kernel::ids::{AttemptId, NodeId};
+use monsoonbank_kernel::ids::{AttemptId, CallId, NodeId};
 use monsoonbank_kernel::kernel::Kernel;
 use monsoonbank_kernel::wire::{Message, RelayMessage, WorkMessage};
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
-use crate::calls::Delivery;
+use crate::calls::{Delivery, LostAttempt};
 use crate::frame::{Chunk, Frame};
 use crate::shared::{Input, NodeShared};
 use crate::{links, platform, upstreams};
@@ -51,6 +51,9 @@
         Input::LinkLost(node) => {
             shared.release_waiting(node);
             kernel.handle(now, Event::LinkDown(node), actions);
+            for lost in shared.calls.lose_owner(node) {
+                kernel.handle(now, lost_event(lost), actions);
+            }
         }
         // Whoever asked may be gone by now.
         Input::Dump(section, reply) => drop(reply.send(kernel.dump(section.as_deref()))),
@@ -73,15 +76,24 @@
             kernel.handle(shared.now(), Event::PeerMessage { from, message }, actions);
         }
         Frame::Request(message, parts) => {
-            if let Message::Work(WorkMessage::Offer(work)) = &message {
-                shared.hold(work.attempt, from, Arc::new(parts));
+            match &message {
+                Message::Work(WorkMessage::Offer(work)) => {
+                    shared.hold(work.attempt, from, Arc::new(parts));
+                }
+                Message::Relay(RelayMessage::Call { spec, .. }) => {
+                    shared.calls.open_relayed(spec.call, parts, from);
+                }
+                _ => {}
             }
             kernel.handle(shared.now(), Event::PeerMessage { from, message }, actions);
         }
         Frame::Chunk(attempt, index, chunk) => {
             deliver(shared, attempt, index, chunk);
         }
-        Frame::Relayed(..) => {}
+        Frame::Relayed(call, index, chunk) => {
+            let delivery = shared.calls.deliver_relayed(call, index, chunk);
+            judge(shared, call, index, delivery);
+        }
     }
 }
 
@@ -91,10 +103,27 @@
         Action::StartAttempt(start) => upstreams::start(shared, start),
         Action::CancelAttempt(attempt) => shared.cancel(attempt),
         Action::FinishCall { call, outcome } => shared.calls.finish(call, outcome),
-        Action::AcceptAttempt { attempt, .. } => shared.calls.accept(attempt),
+        Action::AcceptAttempt {
+            attempt,
+            resume_from,
+        } => {
+            let mut send = |node, frame| links::send(shared, node, frame);
+            shared.calls.accept(attempt, resume_from, &mut send);
+        }
+        Action::WithdrawAttempt(attempt) => {
+            let own = shared.profile.node;
+            if let Some(lost) = shared.calls.withdraw(attempt, own) {
+                shared.event(lost_event(lost));
+            }
+        }
+        Action::AttachCall { call, original } => {
+            let mut send = |node, frame| links::send(shared, node, frame);
+            shared.calls.attach(call, original, &mut send);
+        }
+        Action::ForgetAnswer(call) => shared.calls.forget_answer(call),
         Action::Append { ticket, record } => platform::append(shared, ticket, record),
         Action::ReadLog { from } => platform::read_log(shared, from),
-        Action::Order { .. } | Action::AttachCall { .. } | Action::ForgetAnswer(_) => {}
+        Action::Order { .. } => {}
         Action::Exit => shared.done.cancel(),
         Action::UseConfig(config) => {
             log::info!("event=config_in_force version={}", config.version);
@@ -108,7 +137,7 @@
 fn send(shared: &Arc<NodeShared>, to: NodeId, message: Message) {
     let frame = match &message {
         Message::Work(WorkMessage::Offer(work)) => {
-            shared.calls.offered(work.attempt.call, to);
+            shared.calls.offered(work.attempt, to);
             request_frame(shared, work.attempt.call, message)
         }
         Message::Relay(RelayMessage::Call { spec, .. }) => {
@@ -126,11 +155,7 @@
     links::send(shared, to, frame);
 }
 
-fn request_frame(
-    shared: &NodeShared,
-    call: monsoonbank_kernel::ids::CallId,
-    message: Message,
-) -> Frame {
+fn request_frame(shared: &NodeShared, call: CallId, message: Message) -> Frame {
     match shared.calls.parts(call) {
         Some(parts) => Frame::Request(message, (*parts).clone()),
         None => Frame::Message(message),
@@ -152,13 +177,26 @@
     Delivery::Passed
 }
 
-fn deliver(shared: &NodeShared, attempt: AttemptId, index: u32, chunk: Chunk) -> Delivery {
-    let delivery = shared.calls.deliver(attempt, index, chunk);
+fn deliver(shared: &Arc<NodeShared>, attempt: AttemptId, index: u32, chunk: Chunk) -> Delivery {
+    let mut send = |node, frame| links::send(shared, node, frame);
+    let delivery = shared.calls.deliver(attempt, index, chunk, &mut send);
+    judge(shared, attempt.call, index, delivery);
+    delivery
+}
+
+fn judge(shared: &NodeShared, call: CallId, index: u32, delivery: Delivery) {
     match delivery {
         Delivery::Dropped => shared.counters.dropped_chunks.inc(),
-        Delivery::Gap => log::error!("attempt={attempt} event=gap index={index}"),
-        Delivery::Stalled => shared.event(Event::CallCancelled(attempt.call)),
-        Delivery::Passed => {}
+        Delivery::Gap => log::error!("call={call} event=gap index={index}"),
+        Delivery::Stalled => shared.event(Event::CallCancelled(call)),
+        Delivery::Passed | Delivery::Held => {}
+    }
+}
+
+fn lost_event(lost: LostAttempt) -> Event {
+    Event::AttemptLost {
+        attempt: lost.attempt,
+        tokens: lost.tokens,
+        sent: lost.sent,
     }
-    delivery
 }
--- a/daemon/src/intake.rs
+++ b/daemon/src/intake.rs
@@ -7,14 +7,16 @@
 use monsoonbank_kernel::config::{Classification, Config, RequestFacts, WorkspaceSpec};
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::{CallId, WorkspaceId};
+use monsoonbank_kernel::keys::RequestKey;
 use salvo::http::StatusCode;
 use salvo::prelude::Request;
 use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::calls::{CallReceiver, CallerEvent};
 use crate::frame::RequestParts;
 use crate::refusal::CallerError;
 use crate::shared::NodeShared;
+use crate::sink::{CallReceiver, CallerEvent};
 
 /// Bytes of a prompt that count as one token when the prompt's size is estimated.
 const BYTES_PER_TOKEN: usize = 4;
@@ -55,11 +57,8 @@
 impl OpenAnswer {
     /// The next piece or the end.
     pub async fn next(&mut self) -> Option<CallerEvent> {
-        let event = self.receiver.events.recv().await?;
-        match &event {
-            CallerEvent::Chunk(chunk) => self.receiver.waiting.taken(chunk.bytes()),
-            CallerEvent::Finished(_) => self.finished = true,
-        }
+        let event = self.receiver.next().await?;
+        self.finished |= matches!(event, CallerEvent::Finished(_));
         Some(event)
     }
 }
@@ -195,7 +194,10 @@
         max_tokens: shape.max_tokens,
         prefix: shape.prefix,
     };
-    let key = parts.key.clone();
+    let key = parts.key.clone().map(|text| {
+        let fingerprint = fingerprint(&parts);
+        RequestKey { text, fingerprint }
+    });
     let receiver = shared.calls.open(call, parts);
     log::debug!(
         "call={call} event=arrived class={} tier={}",
@@ -211,6 +213,16 @@
     })
 }
 
+/// Hash of what a key answers for: another request under the same key is a caller's mistake.
+fn fingerprint(parts: &RequestParts) -> u64 {
+    let mut hasher = Xxh3Default::new();
+    for field in [parts.method.as_bytes(), parts.path.as_bytes(), &parts.body] {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.digest()
+}
+
 /// Counts a call's end.
 pub fn count(shared: &NodeShared, class: &str, error: Option<&CallerError>) {
     let outcome = error.map_or("whole", |error| error.outcome);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! A monsoonbank node: the edges between the kernel and callers, upstreams, the platform, other
 //! nodes and operators.
 
+pub mod answers;
 pub mod callers;
 pub mod calls;
 pub mod completions;
@@ -20,5 +21,6 @@
 pub mod services;
 pub mod settings;
 pub mod shared;
+pub mod sink;
 pub mod sse;
 pub mod upstreams;
--- a/daemon/src/links.rs
+++ b/daemon/src/links.rs
@@ -8,7 +8,7 @@
 use futures_util::{SinkExt, StreamExt};
 use monsoonbank_kernel::ids::NodeId;
 use monsoonbank_kernel::membership::Member;
-use monsoonbank_kernel::wire::Message as KernelMessage;
+use monsoonbank_kernel::wire::{Message as KernelMessage, WorkMessage};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -135,6 +135,9 @@
     frame: &Frame,
 ) -> Result<(), LinkError> {
     let bytes = frame::encode(frame)?;
+    if let Frame::Request(KernelMessage::Work(WorkMessage::Offer(work)), _) = frame {
+        shared.calls.sending(work.attempt);
+    }
     let size = bytes.len() as u64 + HEADER_BYTES;
     if is_control(frame) {
         shared.counters.control_sent_bytes.inc_by(size);
--- a/daemon/src/services.rs
+++ b/daemon/src/services.rs
@@ -7,12 +7,12 @@
 use salvo::http::StatusCode;
 use salvo::prelude::{Request, Response, handler};
 
-use crate::calls::CallerEvent;
 use crate::completions::{read_body, render_raw};
 use crate::frame::{Chunk, RequestParts};
 use crate::intake::{self, OpenAnswer, RequestShape};
 use crate::refusal::CallerError;
 use crate::shared::NodeShared;
+use crate::sink::CallerEvent;
 
 /// Path under which plain services stand.
 pub const SERVICES_PATH: &str = "/services/";
@@ -56,7 +56,8 @@
         let class = caller.config.classes.get(&found.class).cloned();
         let key = text_header(request, KEY_HEADER);
         if class.as_ref().is_some_and(|class| !class.repeatable) && key.is_none() {
-            return Err(key_required());
+            let key = self.shared.mint.mint(caller.workspace, self.shared.now());
+            return Err(key_required(key));
         }
         let parts = request_parts(request, path, key, body);
         let answer = intake::open(&self.shared, &caller, found, &shape, parts)?;
@@ -135,10 +136,14 @@
     request.headers().get(name)?.to_str().ok().map(Into::into)
 }
 
-fn key_required() -> CallerError {
-    CallerError::not_run(
+fn key_required(key: Box<str>) -> CallerError {
+    let error = CallerError::not_run(
         StatusCode::PRECONDITION_REQUIRED,
         "key_required",
-        "this class may not be repeated: send the call with an Idempotency-Key",
-    )
+        "this class may not be repeated: send the call again with this Idempotency-Key",
+    );
+    CallerError {
+        key: Some(key),
+        ..error
+    }
 }
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -10,6 +10,7 @@
 use monsoonbank_kernel::config::Config;
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::{AttemptId, CallId, NodeId, UpstreamId};
+use monsoonbank_kernel::keys::KeyMint;
 use monsoonbank_kernel::membership::MemberView;
 use monsoonbank_kernel::ownership::OwnerMap;
 use monsoonbank_kernel::plugin::{GaugeSample, NodeProfile};
@@ -79,6 +80,8 @@
     pub clock: Box<dyn Clock>,
     /// The entry's open calls.
     pub calls: CallTable,
+    /// Mints idempotency keys.
+    pub mint: KeyMint,
     /// Links to other nodes.
     pub links: LinkTable,
     /// Counters.
@@ -122,6 +125,7 @@
     pub fn new(parts: SharedParts) -> Self {
         Self {
             calls: CallTable::new(parts.settings.bounds.waiting_bytes),
+            mint: KeyMint::new(&parts.profile),
             links: LinkTable::default(),
             counters: NodeCounters::default(),
             settings: parts.settings,
--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -427,6 +427,17 @@
         }
     }
 
+    fn upstream_returned(&mut self, upstream: UpstreamId, context: &mut Context<'_>) {
+        self.leaving_upstreams.remove(&upstream);
+        let Some(pool) = self.pool_of(upstream) else {
+            return;
+        };
+        if let Some(state) = self.pools.get_mut(&pool) {
+            state.upstream_returns(upstream);
+            self.fill(pool, context);
+        }
+    }
+
     fn pool_of(&self, upstream: UpstreamId) -> Option<PoolId> {
         self.config.upstreams.get(&upstream).map(|found| found.pool)
     }
@@ -491,6 +502,7 @@
             | Event::CacheChanged { upstream, .. }
             | Event::UpstreamUnreachable(upstream)
             | Event::UpstreamLeaving(upstream) => self.on_upstream(event, *upstream, context),
+            Event::UpstreamReturned(upstream) => self.upstream_returned(*upstream, context),
             Event::LinkDown(node) => self.link_down(*node, context),
             Event::NodeLeaving => self.leave(context),
             Event::Tick => self.tick(context),
@@ -498,6 +510,10 @@
         }
     }
 
+    fn open_work(&self) -> usize {
+        self.attempts.len()
+    }
+
     fn dump(&self) -> Value {
         self.state()
     }
--- a/kernel/src/dispatch/runs.rs
+++ b/kernel/src/dispatch/runs.rs
@@ -309,6 +309,13 @@
         }
     }
 
+    /// An upstream that was leaving may get work again.
+    pub fn upstream_returns(&mut self, upstream: UpstreamId) {
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.leaving = false;
+        }
+    }
+
     /// Lets time pass for the upstreams' health.
     pub fn tick(&mut self, now: Duration) {
         for engine in self.engines.values_mut() {
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -141,6 +141,8 @@
         /// Whether any byte of the offer left the socket; true when the owner is this node.
         sent: bool,
     },
+    /// An upstream that was leaving was registered anew: it may get work again.
+    UpstreamReturned(UpstreamId),
 }
 
 /// A request of the kernel to the process around it.
--- a/kernel/src/routing.rs
+++ b/kernel/src/routing.rs
@@ -197,6 +197,10 @@
         }
     }
 
+    fn open_work(&self) -> usize {
+        self.calls.len() + self.relayed.len() + self.joined.len()
+    }
+
     fn dump(&self) -> Value {
         json!({
             "open_calls": self.calls.len(),
