Tell a node when frames to it were lost

Cause: an owner that could not reach an entry node dropped the answers that it had for it, and the entry waited for its patience to run out (15 s for an urgent call): the first link to a node that the host list did not show yet failed at once. Change: a link waits up to 3 s for an unknown node, is dialled again for as long as the node exists, and says in its first frame whether frames were lost; the listener then counts the link as down. Conclusion: a one-way failure is known on both sides as soon as the link stands again.

--- a/daemon/src/links.rs
+++ b/daemon/src/links.rs
@@ -1,13 +1,15 @@
 //! Links to other nodes. Each node dials the nodes that it sends to; a link carries frames one way.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::NodeId;
-use monsoonbank_kernel::membership::Member;
+use monsoonbank_kernel::membership::{Member, NodeState};
 use monsoonbank_kernel::wire::{Message as KernelMessage, WorkMessage};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -17,11 +19,15 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::frame::{self, Frame, FrameError};
-use crate::proof::{self, LinkHello, LinkWelcome};
+use crate::proof::{self, LinkClaim, LinkHello, LinkWelcome, ProofSide};
 use crate::shared::{Input, NodeShared};
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 const REDIAL_PAUSE: Duration = Duration::from_millis(200);
+const MAX_REDIAL_PAUSE: Duration = Duration::from_secs(2);
+/// How long a link to a node that the host list does not show yet is waited for.
+const UNKNOWN_PATIENCE: Duration = Duration::from_secs(3);
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(50);
 const BUFFER_BYTES: usize = 8 * 1024;
 const MAX_FRAME_BYTES: usize = 8 << 20;
 /// Frames that wait for one link; more mean that the other side does not read.
@@ -47,6 +53,8 @@
     Random(#[from] getrandom::Error),
     #[error("closed")]
     Closed,
+    #[error("the host list does not show the node")]
+    Stranger,
 }
 
 impl From<tokio_tungstenite::tungstenite::Error> for LinkError {
@@ -55,15 +63,23 @@
     }
 }
 
+/// The sending end of a link.
+#[derive(Clone, Debug)]
+struct LinkEnd {
+    sender: mpsc::Sender<Frame>,
+    /// Set while the other node cannot be reached; frames are lost then.
+    broken: Arc<AtomicBool>,
+}
+
 /// The sending ends of the links to other nodes.
 #[derive(Debug, Default)]
 pub struct LinkTable {
-    senders: Mutex<BTreeMap<NodeId, mpsc::Sender<Frame>>>,
+    ends: Mutex<BTreeMap<NodeId, LinkEnd>>,
 }
 
 impl LinkTable {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<NodeId, mpsc::Sender<Frame>>> {
-        self.senders.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<NodeId, LinkEnd>> {
+        self.ends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -71,44 +87,99 @@
 /// cannot be sent counts as a lost link; control messages are sent again by their own rules.
 pub fn send(shared: &Arc<NodeShared>, to: NodeId, frame: Frame) {
     let control = is_control(&frame);
-    let sender = {
-        let mut senders = shared.links.lock();
-        senders
-            .entry(to)
-            .or_insert_with(|| dial(shared, to))
-            .clone()
+    let end = {
+        let mut ends = shared.links.lock();
+        ends.entry(to).or_insert_with(|| open(shared, to)).clone()
     };
-    if sender.try_send(frame).is_err() && !control {
+    let broken = end.broken.load(Ordering::Acquire);
+    if (broken || end.sender.try_send(frame).is_err()) && !control {
         shared.input(Input::LinkLost(to));
     }
 }
 
-fn dial(shared: &Arc<NodeShared>, to: NodeId) -> mpsc::Sender<Frame> {
+fn open(shared: &Arc<NodeShared>, to: NodeId) -> LinkEnd {
     let (sender, frames) = mpsc::channel(MAX_WAITING_FRAMES);
+    let end = LinkEnd {
+        sender,
+        broken: Arc::default(),
+    };
+    let broken = Arc::clone(&end.broken);
     let own = Arc::clone(shared);
     shared.spawn(async move {
-        if let Err(error) = run_sender(&own, to, frames).await {
-            log::debug!("event=link_lost node={to} reason=\"{error}\"");
-        }
-        own.input(Input::LinkLost(to));
-        // Until then sends fail at once, so that a dead node is not dialled for each of them.
-        tokio::time::sleep(REDIAL_PAUSE).await;
+        keep_link(&own, to, frames, &broken).await;
         own.links.lock().remove(&to);
     });
-    sender
+    end
 }
 
-async fn run_sender(
+/// Keeps a link up for as long as the node exists. Frames were lost each time that it broke: the
+/// other node is told so when the link stands again.
+async fn keep_link(
     shared: &Arc<NodeShared>,
     to: NodeId,
     mut frames: mpsc::Receiver<Frame>,
-) -> Result<(), LinkError> {
+    broken: &AtomicBool,
+) {
+    let mut pause = REDIAL_PAUSE;
+    let mut lost = false;
+    loop {
+        match dial(shared, to, lost).await {
+            Ok(socket) => {
+                broken.store(false, Ordering::Release);
+                pause = REDIAL_PAUSE;
+                shared.event(Event::LinkUp(to));
+                if let Err(error) = pump(shared, &mut frames, socket).await {
+                    log::debug!("event=link_lost node={to} reason=\"{error}\"");
+                }
+            }
+            Err(error) => log::debug!("event=dial_failed node={to} reason=\"{error}\""),
+        }
+        broken.store(true, Ordering::Release);
+        lost = true;
+        while frames.try_recv().is_ok() {}
+        shared.input(Input::LinkLost(to));
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_REDIAL_PAUSE);
+        if !is_alive(shared, to) {
+            return;
+        }
+    }
+}
+
+fn is_alive(shared: &NodeShared, node: NodeId) -> bool {
     let members = shared.members();
-    let member = members.members.get(&to).ok_or(LinkError::Closed)?;
-    let mut socket = tokio::time::timeout(HANDSHAKE_TIMEOUT, connect(shared, member))
+    let member = members.members.get(&node);
+    member.is_some_and(|member| member.state != NodeState::Dead)
+}
+
+async fn dial(
+    shared: &NodeShared,
+    to: NodeId,
+    lost: bool,
+) -> Result<WebSocketStream<TcpStream>, LinkError> {
+    let member = find_member(shared, to).await?;
+    tokio::time::timeout(HANDSHAKE_TIMEOUT, connect(shared, &member, lost))
         .await
-        .map_err(|_| LinkError::Timeout)??;
-    shared.event(monsoonbank_kernel::event::Event::LinkUp(to));
+        .map_err(|_| LinkError::Timeout)?
+}
+
+/// A node may have sent something before the host list shows it here.
+async fn find_member(shared: &NodeShared, node: NodeId) -> Result<Member, LinkError> {
+    let looks = UNKNOWN_PATIENCE.as_millis() / UNKNOWN_PAUSE.as_millis();
+    for _ in 0..looks {
+        if let Some(member) = shared.members().members.get(&node) {
+            return Ok(member.clone());
+        }
+        tokio::time::sleep(UNKNOWN_PAUSE).await;
+    }
+    Err(LinkError::Stranger)
+}
+
+async fn pump(
+    shared: &NodeShared,
+    frames: &mut mpsc::Receiver<Frame>,
+    mut socket: WebSocketStream<TcpStream>,
+) -> Result<(), LinkError> {
     loop {
         tokio::select! {
             frame = frames.recv() => {
@@ -169,6 +240,7 @@
 async fn connect(
     shared: &NodeShared,
     member: &Member,
+    lost: bool,
 ) -> Result<WebSocketStream<TcpStream>, LinkError> {
     let stream = TcpStream::connect(&*member.peer_address).await?;
     stream.set_nodelay(true)?;
@@ -178,18 +250,24 @@
             .await?;
     let challenge: proof::Nonce = read_plain(&mut socket).await?;
     let key = &shared.settings.secrets.peer_key;
-    let name = shared.profile.name.clone();
-    let incarnation = shared.profile.incarnation.0;
-    let proof = proof::dialler(key, &challenge, &name, incarnation);
-    let hello = LinkHello {
-        name,
-        incarnation,
-        proof,
+    let claim = LinkClaim {
+        name: shared.profile.name.clone(),
+        incarnation: shared.profile.incarnation.0,
+        lost,
         nonce: proof::nonce()?,
     };
+    let proof = proof::prove(key, ProofSide::Dialler, &challenge, &claim);
+    let hello = LinkHello { claim, proof };
     write_plain(&mut socket, &hello).await?;
     let welcome: LinkWelcome = read_plain(&mut socket).await?;
-    if !proof::check_listener(key, &hello, &welcome) {
+    let claim = &hello.claim;
+    if !proof::check(
+        key,
+        ProofSide::Listener,
+        &claim.nonce,
+        claim,
+        &welcome.proof,
+    ) {
         return Err(LinkError::Proof);
     }
     Ok(socket)
@@ -213,7 +291,7 @@
 
 async fn accept(shared: &Arc<NodeShared>, stream: TcpStream) {
     let welcomed = tokio::time::timeout(HANDSHAKE_TIMEOUT, welcome(shared, stream)).await;
-    let (mut socket, from) = match welcomed {
+    let (mut socket, from, lost) = match welcomed {
         Ok(Ok(accepted)) => accepted,
         Ok(Err(error)) => {
             log::warn!("event=link_refused reason=\"{error}\"");
@@ -221,6 +299,9 @@
         }
         Err(_) => return,
     };
+    if lost {
+        shared.input(Input::LinkLost(from));
+    }
     while let Some(Ok(message)) = socket.next().await {
         if let Message::Binary(bytes) = message {
             receive(shared, from, &bytes);
@@ -250,7 +331,7 @@
 async fn welcome(
     shared: &NodeShared,
     stream: TcpStream,
-) -> Result<(WebSocketStream<TcpStream>, NodeId), LinkError> {
+) -> Result<(WebSocketStream<TcpStream>, NodeId, bool), LinkError> {
     stream.set_nodelay(true)?;
     let mut socket =
         tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config())).await?;
@@ -258,17 +339,13 @@
     write_plain(&mut socket, &challenge).await?;
     let hello: LinkHello = read_plain(&mut socket).await?;
     let key = &shared.settings.secrets.peer_key;
-    if !proof::check_dialler(key, &challenge, &hello) {
+    let claim = hello.claim;
+    if !proof::check(key, ProofSide::Dialler, &challenge, &claim, &hello.proof) {
         return Err(LinkError::Proof);
     }
-    write_plain(
-        &mut socket,
-        &LinkWelcome {
-            proof: proof::listener(key, &hello),
-        },
-    )
-    .await?;
-    Ok((socket, NodeId::named(&hello.name)))
+    let proof = proof::prove(key, ProofSide::Listener, &claim.nonce, &claim);
+    write_plain(&mut socket, &LinkWelcome { proof }).await?;
+    Ok((socket, NodeId::named(&claim.name), claim.lost))
 }
 
 async fn read_plain<T: serde::de::DeserializeOwned>(
--- a/daemon/src/proof.rs
+++ b/daemon/src/proof.rs
@@ -7,19 +7,28 @@
 /// A one-time challenge.
 pub type Nonce = [u8; 16];
 
-/// The first frame of the dialling node.
+/// Who dials, and what the listener must know.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct LinkHello {
+pub struct LinkClaim {
     /// The dialling node's name.
     pub name: Box<str>,
     /// The dialling node's run.
     pub incarnation: u64,
-    /// Answers the listener's challenge.
-    pub proof: [u8; 32],
+    /// Whether frames to the listener were lost since the last link stood.
+    pub lost: bool,
     /// Challenges the listener.
     pub nonce: Nonce,
 }
 
+/// The first frame of the dialling node.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LinkHello {
+    /// What it says.
+    pub claim: LinkClaim,
+    /// Answers the listener's challenge.
+    pub proof: [u8; 32],
+}
+
 /// The listener's answer to a hello.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LinkWelcome {
@@ -27,40 +36,43 @@
     pub proof: [u8; 32],
 }
 
-fn mac(key: &str, role: &[u8], nonce: &Nonce, name: &str, incarnation: u64) -> Hmac<Sha256> {
+/// Which side gives a proof, so that neither can send the other's back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProofSide {
+    /// The dialling node.
+    Dialler,
+    /// The listening node.
+    Listener,
+}
+
+fn mac(key: &str, side: ProofSide, nonce: &Nonce, claim: &LinkClaim) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(key.as_bytes()).expect("HMAC takes any key");
-    mac.update(role);
+    mac.update(match side {
+        ProofSide::Dialler => b"dial",
+        ProofSide::Listener => b"hear",
+    });
     mac.update(nonce);
-    mac.update(&incarnation.to_be_bytes());
-    mac.update(name.as_bytes());
+    mac.update(&claim.nonce);
+    mac.update(&claim.incarnation.to_be_bytes());
+    mac.update(&[u8::from(claim.lost)]);
+    mac.update(claim.name.as_bytes());
     mac
 }
 
-/// Proof of the dialler `name` in its run `incarnation`, for the listener's challenge.
-pub fn dialler(key: &str, nonce: &Nonce, name: &str, incarnation: u64) -> [u8; 32] {
-    mac(key, b"dial", nonce, name, incarnation)
-        .finalize()
-        .into_bytes()
-        .into()
-}
-
-/// Whether a dialler's proof holds; takes the same time for every wrong proof.
-pub fn check_dialler(key: &str, nonce: &Nonce, hello: &LinkHello) -> bool {
-    mac(key, b"dial", nonce, &hello.name, hello.incarnation)
-        .verify_slice(&hello.proof)
-        .is_ok()
-}
-
-/// Proof of the listener, for the dialler's challenge.
-pub fn listener(key: &str, hello: &LinkHello) -> [u8; 32] {
-    let mac = mac(key, b"listen", &hello.nonce, &hello.name, hello.incarnation);
-    mac.finalize().into_bytes().into()
+/// A side's proof for a challenge and the claim that the link began with.
+pub fn prove(key: &str, side: ProofSide, nonce: &Nonce, claim: &LinkClaim) -> [u8; 32] {
+    mac(key, side, nonce, claim).finalize().into_bytes().into()
 }
 
-/// Whether a listener's proof holds.
-pub fn check_listener(key: &str, hello: &LinkHello, welcome: &LinkWelcome) -> bool {
-    let mac = mac(key, b"listen", &hello.nonce, &hello.name, hello.incarnation);
-    mac.verify_slice(&welcome.proof).is_ok()
+/// Whether a proof holds; takes the same time for every wrong one.
+pub fn check(
+    key: &str,
+    side: ProofSide,
+    nonce: &Nonce,
+    claim: &LinkClaim,
+    proof: &[u8; 32],
+) -> bool {
+    mac(key, side, nonce, claim).verify_slice(proof).is_ok()
 }
 
 /// A fresh challenge.
