--- a/daemon/src/driver.rs
+++ b/daemon/src/driver.rs
@@ -102,6 +102,18 @@
         }
         Action::UseMembers(members) => shared.use_members(members),
         Action::UseOwners(owners) => shared.use_owners(owners),
+        Action::PublishAnswered {
+            request,
+            id,
+            result,
+        } => {
+            log::info!("event=publish_answered id={id} result=\"{result}\"");
+            shared.changes.answered(request, id, result);
+        }
+        Action::PublishProgressed { request, progress } => {
+            shared.changes.progressed(request, progress);
+        }
+        Action::DocumentsAnswered { request, list } => shared.changes.documents(request, list),
     }
 }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod callers;
 pub mod calls;
+pub mod changes;
 pub mod completions;
 pub mod counters;
 pub mod driver;
--- a/daemon/src/operators.rs
+++ b/daemon/src/operators.rs
@@ -5,6 +5,7 @@
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::UpstreamId;
 use monsoonbank_kernel::plugin::GaugeSample;
+use monsoonbank_kernel::record::{ChangeRecord, PublishResult};
 use prometheus::TextEncoder;
 use salvo::http::StatusCode;
 use salvo::prelude::{Json, Request, Response, Router, Text, handler};
@@ -17,6 +18,9 @@
 use crate::refusal::CallerError;
 use crate::shared::{Input, NodeShared};
 
+/// Largest change, in bytes.
+const CHANGE_BYTES: usize = 8 << 20;
+
 #[derive(Clone, Copy)]
 enum OperatorCall {
     State,
@@ -24,6 +28,9 @@
     Ready,
     DrainNode,
     DrainUpstream,
+    Documents,
+    Publish,
+    ChangeStatus,
 }
 
 struct OperatorApi {
@@ -44,6 +51,9 @@
         .push(Router::with_path("v1/state").get(api(OperatorCall::State)))
         .push(Router::with_path("v1/drain").post(api(OperatorCall::DrainNode)))
         .push(Router::with_path("v1/drain/{upstream}").post(api(OperatorCall::DrainUpstream)))
+        .push(Router::with_path("v1/documents").get(api(OperatorCall::Documents)))
+        .push(Router::with_path("v1/changes").post(api(OperatorCall::Publish)))
+        .push(Router::with_path("v1/changes/{id}").get(api(OperatorCall::ChangeStatus)))
 }
 
 #[handler]
@@ -57,7 +67,7 @@
         match self.call {
             OperatorCall::Ready => return self.ready(response),
             OperatorCall::Metrics => return self.metrics(response).await,
-            OperatorCall::State | OperatorCall::DrainNode | OperatorCall::DrainUpstream => {}
+            _ => {}
         }
         if !self.authorized(request) {
             return unauthorized().render(response);
@@ -66,6 +76,9 @@
             OperatorCall::State => self.state(request, response).await,
             OperatorCall::DrainNode => self.shared.event(Event::DrainNode),
             OperatorCall::DrainUpstream => self.drain_upstream(request, response),
+            OperatorCall::Documents => self.documents(response).await,
+            OperatorCall::Publish => self.publish(request, response).await,
+            OperatorCall::ChangeStatus => self.change_status(request, response),
             OperatorCall::Ready | OperatorCall::Metrics => {}
         }
     }
@@ -129,6 +142,43 @@
     }
 }
 
+impl OperatorApi {
+    async fn documents(&self, response: &mut Response) {
+        let (ticket, answer) = self.shared.changes.read();
+        self.shared.event(Event::DocumentsRequested(ticket));
+        response.render(Json(answer.await.unwrap_or_default()));
+    }
+
+    /// Answers once the change's record was read back from the log, or nothing is known of it.
+    async fn publish(&self, request: &mut Request, response: &mut Response) {
+        let parsed = match request.payload_with_max_size(CHANGE_BYTES).await {
+            Ok(body) => serde_json::from_slice::<ChangeRecord>(body).map_err(|e| e.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        let record = match parsed {
+            Ok(record) => record,
+            Err(reason) => {
+                let message = format!("expected a change as JSON: {reason}");
+                return CallerError::not_run(StatusCode::BAD_REQUEST, "bad_change", message)
+                    .render(response);
+            }
+        };
+        let (request, answer) = self.shared.changes.publish();
+        self.shared
+            .event(Event::PublishRequested { request, record });
+        response.render(Json(answer.await.unwrap_or(PublishResult::Unavailable)));
+    }
+
+    fn change_status(&self, request: &mut Request, response: &mut Response) {
+        let id = request.param::<String>("id").unwrap_or_default();
+        if let Some(status) = self.shared.changes.status(&id) {
+            return response.render(Json(status));
+        }
+        let message = format!("this node answered no change `{id}` lately");
+        CallerError::not_run(StatusCode::NOT_FOUND, "no_change", message).render(response);
+    }
+}
+
 fn gauge_text(gauge: &GaugeSample) -> String {
     let name = format!("{METRIC_PREFIX}_{}", gauge.name);
     let label = match gauge.kind {
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::calls::CallTable;
+use crate::changes::ChangeTable;
 use crate::counters::NodeCounters;
 use crate::frame::{Frame, RequestParts};
 use crate::links::LinkTable;
@@ -79,6 +80,8 @@
     pub clock: Box<dyn Clock>,
     /// The entry's open calls.
     pub calls: CallTable,
+    /// Operators' changes of configuration.
+    pub changes: ChangeTable,
     /// Links to other nodes.
     pub links: LinkTable,
     /// Counters.
@@ -122,6 +125,7 @@
     pub fn new(parts: SharedParts) -> Self {
         Self {
             calls: CallTable::new(parts.settings.bounds.waiting_bytes),
+            changes: ChangeTable::default(),
             links: LinkTable::default(),
             counters: NodeCounters::default(),
             settings: parts.settings,
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use monsoonbank_daemon::intake::token_hash;
 use monsoonbank_daemon::node::{self, NodeHandle, NodeListeners};
 use monsoonbank_daemon::settings::Settings;
+use monsoonbank_kernel::record::{ChangeRecord, Record};
 use monsoonbank_standin::engine::{self, EngineHandle, EngineSettings};
 use monsoonbank_standin::hosts::{self, HostRole, HostRow, HostSettings, HostsHandle};
 use monsoonbank_standin::log::{self, LogHandle, LogSettings};
@@ -123,7 +124,9 @@
     /// Puts the configuration on the log.
     pub fn publish(&self) {
         let file = configuration(&self.engines, &self.service);
-        let record = json!({ "kind": "change", "id": "first", "replaces": 0, "file": file });
+        let file = serde_json::from_value(file).expect("the configuration has the right shape");
+        let record = Record::Change(ChangeRecord::from_file("first", &file));
+        let record = serde_json::to_value(record).expect("a record can be written");
         self.log.append(record);
     }
 
--- /dev/null
+++ b/kernel/src/config/check.rs
@@ -0,0 +1,545 @@
+//! Checking a configuration: what the log's fold refuses, and what `monsoon check` tells.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::call::Tier;
+use crate::config::Config;
+use crate::config::document::{self, Document, DocumentKey};
+use crate::config::locate::{FieldPath, TextPosition, locate};
+use crate::config::spec::{
+    ClassSpec, ConfigFile, PoolSpec, RuleMatch, RuleSpec, TierSpec, UpstreamSpec, WorkspaceSpec,
+};
+use crate::ids::{ClassId, PoolId, UpstreamId, WorkspaceId};
+
+/// The longest name, in bytes.
+const MAX_NAME: usize = 128;
+
+/// The most tiers.
+const MAX_TIERS: usize = 8;
+
+/// Something that is wrong with a field.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{path}: {message}")]
+pub struct ConfigFault {
+    /// The field.
+    pub path: FieldPath,
+    /// What was found and what was expected.
+    pub message: Box<str>,
+}
+
+impl ConfigFault {
+    fn under(self, path: &FieldPath) -> Self {
+        Self {
+            path: path.clone().then(&self.path),
+            message: self.message,
+        }
+    }
+}
+
+/// Something that is wrong in a file.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{file}:{position}: {field}: {message}")]
+pub struct FileFault {
+    /// The file.
+    pub file: Box<str>,
+    /// The place in the file.
+    pub position: TextPosition,
+    /// The field.
+    pub field: Box<str>,
+    /// What was found and what was expected.
+    pub message: Box<str>,
+}
+
+#[derive(Default)]
+struct FaultList(Vec<ConfigFault>);
+
+impl FaultList {
+    fn add(&mut self, path: FieldPath, message: impl Into<Box<str>>) {
+        let message = message.into();
+        self.0.push(ConfigFault { path, message });
+    }
+
+    fn require(&mut self, holds: bool, field: &str, message: impl FnOnce() -> String) {
+        if !holds {
+            self.add(FieldPath::default().field(field), message());
+        }
+    }
+}
+
+fn known<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    let mut names: Vec<&str> = names.collect();
+    names.sort_unstable();
+    match names.len() {
+        0 => "none is configured".to_owned(),
+        1..=8 => format!("expected one of {}", names.join(", ")),
+        count => format!("expected one of the {count} that are configured"),
+    }
+}
+
+fn unknown<'a>(what: &str, name: &str, names: impl Iterator<Item = &'a str>) -> String {
+    format!("unknown {what} `{name}`; {}", known(names))
+}
+
+fn check_name(name: &str, faults: &mut FaultList) {
+    let valid = !name.is_empty()
+        && name.len() <= MAX_NAME
+        && name.bytes().all(|byte| byte.is_ascii_graphic());
+    faults.require(valid, "name", || {
+        format!("`{name}` is no name; expected 1 to {MAX_NAME} printable ASCII characters without spaces")
+    });
+}
+
+fn check_tiers(tiers: &[TierSpec], faults: &mut FaultList) {
+    let top = tiers.iter().map(|tier| tier.tier).min();
+    let mut seen = BTreeSet::new();
+    for (position, tier) in tiers.iter().enumerate() {
+        let path = FieldPath::default().item(position);
+        if !seen.insert(tier.tier) {
+            let message = format!("tier {} is given twice; expected it once", tier.tier);
+            faults.add(path.clone().field("tier"), message);
+        }
+        if !(0.0..=1.0).contains(&tier.floor) {
+            let message = format!("floor {} is no share; expected 0 to 1", tier.floor);
+            faults.add(path.field("floor"), message);
+        } else if tier.floor == 0.0 && Some(tier.tier) != top {
+            let message = format!("floor of tier {} is 0; expected more than 0", tier.tier);
+            faults.add(path.field("floor"), message);
+        }
+    }
+    let sum: f64 = tiers.iter().map(|tier| tier.floor).sum();
+    if sum > 1.0 + 1e-9 {
+        let message = format!("floors sum to {sum:.3}; expected at most 1");
+        faults.add(FieldPath::default(), message);
+    }
+    if tiers.is_empty() || tiers.len() > MAX_TIERS {
+        let message = format!("{} tiers; expected 1 to {MAX_TIERS}", tiers.len());
+        faults.add(FieldPath::default(), message);
+    }
+}
+
+fn unknown_tier(config: &Config, tier: Tier) -> String {
+    let names: Vec<String> = config.tiers.keys().map(ToString::to_string).collect();
+    unknown("tier", &tier.to_string(), names.iter().map(String::as_str))
+}
+
+fn check_class(config: &Config, class: &ClassSpec, faults: &mut FaultList) {
+    check_name(&class.name, faults);
+    faults.require(config.tiers.contains_key(&class.tier), "tier", || {
+        unknown_tier(config, class.tier)
+    });
+    faults.require(class.target > Duration::ZERO, "target", || {
+        "target is 0; expected a duration above 0 such as `650ms`".to_owned()
+    });
+    let token = class
+        .token_target
+        .is_none_or(|target| target > Duration::ZERO);
+    faults.require(token, "token_target", || {
+        "token_target is 0; expected a duration above 0 such as `54ms`".to_owned()
+    });
+}
+
+fn check_workspace(config: &Config, workspace: &WorkspaceSpec, faults: &mut FaultList) {
+    check_name(&workspace.name, faults);
+    let token = &workspace.token_sha256;
+    let hex = token.len() == 64
+        && token
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    faults.require(hex, "token_sha256", || {
+        "not a SHA-256; expected 64 digits 0-9 and a-f".to_owned()
+    });
+    let own = config.tokens.get(token) == Some(&WorkspaceId::named(&workspace.name));
+    faults.require(own, "token_sha256", || {
+        "another workspace has the same token; expected one of its own".to_owned()
+    });
+    faults.require(workspace.weight > 0, "weight", || {
+        "weight is 0; expected 1 or more".to_owned()
+    });
+    let rate = workspace
+        .calls_per_second
+        .is_none_or(|rate| rate.is_finite() && rate > 0.0);
+    faults.require(rate, "calls_per_second", || {
+        "not a rate; expected a number above 0, or the field left out for no limit".to_owned()
+    });
+    let calls = workspace.concurrent_calls.is_none_or(|calls| calls > 0);
+    faults.require(calls, "concurrent_calls", || {
+        "limit is 0; expected 1 or more, or the field left out for no limit".to_owned()
+    });
+}
+
+fn check_upstream(config: &Config, upstream: &UpstreamSpec, faults: &mut FaultList) {
+    check_name(&upstream.name, faults);
+    let pool = config.pools.contains_key(&PoolId::named(&upstream.pool));
+    faults.require(pool, "pool", || unknown_pool(config, &upstream.pool));
+    faults.require(!upstream.zone.is_empty(), "zone", || {
+        "no availability zone; expected its name".to_owned()
+    });
+    let address = upstream.address.parse::<SocketAddr>();
+    let valid = address.is_ok_and(|address| address.port() != 0);
+    faults.require(valid, "address", || {
+        let found = &upstream.address;
+        format!("`{found}` is no address; expected an IP number and port such as `10.0.0.7:8000`")
+    });
+    let own = config.addresses.get(&upstream.address) == Some(&UpstreamId::named(&upstream.name));
+    faults.require(own, "address", || {
+        "another upstream has the same address; expected one of its own".to_owned()
+    });
+    faults.require(upstream.slots > 0, "slots", || {
+        "0 slots; expected 1 or more".to_owned()
+    });
+}
+
+fn unknown_pool(config: &Config, name: &str) -> String {
+    unknown("pool", name, config.pools.values().map(|pool| &*pool.name))
+}
+
+fn check_match(config: &Config, rule: &RuleSpec, faults: &mut FaultList) {
+    let when = &rule.when;
+    let path = FieldPath::default().field("when");
+    for (position, name) in when.workspaces.iter().enumerate() {
+        if !config.workspaces.contains_key(&WorkspaceId::named(name)) {
+            let names = config.workspaces.values().map(|workspace| &*workspace.name);
+            let message = unknown("workspace", name, names);
+            faults.add(path.clone().field("workspaces").item(position), message);
+        }
+    }
+    for (position, name) in when.models.iter().enumerate() {
+        if rule.then.pool.is_none() && !config.pools.contains_key(&PoolId::named(name)) {
+            let message = unknown_pool(config, name);
+            faults.add(path.clone().field("models").item(position), message);
+        }
+    }
+    check_match_shape(when, &path, faults);
+}
+
+fn check_match_shape(when: &RuleMatch, path: &FieldPath, faults: &mut FaultList) {
+    let method = when.method.as_deref().unwrap_or("GET");
+    if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
+        let message = format!("`{method}` is no method; expected capitals such as `POST`");
+        faults.add(path.clone().field("method"), message);
+    }
+    let prefix = when.path_prefix.as_deref().unwrap_or("/");
+    if !prefix.starts_with('/') {
+        let message = format!("`{prefix}` is no path; expected it to begin with `/`");
+        faults.add(path.clone().field("path_prefix"), message);
+    }
+    let (least, most) = (
+        when.min_bytes.unwrap_or(0),
+        when.max_bytes.unwrap_or(u64::MAX),
+    );
+    if least > most {
+        let message = format!("min_bytes {least} is above max_bytes {most}; expected at most that");
+        faults.add(path.clone().field("min_bytes"), message);
+    }
+    for name in when.headers.keys() {
+        if name.is_empty() || name.bytes().any(|byte| byte.is_ascii_uppercase()) {
+            let message = format!("`{name}` is no header name; expected lower case");
+            faults.add(path.clone().field("headers").field(name), message);
+        }
+    }
+}
+
+fn check_rule(config: &Config, rule: &RuleSpec, faults: &mut FaultList) {
+    check_name(&rule.name, faults);
+    check_match(config, rule, faults);
+    let path = FieldPath::default().field("then");
+    if !config
+        .classes
+        .contains_key(&ClassId::named(&rule.then.class))
+    {
+        let names = config.classes.values().map(|class| &*class.name);
+        let message = unknown("class", &rule.then.class, names);
+        faults.add(path.clone().field("class"), message);
+    }
+    if let Some(tier) = rule.then.tier
+        && !config.tiers.contains_key(&tier)
+    {
+        faults.add(path.clone().field("tier"), unknown_tier(config, tier));
+    }
+    if let Some(pool) = &rule.then.pool
+        && !config.pools.contains_key(&PoolId::named(pool))
+    {
+        faults.add(path.field("pool"), unknown_pool(config, pool));
+    }
+}
+
+fn check_rules(config: &Config, rules: &[RuleSpec], faults: &mut FaultList) {
+    let mut names = BTreeSet::new();
+    for (position, rule) in rules.iter().enumerate() {
+        let path = FieldPath::default().item(position);
+        let mut own = FaultList::default();
+        check_rule(config, rule, &mut own);
+        faults
+            .0
+            .extend(own.0.into_iter().map(|fault| fault.under(&path)));
+        if !names.insert(&*rule.name) {
+            let message = format!("rule `{}` is given twice; expected it once", rule.name);
+            faults.add(path.field("name"), message);
+        }
+    }
+}
+
+fn check_pool(pool: &PoolSpec, faults: &mut FaultList) {
+    check_name(&pool.name, faults);
+}
+
+/// What is wrong with one document of a configuration, names that it refers to included.
+pub fn check_document(config: &Config, document: &Document) -> Vec<ConfigFault> {
+    let mut faults = FaultList::default();
+    match document {
+        Document::Tiers(tiers) => check_tiers(tiers, &mut faults),
+        Document::Class(class) => check_class(config, class, &mut faults),
+        Document::Workspace(workspace) => check_workspace(config, workspace, &mut faults),
+        Document::Pool(pool) => check_pool(pool, &mut faults),
+        Document::Upstream(upstream) => check_upstream(config, upstream, &mut faults),
+        Document::Rules(rules) => check_rules(config, rules, &mut faults),
+    }
+    faults.0
+}
+
+/// What is wrong with the documents that refer to one that was set or removed.
+pub fn check_dependents(config: &Config, key: &DocumentKey, removed: bool) -> Vec<ConfigFault> {
+    let mut faults = FaultList::default();
+    let tiers = *key == DocumentKey::Tiers;
+    if tiers {
+        for class in config.classes.values() {
+            check_class(config, class, &mut faults);
+        }
+    }
+    if let DocumentKey::Pool(name) = key
+        && removed
+        && config.members.contains_key(&PoolId::named(name))
+    {
+        let message = format!("upstreams serve the pool `{name}`; expected none");
+        faults.add(FieldPath::default(), message);
+    }
+    let referred = matches!(
+        key,
+        DocumentKey::Class(_) | DocumentKey::Pool(_) | DocumentKey::Workspace(_)
+    );
+    if tiers || (removed && referred) {
+        check_rules(config, &config.rules, &mut faults);
+    }
+    faults.0
+}
+
+/// Rules that no request can reach, because one before matches everything that they match.
+pub fn unreachable_rules(rules: &[RuleSpec]) -> Vec<(usize, usize)> {
+    rules
+        .iter()
+        .enumerate()
+        .filter_map(|(position, rule)| {
+            let earlier = &rules[..position];
+            let cover = earlier
+                .iter()
+                .position(|other| other.when.covers(&rule.when))?;
+            Some((position, cover))
+        })
+        .collect()
+}
+
+fn duplicates<'a>(
+    section: &str,
+    names: impl Iterator<Item = &'a str>,
+    faults: &mut Vec<ConfigFault>,
+) {
+    let mut seen = BTreeMap::new();
+    for (position, name) in names.enumerate() {
+        let Some(first) = seen.insert(name, position) else {
+            continue;
+        };
+        faults.push(ConfigFault {
+            path: FieldPath::default()
+                .field(section)
+                .item(position)
+                .field("name"),
+            message: format!("`{name}` is also {section}[{first}]; expected another name").into(),
+        });
+    }
+}
+
+/// What is wrong with a whole configuration.
+pub fn check_file(file: &ConfigFile) -> Vec<ConfigFault> {
+    let config = Config::from_file(1, file);
+    let mut faults = Vec::new();
+    let mut positions: BTreeMap<&str, usize> = BTreeMap::new();
+    for document in document::split(file) {
+        let section = section_of(&document);
+        let mut path = FieldPath::default().field(section);
+        if !matches!(document, Document::Tiers(_) | Document::Rules(_)) {
+            let position = positions.entry(section).or_default();
+            path = path.item(*position);
+            *position += 1;
+        }
+        let found = check_document(&config, &document);
+        faults.extend(found.into_iter().map(|fault| fault.under(&path)));
+    }
+    duplicates(
+        "classes",
+        file.classes.iter().map(|class| &*class.name),
+        &mut faults,
+    );
+    let workspaces = file.workspaces.iter().map(|workspace| &*workspace.name);
+    duplicates("workspaces", workspaces, &mut faults);
+    duplicates(
+        "pools",
+        file.pools.iter().map(|pool| &*pool.name),
+        &mut faults,
+    );
+    let upstreams = file.upstreams.iter().map(|upstream| &*upstream.name);
+    duplicates("upstreams", upstreams, &mut faults);
+    faults.extend(
+        unreachable_rules(&file.rules)
+            .into_iter()
+            .map(|(rule, cover)| {
+                let other = &file.rules[cover].name;
+                ConfigFault {
+            path: FieldPath::default().field("rules").item(rule),
+            message: format!(
+                "rule `{}` is never reached; expected it before rule `{other}`, which matches \
+                 all that it matches",
+                file.rules[rule].name
+            )
+            .into(),
+        }
+            }),
+    );
+    faults
+}
+
+fn section_of(document: &Document) -> &'static str {
+    match document {
+        Document::Tiers(_) => "tiers",
+        Document::Class(_) => "classes",
+        Document::Workspace(_) => "workspaces",
+        Document::Pool(_) => "pools",
+        Document::Upstream(_) => "upstreams",
+        Document::Rules(_) => "rules",
+    }
+}
+
+/// Reads a configuration from a YAML text; an error names the place, the field and what was
+/// expected.
+pub fn parse(file: &str, text: &str) -> Result<ConfigFile, FileFault> {
+    let deserializer = serde_yaml_ng::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(deserializer).map_err(|error| {
+        let field = error.path().to_string();
+        let position = error
+            .inner()
+            .location()
+            .map_or_else(TextPosition::default, |location| TextPosition {
+                line: location.line(),
+                column: location.column(),
+            });
+        FileFault {
+            file: file.into(),
+            position,
+            field: field.into(),
+            message: without_place(&error.inner().to_string())
+                .replace("expected a duration", "expected a duration such as `650ms`")
+                .into(),
+        }
+    })
+}
+
+/// The parser's message without the place and path, which are told apart.
+fn without_place(message: &str) -> &str {
+    let message = message
+        .rsplit_once(" at line ")
+        .map_or(message, |(before, _)| before);
+    match message.split_once(": ") {
+        Some((path, rest)) if !path.contains(' ') => rest,
+        _ => message,
+    }
+}
+
+/// Reads and checks a configuration that is given as one YAML text.
+pub fn check_text(file: &str, text: &str) -> Result<ConfigFile, Vec<FileFault>> {
+    check_texts(&[(file, text)])
+}
+
+/// Reads and checks a configuration that is given as several YAML texts, each with part of it.
+pub fn check_texts(texts: &[(&str, &str)]) -> Result<ConfigFile, Vec<FileFault>> {
+    let mut faults = Vec::new();
+    let mut files = Vec::new();
+    for (file, text) in texts {
+        match parse(file, text) {
+            Ok(parsed) => files.push((*file, *text, parsed)),
+            Err(fault) => faults.push(fault),
+        }
+    }
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let merged = merge(files.iter().map(|(_, _, parsed)| parsed));
+    faults.extend(
+        check_file(&merged)
+            .into_iter()
+            .map(|fault| place(&fault, &files)),
+    );
+    if faults.is_empty() {
+        return Ok(merged);
+    }
+    faults.sort_by(|one, other| (&one.file, one.position).cmp(&(&other.file, other.position)));
+    Err(faults)
+}
+
+fn merge<'a>(files: impl Iterator<Item = &'a ConfigFile>) -> ConfigFile {
+    let mut merged = ConfigFile::default();
+    for file in files {
+        merged.tiers.extend(file.tiers.iter().cloned());
+        merged.classes.extend(file.classes.iter().cloned());
+        merged.workspaces.extend(file.workspaces.iter().cloned());
+        merged.pools.extend(file.pools.iter().cloned());
+        merged.upstreams.extend(file.upstreams.iter().cloned());
+        merged.rules.extend(file.rules.iter().cloned());
+    }
+    merged
+}
+
+fn section_len(file: &ConfigFile, section: &str) -> usize {
+    match section {
+        "tiers" => file.tiers.len(),
+        "classes" => file.classes.len(),
+        "workspaces" => file.workspaces.len(),
+        "pools" => file.pools.len(),
+        "upstreams" => file.upstreams.len(),
+        _ => file.rules.len(),
+    }
+}
+
+/// Names the file, and the place in it, of a fault in the merged configuration.
+fn place(fault: &ConfigFault, files: &[(&str, &str, ConfigFile)]) -> FileFault {
+    use crate::config::locate::PathStep::{Field, Item};
+    let mut path = fault.path.clone();
+    let mut home = files.first();
+    if let [Field(section), rest @ ..] = path.0.as_mut_slice() {
+        let mut before = 0;
+        let wanted = match rest.first() {
+            Some(Item(position)) => *position,
+            _ => 0,
+        };
+        for file in files {
+            let count = section_len(&file.2, section);
+            if wanted < before + count {
+                home = Some(file);
+                break;
+            }
+            before += count;
+        }
+        if let Some(Item(position)) = rest.first_mut() {
+            *position -= before;
+        }
+    }
+    let (file, text) = home.map_or(("", ""), |(file, text, _)| (*file, *text));
+    FileFault {
+        file: file.into(),
+        position: locate(text, &path).unwrap_or_default(),
+        field: path.to_string().into(),
+        message: fault.message.clone(),
+    }
+}
--- /dev/null
+++ b/kernel/src/config/document.rs
@@ -0,0 +1,155 @@
+//! Documents: the parts of the configuration that are versioned and replaced one by one.
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::config::spec::{
+    ClassSpec, ConfigFile, PoolSpec, RuleSpec, TierSpec, UpstreamSpec, WorkspaceSpec,
+};
+
+/// Names a document; written as `class/NAME`, `tiers` and so on.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub enum DocumentKey {
+    /// The list of tiers.
+    #[display("tiers")]
+    Tiers,
+    /// A class.
+    #[display("class/{_0}")]
+    Class(Box<str>),
+    /// A workspace.
+    #[display("workspace/{_0}")]
+    Workspace(Box<str>),
+    /// A pool.
+    #[display("pool/{_0}")]
+    Pool(Box<str>),
+    /// An upstream.
+    #[display("upstream/{_0}")]
+    Upstream(Box<str>),
+    /// The ordered rule list.
+    #[display("rules")]
+    Rules,
+}
+
+/// A text that names no document.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error(
+    "`{0}` names no document; expected tiers, rules, class/NAME, workspace/NAME, pool/NAME or \
+     upstream/NAME"
+)]
+pub struct KeyError(Box<str>);
+
+impl FromStr for DocumentKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        match text.split_once('/') {
+            None if text == "tiers" => Ok(Self::Tiers),
+            None if text == "rules" => Ok(Self::Rules),
+            Some(("class", name)) if !name.is_empty() => Ok(Self::Class(name.into())),
+            Some(("workspace", name)) if !name.is_empty() => Ok(Self::Workspace(name.into())),
+            Some(("pool", name)) if !name.is_empty() => Ok(Self::Pool(name.into())),
+            Some(("upstream", name)) if !name.is_empty() => Ok(Self::Upstream(name.into())),
+            _ => Err(KeyError(text.into())),
+        }
+    }
+}
+
+impl TryFrom<String> for DocumentKey {
+    type Error = KeyError;
+
+    fn try_from(text: String) -> Result<Self, KeyError> {
+        text.parse()
+    }
+}
+
+impl From<DocumentKey> for String {
+    fn from(key: DocumentKey) -> Self {
+        key.to_string()
+    }
+}
+
+/// The content of a document.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Document {
+    /// The list of tiers.
+    Tiers(Vec<TierSpec>),
+    /// A class.
+    Class(ClassSpec),
+    /// A workspace.
+    Workspace(WorkspaceSpec),
+    /// A pool.
+    Pool(PoolSpec),
+    /// An upstream.
+    Upstream(UpstreamSpec),
+    /// The ordered rule list.
+    Rules(Vec<RuleSpec>),
+}
+
+impl Document {
+    /// The key that the document stands under.
+    pub fn key(&self) -> DocumentKey {
+        match self {
+            Self::Tiers(_) => DocumentKey::Tiers,
+            Self::Class(class) => DocumentKey::Class(class.name.clone()),
+            Self::Workspace(workspace) => DocumentKey::Workspace(workspace.name.clone()),
+            Self::Pool(pool) => DocumentKey::Pool(pool.name.clone()),
+            Self::Upstream(upstream) => DocumentKey::Upstream(upstream.name.clone()),
+            Self::Rules(_) => DocumentKey::Rules,
+        }
+    }
+}
+
+/// A document with the version that set it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VersionedDocument {
+    /// Offset of the record that set it, plus one.
+    pub version: u64,
+    /// The content.
+    pub content: Document,
+}
+
+/// Every document in force, as a node tells its operators.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DocumentList {
+    /// Version of the configuration as a whole.
+    pub version: u64,
+    /// The documents.
+    pub documents: Vec<VersionedDocument>,
+}
+
+/// The documents that a configuration file holds. Lists that are absent or empty give none.
+pub fn split(file: &ConfigFile) -> Vec<Document> {
+    let mut documents = Vec::new();
+    if !file.tiers.is_empty() {
+        documents.push(Document::Tiers(file.tiers.clone()));
+    }
+    documents.extend(file.classes.iter().cloned().map(Document::Class));
+    documents.extend(file.workspaces.iter().cloned().map(Document::Workspace));
+    documents.extend(file.pools.iter().cloned().map(Document::Pool));
+    documents.extend(file.upstreams.iter().cloned().map(Document::Upstream));
+    if !file.rules.is_empty() {
+        documents.push(Document::Rules(file.rules.clone()));
+    }
+    documents
+}
+
+/// The configuration file that holds the documents.
+pub fn join(documents: impl IntoIterator<Item = Document>) -> ConfigFile {
+    let mut file = ConfigFile::default();
+    for document in documents {
+        match document {
+            Document::Tiers(tiers) => file.tiers = tiers,
+            Document::Class(class) => file.classes.push(class),
+            Document::Workspace(workspace) => file.workspaces.push(workspace),
+            Document::Pool(pool) => file.pools.push(pool),
+            Document::Upstream(upstream) => file.upstreams.push(upstream),
+            Document::Rules(rules) => file.rules = rules,
+        }
+    }
+    file
+}
--- /dev/null
+++ b/kernel/src/config/rules.rs
@@ -0,0 +1,321 @@
+//! Matching a request against the ordered rule list.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+
+use crate::config::spec::{RuleMatch, RuleSpec};
+
+/// The facts of a request that rules look at.
+#[derive(Clone, Debug, Default)]
+pub struct RequestFacts<'a> {
+    /// The workspace's name.
+    pub workspace: &'a str,
+    /// The path.
+    pub path: &'a str,
+    /// The HTTP method, in capitals.
+    pub method: &'a str,
+    /// The model or service that the caller named.
+    pub model: &'a str,
+    /// Headers, names in lower case.
+    pub headers: &'a [(&'a str, &'a str)],
+    /// The declared body size, in bytes.
+    pub bytes: u64,
+    /// Whether the answer is streamed.
+    pub streamed: bool,
+}
+
+/// Why a rule did not match a request: the first field that did not hold.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum RuleMismatch {
+    /// The workspace is none of the rule's.
+    #[display("workspace is `{found}`, expected {expected}")]
+    Workspace {
+        /// The request's.
+        found: Box<str>,
+        /// The rule's.
+        expected: Box<str>,
+    },
+    /// The model or service is none of the rule's.
+    #[display("model is `{found}`, expected {expected}")]
+    Model {
+        /// The request's.
+        found: Box<str>,
+        /// The rule's.
+        expected: Box<str>,
+    },
+    /// The path begins otherwise.
+    #[display("path is `{found}`, expected it to begin with `{expected}`")]
+    Path {
+        /// The request's.
+        found: Box<str>,
+        /// The rule's.
+        expected: Box<str>,
+    },
+    /// Another method.
+    #[display("method is `{found}`, expected `{expected}`")]
+    Method {
+        /// The request's.
+        found: Box<str>,
+        /// The rule's.
+        expected: Box<str>,
+    },
+    /// The body is too small.
+    #[display("size is {found} bytes, expected at least {expected}")]
+    TooSmall {
+        /// The request's, in bytes.
+        found: u64,
+        /// The rule's, in bytes.
+        expected: u64,
+    },
+    /// The body is too large.
+    #[display("size is {found} bytes, expected at most {expected}")]
+    TooLarge {
+        /// The request's, in bytes.
+        found: u64,
+        /// The rule's, in bytes.
+        expected: u64,
+    },
+    /// Streamed, and the rule asks for whole answers, or the other way round.
+    #[display("streamed is {found}, expected {expected}")]
+    Streamed {
+        /// The request's.
+        found: bool,
+        /// The rule's.
+        expected: bool,
+    },
+    /// A header is absent or has another value.
+    #[display("header `{name}` is {found}, expected `{expected}`")]
+    Header {
+        /// The header's name.
+        name: Box<str>,
+        /// The request's value, quoted, or `absent`.
+        found: Box<str>,
+        /// The rule's value.
+        expected: Box<str>,
+    },
+}
+
+fn among(names: &[Box<str>], name: &str) -> bool {
+    names.is_empty() || names.iter().any(|known| &**known == name)
+}
+
+fn list(names: &[Box<str>]) -> Box<str> {
+    let quoted: Vec<String> = names.iter().map(|name| format!("`{name}`")).collect();
+    quoted.join(" or ").into()
+}
+
+fn header<'a>(facts: &RequestFacts<'a>, name: &str) -> Option<&'a str> {
+    facts
+        .headers
+        .iter()
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| *value)
+}
+
+impl RuleMatch {
+    /// Whether every given field holds for the request.
+    pub fn matches(&self, facts: &RequestFacts<'_>) -> bool {
+        among(&self.workspaces, facts.workspace)
+            && among(&self.models, facts.model)
+            && self.method.as_deref().is_none_or(|m| m == facts.method)
+            && self.streamed.is_none_or(|s| s == facts.streamed)
+            && self.matches_rest(facts)
+    }
+
+    /// Whether the fields that [`RuleIndex`] does not cover hold.
+    fn matches_rest(&self, facts: &RequestFacts<'_>) -> bool {
+        self.path_prefix
+            .as_deref()
+            .is_none_or(|prefix| facts.path.starts_with(prefix))
+            && self.min_bytes.is_none_or(|least| facts.bytes >= least)
+            && self.max_bytes.is_none_or(|most| facts.bytes <= most)
+            && self.headers.iter().all(|(name, value)| {
+                facts
+                    .headers
+                    .iter()
+                    .any(|(n, v)| *n == &**name && *v == &**value)
+            })
+    }
+
+    /// The first field that does not hold; none when the rule matches.
+    pub fn mismatch(&self, facts: &RequestFacts<'_>) -> Option<RuleMismatch> {
+        if !among(&self.workspaces, facts.workspace) {
+            return Some(RuleMismatch::Workspace {
+                found: facts.workspace.into(),
+                expected: list(&self.workspaces),
+            });
+        }
+        if !among(&self.models, facts.model) {
+            return Some(RuleMismatch::Model {
+                found: facts.model.into(),
+                expected: list(&self.models),
+            });
+        }
+        self.path_mismatch(facts)
+            .or_else(|| self.size_mismatch(facts))
+            .or_else(|| self.header_mismatch(facts))
+    }
+
+    fn path_mismatch(&self, facts: &RequestFacts<'_>) -> Option<RuleMismatch> {
+        if let Some(prefix) = &self.path_prefix
+            && !facts.path.starts_with(&**prefix)
+        {
+            return Some(RuleMismatch::Path {
+                found: facts.path.into(),
+                expected: prefix.clone(),
+            });
+        }
+        let method = self.method.as_ref()?;
+        (**method != *facts.method).then(|| RuleMismatch::Method {
+            found: facts.method.into(),
+            expected: method.clone(),
+        })
+    }
+
+    fn size_mismatch(&self, facts: &RequestFacts<'_>) -> Option<RuleMismatch> {
+        let found = facts.bytes;
+        if let Some(expected) = self.min_bytes.filter(|least| found < *least) {
+            return Some(RuleMismatch::TooSmall { found, expected });
+        }
+        if let Some(expected) = self.max_bytes.filter(|most| found > *most) {
+            return Some(RuleMismatch::TooLarge { found, expected });
+        }
+        let expected = self.streamed.filter(|wanted| *wanted != facts.streamed)?;
+        let found = facts.streamed;
+        Some(RuleMismatch::Streamed { found, expected })
+    }
+
+    fn header_mismatch(&self, facts: &RequestFacts<'_>) -> Option<RuleMismatch> {
+        let (name, expected) = self.headers.iter().find(|(name, value)| {
+            !facts
+                .headers
+                .iter()
+                .any(|(n, v)| *n == &***name && *v == &***value)
+        })?;
+        let found = header(facts, name).map_or("absent".into(), |value| format!("`{value}`"));
+        Some(RuleMismatch::Header {
+            name: name.clone(),
+            found: found.into(),
+            expected: expected.clone(),
+        })
+    }
+
+    /// Whether every request that `other` matches is matched by this one too.
+    pub fn covers(&self, other: &Self) -> bool {
+        let names = |wide: &[Box<str>], narrow: &[Box<str>]| {
+            wide.is_empty() || (!narrow.is_empty() && narrow.iter().all(|name| wide.contains(name)))
+        };
+        let path = match (&self.path_prefix, &other.path_prefix) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(wide), Some(narrow)) => narrow.starts_with(&**wide),
+        };
+        names(&self.workspaces, &other.workspaces)
+            && names(&self.models, &other.models)
+            && path
+            && (self.method.is_none() || self.method == other.method)
+            && (self.streamed.is_none() || self.streamed == other.streamed)
+            && self.min_bytes.unwrap_or(0) <= other.min_bytes.unwrap_or(0)
+            && self.max_bytes.unwrap_or(u64::MAX) >= other.max_bytes.unwrap_or(u64::MAX)
+            && self
+                .headers
+                .iter()
+                .all(|(name, value)| other.headers.get(name) == Some(value))
+    }
+}
+
+/// The first rule that matches, looked for one by one: the definition that [`RuleIndex`] keeps to.
+pub fn first_match(rules: &[RuleSpec], facts: &RequestFacts<'_>) -> Option<usize> {
+    rules.iter().position(|rule| rule.when.matches(facts))
+}
+
+type RuleSet = Box<[u64]>;
+
+/// Which rules may match, by one field: those that name the value, and those that name none.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct FieldIndex {
+    any: RuleSet,
+    named: BTreeMap<Box<str>, RuleSet>,
+}
+
+impl FieldIndex {
+    fn new<'a>(rules: &'a [RuleSpec], names: impl Fn(&'a RuleMatch) -> &'a [Box<str>]) -> Self {
+        let mut any = vec![0; rules.len().div_ceil(64)].into_boxed_slice();
+        for (position, rule) in rules.iter().enumerate() {
+            if names(&rule.when).is_empty() {
+                set(&mut any, position);
+            }
+        }
+        let mut values = BTreeMap::new();
+        for (position, rule) in rules.iter().enumerate() {
+            for name in names(&rule.when) {
+                let rules = values.entry(name.clone()).or_insert_with(|| any.clone());
+                set(rules, position);
+            }
+        }
+        Self { any, named: values }
+    }
+
+    fn get(&self, name: &str) -> &[u64] {
+        self.named.get(name).unwrap_or(&self.any)
+    }
+}
+
+fn set(rules: &mut RuleSet, position: usize) {
+    rules[position / 64] |= 1 << (position % 64);
+}
+
+/// Finds the first matching rule without looking at each: one bit a rule and field value.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RuleIndex {
+    rules: usize,
+    workspaces: FieldIndex,
+    models: FieldIndex,
+    methods: FieldIndex,
+    streamed: [RuleSet; 2],
+}
+
+impl RuleIndex {
+    /// The index of a rule list.
+    pub fn new(rules: &[RuleSpec]) -> Self {
+        let streamed = [false, true].map(|streamed| {
+            let mut set_of = vec![0; rules.len().div_ceil(64)].into_boxed_slice();
+            for (position, rule) in rules.iter().enumerate() {
+                if rule.when.streamed.is_none_or(|wanted| wanted == streamed) {
+                    set(&mut set_of, position);
+                }
+            }
+            set_of
+        });
+        Self {
+            rules: rules.len(),
+            workspaces: FieldIndex::new(rules, |when| &when.workspaces),
+            models: FieldIndex::new(rules, |when| &when.models),
+            methods: FieldIndex::new(rules, |when| when.method.as_slice()),
+            streamed,
+        }
+    }
+
+    /// The first rule that matches. `rules` is the list that the index was made of.
+    pub fn first_match(&self, rules: &[RuleSpec], facts: &RequestFacts<'_>) -> Option<usize> {
+        if self.rules != rules.len() {
+            return first_match(rules, facts);
+        }
+        let workspaces = self.workspaces.get(facts.workspace);
+        let models = self.models.get(facts.model);
+        let methods = self.methods.get(facts.method);
+        let streamed = &self.streamed[usize::from(facts.streamed)];
+        for (word, streamed) in streamed.iter().enumerate() {
+            let mut left = workspaces[word] & models[word] & methods[word] & streamed;
+            while left != 0 {
+                let position = word * 64 + left.trailing_zeros() as usize;
+                if rules[position].when.matches_rest(facts) {
+                    return Some(position);
+                }
+                left &= left - 1;
+            }
+        }
+        None
+    }
+}
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -1,14 +1,42 @@
-//! The plug-in that folds the log's records into the configuration in force.
+//! The plug-in that folds the log's records into the configuration in force, keeps the fold in
+//! step with other nodes, and publishes operators' changes.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use crate::config::Config;
+use crate::configuration::checkpoint::CheckpointAssembly;
+use crate::configuration::duty::CheckpointDuty;
+use crate::configuration::fold::{ConfigFold, FoldStep, RefusedRecord};
+use crate::configuration::peers::PeerExchange;
+use crate::configuration::publish::{PublishTracker, RequestTicket};
+use crate::configuration::reach::{CountId, ReachCounter};
+use crate::configuration::reader::LogReader;
+use crate::configuration::tail::{EarlyRecords, RecordTail};
 use crate::event::{Action, Event};
-use crate::plugin::{Context, NodeProfile, Plugin, Registration};
-use crate::record::{LogRecord, Record};
+use crate::ids::NodeId;
+use crate::plugin::{Context, GaugeSample, NodeProfile, Plugin, Registration};
+use crate::record::{
+    AppendOwner, AppendResult, AppendTicket, ChangeRecord, CheckpointRecord, LogRecord,
+    PublishResult, Record,
+};
+use crate::wire::Message;
+
+pub mod checkpoint;
+pub mod duty;
+pub mod fold;
+pub mod peers;
+pub mod publish;
+pub mod reach;
+pub mod reader;
+pub mod tail;
+
+/// Starting nodes are given a checkpoint at most this often, so that many of them at once cannot
+/// take a node's time.
+const CHECKPOINT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Configuration records passed between nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -18,65 +46,363 @@
     Have {
         /// The offset.
         next: u64,
+        /// Whether the sender takes calls with it.
+        ready: bool,
+    },
+    /// The same, and the receiver is to answer with its own.
+    Ask {
+        /// The offset.
+        next: u64,
+        /// Whether the sender takes calls with it.
+        ready: bool,
+    },
+    /// "Send me the records from this offset on."
+    Want {
+        /// The offset.
+        from: u64,
     },
     /// Records that the receiver does not have yet.
     Records(Vec<LogRecord>),
+    /// A part of a checkpoint, when records that the receiver lacks are kept no longer.
+    Checkpoint {
+        /// The newest checkpoint on the log holds every record before this offset.
+        covered: u64,
+        /// The part.
+        part: Box<CheckpointRecord>,
+    },
+    /// "Count the nodes at or past this version: yourself and these."
+    Count {
+        /// The count.
+        id: CountId,
+        /// The version.
+        version: u64,
+        /// The other nodes.
+        nodes: Vec<NodeId>,
+    },
+    /// The count so far.
+    Counted {
+        /// The count.
+        id: CountId,
+        /// Nodes at or past the version.
+        nodes: u32,
+    },
 }
 
-/// Folds log records into the configuration in force.
+/// Keeps the configuration.
 #[derive(Debug, Default)]
-pub struct ConfigurationFold {
-    next: u64,
-    reading: bool,
-    config: Arc<Config>,
+pub struct ConfigurationStore {
+    fold: ConfigFold,
+    in_force: Arc<Config>,
+    ready: bool,
+    log_end: Option<u64>,
+    log_first: u64,
+    read_from: u64,
+    reader: LogReader,
+    tail: RecordTail,
+    early: EarlyRecords,
+    assembly: CheckpointAssembly,
+    duty: CheckpointDuty,
+    peers: PeerExchange,
+    publishes: PublishTracker,
+    reach: ReachCounter,
+    checkpoint_sent: Option<Duration>,
 }
 
-impl ConfigurationFold {
-    fn apply(&mut self, entry: &LogRecord) -> bool {
-        if entry.offset < self.next {
-            return false;
-        }
-        self.next = entry.offset + 1;
-        let Some(Record::Change(change)) = &entry.record else {
-            return false;
-        };
-        if change.replaces != self.config.version {
-            return false;
+impl ConfigurationStore {
+    /// Takes records from the log or from another node; keeps those that come before their turn.
+    fn take(&mut self, records: &[LogRecord], context: &mut Context<'_>) {
+        for entry in records {
+            if entry.offset == self.fold.next() {
+                self.fold_one(entry, context);
+                self.fold_early(context);
+            } else if entry.offset > self.fold.next() {
+                self.early.keep(entry.clone());
+            }
         }
-        self.config = Arc::new(Config::from_file(entry.offset + 1, &change.file));
-        true
     }
-}
 
-impl Plugin for ConfigurationFold {
-    fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
-        if matches!(event, Event::Tick) && !self.reading {
-            self.reading = true;
-            context.act(Action::ReadLog { from: self.next });
+    fn fold_early(&mut self, context: &mut Context<'_>) {
+        while let Some(entry) = self.early.take(self.fold.next()) {
+            self.fold_one(&entry, context);
         }
-        if matches!(event, Event::LogUnavailable) {
-            self.reading = false;
+    }
+
+    fn fold_one(&mut self, entry: &LogRecord, context: &mut Context<'_>) {
+        let step = self.fold.apply(entry);
+        let size = self.tail.push(entry.clone());
+        match step {
+            FoldStep::Changed(id) => {
+                self.duty.grown(size);
+                self.answer(&id, context);
+            }
+            FoldStep::Refused(id) => self.answer(&id, context),
+            FoldStep::Leased(head) => context.raise(Event::LeaseSeen(head)),
+            FoldStep::Nothing => {}
         }
-        let Event::LogRead { records, .. } = event else {
+    }
+
+    fn answer(&mut self, id: &str, context: &mut Context<'_>) {
+        let Some(result) = self.fold.result(id).cloned() else {
             return;
         };
-        let mut changed = false;
+        for request in self.publishes.folded(id, &result, context) {
+            self.count(request, &result, context);
+        }
+    }
+
+    /// Counts the nodes on which an accepted change is in force.
+    fn count(&mut self, request: RequestTicket, result: &PublishResult, context: &mut Context<'_>) {
+        if let PublishResult::Accepted { version } = result {
+            self.reach
+                .start(request, *version, self.peers.view(), context);
+        }
+    }
+
+    fn publish(
+        &mut self,
+        request: RequestTicket,
+        record: &ChangeRecord,
+        context: &mut Context<'_>,
+    ) {
+        let answered = self.publishes.request(request, record, &self.fold, context);
+        if let Some(result) = answered {
+            self.count(request, &result, context);
+        }
+    }
+
+    /// Looks for checkpoints among records of the log, and starts from one that is ahead.
+    fn take_checkpoints(&mut self, records: &[LogRecord], context: &mut Context<'_>) {
         for entry in records {
-            changed |= self.apply(entry);
+            let Some(Record::Checkpoint(part)) = &entry.record else {
+                continue;
+            };
+            if let Some(fold) = self.assembly.take(part) {
+                self.duty.seen(fold.next(), context.now);
+                self.adopt(fold, context);
+            }
+        }
+    }
+
+    /// Goes on from a state that is ahead of this node's own; one that is not changes nothing.
+    fn adopt(&mut self, fold: ConfigFold, context: &mut Context<'_>) {
+        if fold.next() <= self.fold.next() {
+            return;
+        }
+        self.fold = fold;
+        self.tail.clear();
+        if let Some(head) = self.fold.lease() {
+            context.raise(Event::LeaseSeen(head.clone()));
+        }
+        let seen: Vec<Box<str>> = self.fold.seen().map(|change| change.id.clone()).collect();
+        for id in seen {
+            self.answer(&id, context);
+        }
+        self.fold_early(context);
+    }
+
+    fn log_read(&mut self, records: &[LogRecord], end: u64, context: &mut Context<'_>) {
+        self.reader.succeeded(context.now, records.is_empty());
+        if let (Some(first), Some(last)) = (records.first(), records.last()) {
+            if first.offset > self.next_read() {
+                self.truncated(first.offset);
+            }
+            self.read_from = last.offset + 1;
+        }
+        self.take(records, context);
+        self.take_checkpoints(records, context);
+        self.log_end = Some(end);
+    }
+
+    fn truncated(&mut self, first: u64) {
+        self.log_first = self.log_first.max(first);
+        self.duty.truncated(first);
+    }
+
+    /// The offset to read next: the one to fold next if the log still holds it; or else on from
+    /// the oldest that it holds, in search of a checkpoint.
+    fn next_read(&self) -> u64 {
+        if self.fold.next() >= self.log_first {
+            return self.fold.next();
+        }
+        self.read_from.max(self.log_first)
+    }
+
+    fn message(&mut self, from: NodeId, message: &ConfigurationMessage, context: &mut Context<'_>) {
+        match message {
+            ConfigurationMessage::Have { next, ready } => self.heard(from, *next, *ready, context),
+            ConfigurationMessage::Ask { next, ready } => {
+                self.heard(from, *next, *ready, context);
+                self.tell(from, context);
+            }
+            ConfigurationMessage::Want { from: offset } => self.wanted(from, *offset, context),
+            ConfigurationMessage::Records(records) => {
+                self.peers.received();
+                self.take(records, context);
+            }
+            ConfigurationMessage::Checkpoint { covered, part } => {
+                self.peers.received();
+                self.duty.seen(*covered, context.now);
+                if let Some(fold) = self.assembly.take(part) {
+                    self.adopt(fold, context);
+                }
+            }
+            ConfigurationMessage::Count { id, version, nodes } => {
+                self.reach.asked(*id, from, *version, nodes, context);
+            }
+            ConfigurationMessage::Counted { id, nodes } => self.reach.reached(*id, from, *nodes),
+        }
+    }
+
+    fn heard(&mut self, from: NodeId, next: u64, ready: bool, context: &mut Context<'_>) {
+        self.peers.hear(from, next, ready);
+        let at_once = !self.ready || self.reader.is_out(context.now);
+        self.peers.want(self.fold.next(), at_once, context);
+    }
+
+    fn tell(&self, to: NodeId, context: &mut Context<'_>) {
+        let next = self.fold.next();
+        let ready = self.ready;
+        context.send(to, ConfigurationMessage::Have { next, ready });
+    }
+
+    fn wanted(&mut self, from: NodeId, offset: u64, context: &mut Context<'_>) {
+        if offset >= self.fold.next() {
+            self.tell(from, context);
+            return;
+        }
+        if let Some(page) = self.tail.page(offset) {
+            context.send(from, ConfigurationMessage::Records(page));
+            return;
+        }
+        let lately = |sent| context.now.saturating_sub(sent) < CHECKPOINT_PAUSE;
+        if self.checkpoint_sent.is_some_and(lately) {
+            return;
         }
-        if changed {
-            context.raise(Event::ConfigApplied(Arc::clone(&self.config)));
+        self.checkpoint_sent = Some(context.now);
+        for part in checkpoint::parts(&self.fold) {
+            let covered = self.duty.covered();
+            let part = Box::new(part);
+            context.send(from, ConfigurationMessage::Checkpoint { covered, part });
         }
-        context.act(Action::ReadLog { from: self.next });
+    }
+
+    fn appended(&mut self, ticket: AppendTicket, result: AppendResult, context: &mut Context<'_>) {
+        if ticket.is_of(AppendOwner::Publish) {
+            self.publishes.appended(ticket, result, context);
+        }
+        if ticket.is_of(AppendOwner::Checkpoint) {
+            self.duty.appended(ticket, result, context);
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<'_>) {
+        let log_out = self.reader.is_out(context.now);
+        self.publishes.tick(context);
+        self.peers
+            .tick(self.fold.next(), self.ready, log_out, context);
+        if self.ready && !log_out {
+            self.duty.tick(&self.fold, self.peers.view(), context);
+        }
+    }
+
+    /// Whether this node holds the newest state that the log or the other nodes can show. Stays
+    /// once it holds: the state only moves on.
+    fn is_newest(&self, now: Duration) -> bool {
+        let known = self.fold.config().version > 0 && self.fold.next() >= self.peers.newest();
+        let log = self.log_end.is_some_and(|end| self.fold.next() >= end);
+        let peers = self.reader.is_out(now) && self.peers.have_shown();
+        known && self.peers.have_answered(now) && (log || peers)
+    }
+
+    /// After every event: goes into force, announces and reads on.
+    fn settle(&mut self, context: &mut Context<'_>) {
+        self.ready |= self.is_newest(context.now);
+        if self.ready && self.fold.config().version > self.in_force.version {
+            self.in_force = Arc::new(self.fold.config().clone());
+            context.raise(Event::ConfigApplied(Arc::clone(&self.in_force)));
+            self.peers.announce(self.fold.next(), self.ready, context);
+        }
+        self.reach.tick(self.in_force.version, context);
+        if self.reader.poll(context.now) {
+            let from = self.next_read();
+            context.act(Action::ReadLog { from });
+        }
+    }
+}
+
+impl Plugin for ConfigurationStore {
+    fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
+        match event {
+            Event::LogRead { records, end } => self.log_read(records, *end, context),
+            Event::LogTruncated { first } => {
+                self.reader.succeeded(context.now, false);
+                self.truncated(*first);
+            }
+            Event::LogUnavailable => self.reader.failed(context.now, context.random),
+            Event::AppendDone { ticket, result } => self.appended(*ticket, *result, context),
+            Event::PeerMessage {
+                from,
+                message: Message::Configuration(message),
+            } => self.message(*from, message, context),
+            Event::MembersChanged(view) => self.peers.see(view),
+            Event::PublishRequested { request, record } => {
+                self.publish(*request, record, context);
+            }
+            Event::DocumentsRequested(request) => context.act(Action::DocumentsAnswered {
+                request: *request,
+                list: self.fold.documents(),
+            }),
+            Event::Tick => self.tick(context),
+            _ => return,
+        }
+        self.settle(context);
     }
 
     fn dump(&self) -> Value {
-        json!({ "next_offset": self.next, "version": self.config.version })
+        let refused: Vec<&RefusedRecord> = self.fold.refused().collect();
+        json!({
+            "version": self.in_force.version,
+            "ready": self.ready,
+            "next_offset": self.fold.next(),
+            "log_end": self.log_end,
+            "log_first": self.log_first,
+            "newest_told": self.peers.newest(),
+            "checkpoint_through": self.duty.covered(),
+            "kept_records": self.tail.len(),
+            "open_publishes": self.publishes.len(),
+            "refused": refused,
+        })
+    }
+
+    fn gauges(&self) -> Vec<GaugeSample> {
+        let sample = |name, help, value| GaugeSample {
+            name,
+            help,
+            kind: "",
+            value,
+        };
+        vec![
+            sample(
+                "config_version",
+                "Version of the configuration in force",
+                self.in_force.version as f64,
+            ),
+            sample(
+                "config_ready",
+                "1 once the newest configuration known is in force here, or else 0",
+                f64::from(u8::from(self.ready)),
+            ),
+            sample(
+                "config_next_offset",
+                "Offset on the log before which every record is folded",
+                self.fold.next() as f64,
+            ),
+        ]
     }
 }
 
 fn build(_profile: &NodeProfile) -> Box<dyn Plugin> {
-    Box::<ConfigurationFold>::default()
+    Box::<ConfigurationStore>::default()
 }
 
 inventory::submit! {
--- /dev/null
+++ b/kernel/src/configuration/checkpoint.rs
@@ -0,0 +1,118 @@
+//! Checkpoints: the fold's state in parts small enough for one record or message each.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::config::VersionedDocument;
+use crate::configuration::fold::ConfigFold;
+use crate::record::{CheckpointRecord, SeenChange};
+
+/// The size that a part is filled up to, in bytes of JSON.
+pub const PART_BYTES: usize = 48 * 1024;
+
+/// Checkpoints that are put together at a time; the oldest gives way.
+const OPEN_CHECKPOINTS: usize = 4;
+
+/// The size of a value as JSON, in bytes.
+pub fn json_size(value: &impl Serialize) -> usize {
+    serde_json::to_vec(value).map_or(0, |text| text.len())
+}
+
+fn chunks<T: Serialize>(items: impl IntoIterator<Item = T>) -> Vec<Vec<T>> {
+    let mut chunks = Vec::new();
+    let mut chunk = Vec::new();
+    let mut size = 0;
+    for item in items {
+        let more = json_size(&item);
+        if size + more > PART_BYTES && !chunk.is_empty() {
+            chunks.push(std::mem::take(&mut chunk));
+            size = 0;
+        }
+        size += more;
+        chunk.push(item);
+    }
+    if !chunk.is_empty() {
+        chunks.push(chunk);
+    }
+    chunks
+}
+
+/// The state as checkpoint parts. The same state gives the same parts.
+pub fn parts(fold: &ConfigFold) -> Vec<CheckpointRecord> {
+    let list = fold.documents();
+    let seen: Vec<SeenChange> = fold.seen().cloned().collect();
+    let whole = serde_json::to_vec(&(&list, &seen, fold.lease())).unwrap_or_default();
+    let blank = CheckpointRecord {
+        through: fold.next(),
+        digest: xxh3_64(&whole),
+        part: 0,
+        parts: 0,
+        version: fold.config().version,
+        documents: Vec::new(),
+        seen: Vec::new(),
+        lease: fold.lease().cloned(),
+    };
+    let mut parts = Vec::new();
+    for documents in chunks(list.documents) {
+        let part = blank.clone();
+        parts.push(CheckpointRecord { documents, ..part });
+    }
+    for seen in chunks(seen) {
+        let part = blank.clone();
+        parts.push(CheckpointRecord { seen, ..part });
+    }
+    if parts.is_empty() {
+        parts.push(blank);
+    }
+    let count = parts.len() as u32;
+    for (position, part) in parts.iter_mut().enumerate() {
+        part.part = position as u32;
+        part.parts = count;
+    }
+    parts
+}
+
+/// Puts checkpoints together from parts that come in any order, more than once, or never.
+#[derive(Clone, Debug, Default)]
+pub struct CheckpointAssembly {
+    open: BTreeMap<(u64, u64), BTreeMap<u32, CheckpointRecord>>,
+}
+
+impl CheckpointAssembly {
+    /// Takes a part. The state, if it was the last one missing.
+    pub fn take(&mut self, part: &CheckpointRecord) -> Option<ConfigFold> {
+        let name = (part.through, part.digest);
+        let parts = self.open.entry(name).or_default();
+        parts.insert(part.part, part.clone());
+        let wanted = part.parts as usize;
+        if wanted > 0 && parts.len() == wanted {
+            let parts = self.open.remove(&name)?;
+            return Some(join(&parts));
+        }
+        while self.open.len() > OPEN_CHECKPOINTS {
+            self.open.pop_first();
+        }
+        None
+    }
+}
+
+fn join(parts: &BTreeMap<u32, CheckpointRecord>) -> ConfigFold {
+    let documents: Vec<VersionedDocument> = parts
+        .values()
+        .flat_map(|part| part.documents.iter().cloned())
+        .collect();
+    let seen: Vec<SeenChange> = parts
+        .values()
+        .flat_map(|part| part.seen.iter().cloned())
+        .collect();
+    let first = parts.values().next();
+    ConfigFold::restore(
+        first.map_or(0, |part| part.through),
+        first.map_or(0, |part| part.version),
+        &documents,
+        &seen,
+        first.and_then(|part| part.lease.clone()),
+    )
+}
--- /dev/null
+++ b/kernel/src/configuration/fold.rs
@@ -0,0 +1,329 @@
+//! The fold of the log's records: a pure function of the records in order of offset.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::Serialize;
+
+use crate::config::check::{ConfigFault, check_dependents, check_document};
+use crate::config::{Config, Document, DocumentKey, DocumentList, VersionedDocument};
+use crate::record::{
+    ChangeRecord, DocumentChange, LeaseHead, LeaseRecord, LogRecord, PublishResult, Record,
+    SeenChange,
+};
+
+/// Changes whose identifiers are remembered. A change that is older and is sent again conflicts
+/// with its own first record, since that one raised the versions.
+pub const SEEN_CHANGES: usize = 1_024;
+
+/// Refused and skipped records that the state dump shows.
+const SHOWN_REFUSALS: usize = 32;
+
+/// The longest identifier of a change, in bytes.
+const MAX_ID: usize = 64;
+
+/// A record that was folded without effect.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RefusedRecord {
+    /// The offset.
+    pub offset: u64,
+    /// The change's identifier; none for a record of unknown shape.
+    pub id: Option<Box<str>>,
+    /// Why.
+    pub reason: Box<str>,
+}
+
+/// What a record came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FoldStep {
+    /// The configuration changed.
+    Changed(Box<str>),
+    /// A change was refused.
+    Refused(Box<str>),
+    /// The lease moved on.
+    Leased(LeaseHead),
+    /// Nothing.
+    Nothing,
+}
+
+/// The state after all records before an offset.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigFold {
+    next: u64,
+    config: Config,
+    versions: BTreeMap<DocumentKey, u64>,
+    results: BTreeMap<Box<str>, SeenChange>,
+    seen: VecDeque<Box<str>>,
+    lease: Option<LeaseHead>,
+    refused: VecDeque<RefusedRecord>,
+}
+
+impl ConfigFold {
+    /// The state that a checkpoint holds.
+    pub fn restore(
+        next: u64,
+        version: u64,
+        documents: &[VersionedDocument],
+        seen: &[SeenChange],
+        lease: Option<LeaseHead>,
+    ) -> Self {
+        let mut fold = Self {
+            next,
+            lease,
+            ..Self::default()
+        };
+        for document in documents {
+            let key = document.content.key();
+            fold.versions.insert(key, document.version);
+            fold.config.put(document.content.clone());
+        }
+        fold.config.version = version;
+        for change in seen {
+            fold.remember(change.clone());
+        }
+        fold
+    }
+
+    /// Every record before this offset is folded.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// The configuration. A clone shares its parts.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// The newest valid lease.
+    pub fn lease(&self) -> Option<&LeaseHead> {
+        self.lease.as_ref()
+    }
+
+    /// The changes that are remembered, oldest first.
+    pub fn seen(&self) -> impl Iterator<Item = &SeenChange> {
+        self.seen.iter().filter_map(|id| self.results.get(id))
+    }
+
+    /// What became of a change; none when its record was not folded, or long ago.
+    pub fn result(&self, id: &str) -> Option<&PublishResult> {
+        self.results.get(id).map(|change| &change.result)
+    }
+
+    /// Refused and unknown records, oldest first.
+    pub fn refused(&self) -> impl Iterator<Item = &RefusedRecord> {
+        self.refused.iter()
+    }
+
+    /// The version of a document; 0 when it is absent.
+    pub fn version_of(&self, key: &DocumentKey) -> u64 {
+        self.versions.get(key).copied().unwrap_or_default()
+    }
+
+    /// Every document with its version, in the order of their keys.
+    pub fn documents(&self) -> DocumentList {
+        let documents = self.versions.iter().filter_map(|(key, version)| {
+            Some(VersionedDocument {
+                version: *version,
+                content: self.config.document(key)?,
+            })
+        });
+        DocumentList {
+            version: self.config.version,
+            documents: documents.collect(),
+        }
+    }
+
+    /// Folds the next record. One with another offset than the next is not folded.
+    pub fn apply(&mut self, entry: &LogRecord) -> FoldStep {
+        if entry.offset != self.next {
+            return FoldStep::Nothing;
+        }
+        self.next += 1;
+        match &entry.record {
+            Some(Record::Change(change)) => self.apply_change(entry.offset, change),
+            Some(Record::Lease(lease)) => self.apply_lease(entry.offset, lease),
+            Some(Record::Checkpoint(_)) => FoldStep::Nothing,
+            None => {
+                self.refuse(entry.offset, None, "its shape is unknown".into());
+                FoldStep::Nothing
+            }
+        }
+    }
+
+    fn apply_lease(&mut self, offset: u64, record: &LeaseRecord) -> FoldStep {
+        let head = self.lease.as_ref().map_or(0, |head| head.offset + 1);
+        if record.follows != head {
+            return FoldStep::Nothing;
+        }
+        let record = record.clone();
+        let head = LeaseHead { offset, record };
+        self.lease = Some(head.clone());
+        FoldStep::Leased(head)
+    }
+
+    fn apply_change(&mut self, offset: u64, change: &ChangeRecord) -> FoldStep {
+        if self.results.contains_key(&change.id) {
+            return FoldStep::Nothing;
+        }
+        let version = offset + 1;
+        let refusal = self.replace(version, change);
+        let step = if let Some(refusal) = &refusal {
+            self.refuse(offset, Some(&change.id), refusal.to_string());
+            FoldStep::Refused(change.id.clone())
+        } else {
+            self.config.version = version;
+            FoldStep::Changed(change.id.clone())
+        };
+        if change.id.len() <= MAX_ID {
+            self.remember(SeenChange {
+                id: change.id.clone(),
+                offset,
+                result: refusal.unwrap_or(PublishResult::Accepted { version }),
+            });
+        }
+        step
+    }
+
+    /// What refuses the change for good, whatever is folded before it: its shape, or a version in
+    /// force that is newer than the one that it replaces.
+    pub fn preview(&self, change: &ChangeRecord) -> Option<PublishResult> {
+        if let Some(reason) = wrong_shape(change) {
+            return Some(PublishResult::Invalid { reason });
+        }
+        self.conflict(change).filter(|conflict| {
+            matches!(conflict, PublishResult::Conflict { expected, found, .. } if found > expected)
+        })
+    }
+
+    fn conflict(&self, change: &ChangeRecord) -> Option<PublishResult> {
+        let one = change
+            .changes
+            .iter()
+            .find(|one| one.replaces != self.version_of(&one.key))?;
+        Some(PublishResult::Conflict {
+            key: one.key.clone(),
+            expected: one.replaces,
+            found: self.version_of(&one.key),
+        })
+    }
+
+    fn replace(&mut self, version: u64, change: &ChangeRecord) -> Option<PublishResult> {
+        if let Some(reason) = wrong_shape(change) {
+            return Some(PublishResult::Invalid { reason });
+        }
+        if let Some(conflict) = self.conflict(change) {
+            return Some(conflict);
+        }
+        let before: Vec<_> = change
+            .changes
+            .iter()
+            .map(|one| self.set(version, one))
+            .collect();
+        let reason = self.wrong_content(change)?;
+        for (one, old) in change.changes.iter().zip(before).rev() {
+            let undo = DocumentChange {
+                key: one.key.clone(),
+                replaces: 0,
+                content: old,
+            };
+            self.set(one.replaces, &undo);
+        }
+        self.config.reindex();
+        Some(PublishResult::Invalid { reason })
+    }
+
+    /// Sets or removes a document and gives the content before.
+    fn set(&mut self, version: u64, change: &DocumentChange) -> Option<Document> {
+        let before = self.config.document(&change.key);
+        if let Some(content) = &change.content {
+            self.config.put(content.clone());
+            self.versions.insert(change.key.clone(), version);
+        } else {
+            self.config.remove(&change.key);
+            self.versions.remove(&change.key);
+        }
+        before
+    }
+
+    fn wrong_content(&self, change: &ChangeRecord) -> Option<Box<str>> {
+        let tokens = self.config.tokens.len() == self.config.workspaces.len();
+        let addresses = self.config.addresses.len() == self.config.upstreams.len();
+        if !tokens {
+            return Some("two workspaces have the same token; expected one each".into());
+        }
+        if !addresses {
+            return Some("two upstreams have the same address; expected one each".into());
+        }
+        change.changes.iter().find_map(|one| {
+            let faults = match &one.content {
+                Some(content) => check_document(&self.config, content),
+                None => Vec::new(),
+            };
+            let dependents = check_dependents(&self.config, &one.key, one.content.is_none());
+            let fault = faults.into_iter().chain(dependents).next()?;
+            Some(describe(&one.key, &fault))
+        })
+    }
+
+    fn remember(&mut self, change: SeenChange) {
+        self.seen.push_back(change.id.clone());
+        self.results.insert(change.id.clone(), change);
+        while self.seen.len() > SEEN_CHANGES {
+            if let Some(oldest) = self.seen.pop_front() {
+                self.results.remove(&oldest);
+            }
+        }
+    }
+
+    fn refuse(&mut self, offset: u64, id: Option<&str>, reason: String) {
+        self.refused.push_back(RefusedRecord {
+            offset,
+            id: id.map(|id| id.chars().take(MAX_ID).collect::<String>().into()),
+            reason: reason.into(),
+        });
+        while self.refused.len() > SHOWN_REFUSALS {
+            self.refused.pop_front();
+        }
+    }
+}
+
+fn describe(key: &DocumentKey, fault: &ConfigFault) -> Box<str> {
+    if fault.path.0.is_empty() {
+        return format!("{key}: {}", fault.message).into();
+    }
+    format!("{key}: {}: {}", fault.path, fault.message).into()
+}
+
+fn wrong_shape(change: &ChangeRecord) -> Option<Box<str>> {
+    if change.id.is_empty() || change.id.len() > MAX_ID {
+        return Some(
+            format!(
+                "the id has {} bytes; expected 1 to {MAX_ID}",
+                change.id.len()
+            )
+            .into(),
+        );
+    }
+    if change.changes.is_empty() {
+        return Some("no document is changed; expected at least one".into());
+    }
+    let mut keys = BTreeSet::new();
+    for one in &change.changes {
+        if !keys.insert(&one.key) {
+            return Some(format!("{} is changed twice; expected once", one.key).into());
+        }
+        match &one.content {
+            Some(content) if content.key() != one.key => {
+                let found = content.key();
+                return Some(format!("{} holds {found}; expected itself", one.key).into());
+            }
+            Some(Document::Rules(rules)) if rules.is_empty() => {
+                return Some("the rule list is empty; expected a rule, or its removal".into());
+            }
+            None if one.replaces == 0 => {
+                return Some(format!("{} is absent; expected it to remove it", one.key).into());
+            }
+            _ => {}
+        }
+    }
+    None
+}
--- /dev/null
+++ b/kernel/src/configuration/peers.rs
@@ -0,0 +1,215 @@
+//! Passing records between nodes, so that an outage of the log neither splits nor stops the fleet.
+//!
+//! A change is announced by its offset to a few neighbours, which announce it on: the neighbours
+//! of all nodes form a circulant graph, so the links are few and stay the same. Records themselves
+//! go only to a node that still lacks them after a while, since the log brings them to most. A
+//! slow comparison with one other node at a time (anti-entropy) mends whatever was lost.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::configuration::ConfigurationMessage;
+use crate::ids::NodeId;
+use crate::membership::{MemberView, NodeState};
+use crate::plugin::Context;
+
+/// Time between two comparisons with another node.
+const COMPARE_EVERY: Duration = Duration::from_secs(4);
+
+/// How long the log has to bring records that another node is known to have.
+const LOG_GRACE: Duration = Duration::from_millis(300);
+
+/// After this long without an answer another node is asked for the records.
+const ANSWER_WAIT: Duration = Duration::from_secs(1);
+
+/// Nodes that a starting node asks.
+const FIRST_ASKED: usize = 5;
+
+/// What another node said of itself.
+#[derive(Clone, Copy, Debug)]
+struct PeerOffset {
+    next: u64,
+    ready: bool,
+}
+
+/// What the other nodes have, and which of them is asked for what.
+#[derive(Clone, Debug, Default)]
+pub struct PeerExchange {
+    view: Arc<MemberView>,
+    told: BTreeMap<NodeId, PeerOffset>,
+    compare_at: Option<Duration>,
+    behind_since: Option<Duration>,
+    wanted: Option<(NodeId, Duration)>,
+    asked: BTreeSet<NodeId>,
+    asked_at: Option<Duration>,
+    last_asked: Option<Duration>,
+}
+
+/// The node's neighbours among the live nodes, at growing distances in the order of identifiers.
+pub fn neighbours(view: &MemberView, node: NodeId) -> Vec<NodeId> {
+    let live: Vec<NodeId> = live_nodes(view).collect();
+    let count = live.len();
+    let Some(own) = live.iter().position(|other| *other == node) else {
+        return live.into_iter().take(3).collect();
+    };
+    let stride = (count as f64).cbrt().ceil() as usize;
+    [1, stride, stride * stride]
+        .into_iter()
+        .filter(|distance| distance % count != 0)
+        .map(|distance| live[(own + distance) % count])
+        .collect::<BTreeSet<_>>()
+        .into_iter()
+        .collect()
+}
+
+/// The nodes that answer, in the order of identifiers.
+pub fn live_nodes(view: &MemberView) -> impl Iterator<Item = NodeId> + '_ {
+    view.members
+        .iter()
+        .filter(|(_, member)| matches!(member.state, NodeState::Live | NodeState::Leaving))
+        .map(|(node, _)| *node)
+}
+
+impl PeerExchange {
+    /// Takes the newest view of which nodes live.
+    pub fn see(&mut self, view: &Arc<MemberView>) {
+        self.view = Arc::clone(view);
+        let live: BTreeSet<NodeId> = live_nodes(view).collect();
+        self.told.retain(|node, _| live.contains(node));
+        self.asked.retain(|node| live.contains(node));
+    }
+
+    /// The view of which nodes live.
+    pub fn view(&self) -> &MemberView {
+        &self.view
+    }
+
+    /// Another node said how far it is.
+    pub fn hear(&mut self, from: NodeId, next: u64, ready: bool) {
+        let told = self.told.entry(from).or_insert(PeerOffset { next, ready });
+        told.next = told.next.max(next);
+        told.ready |= ready;
+    }
+
+    /// The newest offset that a live node has told.
+    pub fn newest(&self) -> u64 {
+        self.told
+            .values()
+            .map(|told| told.next)
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Whether every node that was asked at the start has answered, or had the time to.
+    pub fn have_answered(&self, now: Duration) -> bool {
+        let Some(asked_at) = self.asked_at else {
+            return false;
+        };
+        let all = self.asked.iter().all(|node| self.told.contains_key(node));
+        all || now.saturating_sub(asked_at) > ANSWER_WAIT * 2
+    }
+
+    /// Whether a node that takes calls itself has told how far it is.
+    pub fn have_shown(&self) -> bool {
+        self.told.values().any(|told| told.ready)
+    }
+
+    /// Announces a new offset to the neighbours.
+    pub fn announce(&self, next: u64, ready: bool, context: &mut Context<'_>) {
+        for node in neighbours(&self.view, context.profile.node) {
+            context.send(node, ConfigurationMessage::Have { next, ready });
+        }
+    }
+
+    /// Something that was asked for has come.
+    pub fn received(&mut self) {
+        self.wanted = None;
+    }
+
+    /// Does what is due: asks at the start, compares now and then, wants what is missing.
+    pub fn tick(&mut self, next: u64, ready: bool, log_out: bool, context: &mut Context<'_>) {
+        if !ready {
+            self.ask_first(next, context);
+        }
+        self.compare(next, ready, context);
+        self.want(next, !ready || log_out, context);
+    }
+
+    fn ask_first(&mut self, next: u64, context: &mut Context<'_>) {
+        self.asked_at.get_or_insert(context.now);
+        let waited = |since| context.now.saturating_sub(since) > ANSWER_WAIT;
+        let unanswered = |node: &NodeId| !self.told.contains_key(node);
+        let missing = self.asked.is_empty() || self.asked.iter().any(unanswered);
+        if !missing || !self.last_asked.is_none_or(waited) {
+            return;
+        }
+        let own = context.profile.node;
+        let mut others: Vec<NodeId> = live_nodes(&self.view).filter(|node| *node != own).collect();
+        if others.is_empty() {
+            return;
+        }
+        self.last_asked = Some(context.now);
+        for _ in 0..FIRST_ASKED.min(others.len()) {
+            let node = others.swap_remove(context.random.random_range(0..others.len()));
+            self.asked.insert(node);
+            context.send(node, ConfigurationMessage::Ask { next, ready: false });
+        }
+    }
+
+    fn compare(&mut self, next: u64, ready: bool, context: &mut Context<'_>) {
+        let jitter = context.random.random_range(0.5..1.5);
+        let due = self
+            .compare_at
+            .get_or_insert(context.now + COMPARE_EVERY.mul_f64(jitter));
+        if context.now < *due {
+            return;
+        }
+        self.compare_at = Some(context.now + COMPARE_EVERY.mul_f64(jitter));
+        let Some(node) = self.partner(context) else {
+            return;
+        };
+        context.send(node, ConfigurationMessage::Ask { next, ready });
+    }
+
+    /// Mostly a neighbour, since the link to it exists; now and then any node.
+    fn partner(&self, context: &mut Context<'_>) -> Option<NodeId> {
+        let own = context.profile.node;
+        let near = neighbours(&self.view, own);
+        if !near.is_empty() && context.random.random_range(0..4) > 0 {
+            return Some(near[context.random.random_range(0..near.len())]);
+        }
+        let others: Vec<NodeId> = live_nodes(&self.view).filter(|node| *node != own).collect();
+        if others.is_empty() {
+            return None;
+        }
+        Some(others[context.random.random_range(0..others.len())])
+    }
+
+    /// Asks one node for records that it has and this one lacks.
+    pub fn want(&mut self, next: u64, at_once: bool, context: &mut Context<'_>) {
+        let ahead: Vec<NodeId> = self
+            .told
+            .iter()
+            .filter(|(_, told)| told.next > next)
+            .map(|(node, _)| *node)
+            .collect();
+        if ahead.is_empty() {
+            self.behind_since = None;
+            return;
+        }
+        let since = *self.behind_since.get_or_insert(context.now);
+        let patient = !at_once && context.now.saturating_sub(since) < LOG_GRACE;
+        let answering = self
+            .wanted
+            .is_some_and(|(_, since)| context.now.saturating_sub(since) < ANSWER_WAIT);
+        if patient || answering {
+            return;
+        }
+        let node = ahead[context.random.random_range(0..ahead.len())];
+        self.wanted = Some((node, context.now));
+        context.send(node, ConfigurationMessage::Want { from: next });
+    }
+}
--- /dev/null
+++ b/kernel/src/configuration/reach.rs
@@ -0,0 +1,248 @@
+//! Counting the nodes on which a version is in force: one message to a node of each availability
+//! zone, which counts its own zone.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::ConfigurationMessage;
+use crate::configuration::peers::live_nodes;
+use crate::configuration::publish::RequestTicket;
+use crate::event::Action;
+use crate::ids::{NodeId, ZoneId};
+use crate::membership::MemberView;
+use crate::plugin::Context;
+
+/// How long a count goes on.
+const COUNT_FOR: Duration = Duration::from_secs(30);
+
+/// Time between two questions to nodes that have not reached the version.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+
+/// Counts that a node takes part in at a time.
+const MAX_COUNTS: usize = 64;
+
+/// Names a count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CountId {
+    /// The node that counts.
+    pub node: NodeId,
+    /// Numbers that node's counts.
+    pub sequence: u64,
+}
+
+/// How far an accepted change has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishProgress {
+    /// Nodes on which it is known to be in force.
+    pub in_force: u32,
+    /// Nodes known to live.
+    pub of: u32,
+}
+
+#[derive(Clone, Debug)]
+enum CountParent {
+    Request(RequestTicket),
+    Node(NodeId),
+}
+
+#[derive(Clone, Debug)]
+struct NodeCount {
+    version: u64,
+    parent: CountParent,
+    /// The nodes asked, each with the nodes that it asks in turn.
+    asked: BTreeMap<NodeId, Vec<NodeId>>,
+    reached: BTreeMap<NodeId, u32>,
+    of: u32,
+    told: Option<u32>,
+    ask_at: Duration,
+    expires: Duration,
+}
+
+/// Counts under way.
+#[derive(Clone, Debug, Default)]
+pub struct ReachCounter {
+    counts: BTreeMap<CountId, NodeCount>,
+    sequence: u64,
+}
+
+fn by_zone(view: &MemberView, own: NodeId) -> BTreeMap<NodeId, Vec<NodeId>> {
+    let mut zones: BTreeMap<ZoneId, Vec<NodeId>> = BTreeMap::new();
+    for node in live_nodes(view).filter(|node| *node != own) {
+        zones
+            .entry(view.members[&node].zone)
+            .or_default()
+            .push(node);
+    }
+    zones
+        .into_values()
+        .filter_map(|mut nodes| {
+            let head = nodes.pop()?;
+            Some((head, nodes))
+        })
+        .collect()
+}
+
+impl ReachCounter {
+    /// Counts the nodes at or past a version for a publisher.
+    pub fn start(
+        &mut self,
+        request: RequestTicket,
+        version: u64,
+        view: &MemberView,
+        context: &mut Context<'_>,
+    ) {
+        self.sequence += 1;
+        let id = CountId {
+            node: context.profile.node,
+            sequence: self.sequence,
+        };
+        let asked = by_zone(view, context.profile.node);
+        let of = asked
+            .values()
+            .map(|nodes| nodes.len() as u32 + 1)
+            .sum::<u32>()
+            + 1;
+        self.insert(
+            id,
+            version,
+            CountParent::Request(request),
+            asked,
+            of,
+            context,
+        );
+    }
+
+    /// Another node counts.
+    pub fn asked(
+        &mut self,
+        id: CountId,
+        from: NodeId,
+        version: u64,
+        nodes: &[NodeId],
+        context: &mut Context<'_>,
+    ) {
+        if let Some(count) = self.counts.get_mut(&id) {
+            count.told = None;
+            return;
+        }
+        let asked: BTreeMap<NodeId, Vec<NodeId>> =
+            nodes.iter().map(|node| (*node, Vec::new())).collect();
+        let of = asked.len() as u32 + 1;
+        self.insert(id, version, CountParent::Node(from), asked, of, context);
+    }
+
+    fn insert(
+        &mut self,
+        id: CountId,
+        version: u64,
+        parent: CountParent,
+        asked: BTreeMap<NodeId, Vec<NodeId>>,
+        of: u32,
+        context: &Context<'_>,
+    ) {
+        if self.counts.len() >= MAX_COUNTS {
+            return;
+        }
+        let count = NodeCount {
+            version,
+            parent,
+            asked,
+            reached: BTreeMap::new(),
+            of,
+            told: None,
+            ask_at: Duration::ZERO,
+            expires: context.now + COUNT_FOR,
+        };
+        self.counts.insert(id, count);
+    }
+
+    /// A node that was asked has counted.
+    pub fn reached(&mut self, id: CountId, from: NodeId, nodes: u32) {
+        let Some(count) = self.counts.get_mut(&id) else {
+            return;
+        };
+        if let Some(asked) = count.asked.get(&from) {
+            let most = asked.len() as u32 + 1;
+            count.reached.insert(from, nodes.min(most));
+        }
+    }
+
+    /// Asks what is due, tells news, and ends what is complete or old. `version` is the one in
+    /// force here.
+    pub fn tick(&mut self, version: u64, context: &mut Context<'_>) {
+        let mut done = BTreeSet::new();
+        for (id, count) in &mut self.counts {
+            count.ask(*id, context);
+            let own = u32::from(version >= count.version);
+            let reached = own + count.reached.values().sum::<u32>();
+            count.tell(*id, reached, context);
+            if reached >= count.of || context.now >= count.expires {
+                done.insert(*id);
+            }
+        }
+        self.counts.retain(|id, _| !done.contains(id));
+    }
+}
+
+impl NodeCount {
+    fn ask(&mut self, id: CountId, context: &mut Context<'_>) {
+        if context.now < self.ask_at {
+            return;
+        }
+        if self.ask_at > Duration::ZERO {
+            self.replace_silent();
+        }
+        self.ask_at = context.now + ASK_AGAIN;
+        for (node, nodes) in &self.asked {
+            let counted = self.reached.get(node).copied().unwrap_or_default();
+            if counted <= nodes.len() as u32 {
+                let count = ConfigurationMessage::Count {
+                    id,
+                    version: self.version,
+                    nodes: nodes.clone(),
+                };
+                context.send(*node, count);
+            }
+        }
+    }
+
+    /// Asks another node of a group in place of one that has not answered at all.
+    fn replace_silent(&mut self) {
+        let silent: Vec<NodeId> = self
+            .asked
+            .iter()
+            .filter(|(node, nodes)| !nodes.is_empty() && !self.reached.contains_key(node))
+            .map(|(node, _)| *node)
+            .collect();
+        for node in silent {
+            let Some(mut nodes) = self.asked.remove(&node) else {
+                continue;
+            };
+            let head = nodes.remove(0);
+            nodes.push(node);
+            self.asked.insert(head, nodes);
+        }
+    }
+
+    fn tell(&mut self, id: CountId, reached: u32, context: &mut Context<'_>) {
+        let news = self.told != Some(reached) && (reached > 0 || self.told.is_some());
+        if !news {
+            return;
+        }
+        self.told = Some(reached);
+        match self.parent {
+            CountParent::Request(request) => context.act(Action::PublishProgressed {
+                request,
+                progress: PublishProgress {
+                    in_force: reached,
+                    of: self.of,
+                },
+            }),
+            CountParent::Node(node) => {
+                context.send(node, ConfigurationMessage::Counted { id, nodes: reached });
+            }
+        }
+    }
+}
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use crate::call::{AttemptEnd, AttemptStart, CallOutcome, CallSpec, LoadReport};
-use crate::config::Config;
+use crate::config::{Config, DocumentList};
+use crate::configuration::publish::RequestTicket;
+use crate::configuration::reach::PublishProgress;
 use crate::ids::{AttemptId, CallId, NodeId, UpstreamId};
 use crate::leases::OrderRequest;
 use crate::membership::{HostEntry, MemberView};
 use crate::ownership::OwnerMap;
-use crate::record::{AppendResult, AppendTicket, LogRecord, Record};
+use crate::record::{
+    AppendResult, AppendTicket, ChangeRecord, LeaseHead, LogRecord, PublishResult, Record,
+};
 use crate::wire::Message;
 
 /// An input to the kernel: from an edge, or from one plug-in to the others.
@@ -120,6 +124,17 @@
     UpstreamLeaving(UpstreamId),
     /// This node is leaving: no new calls, queued work goes to other nodes.
     NodeLeaving,
+    /// An operator publishes a change. Answered by [`Action::PublishAnswered`].
+    PublishRequested {
+        /// Names the request in its answer.
+        request: RequestTicket,
+        /// The change.
+        record: ChangeRecord,
+    },
+    /// An operator asks for every document in force. Answered by [`Action::DocumentsAnswered`].
+    DocumentsRequested(RequestTicket),
+    /// A valid lease record was folded, or stands in the checkpoint that this node started from.
+    LeaseSeen(LeaseHead),
 }
 
 /// A request of the kernel to the process around it.
@@ -188,4 +203,27 @@
     UseMembers(Arc<MemberView>),
     /// These are the owners of upstreams now.
     UseOwners(Arc<OwnerMap>),
+    /// What became of a change that an operator published.
+    PublishAnswered {
+        /// The request.
+        request: RequestTicket,
+        /// The change's identifier.
+        id: Box<str>,
+        /// The result.
+        result: PublishResult,
+    },
+    /// How far an accepted change has come; told after its answer, each time that it is news.
+    PublishProgressed {
+        /// The request.
+        request: RequestTicket,
+        /// Nodes on which it is in force.
+        progress: PublishProgress,
+    },
+    /// Every document in force.
+    DocumentsAnswered {
+        /// The request.
+        request: RequestTicket,
+        /// The documents.
+        list: DocumentList,
+    },
 }
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -28,8 +28,15 @@
 impl Kernel {
     /// A kernel with every registered plug-in.
     pub fn new(profile: NodeProfile) -> Self {
-        let mut registrations: Vec<&Registration> =
-            inventory::iter::<Registration>.into_iter().collect();
+        Self::with_plugins(profile, |_| true)
+    }
+
+    /// A kernel with the plug-ins whose names are wanted, to try them by themselves.
+    pub fn with_plugins(profile: NodeProfile, wanted: impl Fn(&str) -> bool) -> Self {
+        let mut registrations: Vec<&Registration> = inventory::iter::<Registration>
+            .into_iter()
+            .filter(|registration| wanted(registration.name))
+            .collect();
         registrations.sort_by_key(|registration| (registration.order, registration.name));
         let slots = registrations
             .into_iter()
--- /dev/null
+++ b/kernel/tests/configuration/main.rs
@@ -0,0 +1,8 @@
+//! Configuration on the log, between nodes that exchange messages by the tests' own hand.
+
+mod check;
+mod fold;
+mod outages;
+mod publish;
+mod rules;
+mod support;
