--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answers;
 pub mod callers;
 pub mod calls;
+pub mod changes;
 pub mod completions;
 pub mod counters;
 pub mod driver;
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::calls::CallTable;
+use crate::changes::ChangeTable;
 use crate::counters::NodeCounters;
 use crate::frame::{Frame, RequestParts};
 use crate::links::LinkTable;
@@ -82,6 +83,8 @@
     pub calls: CallTable,
     /// Mints idempotency keys.
     pub mint: KeyMint,
+    /// Operators' changes of configuration.
+    pub changes: ChangeTable,
     /// Links to other nodes.
     pub links: LinkTable,
     /// Counters.
@@ -126,6 +129,7 @@
         Self {
             calls: CallTable::new(parts.settings.bounds.waiting_bytes),
             mint: KeyMint::new(&parts.profile),
+            changes: ChangeTable::default(),
             links: LinkTable::default(),
             counters: NodeCounters::default(),
             settings: parts.settings,
--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -71,7 +71,7 @@
         let known = &self.config.upstreams;
         self.leaving_upstreams
             .retain(|upstream| known.contains_key(upstream));
-        for (pool, spec) in &self.config.pools {
+        for (pool, spec) in self.config.pools.iter() {
             let owned = self.owned(*pool, node);
             if owned.is_empty() && !self.pools.contains_key(pool) {
                 continue;
--- a/kernel/src/ownership.rs
+++ b/kernel/src/ownership.rs
@@ -49,7 +49,7 @@
 
 fn upstreams_by_zone(config: &Config) -> UpstreamsByZone {
     let mut zones = UpstreamsByZone::new();
-    for (id, upstream) in &config.upstreams {
+    for (id, upstream) in config.upstreams.iter() {
         let loads = zones.entry(upstream.zone).or_default();
         loads.push((*id, upstream.spec.slots.max(1)));
     }
--- a/kernel/src/routing/owners.rs
+++ b/kernel/src/routing/owners.rs
@@ -92,7 +92,7 @@
     /// Takes in who owns what. Nodes that are leaving or dead are no candidates.
     pub fn rebuild(&mut self, config: &Config, owners: &OwnerMap, view: &MemberView, zone: ZoneId) {
         self.pools.clear();
-        for (pool, upstreams) in &config.members {
+        for (pool, upstreams) in config.members.iter() {
             let mut slots: BTreeMap<NodeId, u32> = BTreeMap::new();
             for upstream in upstreams {
                 if let Some(owner) = owners.owners.get(upstream) {
