Name prefixes as the nodes do, and count service runs by body

A node's prefix hash covers the JSON of a chat's messages, while the engine stand-in hashed the joined texts: its cache events never matched. The engine now goes by the same text. The service also counts runs by the hash of the body, so that a refused call without a key can be checked, too.

--- a/standin/src/answer.rs
+++ b/standin/src/answer.rs
@@ -18,11 +18,11 @@
     xxh3_64(prompt.as_bytes())
 }
 
-/// Hash of a prompt's first block: what cache events name, and what prefix affinity goes by.
-/// It is the XXH3-64 hash of the first [`BLOCK_BYTES`] bytes of the prompt, or of all of a shorter
-/// prompt.
-pub fn prefix_hash(prompt: &str) -> u64 {
-    let bytes = prompt.as_bytes();
+/// Hash of a prompt's first block: what cache events name, and what prefix affinity goes by. It is
+/// the XXH3-64 hash of the first [`BLOCK_BYTES`] bytes, or of all of a shorter text. The text is
+/// the prompt, or of a chat the JSON of its `messages` without spaces and with sorted keys.
+pub fn prefix_hash(text: &str) -> u64 {
+    let bytes = text.as_bytes();
     xxh3_64(&bytes[..bytes.len().min(BLOCK_BYTES)])
 }
 
--- a/standin/src/batch.rs
+++ b/standin/src/batch.rs
@@ -14,8 +14,8 @@
 pub(crate) struct BatchJob {
     /// The request's identifier.
     pub(crate) request: Box<str>,
-    /// The prompt.
-    pub(crate) prompt: Box<str>,
+    /// The text that the prefix cache goes by.
+    pub(crate) cache_text: Box<str>,
     /// Hash of the prompt.
     pub(crate) prompt_hash: u64,
     /// Size of the prompt and of the tokens skipped, in tokens.
@@ -173,7 +173,7 @@
     }
 
     fn place(&mut self, number: u64, job: BatchJob, now: Instant) {
-        let cached = self.cache.enter(&job.prompt, now);
+        let cached = self.cache.enter(&job.cache_text, now);
         let worked = job.context_tokens.saturating_sub(cached);
         let run = self.book.start(job.request, job.prompt_hash, job.from);
         self.book.prefill(worked, cached);
--- a/standin/src/chat.rs
+++ b/standin/src/chat.rs
@@ -45,7 +45,7 @@
     /// The model.
     pub(crate) model: Box<str>,
     #[serde(default)]
-    messages: Vec<ChatMessage>,
+    messages: Value,
     prompt: Option<TextContent>,
     stream: Option<bool>,
     stream_options: Option<StreamOptions>,
@@ -84,8 +84,9 @@
                 .map(TextContent::text)
                 .unwrap_or_default(),
             CompletionKind::Chat => {
-                let contents: Vec<String> = self
-                    .messages
+                let messages = Vec::<ChatMessage>::deserialize(&self.messages);
+                let contents: Vec<String> = messages
+                    .unwrap_or_default()
                     .iter()
                     .filter_map(|message| message.content.as_ref())
                     .map(TextContent::text)
@@ -95,6 +96,14 @@
         }
     }
 
+    /// The text by whose beginning the prefix cache goes; see [`crate::answer::prefix_hash`].
+    pub(crate) fn cache_text(&self, kind: CompletionKind) -> String {
+        match kind {
+            CompletionKind::Text => self.prompt(kind),
+            CompletionKind::Chat => self.messages.to_string(),
+        }
+    }
+
     /// The answer's length, if the request names it.
     pub(crate) fn asked_tokens(&self) -> Option<u32> {
         self.n_tokens
--- a/standin/src/desk.rs
+++ b/standin/src/desk.rs
@@ -270,7 +270,7 @@
             let number = self.enqueue(BatchJob {
                 request: id,
                 context_tokens: prompt_tokens(&prompt) + from,
-                prompt: prompt.into(),
+                cache_text: body.cache_text(kind).into(),
                 prompt_hash: hash,
                 from,
                 to,
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::faults::{CrashFault, ServiceFaults};
 use crate::reply::{JsonReply, read_json, read_text};
@@ -44,6 +45,12 @@
     refused: u64,
     running: usize,
     by_key: BTreeMap<Box<str>, u32>,
+    by_body: BTreeMap<u64, u32>,
+}
+
+/// Hash of a request body, by which runs are counted.
+pub fn body_hash(body: &str) -> u64 {
+    xxh3_64(body.as_bytes())
 }
 
 struct Service {
@@ -102,13 +109,14 @@
     }
 
     /// Runs a request; whether its response is to be lost.
-    async fn run(&self, key: Option<Box<str>>) -> bool {
+    async fn run(&self, key: Option<Box<str>>, body: u64) -> bool {
         let _presence = Presence::enter(self);
         // The semaphore is never closed.
         let _slot = self.slots.acquire().await;
         let slow = {
             let mut state = lock(&self.state);
             state.runs += 1;
+            *state.by_body.entry(body).or_default() += 1;
             if let Some(key) = key {
                 *state.by_key.entry(key).or_default() += 1;
             }
@@ -165,7 +173,7 @@
         }
         let body = read_text(request).await;
         let key = request.header::<String>("idempotency-key").map(Into::into);
-        if self.service.run(key).await {
+        if self.service.run(key, body_hash(&body)).await {
             control.conn().abort();
             return;
         }
@@ -232,6 +240,11 @@
         lock(&self.service.state).by_key.clone()
     }
 
+    /// Runs by the hash of their body, see [`body_hash`].
+    pub fn runs_by_body(&self) -> BTreeMap<u64, u32> {
+        lock(&self.service.state).by_body.clone()
+    }
+
     /// Runs in all.
     pub fn runs(&self) -> u64 {
         lock(&self.service.state).runs
--- a/standin/tests/standins/platform.rs
+++ b/standin/tests/standins/platform.rs
@@ -42,6 +42,7 @@
         let refused = call().await.unwrap();
         assert_eq!((refused.status().as_u16(), &refused.headers()["x-not-run"]), (503, &"true".parse().unwrap()));
         assert_eq!(service.runs_by_key(), [("k".into(), 2)].into());
+        assert_eq!(service.runs_by_body(), [(service::body_hash("open"), 2)].into());
     }
 
     log_keeps_order_and_says_what_is_gone => {
