--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -152,9 +152,11 @@
             return;
         };
         state.fill(context.now, &mut self.arena, &mut self.decisions);
-        for decision in std::mem::take(&mut self.decisions) {
+        let mut decisions = std::mem::take(&mut self.decisions);
+        for decision in decisions.drain(..) {
             self.carry_out(decision, context);
         }
+        self.decisions = decisions;
     }
 
     fn fill_all(&mut self, context: &mut Context<'_>) {
@@ -211,10 +213,10 @@
         Some(held)
     }
 
-    fn load(&self, pool: PoolId, now: Duration) -> LoadSummary {
+    fn load(&self, pool: PoolId) -> LoadSummary {
         self.pools
             .get(&pool)
-            .map(|state| state.summary(now))
+            .map(PoolState::summary)
             .unwrap_or_default()
     }
 
@@ -226,7 +228,7 @@
         context: &mut Context<'_>,
     ) {
         let pool = work.spec.pool;
-        let load = self.load(pool, context.now);
+        let load = self.load(pool);
         self.news.told(context.now, pool, entry, load);
         let attempt = work.attempt;
         context.send(
@@ -253,7 +255,7 @@
 
     fn answer_ended(&mut self, held: &HeldWork, end: AttemptEnd, context: &mut Context<'_>) {
         let pool = held.work.spec.pool;
-        let load = self.load(pool, context.now);
+        let load = self.load(pool);
         self.news.told(context.now, pool, held.entry, load);
         let attempt = held.work.attempt;
         context.send(held.entry, WorkMessage::Ended { attempt, end, load });
@@ -269,15 +271,7 @@
             .collect();
         for key in waiting {
             self.withdraw(key);
-            let Some(held) = self.drop_work(key, context.now) else {
-                continue;
-            };
-            if held.ran || held.passed > 0 {
-                let tokens = held.passed;
-                self.answer_ended(&held, AttemptEnd::Cancelled { tokens }, context);
-            } else {
-                self.answer_returned(held.entry, &held.work, reason, context);
-            }
+            self.answer_waiting(key, reason, context);
         }
     }
 
@@ -354,15 +348,28 @@
             self.past.add(context.now, attempt);
             return;
         };
-        let waiting = self.arena[key].run.is_none();
-        let held = (self.arena[key].entry, self.arena[key].work);
-        self.abandon(key, context);
-        if waiting {
-            let reason = ReturnReason::Refused {
-                reason: RefusalReason::Cancelled,
-                retry_after: None,
-            };
-            self.answer_returned(held.0, &held.1, reason, context);
+        if self.arena[key].run.is_some() {
+            self.abandon(key, context);
+            return;
+        }
+        self.withdraw(key);
+        let reason = ReturnReason::Refused {
+            reason: RefusalReason::Cancelled,
+            retry_after: None,
+        };
+        self.answer_waiting(key, reason, context);
+    }
+
+    /// Answers for waiting work that is given up: not started, unless a run of it was stopped.
+    fn answer_waiting(&mut self, key: WorkKey, reason: ReturnReason, context: &mut Context<'_>) {
+        let Some(held) = self.drop_work(key, context.now) else {
+            return;
+        };
+        if held.ran || held.passed > 0 {
+            let tokens = held.passed;
+            self.answer_ended(&held, AttemptEnd::Cancelled { tokens }, context);
+        } else {
+            self.answer_returned(held.entry, &held.work, reason, context);
         }
     }
 
@@ -420,7 +427,7 @@
         let loads: BTreeMap<PoolId, LoadSummary> = self
             .pools
             .iter()
-            .map(|(pool, state)| (*pool, state.summary(context.now)))
+            .map(|(pool, state)| (*pool, state.summary()))
             .collect();
         for (pool, node, load) in self.news.due(context.now, &loads) {
             context.send(node, WorkMessage::Load { pool, load });
