--- a/daemon/src/completions.rs
+++ b/daemon/src/completions.rs
@@ -11,6 +11,7 @@
 use serde_json::{Map, Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::body::read_body;
 use crate::frame::{Chunk, RequestParts};
 use crate::intake::{self, OpenAnswer, RequestShape};
 use crate::refusal::CallerError;
@@ -336,35 +337,6 @@
     }
 }
 
-/// Reads a request's body, up to the bound.
-pub async fn read_body(shared: &NodeShared, request: &mut Request) -> Result<Bytes, CallerError> {
-    let bound = shared.settings.bounds.body_bytes;
-    let declared = request
-        .headers()
-        .get("content-length")
-        .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if declared.is_some_and(|bytes| bytes > bound) {
-        return Err(too_large(bound));
-    }
-    match request.payload_with_max_size(bound).await {
-        Ok(bytes) => Ok(bytes.clone()),
-        Err(salvo::http::ParseError::PayloadTooLarge) => Err(too_large(bound)),
-        Err(error) => Err(CallerError::not_run(
-            StatusCode::BAD_REQUEST,
-            "unreadable_body",
-            format!("the body cannot be read: {error}"),
-        )),
-    }
-}
-
-fn too_large(bound: usize) -> CallerError {
-    CallerError::not_run(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        "too_large",
-        format!("the body is larger than {bound} bytes"),
-    )
-}
-
 fn parse(body: &[u8]) -> Result<Map<String, Value>, CallerError> {
     serde_json::from_slice(body).map_err(|error| {
         CallerError::not_run(
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! nodes and operators.
 
 pub mod answers;
+pub mod body;
 pub mod callers;
 pub mod calls;
 pub mod changes;
--- a/daemon/src/reports.rs
+++ b/daemon/src/reports.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use monsoonbank_kernel::call::LoadReport;
 use monsoonbank_kernel::config::{PoolKind, Upstream};
 use monsoonbank_kernel::event::Event;
@@ -42,26 +43,28 @@
     let mut offsets: BTreeMap<UpstreamId, u64> = BTreeMap::new();
     loop {
         let config = shared.config();
-        let owned = shared.owned();
-        offsets.retain(|id, _| owned.contains(id));
-        for id in owned {
-            let Some(upstream) = config.upstreams.get(&id) else {
-                continue;
-            };
-            let kind = config.pools.get(&upstream.pool).map(|pool| pool.kind);
-            if kind == Some(PoolKind::Model) {
-                ask(&shared, id, upstream, offsets.entry(id).or_default()).await;
-            }
-        }
+        let asked = shared.owned().into_iter().filter_map(|id| {
+            let upstream = config.upstreams.get(&id)?;
+            let pool = config.pools.get(&upstream.pool)?;
+            let offset = offsets.get(&id).copied().unwrap_or_default();
+            (pool.kind == PoolKind::Model).then(|| ask(&shared, id, upstream, offset))
+        });
+        offsets = join_all(asked).await.into_iter().collect();
         tokio::time::sleep(POLL).await;
     }
 }
 
-async fn ask(shared: &Arc<NodeShared>, id: UpstreamId, upstream: &Upstream, offset: &mut u64) {
+/// Asks one upstream; gives the offset at which its cache events go on.
+async fn ask(
+    shared: &NodeShared,
+    id: UpstreamId,
+    upstream: &Upstream,
+    offset: u64,
+) -> (UpstreamId, u64) {
     let address = &upstream.spec.address;
     let Some(load) = get::<LoadAnswer>(shared, &format!("http://{address}/load")).await else {
         shared.event(Event::UpstreamUnreachable(id));
-        return;
+        return (id, offset);
     };
     let report = LoadReport {
         running: load.running,
@@ -75,18 +78,19 @@
     });
     let url = format!("http://{address}/cache-events?from={offset}");
     let Some(page) = get::<CachePage>(shared, &url).await else {
-        return;
+        return (id, offset);
     };
-    *offset = page.next;
     for row in page.events {
         if let Ok(prefix) = u64::from_str_radix(&row.prefix, 16) {
+            let held = row.held;
             shared.event(Event::CacheChanged {
                 upstream: id,
                 prefix,
-                held: row.held,
+                held,
             });
         }
     }
+    (id, page.next)
 }
 
 async fn get<T: DeserializeOwned>(shared: &NodeShared, url: &str) -> Option<T> {
--- a/daemon/src/services.rs
+++ b/daemon/src/services.rs
@@ -7,7 +7,8 @@
 use salvo::http::StatusCode;
 use salvo::prelude::{Request, Response, handler};
 
-use crate::completions::{read_body, render_raw};
+use crate::body::read_body;
+use crate::completions::render_raw;
 use crate::frame::{Chunk, RequestParts};
 use crate::intake::{self, OpenAnswer, RequestShape};
 use crate::refusal::CallerError;
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -192,3 +192,66 @@
     });
     assert!(waited.await.is_ok(), "not in time: {what}");
 }
+
+/// A chat request.
+pub fn question(prompt: &str, tokens: u32, stream: bool) -> Value {
+    json!({ "model": "writer", "max_tokens": tokens, "stream": stream,
+        "messages": [{ "role": "user", "content": prompt }] })
+}
+
+/// The text of a streamed answer.
+pub fn streamed_text(body: &str) -> String {
+    body.lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str::<Value>(data).ok())
+        .filter_map(|event| {
+            Some(
+                event
+                    .pointer("/choices/0/delta/content")?
+                    .as_str()?
+                    .to_owned(),
+            )
+        })
+        .collect()
+}
+
+impl TestFleet {
+    /// Posts to the plain service with an idempotency key.
+    pub async fn release(&self, node: usize, key: &str, body: &Value) -> reqwest::Response {
+        let url = format!(
+            "http://{}/services/gate/lockers/7",
+            self.nodes[node].callers
+        );
+        let request = self
+            .client
+            .post(url)
+            .bearer_auth(TOKEN)
+            .header("idempotency-key", key);
+        request.json(body).send().await.expect("an answer")
+    }
+
+    /// Fresh idempotency keys of a node.
+    pub async fn keys(&self, node: usize, count: usize) -> Vec<String> {
+        let answer = self.get(node, &format!("/v1/addresses?keys={count}")).await;
+        let keys = answer["idempotency_keys"]
+            .as_array()
+            .cloned()
+            .unwrap_or_default();
+        keys.iter()
+            .filter_map(|key| Some(key.as_str()?.to_owned()))
+            .collect()
+    }
+
+    /// A section of a node's state dump.
+    pub async fn state(&self, node: usize) -> Value {
+        let url = format!("http://{}/v1/state", self.nodes[node].operators);
+        let request = self.client.get(url).bearer_auth(OPERATOR_TOKEN);
+        request
+            .send()
+            .await
+            .expect("an answer")
+            .json()
+            .await
+            .expect("JSON")
+    }
+}
--- /dev/null
+++ b/daemon/tests/keys.rs
@@ -0,0 +1,146 @@
+//! Calls that may not be repeated, over real sockets: at most one run a key.
+
+mod common;
+
+use common::{TestFleet, wait_until};
+use monsoonbank_standin::faults::ServiceFaults;
+use serde_json::{Value, json};
+
+const OUTCOME: &str = "x-monsoonbank-outcome";
+
+fn outcome(response: &reqwest::Response) -> &str {
+    let header = response.headers().get(OUTCOME);
+    header
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("whole")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_without_a_key_gets_one_and_does_not_run() {
+    let fleet = TestFleet::start(1, 1).await;
+    let response = fleet.post(0, "/services/gate/lockers/7", &json!({})).await;
+    assert_eq!(
+        (response.status().as_u16(), outcome(&response)),
+        (428, "not_run")
+    );
+    let error: Value = response.json().await.expect("JSON");
+    let key = error
+        .pointer("/error/idempotency_key")
+        .and_then(Value::as_str)
+        .expect("a key");
+    assert_eq!(fleet.service.runs(), 0);
+    assert_eq!(fleet.release(0, key, &json!({})).await.status(), 200);
+    assert_eq!(fleet.service.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_at_any_node_gets_the_first_answer() {
+    let fleet = TestFleet::start(3, 1).await;
+    let key = fleet.keys(1, 1).await.remove(0);
+    let mut answers = Vec::new();
+    for node in [0, 1, 2, 0] {
+        let response = fleet.release(node, &key, &json!({ "locker": 7 })).await;
+        assert_eq!(outcome(&response), "whole", "at node {node}");
+        answers.push(response.text().await.expect("text"));
+    }
+    assert!(
+        answers.windows(2).all(|pair| pair[0] == pair[1]),
+        "{answers:?}"
+    );
+    assert_eq!(fleet.service.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_while_the_first_runs_wait_for_its_answer() {
+    let fleet = TestFleet::start(3, 1).await;
+    fleet.service.set_faults(ServiceFaults {
+        slow_ms: 300,
+        ..ServiceFaults::default()
+    });
+    let key = fleet.keys(0, 1).await.remove(0);
+    let body = json!({ "locker": 8 });
+    let calls = (0..6).map(|index| fleet.release(index % 3, &key, &body));
+    let answers = futures_util::future::join_all(calls).await;
+    assert!(answers.iter().all(|answer| outcome(answer) == "whole"));
+    assert_eq!(fleet.service.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_unknown_and_never_runs_again() {
+    let fleet = TestFleet::start(2, 1).await;
+    fleet.service.set_faults(ServiceFaults {
+        lose_responses: 1,
+        ..ServiceFaults::default()
+    });
+    let key = fleet.keys(0, 1).await.remove(0);
+    for node in [0, 1, 0] {
+        let response = fleet.release(node, &key, &json!({})).await;
+        assert_eq!(
+            (response.status().as_u16(), outcome(&response)),
+            (502, "unknown")
+        );
+    }
+    assert_eq!(fleet.service.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_key_of_a_lost_node_is_unknown_and_does_not_run() {
+    let fleet = TestFleet::start(3, 1).await;
+    let key = fleet.keys(2, 1).await.remove(0);
+    fleet.nodes[2].kill().await;
+    let response = fleet.release(0, &key, &json!({})).await;
+    assert_eq!(outcome(&response), "unknown");
+    assert_eq!(fleet.service.runs(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forged_or_reused_key_is_refused() {
+    let fleet = TestFleet::start(1, 1).await;
+    let key = fleet.keys(0, 1).await.remove(0);
+    let last = if key.ends_with('0') { "1" } else { "0" };
+    let forged = format!("{}{last}", &key[..key.len() - 1]);
+    let refused = fleet.release(0, &forged, &json!({})).await;
+    assert_eq!(
+        (refused.status().as_u16(), outcome(&refused)),
+        (409, "not_run")
+    );
+    assert_eq!(
+        fleet.release(0, &key, &json!({ "n": 1 })).await.status(),
+        200
+    );
+    assert_eq!(
+        fleet.release(0, &key, &json!({ "n": 2 })).await.status(),
+        409
+    );
+    assert_eq!(fleet.service.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_need_no_log() {
+    let fleet = TestFleet::start(2, 1).await;
+    let faults = monsoonbank_standin::faults::LogFaults {
+        down: true,
+        ..Default::default()
+    };
+    fleet.log.set_faults(faults);
+    let key = fleet.keys(0, 1).await.remove(0);
+    for node in [1, 0] {
+        assert_eq!(fleet.release(node, &key, &json!({})).await.status(), 200);
+    }
+    assert_eq!(fleet.service.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_left_behind() {
+    let fleet = TestFleet::start(2, 1).await;
+    for key in fleet.keys(0, 8).await {
+        assert_eq!(fleet.release(1, &key, &json!({})).await.status(), 200);
+    }
+    for node in &fleet.nodes {
+        let shared = node.shared();
+        wait_until("calls and requests are forgotten", || {
+            shared.calls.is_empty() && shared.held() == 0
+        })
+        .await;
+    }
+}
--- a/daemon/tests/path.rs
+++ b/daemon/tests/path.rs
@@ -2,30 +2,10 @@
 
 mod common;
 
-use common::{TOKEN, TestFleet};
+use common::{TOKEN, TestFleet, question, streamed_text};
 use monsoonbank_standin::answer::expected_answer;
 use serde_json::{Value, json};
 
-fn question(prompt: &str, tokens: u32, stream: bool) -> Value {
-    json!({ "model": "writer", "max_tokens": tokens, "stream": stream,
-        "messages": [{ "role": "user", "content": prompt }] })
-}
-
-fn streamed_text(body: &str) -> String {
-    body.lines()
-        .filter_map(|line| line.strip_prefix("data: "))
-        .filter_map(|data| serde_json::from_str::<Value>(data).ok())
-        .filter_map(|event| {
-            Some(
-                event
-                    .pointer("/choices/0/delta/content")?
-                    .as_str()?
-                    .to_owned(),
-            )
-        })
-        .collect()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn every_node_gives_whole_answers() {
     let fleet = TestFleet::start(3, 3).await;
