--- a/kernel/tests/calls/fleet.rs
+++ b/kernel/tests/calls/fleet.rs
@@ -13,7 +13,9 @@
 use monsoonbank_kernel::membership::{Member, MemberView, NodeState};
 use monsoonbank_kernel::plugin::NodeProfile;
 use monsoonbank_kernel::routing::{CallRouter, RouterSettings};
-use monsoonbank_kernel::wire::{Message, RelayMessage, WorkMessage};
+use monsoonbank_kernel::wire::{Message, WorkMessage};
+
+use crate::trace::describe;
 
 /// Tokens of every whole answer.
 pub const TOKENS: u32 = 3;
@@ -62,6 +64,7 @@
     pub got: BTreeMap<CallId, Vec<u32>>,
     pub attached: BTreeMap<CallId, CallId>,
     pub trace: Vec<String>,
+    traced: u64,
     buried: BTreeSet<usize>,
     sequence: u64,
     hedging: bool,
@@ -109,6 +112,7 @@
             got: BTreeMap::new(),
             attached: BTreeMap::new(),
             trace: Vec::new(),
+            traced: u64::MAX,
             buried: BTreeSet::new(),
             sequence: 0,
             hedging,
@@ -321,8 +325,11 @@
 
     /// Delivers everything in order, also what is sent because of it.
     pub fn deliver_all(&mut self) {
+        let mut left = 100_000;
         while !self.wire.is_empty() {
             self.deliver(0);
+            left -= 1;
+            assert!(left > 0, "messages without end: {:?}", self.wire);
         }
     }
 
@@ -361,16 +368,22 @@
         self.tell(run.owner, Event::AttemptEnded { attempt, end });
     }
 
-    /// Runs a try to its end.
+    /// Runs a try to its end, unless it is cancelled when it starts.
     pub fn complete(&mut self, run: usize) {
+        let Run { owner, work, .. } = self.runs[run];
         self.start(run);
-        while self.runs[run].work.resume_from + self.runs[run].tokens < TOKENS {
+        let same = |run: &Run| run.work.attempt == work.attempt && run.owner == owner;
+        let Some(run) = self.runs.iter().position(same) else {
+            return;
+        };
+        for _ in 0..TOKENS {
             self.token(run);
         }
         let tokens = self.runs[run].tokens;
         self.end(run, AttemptEnd::Complete { tokens });
     }
 
+    /// The connection to the engine breaks.
     pub fn break_off(&mut self, run: usize) {
         let tokens = self.runs[run].tokens;
         self.end(run, AttemptEnd::Broken { tokens });
@@ -392,6 +405,7 @@
     pub fn kill(&mut self, node: usize) {
         self.kernels[node] = None;
         self.runs.retain(|run| run.owner != node);
+        self.wire.retain(|frame| frame.to != node);
         for peer in 0..self.kernels.len() {
             self.link_down(peer, node);
         }
@@ -429,6 +443,7 @@
 
     /// Lets everything come to its end.
     pub fn settle(&mut self) {
+        let mut left = 10_000;
         self.heal();
         for node in 0..self.kernels.len() {
             self.restart(node);
@@ -438,6 +453,8 @@
             while !self.runs.is_empty() {
                 self.complete(0);
                 self.deliver_all();
+                left -= 1;
+                assert!(left > 0, "runs without end: {:?}", self.runs);
             }
             self.pass(Duration::from_secs(1));
         }
@@ -461,33 +478,16 @@
     }
 
     fn note(&mut self, node: usize, action: &Action) {
-        let text = match action {
-            Action::Send { to, message } => match message {
-                Message::Work(WorkMessage::Offer(work)) => format!(
-                    "offers try {} from token {} to n{}",
-                    work.attempt.number,
-                    work.resume_from,
-                    name(*to)
-                ),
-                Message::Relay(RelayMessage::Call { .. }) => format!("relays to n{}", name(*to)),
-                Message::Work(message) => format!("tells n{}: {message:?}", name(*to)),
-                message => format!("tells n{}: {message:?}", name(*to)),
-            },
-            Action::StartAttempt(start) => format!(
-                "starts try {} from token {}",
-                start.work.attempt.number, start.work.resume_from
-            ),
-            Action::AcceptAttempt {
-                attempt,
-                resume_from,
-            } => format!("accepts try {} from token {resume_from}", attempt.number),
-            Action::AttachCall { .. } => "attaches a repeat".to_owned(),
-            Action::FinishCall { outcome, .. } => format!("finishes: {outcome:?}"),
-            Action::WithdrawAttempt(attempt) => format!("withdraws try {}", attempt.number),
-            Action::CancelAttempt(attempt) => format!("cancels try {}", attempt.number),
-            Action::ForgetAnswer(_) => "forgets the answer".to_owned(),
-            _ => return,
-        };
-        self.trace.push(format!("n{node} {text}"));
+        if let Some((call, text)) = describe(action, name)
+            && call.sequence >= self.traced
+        {
+            self.trace
+                .push(format!("n{node} call {}: {text}", call.sequence));
+        }
+    }
+
+    /// Keeps a trace of the calls that arrive from here on.
+    pub fn trace(&mut self) {
+        self.traced = self.sequence + 1;
     }
 }
--- a/kernel/tests/calls/main.rs
+++ b/kernel/tests/calls/main.rs
@@ -2,4 +2,7 @@
 
 mod faults;
 mod fleet;
+mod fuzz;
 mod keys;
+mod sessions;
+mod trace;
