Add check, explain and publish to the tool

Operators had no way to see what is wrong with a file before a node refuses it, which rule a request meets, or what became of a change. check reads settings and configuration files and names file, line, column, field and what was expected; explain shows why each earlier rule does not match; publish changes only the documents that differ, shows both versions of a conflict, and follows an accepted change until it is in force on every node.

--- /dev/null
+++ b/cli/src/check.rs
@@ -0,0 +1,159 @@
+//! `monsoon check`: settings and configuration checked without a node.
+
+use std::path::{Path, PathBuf};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use monsoonbank_daemon::settings::Settings;
+use monsoonbank_kernel::config::check::{FileFault, check_texts};
+use serde_json::json;
+
+use crate::arguments::{self, OutputFormat};
+use crate::error::CliError;
+use crate::exit_codes::ExitCode;
+
+const LONG_ABOUT: &str = "\
+Checks configuration and settings files without a node.
+
+Configuration files are checked together, as one configuration: each may hold a part of it, such \
+as the rule list. A directory stands for the YAML files in it. A node's settings files are told \
+by their `listen` section and are checked one by one. An error names the file, the line and \
+column, the field and what was expected.
+
+Exit codes: 0 valid, 3 invalid, 1 not checked.
+
+Examples:
+  monsoon check examples/tauhere/config.yaml
+  monsoon check base.yaml rules.yaml --format json
+  monsoon check /etc/monsoonbank";
+
+/// The command's arguments.
+pub fn command() -> Command {
+    Command::new("check")
+        .about("Checks configuration and settings files without a node")
+        .long_about(LONG_ABOUT)
+        .arg(
+            Arg::new("paths")
+                .value_name("PATH")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("YAML files, or directories of them"),
+        )
+        .arg(arguments::format())
+}
+
+/// A text file.
+pub struct TextFile {
+    /// Its path as it was given.
+    pub name: Box<str>,
+    /// Its text.
+    pub text: String,
+}
+
+fn file_error(path: &Path) -> impl Fn(std::io::Error) -> CliError {
+    let file: Box<str> = path.display().to_string().into();
+    move |source| CliError::File {
+        file: file.clone(),
+        source,
+    }
+}
+
+fn is_yaml(path: &Path) -> bool {
+    let extension = path.extension().and_then(|extension| extension.to_str());
+    matches!(extension, Some("yaml" | "yml"))
+}
+
+fn files_of(path: &Path) -> Result<Vec<PathBuf>, CliError> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(path).map_err(file_error(path))? {
+        files.push(entry.map_err(file_error(path))?.path());
+    }
+    files.retain(|file| is_yaml(file));
+    files.sort();
+    if files.is_empty() {
+        let reason = format!("{} has no YAML file; expected at least one", path.display());
+        return Err(CliError::Argument {
+            name: "PATH",
+            reason: reason.into(),
+        });
+    }
+    Ok(files)
+}
+
+/// Reads files, and the YAML files of directories.
+pub fn read_files<'a>(paths: impl Iterator<Item = &'a PathBuf>) -> Result<Vec<TextFile>, CliError> {
+    let mut texts = Vec::new();
+    for path in paths {
+        for file in files_of(path)? {
+            texts.push(TextFile {
+                name: file.display().to_string().into(),
+                text: std::fs::read_to_string(&file).map_err(file_error(&file))?,
+            });
+        }
+    }
+    Ok(texts)
+}
+
+fn is_settings(file: &TextFile) -> bool {
+    file.text.lines().any(|line| line.starts_with("listen:"))
+}
+
+fn fault_text(fault: &FileFault) -> serde_json::Value {
+    json!({
+        "file": fault.file,
+        "line": fault.position.line,
+        "column": fault.position.column,
+        "field": fault.field,
+        "message": fault.message,
+    })
+}
+
+/// Runs the command.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let paths = matches.get_many::<PathBuf>("paths").into_iter().flatten();
+    let (settings, configs): (Vec<TextFile>, Vec<TextFile>) =
+        read_files(paths)?.into_iter().partition(is_settings);
+    let texts: Vec<(&str, &str)> = configs
+        .iter()
+        .map(|file| (&*file.name, file.text.as_str()))
+        .collect();
+    let faults = if texts.is_empty() {
+        Vec::new()
+    } else {
+        check_texts(&texts).err().unwrap_or_default()
+    };
+    let wrong: Vec<String> = settings
+        .iter()
+        .filter_map(|file| Settings::parse(&file.name, &file.text).err())
+        .map(|error| error.to_string())
+        .collect();
+    let valid = faults.is_empty() && wrong.is_empty();
+    match arguments::chosen_format(matches) {
+        OutputFormat::Json => {
+            let faults: Vec<_> = faults.iter().map(fault_text).collect();
+            println!(
+                "{:#}",
+                json!({ "valid": valid, "faults": faults, "settings": wrong })
+            );
+        }
+        OutputFormat::Text => {
+            for fault in &faults {
+                println!("{fault}");
+            }
+            for error in &wrong {
+                println!("{error}");
+            }
+            if valid {
+                println!("valid: {} files", texts.len() + settings.len());
+            }
+        }
+    }
+    Ok(if valid {
+        ExitCode::Success
+    } else {
+        ExitCode::Found
+    })
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,11 +2,14 @@
 
 mod addresses;
 mod arguments;
+mod check;
 mod client;
 mod completions;
 mod drain;
 mod error;
 mod exit_codes;
+mod explain;
+mod publish;
 mod state;
 
 use clap::{ArgMatches, Command};
@@ -18,6 +21,8 @@
 The tool of monsoonbank's operators and callers.
 
 Examples:
+  monsoon check examples/tauhere/config.yaml
+  monsoon publish --node 10.0.0.4:8082 examples/tauhere/config.yaml
   monsoon where 10.0.0.4:8080
   monsoon state --node 10.0.0.4:8082 --section ownership";
 
@@ -29,6 +34,9 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(addresses::command())
+        .subcommand(check::command())
+        .subcommand(explain::command())
+        .subcommand(publish::command())
         .subcommand(state::command())
         .subcommand(drain::command())
         .subcommand(completions::command())
@@ -53,6 +61,9 @@
 async fn dispatch(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     match matches.subcommand() {
         Some(("where", matches)) => addresses::run(matches).await,
+        Some(("check", matches)) => check::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
+        Some(("publish", matches)) => publish::run(matches).await,
         Some(("state", matches)) => state::run(matches).await,
         Some(("drain", matches)) => drain::run(matches).await,
         Some(("completions", matches)) => Ok(completions::run(matches, command())),
--- /dev/null
+++ b/cli/tests/tool/main.rs
@@ -0,0 +1,68 @@
+//! What the tool prints, by its binary.
+
+mod support;
+
+use crate::support::{monsoon, told};
+
+macro_rules! golden {
+    ($name:ident, $($argument:expr),+) => {
+        #[test]
+        fn $name() {
+            let output = monsoon().args([$($argument),+]).output().expect("the tool runs");
+            insta::assert_snapshot!(told(&output));
+        }
+    };
+}
+
+const TAUHERE: &str = "examples/tauhere/config.yaml";
+const BENGAL: &str = "examples/bengal/config.yaml";
+const BROKEN: &str = "cli/tests/tool/broken.yaml";
+
+golden!(check_valid, "check", TAUHERE);
+golden!(check_broken, "check", BROKEN);
+golden!(check_broken_json, "check", "--format", "json", BROKEN);
+golden!(check_nothing, "check", "cli/tests");
+golden!(
+    explain_tag,
+    "explain",
+    "--rules",
+    TAUHERE,
+    "POST",
+    "/v1/chat/completions",
+    "--workspace",
+    "kauri-books",
+    "--model",
+    "tauhere-writer",
+    "--header",
+    "X-Purpose=envelope-tag"
+);
+golden!(
+    explain_locker,
+    "explain",
+    "--rules",
+    BENGAL,
+    "--format",
+    "json",
+    "POST",
+    "/services/gate/lockers/7"
+);
+golden!(
+    explain_refused,
+    "explain",
+    "--rules",
+    BENGAL,
+    "GET",
+    "/v1/models",
+    "--model",
+    "other"
+);
+golden!(
+    publish_bad_key,
+    "publish",
+    "--node",
+    "127.0.0.1:1",
+    "--token",
+    "t",
+    "--remove",
+    "w/x"
+);
