Give orders under a lease on the log

Orders to engines had no holder. A node that wants one hands it to the holder, or to the live node with the lowest rank, until it is told the outcome. The claims form a chain on the log (each names the one before), the offset is the fencing number, the holder counts its lease from before the append and checks it at each order, and the next one waits out the longest order in flight before it gives one to an upstream that does not check.

Three to five nodes are fuzzed under lost, doubled and reordered messages, log outages, lost responses, truncation, racing publishers, replaced and paused nodes, against the fold of every record that the log ever took.

--- a/kernel/src/leases.rs
+++ b/kernel/src/leases.rs
@@ -1,12 +1,43 @@
 //! The lease on giving orders to engines, and the orders.
+//!
+//! One node at a time gives orders: the one that holds the lease on the log. A node that wants an
+//! order given hands it to the holder, or to the node that is to claim the lease, again and again
+//! until it is told the outcome; the same order twice is given once.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::config::Config;
+use crate::configuration::duty::rank;
+use crate::configuration::reader::backoff;
+use crate::event::{Action, Event};
+use crate::ids::{NodeId, UpstreamId};
+use crate::leases::lease::LeaseState;
+use crate::leases::orders::{EndedOrder, OrderOutcome, OrderQueue};
+use crate::membership::{MemberView, NodeState};
+use crate::plugin::{Context, GaugeSample, NodeProfile, Plugin, Registration};
+use crate::record::{AppendOwner, AppendResult, AppendTicket, LeaseRecord, Record};
+use crate::wire::Message;
+
+pub mod lease;
+pub mod orders;
+
+/// Time until a wanted order whose outcome is not known is handed on again.
+const HAND_AGAIN: Duration = Duration::from_secs(3);
 
-use crate::ids::UpstreamId;
+/// Orders wanted at a time by one node; more are dropped.
+const MAX_WANTED: usize = 16_384;
+
+/// The occasion for which the nodes are ranked as claimants.
+const CLAIM_OCCASION: u64 = 0x6c65_6173;
 
 /// What an engine is told to do.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "order")]
 pub enum EngineOrder {
     /// Load a model's weights.
@@ -32,10 +63,262 @@
 }
 
 /// An order to an upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct OrderRequest {
     /// The upstream.
     pub upstream: UpstreamId,
     /// The order.
     pub order: EngineOrder,
 }
+
+/// Messages about orders.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderMessage {
+    /// To the holder, or the node that is to claim the lease: give this order.
+    Give(OrderRequest),
+    /// To the node that wanted it: how it ended.
+    Ended {
+        /// The order.
+        request: OrderRequest,
+        /// How.
+        outcome: OrderOutcome,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WantedOrder {
+    handed: u32,
+    hand_at: Duration,
+}
+
+/// Claims the lease when there are orders to give, and gives them.
+#[derive(Debug, Default)]
+pub struct LeaseKeeper {
+    config: Arc<Config>,
+    view: Arc<MemberView>,
+    lease: LeaseState,
+    queue: OrderQueue,
+    wanted: BTreeMap<OrderRequest, WantedOrder>,
+    tickets: u64,
+    failures: u32,
+    not_before: Duration,
+    leaving: bool,
+}
+
+impl LeaseKeeper {
+    /// The node to hand an order to: the holder, or else the claimant of the given rank.
+    fn giver(&self, tries: u32, now: Duration) -> Option<NodeId> {
+        let live = |node: &NodeId| {
+            let member = self.view.members.get(node);
+            member.is_some_and(|member| member.state == NodeState::Live)
+        };
+        if let Some(holder) = self.lease.holder(now).filter(|holder| live(holder)) {
+            return Some(holder);
+        }
+        let mut ranked: Vec<NodeId> = self.view.members.keys().copied().filter(live).collect();
+        ranked.sort_by_key(|node| rank(&self.view, *node, CLAIM_OCCASION));
+        let wanted = tries as usize % ranked.len().max(1);
+        ranked.get(wanted).copied()
+    }
+
+    fn hand_on(&mut self, context: &mut Context<'_>) {
+        let now = context.now;
+        let due: Vec<(OrderRequest, u32)> = self
+            .wanted
+            .iter()
+            .filter(|(_, wanted)| now >= wanted.hand_at)
+            .map(|(request, wanted)| (request.clone(), wanted.handed))
+            .collect();
+        for (request, handed) in due {
+            // Every claimant gets a few tries before the next one does.
+            let Some(giver) = self.giver(handed / 4, now) else {
+                return;
+            };
+            let hand_at = now + HAND_AGAIN;
+            let handed = handed + 1;
+            self.wanted
+                .insert(request.clone(), WantedOrder { handed, hand_at });
+            context.send(giver, OrderMessage::Give(request));
+        }
+    }
+
+    fn message(&mut self, from: NodeId, message: &OrderMessage) {
+        match message {
+            OrderMessage::Give(request) if !self.leaving => self.queue.add(request, from),
+            OrderMessage::Give(_) => {}
+            OrderMessage::Ended { request, .. } => {
+                self.wanted.remove(request);
+            }
+        }
+    }
+
+    fn ended(ended: EndedOrder, context: &mut Context<'_>) {
+        for node in ended.requesters {
+            let message = OrderMessage::Ended {
+                request: ended.request.clone(),
+                outcome: ended.outcome,
+            };
+            context.send(node, message);
+        }
+    }
+
+    fn append(&mut self, record: LeaseRecord, context: &mut Context<'_>) {
+        self.tickets += 1;
+        let ticket = AppendTicket::new(AppendOwner::Lease, self.tickets);
+        let record = Record::Lease(record);
+        context.act(Action::Append { ticket, record });
+    }
+
+    fn appended(&mut self, result: AppendResult, context: &mut Context<'_>) {
+        if let AppendResult::Appended { .. } = result {
+            self.failures = 0;
+            return;
+        }
+        if result == AppendResult::Refused {
+            self.lease.refused();
+        }
+        self.failures += 1;
+        self.not_before = context.now + backoff(self.failures, context.random);
+    }
+
+    fn tick(&mut self, context: &mut Context<'_>) {
+        self.hand_on(context);
+        for ended in self.queue.expired(context.now) {
+            Self::ended(ended, context);
+        }
+        let (node, incarnation) = (context.profile.node, context.profile.incarnation);
+        if self.lease.is_held_by_other(node, incarnation, context.now) {
+            // The nodes that want these hand them to the holder.
+            self.queue.clear();
+        }
+        if self.leaving || self.queue.is_empty() {
+            return;
+        }
+        self.claim(context);
+        self.give(context);
+    }
+
+    fn claim(&mut self, context: &mut Context<'_>) {
+        if context.now < self.not_before {
+            return;
+        }
+        let (node, incarnation) = (context.profile.node, context.profile.incarnation);
+        if let Some(record) = self.lease.claim(node, incarnation, context.now) {
+            self.append(record, context);
+        }
+    }
+
+    /// Gives the orders that are due, if the lease holds at this moment. The process looks at the
+    /// clock once more before each is sent.
+    fn give(&mut self, context: &mut Context<'_>) {
+        let Some(held) = self.lease.held(context.now) else {
+            return;
+        };
+        let quiet_until = self.lease.quiet_until();
+        for request in self.queue.due(held, quiet_until, &self.config, context.now) {
+            context.act(Action::Order {
+                request,
+                fencing: held.fencing,
+                not_after: held.until,
+            });
+        }
+    }
+
+    fn leave(&mut self, context: &mut Context<'_>) {
+        self.leaving = true;
+        let open = self.queue.has_open();
+        self.queue.clear();
+        if open {
+            // An order may still be sent until the lease ends, so it is left to lapse.
+            return;
+        }
+        let (node, incarnation) = (context.profile.node, context.profile.incarnation);
+        if let Some(record) = self.lease.release(node, incarnation, context.now) {
+            self.append(record, context);
+        }
+    }
+
+    fn want(&mut self, request: &OrderRequest) {
+        if self.wanted.len() < MAX_WANTED {
+            self.wanted.entry(request.clone()).or_default();
+        }
+    }
+}
+
+impl Plugin for LeaseKeeper {
+    fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
+        match event {
+            Event::ConfigApplied(config) => self.config = Arc::clone(config),
+            Event::MembersChanged(view) => self.view = Arc::clone(view),
+            Event::LeaseSeen(head) => {
+                let profile = context.profile;
+                let (node, incarnation) = (profile.node, profile.incarnation);
+                self.lease
+                    .see(head, node, incarnation, context.now, context.random);
+                self.give(context);
+            }
+            Event::AppendDone { ticket, result } if ticket.is_of(AppendOwner::Lease) => {
+                self.appended(*result, context);
+            }
+            Event::OrderRequested(request) => self.want(request),
+            Event::OrderAnswered {
+                upstream,
+                fencing,
+                accepted,
+            } => {
+                let ended = self
+                    .queue
+                    .answered(*upstream, *fencing, *accepted, context.now);
+                if let Some(ended) = ended {
+                    Self::ended(ended, context);
+                }
+            }
+            Event::PeerMessage {
+                from,
+                message: Message::Order(message),
+            } => self.message(*from, message),
+            Event::NodeLeaving => self.leave(context),
+            Event::Tick => self.tick(context),
+            _ => {}
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let outcomes: Vec<Value> = self
+            .queue
+            .outcomes()
+            .map(|(request, outcome)| {
+                let upstream = self.config.upstreams.get(&request.upstream);
+                let name = upstream.map_or_else(
+                    || request.upstream.to_string(),
+                    |upstream| upstream.spec.name.to_string(),
+                );
+                json!({ "upstream": name, "order": request.order.to_string(), "outcome": outcome })
+            })
+            .collect();
+        json!({
+            "lease": self.lease.dump(),
+            "waiting": self.queue.len(),
+            "wanted": self.wanted.len(),
+            "outcomes": outcomes,
+        })
+    }
+
+    fn gauges(&self) -> Vec<GaugeSample> {
+        vec![GaugeSample {
+            name: "orders_waiting",
+            help: "Orders to engines that wait here or are unanswered",
+            kind: "",
+            value: self.queue.len() as f64,
+        }]
+    }
+}
+
+fn build(_profile: &NodeProfile) -> Box<dyn Plugin> {
+    Box::<LeaseKeeper>::default()
+}
+
+inventory::submit! {
+    Registration { name: "leases", order: 40, build }
+}
--- /dev/null
+++ b/kernel/src/leases/lease.rs
@@ -0,0 +1,199 @@
+//! Holding the lease: claims chained on the log, each with its offset as fencing number.
+//!
+//! The claimant counts a lease from before its append, everyone else from when they read it, so
+//! the claimant's own end is never after anyone else's (C. Gray and D. Cheriton, "Leases", 1989).
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+
+use crate::ids::{Incarnation, NodeId};
+use crate::record::{LeaseHead, LeaseRecord};
+
+/// How long a lease holds.
+pub const LEASE_LENGTH: Duration = Duration::from_secs(15);
+
+/// Part of a lease that its holder leaves unused, for clocks that run at different rates.
+const DRIFT_MARGIN: Duration = Duration::from_secs(1);
+
+/// The longest time that an order may go on taking effect after it was sent: its edge gives up the
+/// request after this.
+pub const ORDER_FLIGHT: Duration = Duration::from_secs(10);
+
+/// How long a claim may take to be read back before it is sent again.
+const CLAIM_WAIT: Duration = Duration::from_secs(3);
+
+/// A lease that this node holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldLease {
+    /// The offset of its record.
+    pub fencing: u64,
+    /// The time from which no order may be given under it.
+    pub until: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct PendingClaim {
+    follows: u64,
+    first_sent: Duration,
+    again_at: Duration,
+}
+
+fn is_of(head: &LeaseHead, node: NodeId, incarnation: Incarnation) -> bool {
+    head.record.node == node && head.record.incarnation == incarnation
+}
+
+/// What this node knows of the lease.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseState {
+    head: Option<LeaseHead>,
+    lapses: Duration,
+    quiet_until: Duration,
+    held: Option<HeldLease>,
+    claim: Option<PendingClaim>,
+    renew_at: Duration,
+}
+
+impl LeaseState {
+    /// A valid lease record was folded at `now`.
+    pub fn see(
+        &mut self,
+        head: &LeaseHead,
+        node: NodeId,
+        incarnation: Incarnation,
+        now: Duration,
+        random: &mut Pcg64Mcg,
+    ) {
+        if self
+            .head
+            .as_ref()
+            .is_some_and(|known| head.offset <= known.offset)
+        {
+            return;
+        }
+        let own = is_of(head, node, incarnation);
+        if own {
+            self.take(head, random);
+        } else {
+            self.held = None;
+            self.quiet_until = self
+                .quiet_until
+                .max(now + head.record.length + ORDER_FLIGHT);
+        }
+        self.lapses = now + head.record.length;
+        self.claim = None;
+        self.head = Some(head.clone());
+    }
+
+    fn take(&mut self, head: &LeaseHead, random: &mut Pcg64Mcg) {
+        // A record of this node that it did not send as its pending claim was sent before: when
+        // is not known any more, so nothing is held under it.
+        let sent = self
+            .claim
+            .as_ref()
+            .filter(|claim| claim.follows == head.record.follows)
+            .map(|claim| claim.first_sent);
+        let Some(sent) = sent.filter(|_| !head.record.length.is_zero()) else {
+            self.held = None;
+            return;
+        };
+        self.held = Some(HeldLease {
+            fencing: head.offset,
+            until: sent + head.record.length.saturating_sub(DRIFT_MARGIN),
+        });
+        self.renew_at = sent + head.record.length.mul_f64(random.random_range(0.4..0.6));
+    }
+
+    /// The lease that this node holds at this moment.
+    pub fn held(&self, now: Duration) -> Option<HeldLease> {
+        self.held.filter(|held| now < held.until)
+    }
+
+    /// The node whose lease has not lapsed by this node's clock.
+    pub fn holder(&self, now: Duration) -> Option<NodeId> {
+        self.head
+            .as_ref()
+            .filter(|_| now < self.lapses)
+            .map(|head| head.record.node)
+    }
+
+    /// Whether another node, or an earlier run of this one, may hold the lease.
+    pub fn is_held_by_other(&self, node: NodeId, incarnation: Incarnation, now: Duration) -> bool {
+        let other = |head: &LeaseHead| !is_of(head, node, incarnation);
+        now < self.lapses && self.head.as_ref().is_some_and(other)
+    }
+
+    /// A claim stands nowhere on the log: the next one is a new one.
+    pub fn refused(&mut self) {
+        self.claim = None;
+    }
+
+    /// The end of what an earlier holder's orders can still do at an upstream that does not check
+    /// fencing numbers.
+    pub fn quiet_until(&self) -> Duration {
+        self.quiet_until
+    }
+
+    /// For the state dump.
+    pub fn dump(&self) -> Value {
+        json!({
+            "holder": self.head.as_ref().map(|head| head.record.node.to_string()),
+            "fencing": self.head.as_ref().map(|head| head.offset),
+            "lapses": self.lapses,
+            "held_until": self.held.map(|held| held.until),
+            "quiet_until": self.quiet_until,
+        })
+    }
+
+    /// The record that claims or renews the lease, if it is time for one.
+    pub fn claim(
+        &mut self,
+        node: NodeId,
+        incarnation: Incarnation,
+        now: Duration,
+    ) -> Option<LeaseRecord> {
+        let renewing = self.held(now).is_some();
+        if renewing && now < self.renew_at {
+            return None;
+        }
+        if self.is_held_by_other(node, incarnation, now) {
+            return None;
+        }
+        let follows = self.head.as_ref().map_or(0, |head| head.offset + 1);
+        let claim = self.claim.get_or_insert(PendingClaim {
+            follows,
+            first_sent: now,
+            again_at: now,
+        });
+        if now < claim.again_at {
+            return None;
+        }
+        claim.again_at = now + CLAIM_WAIT;
+        Some(LeaseRecord {
+            node,
+            incarnation,
+            follows,
+            length: LEASE_LENGTH,
+        })
+    }
+
+    /// The record that gives the lease up.
+    pub fn release(
+        &mut self,
+        node: NodeId,
+        incarnation: Incarnation,
+        now: Duration,
+    ) -> Option<LeaseRecord> {
+        self.held(now)?;
+        self.held = None;
+        let head = self.head.as_ref()?;
+        Some(LeaseRecord {
+            node,
+            incarnation,
+            follows: head.offset + 1,
+            length: Duration::ZERO,
+        })
+    }
+}
--- a/kernel/src/wire.rs
+++ b/kernel/src/wire.rs
@@ -7,6 +7,7 @@
 use crate::configuration::ConfigurationMessage;
 use crate::ids::{AttemptId, CallId, PoolId};
 use crate::keys::RequestKey;
+use crate::leases::OrderMessage;
 use crate::limits::LimitMessage;
 use crate::membership::MembershipMessage;
 
@@ -25,6 +26,8 @@
     Limit(LimitMessage),
     /// Calls with an idempotency key, on their way to the node that minted it.
     Relay(RelayMessage),
+    /// Orders on their way to the node that gives them.
+    Order(OrderMessage),
 }
 
 /// Work between an entry node and an owner.
--- a/kernel/tests/configuration/main.rs
+++ b/kernel/tests/configuration/main.rs
@@ -2,6 +2,8 @@
 
 mod check;
 mod fold;
+mod fuzz;
+mod orders;
 mod outages;
 mod publish;
 mod rules;
--- a/kernel/tests/configuration/support.rs
+++ b/kernel/tests/configuration/support.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use monsoonbank_kernel::config::{ConfigFile, Document, WorkspaceSpec};
+use monsoonbank_kernel::config::{ConfigFile, Document, DocumentList, WorkspaceSpec};
 use monsoonbank_kernel::configuration::publish::RequestTicket;
 use monsoonbank_kernel::configuration::reach::PublishProgress;
 use monsoonbank_kernel::event::{Action, Event};
 use monsoonbank_kernel::ids::{Incarnation, NodeId, ZoneId};
 use monsoonbank_kernel::kernel::Kernel;
+use monsoonbank_kernel::leases::OrderRequest;
 use monsoonbank_kernel::membership::{Member, MemberView, NodeState};
 use monsoonbank_kernel::plugin::NodeProfile;
 use monsoonbank_kernel::record::{
@@ -26,6 +27,8 @@
     pub records: Vec<Record>,
     pub down: bool,
     pub lose_responses: u32,
+    /// Every record ever, for the oracle.
+    pub history: Vec<Record>,
 }
 
 impl FakeLog {
@@ -34,6 +37,7 @@
     }
 
     pub fn append(&mut self, record: Record) -> u64 {
+        self.history.push(record.clone());
         self.records.push(record);
         self.end() - 1
     }
@@ -72,9 +76,22 @@
     pub kernel: Kernel,
     pub alive: bool,
     pub cut_from_log: bool,
+    pub paused: bool,
     read: Option<u64>,
     appends: Vec<(AppendTicket, Record)>,
     pub versions: Vec<u64>,
+    pub documents: DocumentList,
+}
+
+/// An order that a node gave.
+#[derive(Clone, Debug)]
+pub struct GivenOrder {
+    pub node: usize,
+    pub incarnation: Incarnation,
+    pub request: OrderRequest,
+    pub fencing: u64,
+    pub at: Duration,
+    pub not_after: Duration,
 }
 
 /// Nodes, log and messages under way.
@@ -85,7 +102,7 @@
     pub messages: Vec<(NodeId, NodeId, Message)>,
     pub answers: Vec<(u64, PublishResult)>,
     pub progress: Vec<(u64, PublishProgress)>,
-    pub orders: Vec<(usize, u64, Duration)>,
+    pub orders: Vec<GivenOrder>,
     pub bytes: u64,
     incarnation: u64,
 }
@@ -130,9 +147,11 @@
             kernel: Kernel::with_plugins(profile, wanted),
             alive: true,
             cut_from_log: false,
+            paused: false,
             read: None,
             appends: Vec::new(),
             versions: Vec::new(),
+            documents: DocumentList::default(),
         }
     }
 
@@ -173,7 +192,7 @@
     /// Gives a node an event at a time of its own.
     pub fn give_at(&mut self, index: usize, now: Duration, event: Event) {
         let node = &mut self.nodes[index];
-        if !node.alive {
+        if !node.alive || node.paused {
             return;
         }
         let mut actions = Vec::new();
@@ -198,8 +217,18 @@
                     self.progress.push((request.0, progress));
                 }
                 Action::Order {
-                    fencing, not_after, ..
-                } => self.orders.push((index, fencing, not_after)),
+                    request,
+                    fencing,
+                    not_after,
+                } => self.orders.push(GivenOrder {
+                    node: index,
+                    incarnation: node.kernel.profile().incarnation,
+                    request,
+                    fencing,
+                    at: now,
+                    not_after,
+                }),
+                Action::DocumentsAnswered { list, .. } => node.documents = list,
                 _ => {}
             }
         }
@@ -216,6 +245,9 @@
 
     /// Answers a node's read and appends as the log would.
     pub fn serve_log(&mut self, index: usize) {
+        if self.nodes[index].paused {
+            return;
+        }
         let cut = self.nodes[index].cut_from_log || self.log.down;
         for (ticket, record) in std::mem::take(&mut self.nodes[index].appends) {
             let result = if cut {
