Show that racing claims are decided by the chain

With the chain check taken out of the fold, no test failed: the claimants' ranks keep two from claiming at a time. A test of the fold itself now fails without it.

--- a/kernel/tests/configuration/fold.rs
+++ b/kernel/tests/configuration/fold.rs
@@ -4,7 +4,11 @@
 use monsoonbank_kernel::config::{Document, DocumentKey, TierSpec};
 use monsoonbank_kernel::configuration::checkpoint::{CheckpointAssembly, parts};
 use monsoonbank_kernel::configuration::fold::ConfigFold;
-use monsoonbank_kernel::record::{ChangeRecord, DocumentChange, LogRecord, PublishResult, Record};
+use monsoonbank_kernel::ids::{Incarnation, NodeId};
+use monsoonbank_kernel::record::{
+    ChangeRecord, DocumentChange, LeaseRecord, LogRecord, PublishResult, Record,
+};
+use std::time::Duration;
 
 use crate::support::{base_change, set_workspace, workspace};
 
@@ -169,3 +173,21 @@
     let refused: Vec<u64> = fold.refused().map(|refused| refused.offset).collect();
     assert_eq!(refused, [1]);
 }
+
+#[test]
+fn first_of_two_racing_claims_holds_and_each_names_the_one_before() {
+    let claim = |node: &str, follows| LeaseRecord {
+        node: NodeId::named(node),
+        incarnation: Incarnation(1),
+        follows,
+        length: Duration::from_secs(15),
+    };
+    let claims = [claim("a", 0), claim("b", 0), claim("a", 1), claim("b", 1)];
+    let mut fold = ConfigFold::default();
+    for (offset, claim) in (0..).zip(claims) {
+        let record = Some(Record::Lease(claim));
+        fold.apply(&LogRecord { offset, record });
+    }
+    let head = fold.lease().expect("a claim holds");
+    assert_eq!((head.offset, head.record.node), (2, NodeId::named("a")));
+}
