--- a/kernel/src/limits.rs
+++ b/kernel/src/limits.rs
@@ -1,44 +1,385 @@
 //! Rate and concurrency limits of workspaces over the whole fleet.
+//!
+//! Each limited workspace has one limiter among the live nodes, by rendezvous hashing. A node with
+//! demand asks the limiter for a share and gets it as a short lease; the limiter shares the limit
+//! out by max-min fairness over demands. While the limiter cannot be reached, a node uses the
+//! limit over the number of live nodes, so nodes that cannot see each other may together reach the
+//! limit once a side.
+
+pub mod allowance;
+pub mod ledger;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::event::Event;
-use crate::ids::WorkspaceId;
-use crate::plugin::{Context, NodeProfile, Plugin, Registration};
+use crate::call::{CallOutcome, CallSpec, RefusalReason};
+use crate::config::Config;
+use crate::event::{Action, Event};
+use crate::ids::{CallId, NodeId, WorkspaceId};
+use crate::limits::allowance::{LimitVerdict, LocalAllowance, WaitingCall};
+use crate::limits::ledger::{ShareDemand, ShareLedger};
+use crate::membership::{MemberView, NodeState};
+use crate::plugin::{Context, GaugeSample, NodeProfile, Plugin, Registration};
+use crate::wire::Message;
+
+/// A share of a workspace's limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LimitShare {
+    /// Calls a second.
+    pub rate: f64,
+    /// Calls at a time.
+    pub concurrent: u32,
+}
 
 /// Messages about fleet-wide limits.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LimitMessage {
-    /// The sender's recent demand for a limited workspace, in calls a second.
+    /// To the limiter: what the sender could use, and what it holds.
     Demand {
         /// The workspace.
         workspace: WorkspaceId,
-        /// Calls a second.
-        rate: f64,
+        /// What the sender could use.
+        wanted: LimitShare,
+        /// What it holds by a lease that has not run out.
+        held: LimitShare,
+    },
+    /// From the limiter: replaces whatever share the receiver holds.
+    Grant {
+        /// The workspace.
+        workspace: WorkspaceId,
+        /// The share.
+        share: LimitShare,
+        /// How long it holds, counted from when it arrives.
+        length: Duration,
     },
 }
 
-/// Lets every call pass.
+/// Messages that a node sends about its demand at one tick, to stay within the budget of control
+/// traffic.
+const MOST_AT_ONCE: usize = 4;
+
+/// Calls a second, and calls at a time, that stand for no limit: beyond what a fleet can take in,
+/// and safe to share out.
+const UNLIMITED_RATE: f64 = 1e9;
+const UNLIMITED_CALLS: u32 = 1_000_000_000;
+
+/// Calls that wait for the first share of their workspace.
+const MOST_WAITING: usize = 256;
+
+/// Admits calls within their workspace's limits.
 #[derive(Debug, Default)]
-pub struct LimitTable;
+pub struct LimitTable {
+    config: Arc<Config>,
+    nodes: Vec<NodeId>,
+    local: BTreeMap<WorkspaceId, LocalAllowance>,
+    admitted: BTreeMap<CallId, WorkspaceId>,
+    ledger: ShareLedger,
+    limited: u64,
+}
+
+impl LimitTable {
+    /// The workspace's limits; none when it has none.
+    fn limits(&self, workspace: WorkspaceId) -> Option<LimitShare> {
+        let spec = self.config.workspaces.get(&workspace)?;
+        if spec.calls_per_second.is_none() && spec.concurrent_calls.is_none() {
+            return None;
+        }
+        Some(LimitShare {
+            rate: spec.calls_per_second.unwrap_or(UNLIMITED_RATE),
+            concurrent: spec.concurrent_calls.unwrap_or(UNLIMITED_CALLS),
+        })
+    }
+
+    /// The node that shares out the workspace's limits.
+    fn limiter(&self, workspace: WorkspaceId) -> Option<NodeId> {
+        let weight = |node: &NodeId| xxh3_64_with_seed(&node.0.to_le_bytes(), workspace.0);
+        self.nodes.iter().copied().max_by_key(weight)
+    }
+
+    /// The share of a node that cannot reach the limiter.
+    fn even_share(&self, workspace: WorkspaceId, limits: LimitShare, node: NodeId) -> LimitShare {
+        let nodes = self.nodes.len().max(1) as u32;
+        let weight = |node: NodeId| xxh3_64_with_seed(&node.0.to_le_bytes(), workspace.0);
+        let own = weight(node);
+        let before = self.nodes.iter().filter(|other| weight(**other) > own);
+        let rank = before.count() as u32;
+        LimitShare {
+            rate: limits.rate / f64::from(nodes),
+            concurrent: limits.concurrent / nodes + u32::from(rank < limits.concurrent % nodes),
+        }
+    }
+
+    /// Whether a call of the workspace may go on now; takes up its place if it may.
+    pub fn admit(&mut self, now: Duration, workspace: WorkspaceId, node: NodeId) -> LimitVerdict {
+        let Some(limits) = self.limits(workspace) else {
+            return LimitVerdict::Unlimited;
+        };
+        let even = self.even_share(workspace, limits, node);
+        let allowance = self.local.entry(workspace).or_default();
+        allowance.admit(now, even)
+    }
+
+    fn arrive(&mut self, spec: &CallSpec, key: Option<&str>, context: &mut Context<'_>) {
+        let workspace = spec.workspace;
+        if self.limits(workspace).is_some() {
+            let allowance = self.local.entry(workspace).or_default();
+            allowance.arrived(context.now);
+            if allowance.should_ask_now(context.now) {
+                self.ask(workspace, context);
+            }
+        }
+        let call = WaitingCall {
+            spec: *spec,
+            key: key.map(Box::from),
+            since: context.now,
+        };
+        self.decide(call, context);
+    }
+
+    fn decide(&mut self, call: WaitingCall, context: &mut Context<'_>) {
+        let workspace = call.spec.workspace;
+        match self.admit(context.now, workspace, context.profile.node) {
+            LimitVerdict::Unlimited => pass(call, context),
+            LimitVerdict::Admitted => {
+                self.admitted.insert(call.spec.call, workspace);
+                pass(call, context);
+            }
+            LimitVerdict::Wait => match self.local.get_mut(&workspace) {
+                Some(allowance) if allowance.waiting.len() < MOST_WAITING => {
+                    allowance.waiting.push_back(call);
+                }
+                _ => self.refuse(&call, Duration::from_secs(1), context),
+            },
+            LimitVerdict::Limited { retry_after } => self.refuse(&call, retry_after, context),
+        }
+    }
+
+    fn refuse(&mut self, call: &WaitingCall, after: Duration, context: &mut Context<'_>) {
+        self.limited += 1;
+        context.act(Action::FinishCall {
+            call: call.spec.call,
+            outcome: CallOutcome::NotRun {
+                reason: RefusalReason::Limit,
+                retry_after: Some(after),
+            },
+        });
+    }
+
+    /// Decides again on the calls that waited for a share.
+    fn release_waiting(&mut self, workspace: WorkspaceId, context: &mut Context<'_>) {
+        let Some(allowance) = self.local.get_mut(&workspace) else {
+            return;
+        };
+        for call in std::mem::take(&mut allowance.waiting) {
+            self.decide(call, context);
+        }
+    }
+
+    fn ask(&mut self, workspace: WorkspaceId, context: &mut Context<'_>) {
+        let Some(limiter) = self.limiter(workspace) else {
+            return;
+        };
+        let Some(allowance) = self.local.get_mut(&workspace) else {
+            return;
+        };
+        let wanted = allowance.ask(context.now);
+        let held = allowance.held(context.now);
+        context.send(
+            limiter,
+            LimitMessage::Demand {
+                workspace,
+                wanted,
+                held,
+            },
+        );
+    }
+
+    fn demand(
+        &mut self,
+        from: NodeId,
+        workspace: WorkspaceId,
+        wanted: LimitShare,
+        held: LimitShare,
+        context: &mut Context<'_>,
+    ) {
+        let Some(limits) = self.limits(workspace) else {
+            return;
+        };
+        let demand = ShareDemand {
+            node: from,
+            wanted,
+            held,
+            even: self.even_share(workspace, limits, from),
+        };
+        let grants = self.ledger.demand(context.now, workspace, limits, demand);
+        for grant in grants {
+            context.send(
+                grant.node,
+                LimitMessage::Grant {
+                    workspace,
+                    share: grant.share,
+                    length: grant.length,
+                },
+            );
+        }
+    }
+
+    fn granted(
+        &mut self,
+        workspace: WorkspaceId,
+        share: LimitShare,
+        length: Duration,
+        context: &mut Context<'_>,
+    ) {
+        let Some(allowance) = self.local.get_mut(&workspace) else {
+            return;
+        };
+        let shrunk = allowance.granted(context.now, share, length);
+        if shrunk {
+            self.ask(workspace, context);
+        }
+        self.release_waiting(workspace, context);
+    }
+
+    fn finished(&mut self, call: CallId) {
+        let Some(workspace) = self.admitted.remove(&call) else {
+            return;
+        };
+        if let Some(allowance) = self.local.get_mut(&workspace) {
+            allowance.finished();
+        }
+    }
+
+    fn cancelled(&mut self, call: CallId, context: &mut Context<'_>) {
+        for allowance in self.local.values_mut() {
+            let before = allowance.waiting.len();
+            allowance
+                .waiting
+                .retain(|waiting| waiting.spec.call != call);
+            if allowance.waiting.len() < before {
+                context.act(Action::FinishCall {
+                    call,
+                    outcome: CallOutcome::NotRun {
+                        reason: RefusalReason::Cancelled,
+                        retry_after: None,
+                    },
+                });
+                return;
+            }
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<'_>) {
+        let now = context.now;
+        self.local.retain(|_, allowance| !allowance.is_idle(now));
+        self.ledger.expire(now);
+        let mut due: Vec<(Duration, WorkspaceId)> = self
+            .local
+            .iter()
+            .filter(|(_, allowance)| allowance.should_renew(now))
+            .map(|(workspace, allowance)| (allowance.asked_at(), *workspace))
+            .collect();
+        due.sort_unstable();
+        for (_, workspace) in due.into_iter().take(MOST_AT_ONCE) {
+            self.ask(workspace, context);
+        }
+        let waiting: Vec<WorkspaceId> = self
+            .local
+            .iter()
+            .filter(|(_, allowance)| !allowance.waiting.is_empty())
+            .map(|(workspace, _)| *workspace)
+            .collect();
+        for workspace in waiting {
+            self.release_waiting(workspace, context);
+        }
+    }
+
+    fn members(&mut self, view: &MemberView) {
+        self.nodes = view
+            .members
+            .iter()
+            .filter(|(_, member)| member.state == NodeState::Live)
+            .map(|(node, _)| *node)
+            .collect();
+    }
+}
+
+fn pass(call: WaitingCall, context: &mut Context<'_>) {
+    context.raise(Event::CallAdmitted {
+        spec: CallSpec {
+            time_left: call
+                .spec
+                .time_left
+                .saturating_sub(context.now.saturating_sub(call.since)),
+            ..call.spec
+        },
+        key: call.key,
+    });
+}
 
 impl Plugin for LimitTable {
     fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
-        if let Event::CallArrived { spec, key } = event {
-            let (spec, key) = (*spec, key.clone());
-            context.raise(Event::CallAdmitted { spec, key });
+        match event {
+            Event::ConfigApplied(config) => self.config = Arc::clone(config),
+            Event::MembersChanged(view) => self.members(view),
+            Event::CallArrived { spec, key } => self.arrive(spec, key.as_deref(), context),
+            Event::CallCancelled(call) => self.cancelled(*call, context),
+            Event::CallFinished(call) => self.finished(*call),
+            Event::PeerMessage {
+                from,
+                message: Message::Limit(message),
+            } => match message {
+                LimitMessage::Demand {
+                    workspace,
+                    wanted,
+                    held,
+                } => self.demand(*from, *workspace, *wanted, *held, context),
+                LimitMessage::Grant {
+                    workspace,
+                    share,
+                    length,
+                } => self.granted(*workspace, *share, *length, context),
+            },
+            Event::Tick => self.tick(context),
+            _ => {}
         }
     }
 
     fn dump(&self) -> Value {
-        json!({})
+        let name = |workspace: &WorkspaceId| {
+            let spec = self.config.workspaces.get(workspace);
+            spec.map_or_else(|| workspace.to_string(), |spec| spec.name.to_string())
+        };
+        let local: BTreeMap<String, Value> = self
+            .local
+            .iter()
+            .map(|(workspace, allowance)| (name(workspace), allowance.dump()))
+            .collect();
+        json!({
+            "workspaces": local,
+            "limits_shared_out": self.ledger.len(),
+            "calls_limited": self.limited,
+        })
+    }
+
+    fn gauges(&self) -> Vec<GaugeSample> {
+        vec![GaugeSample {
+            name: "calls_limited",
+            help: "Calls refused for a workspace's limit since the start",
+            kind: "",
+            value: self.limited as f64,
+        }]
     }
 }
 
 fn build(_profile: &NodeProfile) -> Box<dyn Plugin> {
-    Box::new(LimitTable)
+    Box::<LimitTable>::default()
 }
 
 inventory::submit! {
