--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -152,9 +152,11 @@
             return;
         };
         state.fill(context.now, &mut self.arena, &mut self.decisions);
-        for decision in std::mem::take(&mut self.decisions) {
+        let mut decisions = std::mem::take(&mut self.decisions);
+        for decision in decisions.drain(..) {
             self.carry_out(decision, context);
         }
+        self.decisions = decisions;
     }
 
     fn fill_all(&mut self, context: &mut Context<'_>) {
@@ -211,10 +213,10 @@
         Some(held)
     }
 
-    fn load(&self, pool: PoolId, now: Duration) -> LoadSummary {
+    fn load(&self, pool: PoolId) -> LoadSummary {
         self.pools
             .get(&pool)
-            .map(|state| state.summary(now))
+            .map(PoolState::summary)
             .unwrap_or_default()
     }
 
@@ -226,7 +228,7 @@
         context: &mut Context<'_>,
     ) {
         let pool = work.spec.pool;
-        let load = self.load(pool, context.now);
+        let load = self.load(pool);
         self.news.told(context.now, pool, entry, load);
         let attempt = work.attempt;
         context.send(
@@ -253,7 +255,7 @@
 
     fn answer_ended(&mut self, held: &HeldWork, end: AttemptEnd, context: &mut Context<'_>) {
         let pool = held.work.spec.pool;
-        let load = self.load(pool, context.now);
+        let load = self.load(pool);
         self.news.told(context.now, pool, held.entry, load);
         let attempt = held.work.attempt;
         context.send(held.entry, WorkMessage::Ended { attempt, end, load });
@@ -420,7 +422,7 @@
         let loads: BTreeMap<PoolId, LoadSummary> = self
             .pools
             .iter()
-            .map(|(pool, state)| (*pool, state.summary(context.now)))
+            .map(|(pool, state)| (*pool, state.summary()))
             .collect();
         for (pool, node, load) in self.news.due(context.now, &loads) {
             context.send(node, WorkMessage::Load { pool, load });
--- a/kernel/src/dispatch/admission.rs
+++ b/kernel/src/dispatch/admission.rs
@@ -37,7 +37,7 @@
             return;
         }
         self.enqueue(now, key, held);
-        self.bound(now, held.work.spec.tier, arena, out);
+        self.bound(held.work.spec.tier, arena, out);
     }
 
     fn objection(&self, now: Duration, held: &HeldWork) -> Option<Refusal> {
@@ -47,29 +47,29 @@
         }
         let slack = held.latest_start.checked_sub(now);
         let late = match slack {
-            None => return self.late(now, tier),
+            None => return self.late(tier),
             Some(slack) if slack > LONG_SLACK => return None,
-            Some(slack) => self.wait(now, held)? > slack.mul_f64(DOUBT),
+            Some(slack) => self.wait(held)? > slack.mul_f64(DOUBT),
         };
-        late.then(|| self.refusal(now, RefusalReason::Overloaded, tier))
+        late.then(|| self.refusal(RefusalReason::Overloaded, tier))
     }
 
     /// The refusal of work that is late, unless a lower tier holds slots beyond its floor: then the
     /// lower tier gives way first, and the work runs late.
-    fn late(&self, now: Duration, tier: Tier) -> Option<Refusal> {
-        let slots = self.slots(now);
+    fn late(&self, tier: Tier) -> Option<Refusal> {
+        let slots = self.slots();
         let spare = self
             .tiers
             .range(tier..)
             .skip_while(|(lower, _)| **lower == tier)
             .any(|(_, state)| state.above_floor(slots) > 0);
         let refusable = slots == 0 || !spare;
-        refusable.then(|| self.refusal(now, RefusalReason::Deadline, tier))
+        refusable.then(|| self.refusal(RefusalReason::Deadline, tier))
     }
 
-    fn refusal(&self, now: Duration, reason: RefusalReason, tier: Tier) -> Refusal {
+    fn refusal(&self, reason: RefusalReason, tier: Tier) -> Refusal {
         let backlog: u64 = self.tiers.range(..=tier).map(|(_, t)| t.queue.cost()).sum();
-        let wait = self.time_for(now, tier, backlog).unwrap_or(RETRY_AFTER.0);
+        let wait = self.time_for(tier, backlog).unwrap_or(RETRY_AFTER.0);
         Refusal {
             reason,
             retry_after: wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
@@ -77,7 +77,7 @@
     }
 
     /// Estimated wait until a start; none while too little is known.
-    fn wait(&self, now: Duration, held: &HeldWork) -> Option<Duration> {
+    fn wait(&self, held: &HeldWork) -> Option<Duration> {
         let spec = &held.work.spec;
         let above: u64 = self
             .tiers
@@ -89,22 +89,22 @@
             let fair = state.queue.fair_cost_before(spec.workspace, weight);
             fair.min(state.queue.cost_before(held.deadline))
         });
-        self.time_for(now, spec.tier, above + ahead)
+        self.time_for(spec.tier, above + ahead)
     }
 
     /// Time in which the tier works off a cost; none while too little is known.
-    fn time_for(&self, now: Duration, tier: Tier, cost: u64) -> Option<Duration> {
+    fn time_for(&self, tier: Tier, cost: u64) -> Option<Duration> {
         if self.pace.slot_rate.samples() < LEAST_SAMPLES {
             return None;
         }
-        let rate = self.pace.slot_rate.get()? * self.open_slots(now, tier);
+        let rate = self.pace.slot_rate.get()? * self.open_slots(tier);
         let seconds = cost as f64 / rate.max(f64::MIN_POSITIVE);
         Some(Duration::from_secs_f64(seconds.min(1e6)))
     }
 
     /// Slots that a tier can count on: all, less what runs above it and the floors of those below.
-    fn open_slots(&self, now: Duration, tier: Tier) -> f64 {
-        let slots = self.slots(now);
+    fn open_slots(&self, tier: Tier) -> f64 {
+        let slots = self.slots();
         let taken: f64 = self
             .tiers
             .iter()
@@ -126,15 +126,16 @@
 
     /// Refuses waiting work whose last moment to start has passed.
     pub(super) fn expire(&mut self, now: Duration, arena: &WorkArena, out: &mut Vec<Decision>) {
-        let tiers: Vec<Tier> = self.tiers.keys().rev().copied().collect();
-        for tier in tiers {
+        let mut next = self.tiers.keys().next_back().copied();
+        while let Some(tier) = next {
             while let Some(key) = self.first_late(now, tier) {
-                let Some(refusal) = self.late(now, tier) else {
+                let Some(refusal) = self.late(tier) else {
                     break;
                 };
                 self.dequeue(key, &arena[key]);
                 out.push(Decision::Refuse(key, refusal));
             }
+            next = self.tiers.range(..tier).next_back().map(|(tier, _)| *tier);
         }
     }
 
@@ -145,7 +146,7 @@
 
     /// Keeps a tier's queue within its bound: the workspace that was served most gives up its last
     /// call.
-    fn bound(&mut self, now: Duration, tier: Tier, arena: &WorkArena, out: &mut Vec<Decision>) {
+    fn bound(&mut self, tier: Tier, arena: &WorkArena, out: &mut Vec<Decision>) {
         let Some(state) = self.tiers.get(&tier) else {
             return;
         };
@@ -155,7 +156,7 @@
         let Some(key) = state.queue.last().filter(|key| !arena[*key].begun()) else {
             return;
         };
-        let refusal = self.refusal(now, RefusalReason::Overloaded, tier);
+        let refusal = self.refusal(RefusalReason::Overloaded, tier);
         self.dequeue(key, &arena[key]);
         out.push(Decision::Refuse(key, refusal));
     }
--- a/kernel/src/dispatch/choice.rs
+++ b/kernel/src/dispatch/choice.rs
@@ -1,7 +1,6 @@
 //! Which upstream a call goes to: the least loaded for its speed, with a bonus for a cached prefix.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use crate::call::CallSpec;
 use crate::dispatch::engine::EngineState;
@@ -29,14 +28,13 @@
     engines: &BTreeMap<UpstreamId, EngineState>,
     median: Option<f64>,
     spec: &CallSpec,
-    now: Duration,
 ) -> Option<UpstreamId> {
     let mut best: Option<(f64, UpstreamId)> = None;
     for (upstream, engine) in engines {
-        if engine.free(now) == 0 {
+        if engine.free() == 0 {
             continue;
         }
-        let score = score(engine, median, spec, now);
+        let score = score(engine, median, spec);
         if best.is_none_or(|(least, _)| score < least) {
             best = Some((score, *upstream));
         }
@@ -44,8 +42,8 @@
     best.map(|(_, upstream)| upstream)
 }
 
-fn score(engine: &EngineState, median: Option<f64>, spec: &CallSpec, now: Duration) -> f64 {
-    let used = engine.in_flight + engine.foreign(now);
+fn score(engine: &EngineState, median: Option<f64>, spec: &CallSpec) -> f64 {
+    let used = engine.in_flight + engine.foreign;
     let load = f64::from(used) / f64::from(engine.slots.max(1));
     let slowness = match (engine.speed.get(), median) {
         (Some(speed), Some(median)) if median > 0.0 => speed / median,
--- a/kernel/src/dispatch/engine.rs
+++ b/kernel/src/dispatch/engine.rs
@@ -36,6 +36,8 @@
     pub speed: MovingMean,
     /// What its cache is thought to hold.
     pub prefixes: PrefixHints,
+    /// Slots that others are thought to use.
+    pub foreign: u32,
     history: VecDeque<(Duration, u32)>,
     reports: [Option<(Duration, u32)>; 2],
 }
@@ -73,26 +75,28 @@
         let others = (report.running + report.waiting).saturating_sub(own);
         self.reports = [Some((now, others)), self.reports[0]];
         self.leaving |= report.leaving;
+        self.weigh_reports(now);
     }
 
-    /// Slots that others are thought to use: the least of the last two reports, since one alone may
-    /// be off by what started or ended while it was on its way.
-    pub fn foreign(&self, now: Duration) -> u32 {
-        self.reports
+    /// Others use the least that the last two reports show, since one alone may be off by what
+    /// started or ended while it was on its way.
+    pub fn weigh_reports(&mut self, now: Duration) {
+        self.foreign = self
+            .reports
             .iter()
             .flatten()
             .filter(|(at, _)| now < *at + REPORT_LIFE)
             .map(|(_, others)| *others)
             .min()
-            .unwrap_or(0)
+            .unwrap_or(0);
     }
 
     /// Slots that this node may use now.
-    pub fn capacity(&self, now: Duration) -> u32 {
+    pub fn capacity(&self) -> u32 {
         if !self.owned || self.leaving {
             return 0;
         }
-        let slots = self.slots.saturating_sub(self.foreign(now));
+        let slots = self.slots.saturating_sub(self.foreign);
         match self.health.state {
             HealthState::Unproven { .. } => slots.div_ceil(4),
             HealthState::Healthy => slots,
@@ -101,8 +105,8 @@
     }
 
     /// Slots that are free for this node now.
-    pub fn free(&self, now: Duration) -> u32 {
-        self.capacity(now).saturating_sub(self.in_flight)
+    pub fn free(&self) -> u32 {
+        self.capacity().saturating_sub(self.in_flight)
     }
 
     /// Whether it waits for one run that shows whether it is fit again.
--- a/kernel/src/dispatch/fair.rs
+++ b/kernel/src/dispatch/fair.rs
@@ -133,19 +133,36 @@
         let Some(key) = self.names.get(&item.workspace).copied() else {
             return false;
         };
-        if !self.shares[key].queue.contains(&(item.deadline, item.key)) {
-            return false;
+        self.detach(key);
+        let found = self.shares[key].queue.remove(&(item.deadline, item.key));
+        if found {
+            self.count_out(key, item);
         }
+        self.attach(key);
+        self.forget_when_idle();
+        found
+    }
+
+    /// Takes out the call that [`Self::first`] names, and charges its cost to the workspace.
+    pub fn serve(&mut self, item: QueueItem) {
+        let Some((_, key)) = self.eligible.first().copied() else {
+            return;
+        };
         self.detach(key);
         let share = &mut self.shares[key];
-        share.queue.remove(&(item.deadline, item.key));
-        share.cost -= item.cost;
+        share.queue.pop_first();
+        share.start += item.cost * TAG_SCALE / share.weight;
+        self.ceiling = self.ceiling.max(share.start);
+        self.count_out(key, item);
+        self.attach(key);
+        self.forget_when_idle();
+    }
+
+    fn count_out(&mut self, key: ShareKey, item: QueueItem) {
+        self.shares[key].cost -= item.cost;
         self.len -= 1;
         self.cost -= item.cost;
         self.take_bucket(bucket_of(item.deadline), item.cost);
-        self.attach(key);
-        self.forget_when_idle();
-        true
     }
 
     /// The call that is to be served next.
--- a/kernel/src/dispatch/pool.rs
+++ b/kernel/src/dispatch/pool.rs
@@ -1,6 +1,7 @@
 //! One pool at its owner: which waiting work starts next, and on which upstream.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -99,11 +100,8 @@
     }
 
     /// Slots of the upstreams that are fit for work.
-    pub fn slots(&self, now: Duration) -> u32 {
-        self.engines
-            .values()
-            .map(|engine| engine.capacity(now))
-            .sum()
+    pub fn slots(&self) -> u32 {
+        self.engines.values().map(EngineState::capacity).sum()
     }
 
     /// Work in service.
@@ -112,9 +110,9 @@
     }
 
     /// The state that entry nodes are told.
-    pub fn summary(&self, now: Duration) -> LoadSummary {
+    pub fn summary(&self) -> LoadSummary {
         let mut load = LoadSummary {
-            slots: self.slots(now),
+            slots: self.slots(),
             running: self.running(),
             waiting: [0; 3],
         };
@@ -157,7 +155,7 @@
 
     /// Counts the time that passed towards the floors. Comes before every change of what runs.
     pub fn settle(&mut self, now: Duration) {
-        let slots = self.slots(now);
+        let slots = self.slots();
         for tier in self.tiers.values_mut() {
             let waiting = !tier.queue.is_empty();
             tier.floor.settle(now, slots, tier.running, waiting);
@@ -169,13 +167,21 @@
         self.settle(now);
         self.check_stalls(now, arena, out);
         self.expire(now, arena, out);
-        while let Some((key, upstream)) = self.next(now, arena) {
+        let slots = self.slots();
+        while let Some((key, upstream)) = self.next(slots, arena) {
             self.start(now, key, upstream, arena);
             out.push(Decision::Start(key));
         }
         self.preempt(now, arena, out);
     }
 
+    /// The next lower tier that has, or had, work; the highest one after none.
+    pub(super) fn tier_after(&self, tier: Option<Tier>) -> Option<Tier> {
+        let after = tier.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut tiers = self.tiers.range((after, Bound::Unbounded));
+        tiers.next().map(|(tier, _)| *tier)
+    }
+
     /// The tier that the next free slot belongs to: one below its floor, else the highest.
     fn next_tier(&self, slots: u32) -> Option<Tier> {
         let mut waiting = self
@@ -193,11 +199,11 @@
         Some(owed.map_or(*highest, |(tier, _)| *tier))
     }
 
-    fn next(&self, now: Duration, arena: &WorkArena) -> Option<(WorkKey, UpstreamId)> {
-        let tier = self.next_tier(self.slots(now))?;
+    fn next(&self, slots: u32, arena: &WorkArena) -> Option<(WorkKey, UpstreamId)> {
+        let tier = self.next_tier(slots)?;
         let key = self.tiers[&tier].queue.first()?;
         let spec = &arena[key].work.spec;
-        if let Some(upstream) = choice::choose(&self.engines, self.median, spec, now) {
+        if let Some(upstream) = choice::choose(&self.engines, self.median, spec) {
             return Some((key, upstream));
         }
         self.next_probe(arena)
@@ -222,7 +228,6 @@
 
     fn start(&mut self, now: Duration, key: WorkKey, upstream: UpstreamId, arena: &mut WorkArena) {
         let held = &mut arena[key];
-        self.dequeue(key, held);
         let prompt = held.work.spec.prompt_tokens + held.work.resume_from;
         let due = self.patience(prompt).map(|patience| now + patience);
         held.run = Some(WorkRun {
@@ -237,7 +242,6 @@
         let spec = held.work.spec;
         if let Some(engine) = self.engines.get_mut(&upstream) {
             engine.count(now, engine.in_flight + 1);
-            engine.prefixes.add(spec.prefix);
             if let HealthState::Probing { running } = &mut engine.health.state {
                 *running = true;
             }
@@ -247,7 +251,7 @@
         }
         let tier = self.tier(now, spec.tier);
         tier.running += 1;
-        tier.queue.charge(spec.workspace, held.cost.cast_signed());
+        tier.serve(key, held);
         tier.watch(key, held);
     }
 
--- a/kernel/src/dispatch/preemption.rs
+++ b/kernel/src/dispatch/preemption.rs
@@ -33,11 +33,11 @@
         out: &mut Vec<Decision>,
     ) {
         let mut coming: u32 = self.tiers.values().map(|tier| tier.stopping).sum();
-        let tiers: Vec<Tier> = self.tiers.keys().copied().collect();
-        for tier in tiers {
+        let mut next = self.tier_after(None);
+        while let Some(tier) = next {
             let needed = self.at_risk(now, tier);
             while coming < needed {
-                let Some(victim) = self.victim_below(now, tier) else {
+                let Some(victim) = self.victim_below(tier) else {
                     return;
                 };
                 self.stop(victim, StopCause::Preempted, arena);
@@ -45,6 +45,7 @@
                 coming += 1;
             }
             coming = coming.saturating_sub(needed);
+            next = self.tier_after(Some(tier));
         }
     }
 
@@ -60,18 +61,25 @@
         let hold = self.pace.hold.get().unwrap_or(1.0);
         let gap = hold / f64::from(self.running().max(1));
         let stop = self.pace.stop.get().unwrap_or(STOP_GUESS);
+        let wait = |rank: usize| {
+            let seconds = rank as f64 * gap * MARGIN + stop;
+            now + Duration::from_secs_f64(seconds.min(3_600.0))
+        };
+        let longest = wait(MOST_AT_RISK);
         let mut needed = 0;
-        for (rank, (latest, _)) in state.expiry.iter().take(MOST_AT_RISK).enumerate() {
-            let wait = (rank + 1) as f64 * gap * MARGIN + stop;
-            if now + Duration::from_secs_f64(wait.min(3_600.0)) > *latest {
-                needed = rank as u32 + 1;
+        for (index, (latest, _)) in state.expiry.iter().take(MOST_AT_RISK).enumerate() {
+            if *latest >= longest {
+                break;
+            }
+            if wait(index + 1) > *latest {
+                needed = index as u32 + 1;
             }
         }
         needed
     }
 
-    fn victim_below(&self, now: Duration, tier: Tier) -> Option<WorkKey> {
-        let slots = self.slots(now);
+    fn victim_below(&self, tier: Tier) -> Option<WorkKey> {
+        let slots = self.slots();
         self.tiers
             .range(tier..)
             .rev()
--- a/kernel/src/dispatch/runs.rs
+++ b/kernel/src/dispatch/runs.rs
@@ -64,6 +64,9 @@
         }
         if let Some(engine) = self.engines.get_mut(&run.upstream) {
             engine.health.progressed();
+            if run.tokens == 0 {
+                engine.prefixes.add(held.work.spec.prefix);
+            }
         }
         held.run = Some(WorkRun {
             tokens,
@@ -321,6 +324,7 @@
         for engine in self.engines.values_mut() {
             let before = engine.health.state;
             engine.health.tick(now);
+            engine.weigh_reports(now);
             let probing = engine.health.state == HealthState::Probing { running: false };
             if probing && before != engine.health.state {
                 engine.speed = MovingMean::default();
--- a/kernel/src/dispatch/tier.rs
+++ b/kernel/src/dispatch/tier.rs
@@ -49,6 +49,12 @@
         self.expiry.remove(&(held.latest_start, key));
     }
 
+    /// Takes out the work that is first in the queue to start it, and charges its cost to the workspace.
+    pub fn serve(&mut self, key: WorkKey, held: &HeldWork) {
+        self.queue.serve(queue_item(key, held));
+        self.expiry.remove(&(held.latest_start, key));
+    }
+
     /// Notes that the run may be stopped, if it may.
     pub fn watch(&mut self, key: WorkKey, held: &HeldWork) {
         if held.can_move() {
