--- a/kernel/src/dispatch/admission.rs
+++ b/kernel/src/dispatch/admission.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::call::{RefusalReason, Tier};
+use crate::dispatch::engine::EngineState;
 use crate::dispatch::held::{HeldWork, WorkArena, WorkKey};
 use crate::dispatch::pool::{Decision, PoolState, Refusal};
 
@@ -47,6 +48,7 @@
         }
         let slack = held.latest_start.checked_sub(now);
         let late = match slack {
+            None if self.waiting_to(tier) < self.free_slots() => return None,
             None => return self.late(tier),
             Some(slack) if slack > LONG_SLACK => return None,
             Some(slack) => self.wait(held)? > slack.mul_f64(DOUBT),
@@ -124,11 +126,26 @@
         (f64::from(slots) - taken).max(floor).max(0.01)
     }
 
-    /// Refuses waiting work whose last moment to start has passed.
+    /// Calls that wait in the tier and those above it.
+    fn waiting_to(&self, tier: Tier) -> usize {
+        let tiers = self.tiers.range(..=tier);
+        tiers.map(|(_, state)| state.queue.len()).sum()
+    }
+
+    fn free_slots(&self) -> usize {
+        let free = self.engines.values().map(EngineState::free);
+        free.sum::<u32>() as usize
+    }
+
+    /// Refuses waiting work whose last moment to start has passed, unless it is all that could use
+    /// a free slot: then it runs late, before work of lower tiers.
     pub(super) fn expire(&mut self, now: Duration, arena: &WorkArena, out: &mut Vec<Decision>) {
         let mut next = self.tiers.keys().next_back().copied();
         while let Some(tier) = next {
             while let Some(key) = self.first_late(now, tier) {
+                if self.waiting_to(tier) <= self.free_slots() {
+                    break;
+                }
                 let Some(refusal) = self.late(tier) else {
                     break;
                 };
--- a/kernel/src/dispatch/engine.rs
+++ b/kernel/src/dispatch/engine.rs
@@ -111,7 +111,10 @@
 
     /// Whether it waits for one run that shows whether it is fit again.
     pub fn wants_probe(&self) -> bool {
-        self.owned && !self.leaving && self.health.state == HealthState::Probing { running: false }
+        self.owned
+            && !self.leaving
+            && self.in_flight + self.foreign < self.slots
+            && self.health.state == HealthState::Probing { running: false }
     }
 }
 
--- a/kernel/tests/dispatch/main.rs
+++ b/kernel/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! The owner's side of scheduling.
 
 mod failures;
+mod machine;
 mod order;
 mod world;
