--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -274,12 +274,17 @@
             let Some(held) = self.drop_work(key, context.now) else {
                 continue;
             };
-            if held.ran || held.passed > 0 {
-                let tokens = held.passed;
-                self.answer_ended(&held, AttemptEnd::Cancelled { tokens }, context);
-            } else {
-                self.answer_returned(held.entry, &held.work, reason, context);
-            }
+            self.answer_waiting(&held, reason, context);
+        }
+    }
+
+    /// Answers for work that waited, as not run only if no earlier run of it can have begun.
+    fn answer_waiting(&mut self, held: &HeldWork, reason: ReturnReason, context: &mut Context<'_>) {
+        if held.ran || held.passed > 0 {
+            let tokens = held.passed;
+            self.answer_ended(held, AttemptEnd::Cancelled { tokens }, context);
+        } else {
+            self.answer_returned(held.entry, &held.work, reason, context);
         }
     }
 
@@ -356,15 +361,14 @@
             self.past.add(context.now, attempt);
             return;
         };
-        let waiting = self.arena[key].run.is_none();
-        let held = (self.arena[key].entry, self.arena[key].work);
+        let held = self.arena[key];
         self.abandon(key, context);
-        if waiting {
+        if held.run.is_none() {
             let reason = ReturnReason::Refused {
                 reason: RefusalReason::Cancelled,
                 retry_after: None,
             };
-            self.answer_returned(held.0, &held.1, reason, context);
+            self.answer_waiting(&held, reason, context);
         }
     }
 
--- a/kernel/src/limits.rs
+++ b/kernel/src/limits.rs
@@ -21,6 +21,7 @@
 use crate::config::Config;
 use crate::event::{Action, Event};
 use crate::ids::{CallId, NodeId, WorkspaceId};
+use crate::keys::RequestKey;
 use crate::limits::allowance::{LimitVerdict, LocalAllowance, WaitingCall};
 use crate::limits::ledger::{ShareDemand, ShareLedger};
 use crate::membership::{MemberView, NodeState};
@@ -125,7 +126,7 @@
         allowance.admit(now, even)
     }
 
-    fn arrive(&mut self, spec: &CallSpec, key: Option<&str>, context: &mut Context<'_>) {
+    fn arrive(&mut self, spec: &CallSpec, key: Option<&RequestKey>, context: &mut Context<'_>) {
         let workspace = spec.workspace;
         if self.limits(workspace).is_some() {
             let allowance = self.local.entry(workspace).or_default();
@@ -136,7 +137,7 @@
         }
         let call = WaitingCall {
             spec: *spec,
-            key: key.map(Box::from),
+            key: key.cloned(),
             since: context.now,
         };
         self.decide(call, context);
@@ -328,7 +329,7 @@
         match event {
             Event::ConfigApplied(config) => self.config = Arc::clone(config),
             Event::MembersChanged(view) => self.members(view),
-            Event::CallArrived { spec, key } => self.arrive(spec, key.as_deref(), context),
+            Event::CallArrived { spec, key } => self.arrive(spec, key.as_ref(), context),
             Event::CallCancelled(call) => self.cancelled(*call, context),
             Event::CallFinished(call) => self.finished(*call),
             Event::PeerMessage {
--- a/kernel/src/limits/allowance.rs
+++ b/kernel/src/limits/allowance.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 
 use crate::call::CallSpec;
+use crate::keys::RequestKey;
 use crate::limits::LimitShare;
 
 /// How long a call waits for the first share of its workspace.
@@ -32,7 +33,7 @@
     /// The call.
     pub spec: CallSpec,
     /// Its idempotency key.
-    pub key: Option<Box<str>>,
+    pub key: Option<RequestKey>,
     /// When it arrived.
     pub since: Duration,
 }
--- a/kernel/tests/dispatch/machine.rs
+++ b/kernel/tests/dispatch/machine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use monsoonbank_kernel::call::{AttemptEnd, ReturnReason, Tier};
+use monsoonbank_kernel::call::{AttemptEnd, RefusalReason, ReturnReason, Tier};
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::{AttemptId, NodeId, UpstreamId};
 use monsoonbank_kernel::wire::WorkMessage;
@@ -318,9 +318,14 @@
                 WorkMessage::Returned {
                     attempt, reason, ..
                 } => {
-                    if let ReturnReason::Refused { retry_after, .. } = reason {
-                        assert!(retry_after.is_some());
-                        let urgent = self.fates[attempt].tier == 0;
+                    if let ReturnReason::Refused {
+                        reason,
+                        retry_after,
+                    } = reason
+                    {
+                        let cancelled = *reason == RefusalReason::Cancelled;
+                        assert!(cancelled != retry_after.is_some(), "{attempt} {reason}");
+                        let urgent = self.fates[attempt].tier == 0 && !cancelled;
                         assert!(!(urgent && spare), "{attempt} refused for lower tiers");
                     }
                     (attempt, true)
--- a/kernel/tests/limits/main.rs
+++ b/kernel/tests/limits/main.rs
@@ -110,6 +110,7 @@
                         }
                     }
                     Action::FinishCall { call, outcome } => self.refused(node, call, outcome),
+                    Action::UseConfig(_) | Action::UseMembers(_) => {}
                     other => panic!("unexpected {other:?}"),
                 }
             }
