--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -30,7 +30,7 @@
 use crate::dispatch::held::{HeldWork, StopCause, WorkArena, WorkKey};
 use crate::dispatch::news::LoadNews;
 use crate::dispatch::past::PastAttempts;
-use crate::dispatch::pool::{Decision, PoolState};
+use crate::dispatch::pool::{Decision, DispatchSettings, PoolState};
 use crate::dispatch::runs::RunEnd;
 use crate::event::{Action, Event};
 use crate::ids::{AttemptId, NodeId, PoolId, UpstreamId};
@@ -51,10 +51,19 @@
     leaving: bool,
     leaving_upstreams: BTreeSet<UpstreamId>,
     decisions: Vec<Decision>,
+    settings: DispatchSettings,
     counts: state::DispatchCounts,
 }
 
 impl WorkDispatcher {
+    /// A dispatcher with other choices than those that ship, to measure them.
+    pub fn new(settings: DispatchSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
     fn owned(&self, pool: PoolId, node: NodeId) -> BTreeMap<UpstreamId, u32> {
         self.config
             .members
@@ -78,6 +87,7 @@
             }
             let plain = spec.kind == PoolKind::Service;
             let state = self.pools.entry(*pool).or_default();
+            state.settings = self.settings;
             state.configure(context.now, &self.config, plain, &owned);
             for upstream in self
                 .leaving_upstreams
--- a/kernel/src/dispatch/admission.rs
+++ b/kernel/src/dispatch/admission.rs
@@ -50,7 +50,7 @@
         let late = match slack {
             None if self.waiting_to(tier) < self.free_slots() => return None,
             None => return self.late(tier),
-            Some(slack) if slack > LONG_SLACK => return None,
+            Some(slack) if slack > LONG_SLACK || !self.settings.early_refusal => return None,
             Some(slack) => self.wait(held)? > slack.mul_f64(DOUBT),
         };
         late.then(|| self.refusal(RefusalReason::Overloaded, tier))
--- a/kernel/src/dispatch/pool.rs
+++ b/kernel/src/dispatch/pool.rs
@@ -10,12 +10,38 @@
 use crate::dispatch::choice;
 use crate::dispatch::engine::EngineState;
 use crate::dispatch::estimate::{OutputEstimate, PoolPace};
+use crate::dispatch::fair::{DEFAULT_LEAD, FairQueue};
 use crate::dispatch::floors::floor_share;
 use crate::dispatch::health::{EngineHealth, HealthState};
 use crate::dispatch::held::{HeldWork, StopCause, WorkArena, WorkKey, WorkRun};
 use crate::dispatch::tier::TierState;
 use crate::ids::{UpstreamId, WorkspaceId};
 
+/// The choices that were weighed by measurement; the defaults are what ships.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatchSettings {
+    /// Cost by which a workspace may be ahead of its fair share before deadlines stop counting for
+    /// it.
+    pub lead: u64,
+    /// Whether runs of lower tiers are stopped for urgent work.
+    pub preemption: bool,
+    /// Whether upstreams that are slow or fail are taken out of service.
+    pub ejection: bool,
+    /// Whether calls that cannot start in time are refused before their time has passed.
+    pub early_refusal: bool,
+}
+
+impl Default for DispatchSettings {
+    fn default() -> Self {
+        Self {
+            lead: DEFAULT_LEAD,
+            preemption: true,
+            ejection: true,
+            early_refusal: true,
+        }
+    }
+}
+
 /// What a pool decided about a piece of work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -49,6 +75,8 @@
     pub pace: PoolPace,
     /// Whether an answer has no tokens: a plain service's.
     pub plain: bool,
+    /// Choices that were weighed by measurement.
+    pub settings: DispatchSettings,
     pub(super) config: Arc<Config>,
     pub(super) median: Option<f64>,
     pub(super) quiet: BTreeSet<(Duration, WorkKey)>,
@@ -131,8 +159,12 @@
     /// A tier's state, made when it is first needed.
     pub fn tier(&mut self, now: Duration, tier: Tier) -> &mut TierState {
         let config = &self.config;
+        let lead = self.settings.lead;
         self.tiers.entry(tier).or_insert_with(|| {
-            let mut state = TierState::default();
+            let mut state = TierState {
+                queue: FairQueue::with_lead(lead),
+                ..TierState::default()
+            };
             state.floor.share = floor_share(config, tier);
             state.floor.settle(now, 0, 0, false);
             state
@@ -172,7 +204,9 @@
             self.start(now, key, upstream, arena);
             out.push(Decision::Start(key));
         }
-        self.preempt(now, arena, out);
+        if self.settings.preemption {
+            self.preempt(now, arena, out);
+        }
     }
 
     /// The next lower tier that has, or had, work; the highest one after none.
--- a/kernel/src/dispatch/preemption.rs
+++ b/kernel/src/dispatch/preemption.rs
@@ -124,6 +124,9 @@
         let Some(engine) = self.engines.get_mut(&upstream) else {
             return;
         };
+        if !self.settings.ejection {
+            return;
+        }
         if engine.health.strike(now, sign) {
             self.ejected.push(upstream);
         }
--- a/kernel/src/dispatch/runs.rs
+++ b/kernel/src/dispatch/runs.rs
@@ -125,7 +125,7 @@
         };
         let probing = matches!(engine.health.state, HealthState::Probing { .. });
         let least = if probing { 2 } else { LEAST_SPEED_SAMPLES };
-        if engine.speed.samples() < least {
+        if engine.speed.samples() < least || !self.settings.ejection {
             return false;
         }
         if speed <= median * RECOVERED && !engine.health.in_service() {
--- a/kernel/tests/dispatch/failures.rs
+++ b/kernel/tests/dispatch/failures.rs
@@ -252,3 +252,22 @@
     let news = news.filter(|(_, message)| matches!(message, WorkMessage::Load { .. }));
     assert_eq!(news.count(), 1);
 });
+
+case!(a_cancelled_preempted_call_may_have_run, world = (1, 2), {
+    for _ in 0..2 {
+        let attempt = world.offer(ask(2));
+        world.tell(Event::AttemptSent(attempt));
+    }
+    world.offer(Ask {
+        left: ms(10),
+        ..ask(0)
+    });
+    let stopped = world.stops[0];
+    world.end(stopped, AttemptEnd::Cancelled { tokens: 0 });
+    world.cancel(stopped);
+    assert_eq!(world.returned(stopped), None);
+    assert_eq!(
+        world.ended(stopped),
+        Some(AttemptEnd::Cancelled { tokens: 0 })
+    );
+});
