--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -42,6 +42,9 @@
     /// The async runtime cannot be made.
     #[error("cannot start the runtime: {0}")]
     Runtime(std::io::Error),
+    /// A measurement cannot be made.
+    #[error("{0}")]
+    Bench(#[from] crate::bench::BenchError),
     /// A node of the demonstration cannot be started.
     #[error("{0}")]
     Node(#[from] monsoonbank_daemon::error::NodeError),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod arguments;
+mod bench;
 mod client;
 mod completions;
 mod drain;
@@ -31,6 +32,7 @@
         .subcommand(addresses::command())
         .subcommand(state::command())
         .subcommand(drain::command())
+        .subcommand(bench::command())
         .subcommand(completions::command())
 }
 
@@ -55,6 +57,7 @@
         Some(("where", matches)) => addresses::run(matches).await,
         Some(("state", matches)) => state::run(matches).await,
         Some(("drain", matches)) => drain::run(matches).await,
+        Some(("bench", matches)) => Ok(bench::run(matches).map(|()| ExitCode::Success)?),
         Some(("completions", matches)) => Ok(completions::run(matches, command())),
         _ => Ok(ExitCode::Failure),
     }
