--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod arguments;
+mod bench;
 mod check;
 mod client;
 mod completions;
@@ -39,6 +40,7 @@
         .subcommand(publish::command())
         .subcommand(state::command())
         .subcommand(drain::command())
+        .subcommand(bench::command())
         .subcommand(completions::command())
 }
 
@@ -66,6 +68,7 @@
         Some(("publish", matches)) => publish::run(matches).await,
         Some(("state", matches)) => state::run(matches).await,
         Some(("drain", matches)) => drain::run(matches).await,
+        Some(("bench", matches)) => Ok(bench::run(matches).map(|()| ExitCode::Success)?),
         Some(("completions", matches)) => Ok(completions::run(matches, command())),
         _ => Ok(ExitCode::Failure),
     }
--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -30,7 +30,7 @@
 use crate::dispatch::held::{HeldWork, StopCause, WorkArena, WorkKey};
 use crate::dispatch::news::LoadNews;
 use crate::dispatch::past::PastAttempts;
-use crate::dispatch::pool::{Decision, PoolState};
+use crate::dispatch::pool::{Decision, DispatchSettings, PoolState};
 use crate::dispatch::runs::RunEnd;
 use crate::event::{Action, Event};
 use crate::ids::{AttemptId, NodeId, PoolId, UpstreamId};
@@ -51,10 +51,19 @@
     leaving: bool,
     leaving_upstreams: BTreeSet<UpstreamId>,
     decisions: Vec<Decision>,
+    settings: DispatchSettings,
     counts: state::DispatchCounts,
 }
 
 impl WorkDispatcher {
+    /// A dispatcher with other choices than those that ship, to measure them.
+    pub fn new(settings: DispatchSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
     fn owned(&self, pool: PoolId, node: NodeId) -> BTreeMap<UpstreamId, u32> {
         self.config
             .members
@@ -78,6 +87,7 @@
             }
             let plain = spec.kind == PoolKind::Service;
             let state = self.pools.entry(*pool).or_default();
+            state.settings = self.settings;
             state.configure(context.now, &self.config, plain, &owned);
             for upstream in self
                 .leaving_upstreams
@@ -271,7 +281,20 @@
             .collect();
         for key in waiting {
             self.withdraw(key);
-            self.answer_waiting(key, reason, context);
+            let Some(held) = self.drop_work(key, context.now) else {
+                continue;
+            };
+            self.answer_waiting(&held, reason, context);
+        }
+    }
+
+    /// Answers for work that waited, as not run only if no earlier run of it can have begun.
+    fn answer_waiting(&mut self, held: &HeldWork, reason: ReturnReason, context: &mut Context<'_>) {
+        if held.ran || held.passed > 0 {
+            let tokens = held.passed;
+            self.answer_ended(held, AttemptEnd::Cancelled { tokens }, context);
+        } else {
+            self.answer_returned(held.entry, &held.work, reason, context);
         }
     }
 
@@ -348,28 +371,14 @@
             self.past.add(context.now, attempt);
             return;
         };
-        if self.arena[key].run.is_some() {
-            self.abandon(key, context);
-            return;
-        }
-        self.withdraw(key);
-        let reason = ReturnReason::Refused {
-            reason: RefusalReason::Cancelled,
-            retry_after: None,
-        };
-        self.answer_waiting(key, reason, context);
-    }
-
-    /// Answers for waiting work that is given up: not started, unless a run of it was stopped.
-    fn answer_waiting(&mut self, key: WorkKey, reason: ReturnReason, context: &mut Context<'_>) {
-        let Some(held) = self.drop_work(key, context.now) else {
-            return;
-        };
-        if held.ran || held.passed > 0 {
-            let tokens = held.passed;
-            self.answer_ended(&held, AttemptEnd::Cancelled { tokens }, context);
-        } else {
-            self.answer_returned(held.entry, &held.work, reason, context);
+        let held = self.arena[key];
+        self.abandon(key, context);
+        if held.run.is_none() {
+            let reason = ReturnReason::Refused {
+                reason: RefusalReason::Cancelled,
+                retry_after: None,
+            };
+            self.answer_waiting(&held, reason, context);
         }
     }
 
