--- a/kernel/src/membership.rs
+++ b/kernel/src/membership.rs
@@ -177,7 +177,9 @@
             MembershipMessage::ProbeFor(sequence, target) => {
                 self.probe_for(from, *sequence, *target, context);
             }
-            MembershipMessage::Reached(sequence) => self.take_reached(*sequence),
+            MembershipMessage::Reached(sequence) => {
+                self.take_reached(*sequence, context.now);
+            }
             MembershipMessage::News(news) => self.take_news(from, news, context),
             MembershipMessage::Compare(pairs) => self.answer_compare(from, pairs, context),
             MembershipMessage::Bridge(answer, digest, beats) => {
--- a/kernel/src/membership/probe.rs
+++ b/kernel/src/membership/probe.rs
@@ -32,6 +32,9 @@
 pub const BROKEN_LINK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time that a suspect has where the suspicion came from another node.
 pub const TOLD_SUSPICION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a node whose link broke is left alone. Then it is taken for reachable again, and
+/// the next message shows whether it is.
+pub const LINK_DOUBT_TIME: Duration = Duration::from_secs(5);
 /// Time between two probes of nodes that are dead but listed.
 pub const DEAD_PROBE_PERIOD: Duration = Duration::from_secs(5);
 
@@ -62,6 +65,7 @@
     probes: BTreeMap<u32, OpenProbe>,
     relays: BTreeMap<u32, RelayedProbe>,
     suspicions: BTreeMap<NodeId, OpenSuspicion>,
+    doubts: BTreeMap<NodeId, Duration>,
     order: Vec<NodeId>,
     watch_turn: bool,
     next_probe: Duration,
@@ -113,6 +117,7 @@
     pub(super) fn tick_probes(&mut self, context: &mut Context<'_>) {
         self.expire_probes(context);
         self.expire_suspicions(context);
+        self.expire_doubts(context.now);
         self.start_probe(context);
         self.probe_dead(context);
     }
@@ -301,7 +306,7 @@
 
     /// A broken link is a hint, not a proof: the node is probed at once, through others as well.
     pub(super) fn link_down(&mut self, node: NodeId, context: &mut Context<'_>) {
-        self.doubt_link(node);
+        self.doubt_link(node, context.now);
         let watched = self.group.ring.binary_search(&node).is_ok();
         if !watched {
             return;
@@ -344,21 +349,31 @@
     }
 
     /// Another node reached the one that this node could not: it lives, but not for this node.
-    pub(super) fn take_reached(&mut self, sequence: u32) {
+    pub(super) fn take_reached(&mut self, sequence: u32, now: Duration) {
         if let Some(probe) = self.prober.probes.remove(&sequence) {
-            self.doubt_link(probe.target);
+            self.doubt_link(probe.target, now);
         }
     }
 
-    fn doubt_link(&mut self, node: NodeId) {
-        if let Some(row) = self.rows.get_mut(node)
-            && row.doubt.is_none()
-        {
+    fn doubt_link(&mut self, node: NodeId, now: Duration) {
+        let Some(row) = self.rows.get_mut(node) else {
+            return;
+        };
+        self.prober.doubts.insert(node, now + LINK_DOUBT_TIME);
+        if row.doubt.is_none() {
             row.doubt = Some(LocalDoubt::LinkDown);
             self.dirty = true;
         }
     }
 
+    fn expire_doubts(&mut self, now: Duration) {
+        let due = self.prober.doubts.extract_if(.., |_, until| *until <= now);
+        let nodes: Vec<NodeId> = due.map(|(node, _)| node).collect();
+        for node in nodes {
+            self.link_up(node);
+        }
+    }
+
     /// Pings a node in another one's place.
     pub(super) fn probe_for(
         &mut self,
--- a/kernel/tests/common/mod.rs
+++ b/kernel/tests/common/mod.rs
@@ -67,7 +67,7 @@
 
 impl Fleet {
     /// A fleet of nodes given as name and zone, all started and listed.
-    pub fn new(nodes: &[(&str, &str)]) -> Self {
+    pub fn new<N: AsRef<str>>(nodes: &[(N, N)]) -> Self {
         let mut fleet = Self {
             now: Duration::from_secs(1),
             kernels: BTreeMap::new(),
@@ -78,10 +78,11 @@
             delivered: 0,
         };
         for (name, zone) in nodes {
-            fleet.hosts.push(host(name, zone, HostRole::Node));
+            let entry = host(name.as_ref(), zone.as_ref(), HostRole::Node);
+            fleet.hosts.push(entry);
         }
         for (name, zone) in nodes {
-            fleet.start(name, zone, 100);
+            fleet.start(name.as_ref(), zone.as_ref(), 100);
         }
         fleet
     }
@@ -159,11 +160,12 @@
     }
 
     /// Cuts all links between the two sides, in both directions.
-    pub fn part(&mut self, one: &[&str], other: &[&str]) {
+    pub fn part<N: AsRef<str>>(&mut self, one: &[N], other: &[N]) {
         for a in one {
             for b in other {
-                self.cut.insert((id(a), id(b)));
-                self.cut.insert((id(b), id(a)));
+                let (a, b) = (id(a.as_ref()), id(b.as_ref()));
+                self.cut.insert((a, b));
+                self.cut.insert((b, a));
             }
         }
     }
