--- a/cli/src/slopes.rs
+++ b/cli/src/slopes.rs
@@ -1,60 +1,153 @@
 //! `monsoon bench slopes`: how a node's control traffic, processor time and memory grow with the
 //! fleet, measured with the kernel itself.
 
+use std::fs;
 use std::time::Duration;
 
+use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 use crate::error::CliError;
 use crate::exit_codes::ExitCode;
 
+mod digest;
+mod failures;
 mod fit;
 mod fleet;
 mod meter;
+mod owners;
 mod quiet;
+mod report;
+mod state;
+
+use report::SlopeReport;
+
+const PARTS: [&str; 4] = ["fleets", "state", "owners", "failures"];
 
 /// The command.
 pub fn command() -> Command {
     Command::new("slopes")
         .about("Measure how control traffic, processor time and memory grow with the fleet")
-        .arg(
-            Arg::new("sizes")
-                .long("sizes")
-                .value_name("NODES")
-                .help("Fleet sizes")
-                .value_delimiter(',')
-                .default_value("9,20,40,80,160,320,980")
-                .value_parser(value_parser!(usize)),
+        .long_about(
+            "Measure how control traffic, processor time and memory grow with the fleet. Kernels \
+             hand each other messages in this process; bytes are those of the encoded messages \
+             with IPv4, TCP and WebSocket headers and one TCP acknowledgement each.",
         )
+        .arg(sizes())
+        .arg(count(
+            "seconds",
+            "60",
+            "Time measured for each size, after a warm-up",
+        ))
+        .arg(count("kills", "20", "Nodes killed for each size"))
+        .arg(count("cut-minutes", "60", "How long a region is cut off"))
+        .arg(parts())
         .arg(
-            Arg::new("seconds")
-                .long("seconds")
-                .help("Time measured for each size, after a warm-up")
-                .default_value("60")
-                .value_parser(value_parser!(u64).range(1..=3600)),
+            Arg::new("from")
+                .long("from")
+                .value_name("FILE")
+                .help("Show the results in this file and measure nothing"),
         )
         .arg(
-            Arg::new("kills")
-                .long("kills")
-                .help("Nodes killed for each size")
-                .default_value("20")
-                .value_parser(value_parser!(usize)),
+            Arg::new("format")
+                .long("format")
+                .default_value("markdown")
+                .value_parser(["markdown", "json"]),
         )
 }
 
+fn sizes() -> Arg {
+    Arg::new("sizes")
+        .long("sizes")
+        .value_name("NODES")
+        .help("Fleet sizes; failures are measured at the largest")
+        .value_delimiter(',')
+        .default_value("9,20,40,80,160,320,980")
+        .value_parser(value_parser!(u64).range(2..=2000))
+}
+
+fn parts() -> Arg {
+    Arg::new("parts")
+        .long("parts")
+        .value_delimiter(',')
+        .default_value("fleets,state,owners,failures")
+        .value_parser(PossibleValuesParser::new(PARTS))
+}
+
+fn count(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .help(help)
+        .default_value(default)
+        .value_parser(value_parser!(u64).range(1..=3600))
+}
+
 /// Runs the command.
 pub fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let report = match matches.get_one::<String>("from") {
+        Some(file) => read(file)?,
+        None => measure(matches),
+    };
+    let json = matches
+        .get_one::<String>("format")
+        .is_some_and(|format| format == "json");
+    if json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&report).unwrap_or_default()
+        );
+    } else {
+        println!("{}", report.markdown());
+    }
+    Ok(ExitCode::Success)
+}
+
+fn read(file: &str) -> Result<SlopeReport, CliError> {
+    let failed = |source| CliError::File {
+        file: file.into(),
+        source,
+    };
+    let text = fs::read_to_string(file).map_err(failed)?;
+    serde_json::from_str(&text).map_err(|error| failed(error.into()))
+}
+
+fn measure(matches: &ArgMatches) -> SlopeReport {
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let wanted = |part: &str| {
+        let mut parts = matches.get_many::<String>("parts").into_iter().flatten();
+        parts.any(|name| name == part)
+    };
     let sizes: Vec<usize> = matches
-        .get_many("sizes")
+        .get_many::<u64>("sizes")
         .into_iter()
         .flatten()
-        .copied()
+        .map(|nodes| *nodes as usize)
         .collect();
-    let seconds = *matches.get_one::<u64>("seconds").unwrap_or(&60);
-    let kills = *matches.get_one::<usize>("kills").unwrap_or(&20);
-    for nodes in sizes {
-        let sample = quiet::measure(nodes, Duration::from_secs(seconds), kills);
-        println!("{}", serde_json::to_string(&sample).unwrap_or_default());
+    let largest = sizes.iter().copied().max().unwrap_or(2);
+    let mut report = SlopeReport::default();
+    // First, while no freed memory hides what is taken.
+    if wanted("state") {
+        report.state = [25, 50, 100].into_iter().flat_map(state::measure).collect();
     }
-    Ok(ExitCode::Success)
+    if wanted("fleets") {
+        let time = Duration::from_secs(number("seconds"));
+        let kills = number("kills") as usize;
+        let samples = sizes
+            .iter()
+            .map(|nodes| quiet::measure(*nodes, time, kills));
+        report.fleets = samples.collect();
+        report.fit();
+        report.digests = sizes.iter().map(|nodes| digest::measure(*nodes)).collect();
+    }
+    if wanted("owners") {
+        report.balance = owners::balance();
+        let sizes = [(9, 3, 18), (80, 4, 800), (320, 8, 3_200), (980, 23, 10_000)];
+        let changes = sizes.map(|(nodes, zones, count)| owners::change(nodes, zones, count));
+        report.changes = changes.into();
+    }
+    if wanted("failures") {
+        let cut = Duration::from_mins(number("cut-minutes"));
+        report.failures = failures::measure(largest, cut);
+    }
+    report
 }
--- a/cli/src/slopes/fleet.rs
+++ b/cli/src/slopes/fleet.rs
@@ -2,13 +2,14 @@
 //! work; there is no network and no latency in it.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use monsoonbank_kernel::event::{Action, Event};
 use monsoonbank_kernel::ids::{Incarnation, NodeId, ZoneId};
 use monsoonbank_kernel::kernel::Kernel;
 use monsoonbank_kernel::membership::message::{ACK_BYTES, HEADER_BYTES};
-use monsoonbank_kernel::membership::{HostEntry, HostRole, NodeState};
+use monsoonbank_kernel::membership::{HostEntry, HostRole, MemberView, NodeState};
 use monsoonbank_kernel::plugin::NodeProfile;
 use monsoonbank_kernel::wire::Message;
 
@@ -32,15 +33,6 @@
     bytes: Vec<u8>,
 }
 
-/// A change of state that one node saw at another.
-#[derive(Clone, Copy, Debug)]
-pub struct Sighting {
-    /// The seer.
-    pub seer: usize,
-    /// When.
-    pub at: Duration,
-}
-
 /// What is watched for.
 #[derive(Clone, Copy, Debug)]
 pub struct Watch {
@@ -59,9 +51,10 @@
     /// What each node sent and received since it was last cleared.
     pub traffic: Vec<NodeTraffic>,
     /// First sightings of what is watched for.
-    pub sightings: BTreeMap<usize, Sighting>,
+    pub sightings: BTreeMap<usize, Duration>,
     watch: Option<Watch>,
     kernels: Vec<Option<Kernel>>,
+    views: Vec<Option<Arc<MemberView>>>,
     names: Vec<(Box<str>, Box<str>)>,
     index: BTreeMap<NodeId, usize>,
     hosts: Vec<HostEntry>,
@@ -100,6 +93,7 @@
             sightings: BTreeMap::new(),
             watch: None,
             kernels: (0..nodes).map(|_| None).collect(),
+            views: vec![None; nodes],
             index: index
                 .map(|(n, (name, _))| (NodeId::named(name), n))
                 .collect(),
@@ -138,6 +132,7 @@
     /// Ends a node's run without a word.
     pub fn kill(&mut self, node: usize) {
         self.kernels[node] = None;
+        self.views[node] = None;
     }
 
     /// Starts a run of a node.
@@ -172,22 +167,30 @@
         self.traffic.fill(NodeTraffic::default());
     }
 
-    /// How many running nodes see `node` in `state` now.
-    pub fn seen_by(&self, node: usize, state: &str) -> usize {
-        let name = &*self.names[node].0;
-        let sees = |kernel: &Kernel| {
-            let dump = kernel.dump(Some("membership"));
-            let members = dump["membership"]["members"].as_array().cloned();
-            members
-                .unwrap_or_default()
-                .iter()
-                .any(|member| member["name"] == name && member["state"] == state)
+    /// Whether every running node sees every node in the expected state (of seer and node).
+    pub fn agrees(&self, expected: &impl Fn(&Self, usize, usize) -> NodeState) -> bool {
+        let runs = |node: &usize| self.runs(*node);
+        (0..self.kernels.len()).filter(runs).all(|seer| {
+            let Some(view) = &self.views[seer] else {
+                return false;
+            };
+            let sees = |(id, node): (&NodeId, &usize)| {
+                let state = view.members.get(id).map(|member| member.state);
+                state == Some(expected(self, seer, *node))
+            };
+            self.index.iter().all(sees)
+        })
+    }
+
+    fn sight(&mut self, seer: usize, view: &MemberView) {
+        let Some(watch) = self.watch else {
+            return;
         };
-        self.kernels
-            .iter()
-            .flatten()
-            .filter(|kernel| sees(kernel))
-            .count()
+        let id = NodeId::named(&self.names[watch.node].0);
+        let member = view.members.get(&id);
+        if member.is_some_and(|member| member.state == watch.state) {
+            self.sightings.entry(seer).or_insert(self.now);
+        }
     }
 
     /// Gives a node an event.
@@ -201,20 +204,8 @@
             match action {
                 Action::Send { to, message } => self.send(node, to, &message),
                 Action::UseMembers(view) => {
-                    let Some(watch) = self.watch else {
-                        continue;
-                    };
-                    let id = NodeId::named(&self.names[watch.node].0);
-                    if view
-                        .members
-                        .get(&id)
-                        .is_some_and(|member| member.state == watch.state)
-                    {
-                        let at = self.now;
-                        self.sightings
-                            .entry(node)
-                            .or_insert(Sighting { seer: node, at });
-                    }
+                    self.sight(node, &view);
+                    self.views[node] = Some(view);
                 }
                 _ => {}
             }
--- a/cli/src/slopes/quiet.rs
+++ b/cli/src/slopes/quiet.rs
@@ -42,6 +42,8 @@
     pub fleet_noticed_p99_ms: f64,
     /// The same: the last.
     pub fleet_noticed_max_ms: f64,
+    /// Pairs of a node and a killed node that it did not see dead within 8 s.
+    pub unseen: usize,
 }
 
 /// Measures one size.
@@ -75,6 +77,7 @@
         zone_noticed_p99_ms: 0.0,
         fleet_noticed_p99_ms: 0.0,
         fleet_noticed_max_ms: 0.0,
+        unseen: 0,
     };
     notice(&mut fleet, &mut sample);
     sample
@@ -93,8 +96,11 @@
             if !fleet.runs(node) {
                 continue;
             }
-            let seen = fleet.sightings.get(&node);
-            let time = seen.map_or(f64::INFINITY, |seen| (seen.at - killed).as_secs_f64() * 1e3);
+            let Some(seen) = fleet.sightings.get(&node) else {
+                sample.unseen += 1;
+                continue;
+            };
+            let time = seen.saturating_sub(killed).as_secs_f64() * 1e3;
             fleet_times.push(time);
             if neighbours.contains(&node) {
                 zone_times.push(time);
--- /dev/null
+++ b/cli/src/slopes/state.rs
@@ -0,0 +1,311 @@
+//! State and time that one node's kernel spends on each engine, workspace, rule, queued call and
+//! configuration record.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use monsoonbank_kernel::call::{CallSpec, LoadReport, Tier, WorkSpec};
+use monsoonbank_kernel::config::{
+    ClassSpec, Config, ConfigFile, RequestFacts, RuleMatch, RuleSpec, RuleTarget, TierSpec,
+    WorkspaceSpec,
+};
+use monsoonbank_kernel::event::Event;
+use monsoonbank_kernel::ids::{
+    AttemptId, CallId, ClassId, Incarnation, NodeId, PoolId, UpstreamId, WorkspaceId, ZoneId,
+};
+use monsoonbank_kernel::kernel::Kernel;
+use monsoonbank_kernel::membership::{HostEntry, HostRole};
+use monsoonbank_kernel::plugin::NodeProfile;
+use monsoonbank_kernel::record::{ChangeRecord, LogRecord, Record};
+use monsoonbank_kernel::wire::{Message, WorkMessage};
+use serde::{Deserialize, Serialize};
+
+use crate::slopes::{meter, owners};
+
+/// Cost of one kind of state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StateSample {
+    /// What it is.
+    pub item: Box<str>,
+    /// How many were really held.
+    pub count: usize,
+    /// Memory of each, in bytes.
+    pub bytes_each: f64,
+    /// Time of taking in each, in microseconds.
+    pub microseconds_each: f64,
+}
+
+const NOW: Duration = Duration::from_secs(1);
+
+/// A kernel of its own.
+pub fn kernel(name: &str) -> Kernel {
+    Kernel::new(NodeProfile {
+        node: NodeId::named(name),
+        name: name.into(),
+        zone: ZoneId::named("zone-0"),
+        zone_name: "zone-0".into(),
+        incarnation: Incarnation(1),
+        seed: 1,
+        secret: [0; 32],
+    })
+}
+
+/// Runs `work`, which makes `count` of something, on a thread of its own: the allocator then takes
+/// fresh memory for it and what earlier samples freed hides nothing. What `work` gives back is kept
+/// while the memory is read, and the thread ends with it.
+fn sample<T: Send + 'static>(
+    item: &str,
+    count: usize,
+    work: impl FnOnce() -> T + Send + 'static,
+) -> StateSample {
+    let measured = move || {
+        let before = meter::resident_bytes();
+        let started = Instant::now();
+        let held = work();
+        let spent = started.elapsed();
+        let bytes = meter::resident_bytes().saturating_sub(before);
+        // Kept for good, so that the next thread's memory is fresh as well.
+        std::mem::forget(held);
+        (bytes, spent)
+    };
+    let (bytes, spent) = std::thread::spawn(measured).join().unwrap_or_default();
+    StateSample {
+        item: item.into(),
+        count,
+        bytes_each: bytes as f64 / count as f64,
+        microseconds_each: spent.as_secs_f64() * 1e6 / count as f64,
+    }
+}
+
+/// Measures one count of every kind; `scale` is in hundredths of the letter's fleet.
+pub fn measure(scale: usize) -> Vec<StateSample> {
+    vec![
+        engines(10_000 * scale / 100),
+        workspaces(5_400 * scale / 100),
+        rules(5_400 * scale / 100),
+        queued_calls(10_000 * scale / 100),
+        records(14_000 * scale / 100),
+        reports(10_000 * scale / 100),
+        host_rows(10_980 * scale / 100),
+    ]
+}
+
+/// Engines in a configuration that is in force, with owners among 980 nodes.
+fn engines(count: usize) -> StateSample {
+    let file = owners::file(count, 23);
+    let members = Event::MembersChanged(Arc::new(owners::view(980, 23)));
+    sample("engine", count, move || {
+        let mut kernel = applied(&file);
+        kernel.handle(NOW, members, &mut Vec::new());
+        kernel
+    })
+}
+
+fn workspace(index: usize) -> WorkspaceSpec {
+    WorkspaceSpec {
+        name: format!("workspace-{index}").into(),
+        token_sha256: format!("{index:064x}").into(),
+        weight: 1,
+        calls_per_second: Some(100.0),
+        concurrent_calls: Some(100),
+    }
+}
+
+fn workspaces(count: usize) -> StateSample {
+    let file = ConfigFile {
+        workspaces: (0..count).map(workspace).collect(),
+        ..ConfigFile::default()
+    };
+    sample("workspace", count, move || applied(&file))
+}
+
+fn applied(file: &ConfigFile) -> Kernel {
+    let mut kernel = kernel("node-0");
+    let config = Event::ConfigApplied(Arc::new(Config::from_file(1, file)));
+    kernel.handle(NOW, config, &mut Vec::new());
+    kernel
+}
+
+fn rule(index: usize) -> RuleSpec {
+    RuleSpec {
+        name: format!("rule-{index}").into(),
+        when: RuleMatch {
+            workspaces: vec![format!("workspace-{index}").into()],
+            ..RuleMatch::default()
+        },
+        then: RuleTarget {
+            class: "urgent".into(),
+            tier: None,
+            pool: Some("model".into()),
+        },
+    }
+}
+
+/// Rules in force; the time is that of classifying one request that only the last rule matches,
+/// over the number of rules.
+fn rules(count: usize) -> StateSample {
+    let mut file = base_file();
+    file.rules = (0..count).map(rule).collect();
+    let config = Config::from_file(1, &file);
+    let mut sample = sample("rule", count, move || Config::from_file(1, &file));
+    let name = format!("workspace-{}", count - 1);
+    let facts = RequestFacts {
+        workspace: &name,
+        model: "model",
+        ..RequestFacts::default()
+    };
+    let started = Instant::now();
+    let found = (0..100)
+        .filter(|_| config.classify(&facts).is_some())
+        .count();
+    let spent = started.elapsed().as_secs_f64() * 1e6;
+    sample.microseconds_each = spent / (found.max(1) * count) as f64;
+    sample
+}
+
+fn base_file() -> ConfigFile {
+    ConfigFile {
+        tiers: vec![TierSpec {
+            tier: Tier(0),
+            floor: 0.1,
+        }],
+        classes: vec![ClassSpec {
+            name: "urgent".into(),
+            tier: Tier(0),
+            target: Duration::from_millis(650),
+            token_target: None,
+            repeatable: true,
+        }],
+        pools: vec![monsoonbank_kernel::config::PoolSpec {
+            name: "model".into(),
+            kind: monsoonbank_kernel::config::PoolKind::Model,
+        }],
+        ..ConfigFile::default()
+    }
+}
+
+fn work(index: usize) -> WorkSpec {
+    let call = CallId {
+        node: NodeId::named("entry"),
+        incarnation: Incarnation(1),
+        sequence: index as u64,
+    };
+    WorkSpec {
+        attempt: AttemptId { call, number: 1 },
+        spec: CallSpec {
+            call,
+            workspace: WorkspaceId::named(&format!("workspace-{}", index % 100)),
+            class: ClassId::named("urgent"),
+            tier: Tier(0),
+            pool: PoolId::named("model"),
+            time_left: Duration::from_hours(1),
+            repeatable: true,
+            prompt_tokens: 100,
+            max_tokens: 100,
+            prefix: 0,
+        },
+        resume_from: 0,
+    }
+}
+
+/// Calls that wait at an owner whose one engine is full.
+fn queued_calls(count: usize) -> StateSample {
+    let mut file = base_file();
+    file.workspaces = (0..100).map(workspace).collect();
+    let mut kernel = applied(&file);
+    let mut config = owners::config(1, 1);
+    config.classes = Config::from_file(1, &file).classes;
+    config.tiers = Config::from_file(1, &file).tiers;
+    config.workspaces = Config::from_file(1, &file).workspaces;
+    let mut actions = Vec::new();
+    kernel.handle(NOW, Event::ConfigApplied(Arc::new(config)), &mut actions);
+    let members = Event::MembersChanged(Arc::new(owners::view(1, 1)));
+    kernel.handle(NOW, members, &mut actions);
+    sample("queued call", count, move || {
+        for index in 0..count {
+            let message = Message::Work(WorkMessage::Offer(work(index)));
+            let from = NodeId::named("entry");
+            kernel.handle(NOW, Event::PeerMessage { from, message }, &mut actions);
+            actions.clear();
+        }
+        kernel
+    })
+}
+
+/// Records of small changes, read from the log in batches.
+fn records(count: usize) -> StateSample {
+    let records: Vec<LogRecord> = (0..count).map(record).collect();
+    sample("configuration record", count, move || {
+        let mut kernel = kernel("node-0");
+        let mut actions = Vec::new();
+        for batch in records.chunks(100) {
+            let end = count as u64;
+            let records = batch.to_vec();
+            kernel.handle(NOW, Event::LogRead { records, end }, &mut actions);
+            actions.clear();
+        }
+        (kernel, records)
+    })
+}
+
+fn record(index: usize) -> LogRecord {
+    let file = ConfigFile {
+        workspaces: vec![workspace(index % 5_400)],
+        ..base_file()
+    };
+    LogRecord {
+        offset: index as u64,
+        record: Some(Record::Change(ChangeRecord {
+            id: format!("change-{index}").into(),
+            replaces: index as u64,
+            file,
+        })),
+    }
+}
+
+/// Reports of all engines at once, at one node.
+fn reports(count: usize) -> StateSample {
+    let mut kernel = kernel("node-0");
+    let config = Event::ConfigApplied(Arc::new(owners::config(count, 23)));
+    kernel.handle(NOW, config, &mut Vec::new());
+    sample("engine report", count, move || {
+        let mut actions = Vec::new();
+        for index in 0..count {
+            let upstream = UpstreamId::named(&format!("engine-{index}"));
+            let report = LoadReport::default();
+            kernel.handle(
+                NOW,
+                Event::UpstreamReported { upstream, report },
+                &mut actions,
+            );
+            actions.clear();
+        }
+        kernel
+    })
+}
+
+/// Rows of the host list: 980 nodes, the rest upstreams.
+fn host_rows(count: usize) -> StateSample {
+    let hosts: Vec<HostEntry> = (0..count).map(host_row).collect();
+    sample("host list row", count, move || {
+        let mut kernel = kernel("node-0");
+        kernel.handle(NOW, Event::HostList(hosts), &mut Vec::new());
+        kernel
+    })
+}
+
+fn host_row(index: usize) -> HostEntry {
+    let node = index < 980;
+    HostEntry {
+        name: format!("{}-{index}", if node { "node" } else { "engine" }).into(),
+        zone: format!("zone-{}", index % 23).into(),
+        role: if node {
+            HostRole::Node
+        } else {
+            HostRole::Upstream
+        },
+        peer_address: "10.100.100.100:7100".into(),
+        caller_address: "10.100.100.100:8080".into(),
+        leaving: false,
+    }
+}
--- a/kernel/src/ownership.rs
+++ b/kernel/src/ownership.rs
@@ -138,8 +138,9 @@
         changed
     }
 
-    /// Works out the owners in these zones anew; none is left from before.
-    fn recompute(&mut self, zones: &BTreeSet<ZoneId>) -> bool {
+    /// Works out the owners in these zones anew.
+    /// Upstreams can have gone only by a change of configuration, or when no node is left.
+    fn recompute(&mut self, zones: &BTreeSet<ZoneId>, configured: bool) -> bool {
         let mut changes = Vec::new();
         for zone in zones {
             let Some(upstreams) = self.upstreams.get(zone) else {
@@ -151,7 +152,11 @@
                 .filter(|(upstream, node)| self.owners.owners.get(upstream) != Some(node));
             changes.extend(moved);
         }
-        let stale = self.stale();
+        let stale = if configured || self.nodes.is_empty() {
+            self.stale()
+        } else {
+            Vec::new()
+        };
         if changes.is_empty() && stale.is_empty() {
             return false;
         }
@@ -194,12 +199,12 @@
 
 impl Plugin for OwnershipTable {
     fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
-        let zones = match event {
-            Event::ConfigApplied(config) => self.set_config(config),
-            Event::MembersChanged(view) => self.set_view(view),
+        let (zones, configured) = match event {
+            Event::ConfigApplied(config) => (self.set_config(config), true),
+            Event::MembersChanged(view) => (self.set_view(view), false),
             _ => return,
         };
-        if !zones.is_empty() && self.recompute(&zones) {
+        if !zones.is_empty() && self.recompute(&zones, configured) {
             context.raise(Event::OwnersChanged(Arc::clone(&self.owners)));
         }
     }
