--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod exit_codes;
 mod explain;
 mod publish;
+mod slopes;
 mod state;
 
 use clap::{ArgMatches, Command};
@@ -23,7 +24,6 @@
 
 Examples:
   monsoon check examples/tauhere/config.yaml
-  monsoon publish --node 10.0.0.4:8082 examples/tauhere/config.yaml
   monsoon where 10.0.0.4:8080
   monsoon state --node 10.0.0.4:8082 --section ownership";
 
@@ -34,16 +34,23 @@
         .long_about(LONG_ABOUT)
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(addresses::command())
         .subcommand(check::command())
         .subcommand(explain::command())
         .subcommand(publish::command())
+        .subcommand(addresses::command())
         .subcommand(state::command())
         .subcommand(drain::command())
-        .subcommand(bench::command())
+        .subcommand(bench_command())
         .subcommand(completions::command())
 }
 
+fn bench_command() -> Command {
+    bench::command()
+        .args_conflicts_with_subcommands(true)
+        .subcommand_negates_reqs(true)
+        .subcommand(slopes::command())
+}
+
 fn main() -> std::process::ExitCode {
     let matches = command().get_matches();
     match run(&matches) {
@@ -62,14 +69,21 @@
 
 async fn dispatch(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     match matches.subcommand() {
-        Some(("where", matches)) => addresses::run(matches).await,
         Some(("check", matches)) => check::run(matches),
         Some(("explain", matches)) => explain::run(matches),
         Some(("publish", matches)) => publish::run(matches).await,
+        Some(("where", matches)) => addresses::run(matches).await,
         Some(("state", matches)) => state::run(matches).await,
         Some(("drain", matches)) => drain::run(matches).await,
-        Some(("bench", matches)) => Ok(bench::run(matches).map(|()| ExitCode::Success)?),
+        Some(("bench", matches)) => bench(matches),
         Some(("completions", matches)) => Ok(completions::run(matches, command())),
         _ => Ok(ExitCode::Failure),
     }
 }
+
+fn bench(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    match matches.subcommand() {
+        Some(("slopes", matches)) => slopes::run(matches),
+        _ => Ok(bench::run(matches).map(|()| ExitCode::Success)?),
+    }
+}
