Add `monsoon demo`: a fleet in one process that checks every answer

A newcomer can now see the whole path in one command: nodes and stand-ins with sockets of their own in the shape of a deployment, a backlog of the bulk class, a burst of the urgent class, an engine crash, a killed node and a planned stop. Callers keep the answer to "which addresses" for its lifetime, take their keys in advance and fail over by themselves. Each answer is compared token by token with the one that its own prompt must give, and what callers were told is compared with what the upstreams ran by their own counters: a refused call that ran, or a non-repeatable call that ran twice, breaks the run as a lost, crossed or doubled answer does.

Calls whose connection broke because their node was killed count as `unknown`; their callers make them again as new calls.

--- /dev/null
+++ b/cli/src/demo.rs
@@ -0,0 +1,327 @@
+//! `monsoon demo`: a whole fleet in one process, with traffic, faults and a report.
+
+mod audit;
+mod callers;
+mod deployment;
+mod fleet;
+mod incidents;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use indicatif::{ProgressBar, ProgressStyle};
+use monsoonbank_kernel::config::ConfigFile;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::arguments::{self, OutputFormat};
+use crate::caller::KilledNodes;
+use crate::demo::audit::RunAudit;
+use crate::demo::callers::EndedCall;
+use crate::demo::deployment::Deployment;
+use crate::demo::fleet::{Fleet, UpstreamSpeed};
+use crate::demo::incidents::IncidentNote;
+use crate::error::CliError;
+use crate::exchange;
+use crate::exit_codes::ExitCode;
+use crate::table;
+use crate::tally::{ClassRow, ClassTally, ClassTarget};
+use crate::traffic::{TrafficBacklog, TrafficBurst, TrafficPlan};
+
+const LONG_ABOUT: &str = "\
+Runs a whole fleet in one process on loopback ports and checks every answer.
+
+Nodes and stand-ins for the platform and the upstreams run as tasks with sockets of their own, in \
+the shape of one of the two deployments. Callers send traffic of every class on top of a backlog \
+of the bulk class, the urgent class bursts, an engine crashes, one node is killed and one is \
+stopped as planned. The report counts what callers were told and compares it with what the \
+upstreams ran by their own counters.
+
+Ends with 3 if an answer was lost, crossed or doubled, if a call that may not be repeated ran \
+twice, if a refused call ran, or if the planned stop did not end.
+
+Examples:
+  monsoon demo
+  monsoon demo --deployment bengal --seconds 30 --rate 300
+  monsoon demo --seed 7 --format json
+  monsoon demo --serve";
+
+/// Class burst, as shares of the run and times the usual rate.
+const BURST: (f64, f64, f64) = (0.2, 0.35, 6.0);
+
+/// Size of the bulk class's backlog at the start, in seconds of the usual rate of all classes.
+const BACKLOG_SECONDS: f64 = 2.0;
+
+const SPEED: UpstreamSpeed = UpstreamSpeed {
+    step: Duration::from_millis(20),
+    work: Duration::from_millis(10),
+};
+
+/// The command's arguments.
+pub fn command() -> Command {
+    Command::new("demo")
+        .about("Runs a whole fleet in one process and checks every answer")
+        .long_about(LONG_ABOUT)
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_name("NAME")
+                .value_parser(["tauhere", "bengal"])
+                .default_value("tauhere")
+                .help("The deployment whose shape the fleet takes"),
+        )
+        .arg(number(
+            "seconds",
+            "20",
+            "How long requests arrive, in seconds",
+        ))
+        .arg(number(
+            "seed",
+            "1",
+            "Seed of the traffic; the same seed sends the same requests",
+        ))
+        .arg(
+            Arg::new("nodes")
+                .long("nodes")
+                .value_name("N")
+                .value_parser(value_parser!(u64).range(1..=64))
+                .help("Nodes [default: 6 for tauhere, 9 for bengal]"),
+        )
+        .arg(
+            Arg::new("rate")
+                .long("rate")
+                .value_name("R")
+                .value_parser(value_parser!(f64))
+                .default_value("150")
+                .help("Requests a second outside of the burst"),
+        )
+        .arg(
+            Arg::new("serve")
+                .long("serve")
+                .action(ArgAction::SetTrue)
+                .help("Starts the fleet, prints its addresses and runs until interrupted"),
+        )
+        .arg(arguments::format())
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .value_parser(value_parser!(u64))
+        .default_value(default)
+        .help(help)
+}
+
+/// What was asked for.
+#[derive(Clone, Copy, Debug)]
+struct DemoOptions {
+    deployment: Deployment,
+    length: Duration,
+    seed: u64,
+    nodes: u64,
+    rate: f64,
+}
+
+/// What the demonstration showed.
+#[derive(Clone, Debug, Serialize)]
+struct DemoReport {
+    deployment: Box<str>,
+    seconds: u64,
+    seed: u64,
+    nodes: u64,
+    rate: f64,
+    incidents: Vec<IncidentNote>,
+    stopped_as_planned: bool,
+    classes: Vec<ClassRow>,
+}
+
+impl DemoReport {
+    fn kept(&self) -> bool {
+        self.stopped_as_planned && !self.classes.iter().any(|row| row.counts.broken())
+    }
+}
+
+/// Runs the command.
+pub async fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let options = options(matches)?;
+    let file = options
+        .deployment
+        .config()
+        .map_err(|error| argument("deployment", &error.to_string()))?;
+    let fleet = Fleet::start(file, options.nodes, SPEED).await?;
+    if matches.get_flag("serve") {
+        return serve(fleet).await;
+    }
+    let report = demonstrate(&fleet, options).await?;
+    fleet.stop().await;
+    match arguments::chosen_format(matches) {
+        OutputFormat::Json => println!("{:#}", serde_json::json!(report)),
+        OutputFormat::Text => print_report(&report),
+    }
+    Ok(if report.kept() {
+        ExitCode::Success
+    } else {
+        ExitCode::Found
+    })
+}
+
+fn argument(name: &'static str, reason: &str) -> CliError {
+    CliError::Argument {
+        name,
+        reason: reason.into(),
+    }
+}
+
+fn options(matches: &ArgMatches) -> Result<DemoOptions, CliError> {
+    let deployment: Deployment = arguments::text(matches, "deployment")
+        .parse()
+        .map_err(|_| argument("--deployment", "expected tauhere or bengal"))?;
+    let number = |name: &str| matches.get_one::<u64>(name).copied();
+    let rate = matches.get_one::<f64>("rate").copied().unwrap_or_default();
+    if !(rate > 0.0 && rate.is_finite()) {
+        return Err(argument("--rate", "expected a number above 0"));
+    }
+    Ok(DemoOptions {
+        deployment,
+        length: Duration::from_secs(number("seconds").unwrap_or_default().max(1)),
+        seed: number("seed").unwrap_or_default(),
+        nodes: number("nodes").unwrap_or_else(|| deployment.nodes()),
+        rate,
+    })
+}
+
+async fn serve(fleet: Fleet) -> Result<ExitCode, CliError> {
+    for node in &fleet.nodes {
+        let handle = &node.handle;
+        println!(
+            "node\t{}\t{}\tcallers {}\toperators {}",
+            node.name, node.zone, handle.callers, handle.operators
+        );
+    }
+    for spec in &fleet.file.upstreams {
+        println!("upstream\t{}\t{}\t{}", spec.name, spec.zone, spec.address);
+    }
+    println!("log\t{}", fleet.log.address());
+    println!("hosts\t{}", fleet.hosts.address());
+    println!("operator token\t{}", fleet::OPERATOR_TOKEN);
+    tokio::signal::ctrl_c().await.map_err(CliError::Runtime)?;
+    fleet.stop().await;
+    Ok(ExitCode::Success)
+}
+
+async fn demonstrate(fleet: &Fleet, options: DemoOptions) -> Result<DemoReport, CliError> {
+    let plan = plan(fleet, options);
+    let client = exchange::client().map_err(CliError::Client)?;
+    let killed = Arc::new(KilledNodes::default());
+    let progress = progress_bar(options.length);
+    let start = Instant::now();
+    let tell = |what: &str| progress.println(format!("{:>5.1?}  {what}", start.elapsed()));
+    let traffic = callers::send_traffic(
+        fleet,
+        &client,
+        plan.clone(),
+        options.seed,
+        start,
+        Arc::clone(&killed),
+        &progress,
+    );
+    let incidents = incidents::run(fleet, &killed, start, options.length, tell);
+    let (calls, incidents) = tokio::join!(traffic, incidents);
+    progress.finish_and_clear();
+    Ok(DemoReport {
+        deployment: options.deployment.to_string().into(),
+        seconds: options.length.as_secs(),
+        seed: options.seed,
+        nodes: options.nodes,
+        rate: options.rate,
+        stopped_as_planned: incidents.stopped_as_planned,
+        incidents: incidents.notes,
+        classes: rows(fleet, &plan, &calls),
+    })
+}
+
+fn plan(fleet: &Fleet, options: DemoOptions) -> TrafficPlan {
+    let (from, to, factor) = BURST;
+    let pool = |kind| {
+        let mut pools = fleet.file.pools.iter();
+        let found = pools.find(|pool| pool.kind == kind);
+        found.map_or_else(|| "".into(), |pool| pool.name.clone())
+    };
+    TrafficPlan {
+        classes: options.deployment.traffic(),
+        workspaces: deployment::sources(&fleet.file),
+        model: pool(monsoonbank_kernel::config::PoolKind::Model),
+        service: pool(monsoonbank_kernel::config::PoolKind::Service),
+        rate: options.rate,
+        length: options.length,
+        backlog: Some(TrafficBacklog {
+            class: deployment::BULK_CLASS,
+            count: (options.rate * BACKLOG_SECONDS) as u64,
+        }),
+        burst: Some(TrafficBurst {
+            class: deployment::BURST_CLASS,
+            from: options.length.mul_f64(from),
+            to: options.length.mul_f64(to),
+            factor,
+        }),
+    }
+}
+
+fn progress_bar(length: Duration) -> ProgressBar {
+    let progress = ProgressBar::new(length.as_millis() as u64);
+    let style = ProgressStyle::with_template("{bar:40} {percent:>3}% {msg}");
+    progress.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    progress.set_message("calls under way");
+    progress
+}
+
+fn rows(fleet: &Fleet, plan: &TrafficPlan, calls: &[EndedCall]) -> Vec<ClassRow> {
+    let targets = targets(&fleet.file);
+    let mut tallies: Vec<ClassTally> = plan
+        .classes
+        .iter()
+        .map(|class| ClassTally::new(targets.get(&*class.class).copied()))
+        .collect();
+    let audit = RunAudit::read(fleet);
+    for call in calls {
+        let tally = &mut tallies[call.class];
+        tally.note(call.due, call.body.units(), &call.result);
+        audit.check(call, tally);
+    }
+    plan.classes
+        .iter()
+        .zip(&tallies)
+        .map(|(class, tally)| tally.row(&class.class, plan.length))
+        .collect()
+}
+
+fn targets(file: &ConfigFile) -> BTreeMap<&str, ClassTarget> {
+    let target = |class: &monsoonbank_kernel::config::ClassSpec| ClassTarget {
+        first: class.target,
+        token_gap: class.token_target,
+    };
+    file.classes
+        .iter()
+        .map(|class| (&*class.name, target(class)))
+        .collect()
+}
+
+fn print_report(report: &DemoReport) {
+    println!(
+        "{}: {} nodes, {} s, {} requests/s, seed {}",
+        report.deployment, report.nodes, report.seconds, report.rate, report.seed
+    );
+    for note in &report.incidents {
+        println!("  {:>6.1} s  {}", note.at_ms as f64 / 1000.0, note.what);
+    }
+    println!("{}", table::class_table(&report.classes));
+    let verdict = if report.kept() {
+        "nothing lost, crossed or doubled; nothing ran twice; nothing refused ran"
+    } else {
+        "a promise was broken"
+    };
+    println!("{verdict}");
+}
--- /dev/null
+++ b/cli/src/demo/audit.rs
@@ -0,0 +1,70 @@
+//! Compares what callers were told with what the upstreams ran by their own counters.
+
+use std::collections::BTreeMap;
+
+use monsoonbank_standin::answer::prompt_hash;
+use monsoonbank_standin::engine::EngineHandle;
+use monsoonbank_standin::service::{ServiceHandle, body_hash};
+
+use crate::caller::CallEnd;
+use crate::demo::callers::EndedCall;
+use crate::demo::fleet::Fleet;
+use crate::request::RequestBody;
+use crate::tally::ClassTally;
+
+/// What upstreams did for one request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct WorkDone {
+    runs: u64,
+    /// Tokens, or runs of a plain service.
+    units: u64,
+}
+
+/// What the upstreams ran, by request.
+pub struct RunAudit {
+    prompts: BTreeMap<u64, WorkDone>,
+    bodies: BTreeMap<u64, WorkDone>,
+}
+
+impl RunAudit {
+    /// Reads every upstream's counters.
+    pub fn read(fleet: &Fleet) -> Self {
+        let mut prompts: BTreeMap<u64, WorkDone> = BTreeMap::new();
+        for run in fleet.engines.values().flat_map(EngineHandle::runs) {
+            let work = prompts.entry(run.prompt).or_default();
+            work.runs += 1;
+            work.units += u64::from(run.tokens);
+        }
+        let mut bodies: BTreeMap<u64, WorkDone> = BTreeMap::new();
+        for (body, runs) in fleet
+            .services
+            .values()
+            .flat_map(ServiceHandle::runs_by_body)
+        {
+            let work = bodies.entry(body).or_default();
+            work.runs += u64::from(runs);
+            work.units += u64::from(runs);
+        }
+        Self { prompts, bodies }
+    }
+
+    /// Adds the upstreams' side of a call to its class's sums.
+    pub fn check(&self, call: &EndedCall, tally: &mut ClassTally) {
+        let work = self.work(&call.body);
+        tally.produced += work.units;
+        if call.body.keyed() && work.runs > 1 {
+            tally.counts.ran_twice += 1;
+        }
+        if call.result.end == CallEnd::Refused && work.runs > 0 {
+            tally.counts.refused_but_ran += 1;
+        }
+    }
+
+    fn work(&self, body: &RequestBody) -> WorkDone {
+        let found = match body {
+            RequestBody::Completion(body) => self.prompts.get(&prompt_hash(&body.prompt)),
+            RequestBody::Service(body) => self.bodies.get(&body_hash(&body.text)),
+        };
+        found.copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/cli/src/demo/callers.rs
@@ -0,0 +1,122 @@
+//! The demonstration's callers: they send the traffic and follow each call to its end.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indicatif::ProgressBar;
+use reqwest::Client;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::caller::{CallEnd, CallResult, FleetCaller, KilledNodes};
+use crate::demo::fleet::Fleet;
+use crate::request::RequestBody;
+use crate::traffic::{ArrivalSource, TrafficArrival, TrafficPlan};
+
+/// A call without an end after this time is lost.
+const CALL_LIMIT: Duration = Duration::from_mins(1);
+
+/// A call whose end is known.
+#[derive(Clone, Debug)]
+pub struct EndedCall {
+    /// Index of the class.
+    pub class: usize,
+    /// When it was due.
+    pub due: Instant,
+    /// The request.
+    pub body: RequestBody,
+    /// How it ended.
+    pub result: CallResult,
+}
+
+/// What every call needs.
+struct CallerGroup {
+    plan: TrafficPlan,
+    callers: BTreeMap<Box<str>, Vec<FleetCaller>>,
+    killed: Arc<KilledNodes>,
+    seed: u64,
+}
+
+/// Sends the plan's traffic, starting at `start`, and waits for the end of every call.
+pub async fn send_traffic(
+    fleet: &Fleet,
+    client: &Client,
+    plan: TrafficPlan,
+    seed: u64,
+    start: Instant,
+    killed: Arc<KilledNodes>,
+    progress: &ProgressBar,
+) -> Vec<EndedCall> {
+    let group = Arc::new(CallerGroup {
+        callers: callers(fleet, client),
+        plan: plan.clone(),
+        killed,
+        seed,
+    });
+    let mut tasks = JoinSet::new();
+    for (number, arrival) in ArrivalSource::new(plan, seed).enumerate() {
+        sleep_until(start + arrival.at).await;
+        progress.set_position(arrival.at.as_millis() as u64);
+        let group = Arc::clone(&group);
+        tasks.spawn(async move { group.follow(number, arrival, start).await });
+    }
+    progress.set_message("waiting for the last answers");
+    tasks.join_all().await.into_iter().flatten().collect()
+}
+
+/// Each workspace has a caller in each availability zone.
+fn callers(fleet: &Fleet, client: &Client) -> BTreeMap<Box<str>, Vec<FleetCaller>> {
+    let bootstrap = fleet.caller_addresses();
+    let mut zones: Vec<&str> = fleet.nodes.iter().map(|node| &*node.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let mut callers = BTreeMap::new();
+    for workspace in &fleet.file.workspaces {
+        let token = format!("{}-token", workspace.name);
+        let own = zones
+            .iter()
+            .map(|zone| FleetCaller::new(client.clone(), zone, &token, bootstrap.clone()));
+        callers.insert(workspace.name.clone(), own.collect());
+    }
+    callers
+}
+
+impl CallerGroup {
+    /// Follows a call to its end. A call that was in flight at a killed node and may be repeated
+    /// is made again as a new one.
+    async fn follow(
+        &self,
+        number: usize,
+        arrival: TrafficArrival,
+        start: Instant,
+    ) -> Vec<EndedCall> {
+        let mut ended = Vec::new();
+        let mut body = arrival.body;
+        let mut due = start + arrival.at;
+        loop {
+            let result = self.call(number, &arrival.workspace, &body).await;
+            let again = result.end == CallEnd::Cut;
+            ended.push(EndedCall {
+                class: arrival.class,
+                due,
+                body,
+                result,
+            });
+            if !again {
+                return ended;
+            }
+            let seed = self.seed ^ ((number as u64) << 8) ^ ended.len() as u64;
+            let class = &self.plan.classes[arrival.class];
+            body = ArrivalSource::replacement(class, &self.plan, seed);
+            due = Instant::now();
+        }
+    }
+
+    async fn call(&self, number: usize, workspace: &str, body: &RequestBody) -> CallResult {
+        let callers = &self.callers[workspace];
+        let call = callers[number % callers.len()].call(body, &self.killed);
+        let result = timeout(CALL_LIMIT, call).await;
+        result.unwrap_or_else(|_| CallEnd::Lost.into())
+    }
+}
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -48,4 +48,16 @@
     /// A node of the demonstration cannot be started.
     #[error("{0}")]
     Node(#[from] monsoonbank_daemon::error::NodeError),
+    /// A stand-in of the demonstration cannot be started.
+    #[error("cannot start a stand-in: {0}")]
+    Standin(std::io::Error),
+    /// A node of the demonstration has no configuration in force.
+    #[error("{node}: no configuration in force in time")]
+    NotReady {
+        /// The node.
+        node: Box<str>,
+    },
+    /// The HTTP client cannot be made.
+    #[error("cannot make the HTTP client: {0}")]
+    Client(reqwest::Error),
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,14 +4,22 @@
 mod arguments;
 mod bench;
 mod check;
+mod caller;
 mod client;
 mod completions;
+mod demo;
 mod drain;
 mod error;
+mod exchange;
 mod exit_codes;
 mod explain;
 mod publish;
+mod request;
 mod state;
+mod table;
+mod tally;
+mod traffic;
+mod verify;
 
 use clap::{ArgMatches, Command};
 
@@ -24,6 +32,7 @@
 Examples:
   monsoon check examples/tauhere/config.yaml
   monsoon publish --node 10.0.0.4:8082 examples/tauhere/config.yaml
+  monsoon demo
   monsoon where 10.0.0.4:8080
   monsoon state --node 10.0.0.4:8082 --section ownership";
 
@@ -41,6 +50,7 @@
         .subcommand(state::command())
         .subcommand(drain::command())
         .subcommand(bench::command())
+        .subcommand(demo::command())
         .subcommand(completions::command())
 }
 
@@ -69,6 +79,7 @@
         Some(("state", matches)) => state::run(matches).await,
         Some(("drain", matches)) => drain::run(matches).await,
         Some(("bench", matches)) => Ok(bench::run(matches).map(|()| ExitCode::Success)?),
+        Some(("demo", matches)) => demo::run(matches).await,
         Some(("completions", matches)) => Ok(completions::run(matches, command())),
         _ => Ok(ExitCode::Failure),
     }
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -60,6 +60,13 @@
     pub cached_tokens: u64,
 }
 
+impl RunTotals {
+    /// Runs in slots now.
+    pub fn running(&self) -> u64 {
+        self.started - self.finished - self.cancelled - self.broken
+    }
+}
+
 /// The runs of one engine.
 #[derive(Debug, Default)]
 pub(crate) struct RunBook {
