--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -46,7 +46,8 @@
   monsoon demo
   monsoon demo --deployment bengal --seconds 30 --rate 300
   monsoon demo --seed 7 --format json
-  monsoon demo --serve";
+  monsoon demo --serve
+  monsoon demo --serve --config one-engine.yaml --step-ms 0";
 
 /// Class burst, as shares of the run and times the usual rate.
 const BURST: (f64, f64, f64) = (0.2, 0.35, 6.0);
@@ -54,11 +55,6 @@
 /// Size of the bulk class's backlog at the start, in seconds of the usual rate of all classes.
 const BACKLOG_SECONDS: f64 = 2.0;
 
-const SPEED: UpstreamSpeed = UpstreamSpeed {
-    step: Duration::from_millis(20),
-    work: Duration::from_millis(10),
-};
-
 /// The command's arguments.
 pub fn command() -> Command {
     Command::new("demo")
@@ -103,6 +99,23 @@
                 .action(ArgAction::SetTrue)
                 .help("Starts the fleet, prints its addresses and runs until interrupted"),
         )
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .requires("serve")
+                .help("A configuration to serve instead of the deployment's"),
+        )
+        .arg(number(
+            "step-ms",
+            "20",
+            "Length of an engine's step with one request, in milliseconds",
+        ))
+        .arg(number(
+            "work-ms",
+            "10",
+            "Time that a plain service takes for a call, in milliseconds",
+        ))
         .arg(arguments::format())
 }
 
@@ -147,11 +160,8 @@
 /// Runs the command.
 pub async fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     let options = options(matches)?;
-    let file = options
-        .deployment
-        .config()
-        .map_err(|error| argument("deployment", &error.to_string()))?;
-    let fleet = Fleet::start(file, options.nodes, SPEED).await?;
+    let file = config(matches, options.deployment)?;
+    let fleet = Fleet::start(file, options.nodes, speed(matches)).await?;
     if matches.get_flag("serve") {
         return serve(fleet).await;
     }
@@ -168,6 +178,28 @@
     })
 }
 
+fn config(matches: &ArgMatches, deployment: Deployment) -> Result<ConfigFile, CliError> {
+    let text = match matches.get_one::<String>("config") {
+        None => deployment.config_text().to_owned(),
+        Some(file) => std::fs::read_to_string(file).map_err(|source| CliError::File {
+            file: file.as_str().into(),
+            source,
+        })?,
+    };
+    serde_yaml_ng::from_str(&text).map_err(|error| argument("--config", &error.to_string()))
+}
+
+fn speed(matches: &ArgMatches) -> UpstreamSpeed {
+    let time = |name: &str| {
+        let millis = matches.get_one::<u64>(name).copied();
+        Duration::from_millis(millis.unwrap_or_default())
+    };
+    UpstreamSpeed {
+        step: time("step-ms"),
+        work: time("work-ms"),
+    }
+}
+
 fn argument(name: &'static str, reason: &str) -> CliError {
     CliError::Argument {
         name,
--- a/cli/src/demo/deployment.rs
+++ b/cli/src/demo/deployment.rs
@@ -30,12 +30,12 @@
         }
     }
 
-    /// The operators' configuration.
-    pub fn config(self) -> Result<ConfigFile, serde_yaml_ng::Error> {
-        serde_yaml_ng::from_str(match self {
+    /// The operators' configuration, in YAML.
+    pub fn config_text(self) -> &'static str {
+        match self {
             Self::Tauhere => include_str!("../../../examples/tauhere/config.yaml"),
             Self::Bengal => include_str!("../../../examples/bengal/config.yaml"),
-        })
+        }
     }
 
     /// What callers send. The first class bursts: mail alerts in the morning, pass checks on a
--- a/cli/src/exchange.rs
+++ b/cli/src/exchange.rs
@@ -40,9 +40,22 @@
     pub last: Instant,
     /// Tokens of the stream; 0 when it was not streamed.
     pub tokens: u32,
+    /// Longest time between two tokens.
+    pub longest_gap: Duration,
 }
 
 impl AnswerTimes {
+    /// Everything came now.
+    fn now(tokens: u32) -> Self {
+        let now = Instant::now();
+        Self {
+            first: now,
+            last: now,
+            tokens,
+            longest_gap: Duration::ZERO,
+        }
+    }
+
     /// Mean time between two tokens of a stream.
     pub fn token_gap(&self) -> Duration {
         (self.last - self.first) / self.tokens.saturating_sub(1).max(1)
@@ -156,12 +169,7 @@
     let Ok(answer) = response.json::<Value>().await else {
         return ExchangeEnd::Broken;
     };
-    let now = Instant::now();
-    let times = AnswerTimes {
-        first: now,
-        last: now,
-        tokens: 0,
-    };
+    let times = AnswerTimes::now(0);
     let verdict = if checked {
         body.judge_whole(&answer)
     } else {
@@ -224,12 +232,12 @@
     }
 
     fn note_token(&mut self) {
+        let Some(times) = &mut self.times else {
+            self.times = Some(AnswerTimes::now(1));
+            return;
+        };
         let now = Instant::now();
-        let times = self.times.get_or_insert(AnswerTimes {
-            first: now,
-            last: now,
-            tokens: 0,
-        });
+        times.longest_gap = times.longest_gap.max(now - times.last);
         times.last = now;
         times.tokens += 1;
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,8 +3,8 @@
 mod addresses;
 mod arguments;
 mod bench;
-mod check;
 mod caller;
+mod check;
 mod client;
 mod completions;
 mod demo;
@@ -13,6 +13,7 @@
 mod exchange;
 mod exit_codes;
 mod explain;
+mod load;
 mod publish;
 mod request;
 mod state;
@@ -51,6 +52,7 @@
         .subcommand(drain::command())
         .subcommand(bench::command())
         .subcommand(demo::command())
+        .subcommand(load::command())
         .subcommand(completions::command())
 }
 
@@ -80,6 +82,7 @@
         Some(("drain", matches)) => drain::run(matches).await,
         Some(("bench", matches)) => Ok(bench::run(matches).map(|()| ExitCode::Success)?),
         Some(("demo", matches)) => demo::run(matches).await,
+        Some(("load", matches)) => load::run(matches).await,
         Some(("completions", matches)) => Ok(completions::run(matches, command())),
         _ => Ok(ExitCode::Failure),
     }
--- a/cli/src/table.rs
+++ b/cli/src/table.rs
@@ -4,7 +4,7 @@
 
 use crate::tally::ClassRow;
 
-const HEADINGS: [&str; 16] = [
+const HEADINGS: [&str; 17] = [
     "class",
     "sent",
     "whole",
@@ -21,6 +21,7 @@
     "first\np50 ms",
     "first\np95 ms",
     "first\np99 ms",
+    "gap\np95 ms",
 ];
 
 /// One row a class.
@@ -40,7 +41,7 @@
     table
 }
 
-fn cells(row: &ClassRow) -> [String; 16] {
+fn cells(row: &ClassRow) -> [String; 17] {
     let counts = &row.counts;
     let first = row.first_token_ms;
     [
@@ -60,6 +61,8 @@
         format!("{:.1}", first.p50),
         format!("{:.1}", first.p95),
         format!("{:.1}", first.p99),
+        row.longest_gap_ms
+            .map_or_else(|| "-".to_owned(), |gap| format!("{:.1}", gap.p95)),
     ]
 }
 
--- a/cli/src/tally.rs
+++ b/cli/src/tally.rs
@@ -44,6 +44,7 @@
     /// Tokens or runs that upstreams did for the class, by their own counters.
     pub produced: u64,
     first: Histogram<u64>,
+    gap: Histogram<u64>,
 }
 
 /// How many calls ended in which way.
@@ -107,6 +108,8 @@
     pub wasted: Option<f64>,
     /// Time to the first token or the whole answer, in milliseconds.
     pub first_token_ms: LatencyRow,
+    /// Longest time between two tokens of a stream, in milliseconds; none without streams.
+    pub longest_gap_ms: Option<LatencyRow>,
 }
 
 /// Quantiles of a time, in milliseconds.
@@ -123,7 +126,8 @@
 impl ClassTally {
     /// Empty sums; without a target there is no attainment.
     pub fn new(target: Option<ClassTarget>) -> Self {
-        let first = Histogram::new_with_bounds(1, LONGEST, DIGITS);
+        let times = Histogram::new_with_bounds(1, LONGEST, DIGITS);
+        let times = times.expect("the bounds are constants");
         Self {
             target,
             counts: CallCounts::default(),
@@ -131,7 +135,8 @@
             on_target_units: 0,
             delivered: 0,
             produced: 0,
-            first: first.expect("the bounds are constants"),
+            first: times.clone(),
+            gap: times,
         }
     }
 
@@ -150,10 +155,15 @@
             self.on_target += 1;
             self.on_target_units += units;
         }
-        if let Some(times) = result.times {
-            let micros = times.first.saturating_duration_since(since).as_micros();
-            self.first
-                .saturating_record(u64::try_from(micros).unwrap_or(LONGEST));
+        let Some(times) = result.times else {
+            return;
+        };
+        record(
+            &mut self.first,
+            times.first.saturating_duration_since(since),
+        );
+        if times.tokens > 1 {
+            record(&mut self.gap, times.longest_gap);
         }
     }
 
@@ -167,16 +177,23 @@
             attainment: self.target.map(|_| self.on_target as f64 / sent),
             goodput: self.on_target_units as f64 / length.as_secs_f64(),
             wasted: (self.produced > 0).then(|| wasted as f64 / self.produced as f64),
-            first_token_ms: LatencyRow {
-                p50: self.quantile(0.50),
-                p95: self.quantile(0.95),
-                p99: self.quantile(0.99),
-            },
+            first_token_ms: LatencyRow::of(&self.first),
+            longest_gap_ms: (!self.gap.is_empty()).then(|| LatencyRow::of(&self.gap)),
         }
     }
+}
 
-    /// Time to the first token that this share of whole answers is below, in milliseconds.
-    fn quantile(&self, share: f64) -> f64 {
-        self.first.value_at_quantile(share) as f64 / 1000.0
+fn record(times: &mut Histogram<u64>, time: Duration) {
+    times.saturating_record(u64::try_from(time.as_micros()).unwrap_or(LONGEST));
+}
+
+impl LatencyRow {
+    fn of(times: &Histogram<u64>) -> Self {
+        let quantile = |share| times.value_at_quantile(share) as f64 / 1000.0;
+        Self {
+            p50: quantile(0.50),
+            p95: quantile(0.95),
+            p99: quantile(0.99),
+        }
     }
 }
