--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,16 +3,25 @@
 mod addresses;
 mod arguments;
 mod bench;
+mod caller;
 mod check;
 mod client;
 mod completions;
+mod demo;
 mod drain;
 mod error;
+mod exchange;
 mod exit_codes;
 mod explain;
+mod load;
 mod publish;
+mod request;
 mod slopes;
 mod state;
+mod table;
+mod tally;
+mod traffic;
+mod verify;
 
 use clap::{ArgMatches, Command};
 
@@ -23,6 +32,7 @@
 The tool of monsoonbank's operators and callers.
 
 Examples:
+  monsoon demo
   monsoon check examples/tauhere/config.yaml
   monsoon where 10.0.0.4:8080
   monsoon state --node 10.0.0.4:8082 --section ownership";
@@ -34,12 +44,14 @@
         .long_about(LONG_ABOUT)
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(demo::command())
         .subcommand(check::command())
         .subcommand(explain::command())
         .subcommand(publish::command())
         .subcommand(addresses::command())
         .subcommand(state::command())
         .subcommand(drain::command())
+        .subcommand(load::command())
         .subcommand(bench_command())
         .subcommand(completions::command())
 }
@@ -69,12 +81,14 @@
 
 async fn dispatch(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     match matches.subcommand() {
+        Some(("demo", matches)) => demo::run(matches).await,
         Some(("check", matches)) => check::run(matches),
         Some(("explain", matches)) => explain::run(matches),
         Some(("publish", matches)) => publish::run(matches).await,
         Some(("where", matches)) => addresses::run(matches).await,
         Some(("state", matches)) => state::run(matches).await,
         Some(("drain", matches)) => drain::run(matches).await,
+        Some(("load", matches)) => load::run(matches).await,
         Some(("bench", matches)) => bench(matches),
         Some(("completions", matches)) => Ok(completions::run(matches, command())),
         _ => Ok(ExitCode::Failure),
