Count runs that a crash drops as broken, whatever drops first

Cause: the engine stand-in closed its connections before it ended its runs, so a dropped connection could count a run as cancelled by its caller; one test waited for a broken run in vain on a busy machine. Change: connections that drop once a crash has begun count as broken.

--- a/standin/src/batch.rs
+++ b/standin/src/batch.rs
@@ -66,6 +66,7 @@
     running: BTreeMap<u64, RunningJob>,
     /// Crash when the next request to get a slot has this many tokens.
     pub(crate) crash_after: Option<u32>,
+    crashing: bool,
     /// The prefix cache.
     pub(crate) cache: PrefixCache,
     /// What ran.
@@ -83,6 +84,7 @@
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
             crash_after: None,
+            crashing: false,
             cache,
             book: RunBook::default(),
             history: LoadHistory::default(),
@@ -110,11 +112,21 @@
     pub(crate) fn cancel(&mut self, number: u64, now: Instant) {
         self.waiting.retain(|(_, sequence), _| *sequence != number);
         if let Some(job) = self.running.remove(&number) {
-            self.book.end(job.run, RunEnd::Cancelled);
+            let end = if self.crashing {
+                RunEnd::Broken
+            } else {
+                RunEnd::Cancelled
+            };
+            self.book.end(job.run, end);
         }
         self.admit(now);
     }
 
+    /// A crash begins: connections that drop from here on drop because of it.
+    pub(crate) fn begin_crash(&mut self) {
+        self.crashing = true;
+    }
+
     /// Ends everything, as a crash does.
     pub(crate) fn break_all(&mut self, now: Instant) {
         self.waiting.clear();
@@ -122,6 +134,7 @@
             self.book.end(job.run, RunEnd::Broken);
         }
         self.crash_after = None;
+        self.crashing = false;
         self.cache.clear();
         self.note(now);
     }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -148,6 +148,7 @@
 
     async fn crash(&self) {
         self.faults.send_modify(|faults| faults.crash = None);
+        lock(&self.batch).begin_crash();
         self.server.close().await;
         lock(&self.batch).break_all(Instant::now());
     }
