Let a workspace's calls wait for a share in place of refusing them below the limit

Cause: the first node with demand was granted the whole limit, and a node above its share refused at once although the workspace was far below its limit: with 40 calls at a time over 6 nodes, a node that grew to 28 calls had 22 of 34 refused (test growth_below_the_limit_is_not_refused, red before). Change: what no demand takes is spread over all live nodes; a call above the share held waits up to 100 ms while the limiter takes it from others, and not at all for a second after that was in vain; demand for calls at a time is told without the extra call; a limiter that took over holds back for 3 s and not 10, since holders now tell it their shares as soon as they see the change.

--- a/kernel/src/limits.rs
+++ b/kernel/src/limits.rs
@@ -23,7 +23,7 @@
 use crate::ids::{CallId, NodeId, WorkspaceId};
 use crate::keys::RequestKey;
 use crate::limits::allowance::{LimitVerdict, LocalAllowance, WaitingCall};
-use crate::limits::ledger::{ShareDemand, ShareLedger};
+use crate::limits::ledger::{ShareDemand, ShareLedger, ShareTerms};
 use crate::membership::{MemberView, NodeState};
 use crate::plugin::{Context, GaugeSample, NodeProfile, Plugin, Registration};
 use crate::wire::Message;
@@ -78,6 +78,9 @@
 pub struct LimitTable {
     config: Arc<Config>,
     nodes: Vec<NodeId>,
+    /// The live nodes before the last change of them, and when that was.
+    former_nodes: Vec<NodeId>,
+    nodes_changed: Duration,
     local: BTreeMap<WorkspaceId, LocalAllowance>,
     admitted: BTreeMap<CallId, WorkspaceId>,
     ledger: ShareLedger,
@@ -99,8 +102,14 @@
 
     /// The node that shares out the workspace's limits.
     fn limiter(&self, workspace: WorkspaceId) -> Option<NodeId> {
-        let weight = |node: &NodeId| xxh3_64_with_seed(&node.0.to_le_bytes(), workspace.0);
-        self.nodes.iter().copied().max_by_key(weight)
+        limiter_among(&self.nodes, workspace)
+    }
+
+    /// When this node became the limiter, if holders of a former limiter's shares may still be
+    /// about to ask anew.
+    fn took_over(&self, workspace: WorkspaceId) -> Option<Duration> {
+        let same = limiter_among(&self.former_nodes, workspace) == self.limiter(workspace);
+        (!same).then_some(self.nodes_changed)
     }
 
     /// The share of a node that cannot reach the limiter.
@@ -117,13 +126,14 @@
     }
 
     /// Whether a call of the workspace may go on now; takes up its place if it may.
-    pub fn admit(&mut self, now: Duration, workspace: WorkspaceId, node: NodeId) -> LimitVerdict {
+    pub fn admit(&mut self, now: Duration, call: &WaitingCall, node: NodeId) -> LimitVerdict {
+        let workspace = call.spec.workspace;
         let Some(limits) = self.limits(workspace) else {
             return LimitVerdict::Unlimited;
         };
         let even = self.even_share(workspace, limits, node);
         let allowance = self.local.entry(workspace).or_default();
-        allowance.admit(now, even)
+        allowance.admit(now, call.since, even, limits)
     }
 
     fn arrive(&mut self, spec: &CallSpec, key: Option<&RequestKey>, context: &mut Context<'_>) {
@@ -145,22 +155,33 @@
 
     fn decide(&mut self, call: WaitingCall, context: &mut Context<'_>) {
         let workspace = call.spec.workspace;
-        match self.admit(context.now, workspace, context.profile.node) {
+        match self.admit(context.now, &call, context.profile.node) {
             LimitVerdict::Unlimited => pass(call, context),
             LimitVerdict::Admitted => {
                 self.admitted.insert(call.spec.call, workspace);
                 pass(call, context);
             }
-            LimitVerdict::Wait => match self.local.get_mut(&workspace) {
-                Some(allowance) if allowance.waiting.len() < MOST_WAITING => {
-                    allowance.waiting.push_back(call);
-                }
-                _ => self.refuse(&call, Duration::from_secs(1), context),
-            },
+            LimitVerdict::Wait => self.wait(call, context),
             LimitVerdict::Limited { retry_after } => self.refuse(&call, retry_after, context),
         }
     }
 
+    /// Keeps a call until a share comes that it fits into.
+    fn wait(&mut self, call: WaitingCall, context: &mut Context<'_>) {
+        let workspace = call.spec.workspace;
+        let Some(allowance) = self.local.get_mut(&workspace) else {
+            return;
+        };
+        if allowance.waiting.len() >= MOST_WAITING {
+            self.refuse(&call, Duration::from_secs(1), context);
+            return;
+        }
+        allowance.waiting.push_back(call);
+        if allowance.should_ask_for_growth(context.now) {
+            self.ask(workspace, context);
+        }
+    }
+
     fn refuse(&mut self, call: &WaitingCall, after: Duration, context: &mut Context<'_>) {
         self.limited += 1;
         context.act(Action::FinishCall {
@@ -218,7 +239,12 @@
             held,
             even: self.even_share(workspace, limits, from),
         };
-        let grants = self.ledger.demand(context.now, workspace, limits, demand);
+        let terms = ShareTerms {
+            limits,
+            nodes: self.nodes.len(),
+            took_over: self.took_over(workspace),
+        };
+        let grants = self.ledger.demand(context.now, workspace, terms, demand);
         for grant in grants {
             context.send(
                 grant.node,
@@ -301,16 +327,30 @@
         }
     }
 
-    fn members(&mut self, view: &MemberView) {
-        self.nodes = view
-            .members
-            .iter()
-            .filter(|(_, member)| member.state == NodeState::Live)
-            .map(|(node, _)| *node)
-            .collect();
+    fn members(&mut self, view: &MemberView, now: Duration) {
+        let live = view.members.iter();
+        let live = live.filter(|(_, member)| member.state == NodeState::Live);
+        let nodes: Vec<NodeId> = live.map(|(node, _)| *node).collect();
+        if nodes == self.nodes {
+            return;
+        }
+        self.former_nodes = std::mem::replace(&mut self.nodes, nodes);
+        self.nodes_changed = now;
+        let (former, nodes) = (&self.former_nodes, &self.nodes);
+        for (workspace, allowance) in &mut self.local {
+            if limiter_among(former, *workspace) != limiter_among(nodes, *workspace) {
+                allowance.limiter_changed();
+            }
+        }
     }
 }
 
+/// The limiter of a workspace, by rendezvous hashing.
+fn limiter_among(nodes: &[NodeId], workspace: WorkspaceId) -> Option<NodeId> {
+    let weight = |node: &NodeId| xxh3_64_with_seed(&node.0.to_le_bytes(), workspace.0);
+    nodes.iter().copied().max_by_key(weight)
+}
+
 fn pass(call: WaitingCall, context: &mut Context<'_>) {
     context.raise(Event::CallAdmitted {
         spec: CallSpec {
@@ -328,7 +368,7 @@
     fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
         match event {
             Event::ConfigApplied(config) => self.config = Arc::clone(config),
-            Event::MembersChanged(view) => self.members(view),
+            Event::MembersChanged(view) => self.members(view, context.now),
             Event::CallArrived { spec, key } => self.arrive(spec, key.as_ref(), context),
             Event::CallCancelled(call) => self.cancelled(*call, context),
             Event::CallFinished(call) => self.finished(*call),
--- a/kernel/src/limits/allowance.rs
+++ b/kernel/src/limits/allowance.rs
@@ -15,6 +15,13 @@
 /// Least time between two messages about demand.
 const LEAST_GAP: Duration = Duration::from_secs(1);
 
+/// Least time between two messages while calls wait for a greater share.
+const URGENT_GAP: Duration = Duration::from_millis(100);
+
+/// How long a call waits for a greater share: the limiter may have to take it from another node
+/// first.
+const GROWTH_WAIT: Duration = Duration::from_millis(100);
+
 /// Time after which demand that did not change is told again.
 const RENEWAL: Duration = Duration::from_secs(8);
 
@@ -66,6 +73,8 @@
     /// Calls that wait for the first share.
     pub waiting: VecDeque<WaitingCall>,
     held: Option<HeldShare>,
+    /// Until then the whole limit is thought to be in use.
+    denied: Duration,
     running: u32,
     limited: u32,
     tokens: f64,
@@ -101,8 +110,15 @@
         self.share(now).unwrap_or_default()
     }
 
-    /// Decides on one call; `even` is the share of a node that cannot reach the limiter.
-    pub fn admit(&mut self, now: Duration, even: LimitShare) -> LimitVerdict {
+    /// Decides on one call that arrived at `since`; `even` is the share of a node that cannot reach
+    /// the limiter, `limits` are the whole fleet's.
+    pub fn admit(
+        &mut self,
+        now: Duration,
+        since: Duration,
+        even: LimitShare,
+        limits: LimitShare,
+    ) -> LimitVerdict {
         let answer_due = self.first_ask.map_or(now, |asked| asked + FIRST_WAIT);
         let share = match self.share(now) {
             Some(share) => share,
@@ -115,10 +131,11 @@
             self.running += 1;
             return LimitVerdict::Admitted;
         }
-        if now < answer_due {
+        if now < answer_due || self.may_grow(now, since, share, limits) {
             return LimitVerdict::Wait;
         }
         self.limited += 1;
+        self.denied = now + LEAST_GAP;
         if self.running >= share.concurrent {
             return LimitVerdict::Limited {
                 retry_after: LEAST_GAP,
@@ -129,6 +146,24 @@
         LimitVerdict::Limited { retry_after }
     }
 
+    /// Whether a greater share may come in time for a call that is above the one held.
+    fn may_grow(
+        &self,
+        now: Duration,
+        since: Duration,
+        share: LimitShare,
+        limits: LimitShare,
+    ) -> bool {
+        let short_of_calls = self.running >= share.concurrent;
+        let whole = if short_of_calls {
+            share.concurrent >= limits.concurrent
+        } else {
+            share.rate >= limits.rate
+        };
+        let reachable = self.share(now).is_some();
+        reachable && !whole && now >= self.denied && now < since + GROWTH_WAIT
+    }
+
     /// A token bucket that holds what comes in during a second, and one call at the least.
     fn refill(&mut self, now: Duration, rate: f64) {
         let time = now.saturating_sub(self.filled).as_secs_f64();
@@ -145,10 +180,11 @@
     fn demand(&self, now: Duration) -> LimitShare {
         let waiting = self.waiting.len() as u32;
         let refused = self.limited.min(self.running + 1);
-        let concurrent = self.running + refused + waiting + 1;
+        let concurrent = self.running + refused + waiting;
+        let roomy = (f64::from(concurrent) * HEADROOM).ceil() as u32;
         LimitShare {
             rate: self.rate_now(now) * HEADROOM + 1.0,
-            concurrent: (f64::from(concurrent) * HEADROOM).ceil() as u32,
+            concurrent: roomy.max(1),
         }
     }
 
@@ -157,6 +193,17 @@
         self.share(now).is_none() && (self.first_ask.is_none() || now >= self.asked + LEAST_GAP)
     }
 
+    /// Whether the call that begins to wait must ask: the share held is used up.
+    pub fn should_ask_for_growth(&self, now: Duration) -> bool {
+        self.share(now).is_some() && now >= self.asked + URGENT_GAP
+    }
+
+    /// The limiter is another node now: tells it the demand as soon as may be.
+    pub fn limiter_changed(&mut self) {
+        self.asked = Duration::ZERO;
+        self.wanted = LimitShare::default();
+    }
+
     /// Whether it is time to tell the demand again.
     pub fn should_renew(&self, now: Duration) -> bool {
         if now < self.asked + LEAST_GAP || self.first_ask.is_none() {
--- a/kernel/src/limits/ledger.rs
+++ b/kernel/src/limits/ledger.rs
@@ -10,11 +10,11 @@
 pub const SHARE_LENGTH: Duration = Duration::from_secs(20);
 
 /// Least time between two unasked messages to one holder.
-const SHRINK_GAP: Duration = Duration::from_secs(1);
+const SHRINK_GAP: Duration = Duration::from_millis(200);
 
 /// Time in which holders of a former limiter's shares ask anew: until then a limiter gives nobody
 /// more than it holds already, or an even part.
-const TAKE_OVER: Duration = Duration::from_secs(10);
+const TAKE_OVER: Duration = Duration::from_secs(3);
 
 /// How far above its fair part a holder may be before it is told of a smaller one.
 const TOLERANCE: f64 = 1.1;
@@ -39,9 +39,19 @@
     told: Duration,
 }
 
-#[derive(Debug)]
+/// What a workspace's limits are shared out by.
+#[derive(Clone, Copy, Debug)]
+pub struct ShareTerms {
+    /// The limits of the whole fleet.
+    pub limits: LimitShare,
+    /// Live nodes.
+    pub nodes: usize,
+    /// When this node took over from another limiter, if it did so lately.
+    pub took_over: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
 struct WorkspaceLedger {
-    since: Duration,
     holders: BTreeMap<NodeId, ShareHolder>,
 }
 
@@ -51,21 +61,26 @@
     workspaces: BTreeMap<WorkspaceId, WorkspaceLedger>,
 }
 
-/// Max-min fair parts of `limit`: small demands are met whole and the rest is cut evenly; what no
-/// demand takes is spread evenly, so that growth needs no message.
-pub fn fair_parts(limit: f64, demands: &BTreeMap<NodeId, f64>) -> BTreeMap<NodeId, f64> {
+/// Max-min fair parts of `limit`: small demands are met whole and the rest is cut evenly. What no
+/// demand takes is spread over all `nodes`, so that growth needs no message and a node whose first
+/// call is yet to come finds room.
+pub fn fair_parts(
+    limit: f64,
+    nodes: usize,
+    demands: &BTreeMap<NodeId, f64>,
+) -> BTreeMap<NodeId, f64> {
     let mut order: Vec<(f64, NodeId)> = demands.iter().map(|(node, want)| (*want, *node)).collect();
     order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     let mut left = limit;
-    let mut nodes = order.len();
+    let mut rest = order.len();
     let mut parts = BTreeMap::new();
     for (want, node) in order {
-        let part = want.min(left / nodes as f64);
+        let part = want.min(left / rest as f64);
         parts.insert(node, part);
         left -= part;
-        nodes -= 1;
+        rest -= 1;
     }
-    let spare = left / parts.len().max(1) as f64;
+    let spare = left / parts.len().max(nodes).max(1) as f64;
     for part in parts.values_mut() {
         *part += spare;
     }
@@ -103,13 +118,10 @@
         &mut self,
         now: Duration,
         workspace: WorkspaceId,
-        limits: LimitShare,
+        terms: ShareTerms,
         demand: ShareDemand,
     ) -> Vec<ShareGrant> {
-        let ledger = self.workspaces.entry(workspace).or_insert(WorkspaceLedger {
-            since: now,
-            holders: BTreeMap::new(),
-        });
+        let ledger = self.workspaces.entry(workspace).or_default();
         ledger.holders.insert(
             demand.node,
             ShareHolder {
@@ -120,8 +132,8 @@
                 told: now,
             },
         );
-        let mut grants = vec![ledger.grant(now, limits, demand.node)];
-        grants.extend(ledger.balance(now, limits, demand.node));
+        let mut grants = vec![ledger.grant(now, terms, demand.node)];
+        grants.extend(ledger.balance(now, terms, demand.node));
         grants
     }
 
@@ -143,12 +155,13 @@
 }
 
 impl WorkspaceLedger {
-    fn parts(&self, limits: LimitShare) -> BTreeMap<NodeId, LimitShare> {
+    fn parts(&self, terms: ShareTerms) -> BTreeMap<NodeId, LimitShare> {
+        let ShareTerms { limits, nodes, .. } = terms;
         let rates = self.holders.iter().map(|(n, h)| (*n, h.wanted.rate));
-        let rates = fair_parts(limits.rate, &rates.collect());
+        let rates = fair_parts(limits.rate, nodes, &rates.collect());
         let counts = self.holders.iter();
         let counts = counts.map(|(n, h)| (*n, f64::from(h.wanted.concurrent)));
-        let counts = fair_parts(f64::from(limits.concurrent), &counts.collect());
+        let counts = fair_parts(f64::from(limits.concurrent), nodes, &counts.collect());
         rates
             .into_iter()
             .map(|(node, rate)| {
@@ -172,10 +185,10 @@
     }
 
     /// Gives a holder its fair part, as far as the shares of the others leave it.
-    fn grant(&mut self, now: Duration, limits: LimitShare, node: NodeId) -> ShareGrant {
-        let part = self.parts(limits)[&node];
-        let mut share = smaller(part, self.free(limits, node));
-        let taking_over = now < self.since + TAKE_OVER;
+    fn grant(&mut self, now: Duration, terms: ShareTerms, node: NodeId) -> ShareGrant {
+        let part = self.parts(terms)[&node];
+        let mut share = smaller(part, self.free(terms.limits, node));
+        let taking_over = terms.took_over.is_some_and(|since| now < since + TAKE_OVER);
         if let Some(holder) = self.holders.get_mut(&node) {
             if taking_over {
                 share = smaller(share, greater(holder.held, holder.even));
@@ -193,8 +206,8 @@
 
     /// Smaller shares for holders that have more than their part while another has less; greater
     /// ones for those that have less, once there is room.
-    fn balance(&mut self, now: Duration, limits: LimitShare, asker: NodeId) -> Vec<ShareGrant> {
-        let parts = self.parts(limits);
+    fn balance(&mut self, now: Duration, terms: ShareTerms, asker: NodeId) -> Vec<ShareGrant> {
+        let parts = self.parts(terms);
         let lacks = |holder: &ShareHolder, part: &LimitShare| {
             let wanted = smaller(holder.wanted, *part);
             holder.held.rate * TOLERANCE < wanted.rate || holder.held.concurrent < wanted.concurrent
@@ -229,11 +242,11 @@
             }
         }
         for node in lacking {
-            let free = self.free(limits, node);
+            let free = self.free(terms.limits, node);
             let held = self.holders[&node].held;
             let room = free.rate > held.rate * TOLERANCE || free.concurrent > held.concurrent;
             if node != asker && room {
-                grants.push(self.grant(now, limits, node));
+                grants.push(self.grant(now, terms, node));
             }
         }
         grants
--- a/kernel/tests/limits/main.rs
+++ b/kernel/tests/limits/main.rs
@@ -315,3 +315,37 @@
         assert!(fleet.messages <= 20, "{} messages in 20 s", fleet.messages);
     }
 );
+
+case!(
+    growth_below_the_limit_is_not_refused,
+    fleet = Fleet::new(6, None, Some(40)),
+    {
+        fleet.pass(Duration::from_secs(5));
+        for node in 0..6 {
+            fleet.call(node);
+        }
+        fleet.pass(Duration::from_millis(200));
+        for _ in 0..28 {
+            fleet.call(3);
+            fleet.pass(Duration::from_millis(50));
+        }
+        fleet.pass(Duration::from_millis(500));
+        assert_eq!((fleet.limited, fleet.running()), (0, 34));
+    }
+);
+
+case!(
+    a_flood_is_refused_without_delay,
+    fleet = Fleet::new(3, None, Some(6)),
+    {
+        fleet.pass(Duration::from_secs(5));
+        for round in 0..60 {
+            fleet.call(round % 3);
+            fleet.pass(Duration::from_millis(50));
+        }
+        let before = fleet.limited;
+        fleet.call(0);
+        fleet.call(1);
+        assert_eq!((fleet.limited, fleet.running()), (before + 2, 6));
+    }
+);
