Let calls above a workspace's rate wait for their turn when they have the time

Change: a call above the rate, not above the calls at a time, waits for its turn for up to a quarter of its time and 5 s at the most; nothing waits that could not be served then. Conclusion: limits shape bulk work and refuse only what cannot wait.

--- a/kernel/src/limits.rs
+++ b/kernel/src/limits.rs
@@ -70,8 +70,8 @@
 const UNLIMITED_RATE: f64 = 1e9;
 const UNLIMITED_CALLS: u32 = 1_000_000_000;
 
-/// Calls that wait for the first share of their workspace.
-const MOST_WAITING: usize = 256;
+/// Calls of one workspace that wait for a share, or for their turn.
+const MOST_WAITING: usize = 1_024;
 
 /// Admits calls within their workspace's limits.
 #[derive(Debug, Default)]
@@ -133,7 +133,7 @@
         };
         let even = self.even_share(workspace, limits, node);
         let allowance = self.local.entry(workspace).or_default();
-        allowance.admit(now, call.since, even, limits)
+        allowance.admit(now, call, even, limits)
     }
 
     fn arrive(&mut self, spec: &CallSpec, key: Option<&RequestKey>, context: &mut Context<'_>) {
--- a/kernel/src/limits/allowance.rs
+++ b/kernel/src/limits/allowance.rs
@@ -15,6 +15,10 @@
 /// Least time between two messages about demand.
 const LEAST_GAP: Duration = Duration::from_secs(1);
 
+/// Share of its time that a call above the rate may wait for its turn, and the longest such wait.
+const PACE_SHARE: f64 = 0.25;
+const LONGEST_PACE: Duration = Duration::from_secs(5);
+
 /// Least time between two messages while calls wait for a greater share.
 const URGENT_GAP: Duration = Duration::from_millis(100);
 
@@ -110,12 +114,12 @@
         self.share(now).unwrap_or_default()
     }
 
-    /// Decides on one call that arrived at `since`; `even` is the share of a node that cannot reach
+    /// Decides on one call; `even` is the share of a node that cannot reach
     /// the limiter, `limits` are the whole fleet's.
     pub fn admit(
         &mut self,
         now: Duration,
-        since: Duration,
+        call: &WaitingCall,
         even: LimitShare,
         limits: LimitShare,
     ) -> LimitVerdict {
@@ -131,7 +135,10 @@
             self.running += 1;
             return LimitVerdict::Admitted;
         }
-        if now < answer_due || self.may_grow(now, since, share, limits) {
+        if now < answer_due || self.may_grow(now, call.since, share, limits) {
+            return LimitVerdict::Wait;
+        }
+        if self.running < share.concurrent && self.can_pace(now, call, share.rate) {
             return LimitVerdict::Wait;
         }
         self.limited += 1;
@@ -164,6 +171,14 @@
         reachable && !whole && now >= self.denied && now < since + GROWTH_WAIT
     }
 
+    /// Whether a call above the rate may wait for its turn: it must not use up much of its time.
+    fn can_pace(&self, now: Duration, call: &WaitingCall, rate: f64) -> bool {
+        let turn = (self.waiting.len() as f64 + 1.0 - self.tokens) / rate.max(0.001);
+        let longest = call.spec.time_left.mul_f64(PACE_SHARE).min(LONGEST_PACE);
+        let waited = now.saturating_sub(call.since);
+        waited.as_secs_f64() + turn <= longest.as_secs_f64()
+    }
+
     /// A token bucket that holds what comes in during a second, and one call at the least.
     fn refill(&mut self, now: Duration, rate: f64) {
         let time = now.saturating_sub(self.filled).as_secs_f64();
