Let queue summaries of owners age slower, and measure the choice of owner

Cause: a summary counted half after 1 s. At 80 nodes an entry node hears of an owner every second or two, so a loaded owner looked idle and got more.

--- a/kernel/src/routing.rs
+++ b/kernel/src/routing.rs
@@ -7,6 +7,7 @@
 mod answers;
 pub mod attempt;
 mod keyed;
+mod load;
 mod offers;
 pub mod open;
 pub mod owners;
--- a/kernel/src/routing/owners.rs
+++ b/kernel/src/routing/owners.rs
@@ -18,9 +18,12 @@
 use crate::ids::{NodeId, PoolId, ZoneId};
 use crate::membership::{MemberView, NodeState};
 use crate::ownership::OwnerMap;
+use crate::routing::load::OwnerLoad;
 
 /// Most candidates that are all compared.
 const COMPARE_ALL: usize = 16;
+/// Candidates drawn of more.
+const DRAWS: u8 = 2;
 /// Load a slot below which an owner has room.
 const ROOM: f64 = 0.9;
 /// Load a slot by which an owner in another availability zone must be better.
@@ -29,10 +32,6 @@
 const PREFIX_MARGIN: f64 = 0.25;
 /// Load a slot that is added for a node that does not answer its peers now.
 const SUSPECT_LOAD: f64 = 10.0;
-/// Share of a summary's weight below which it no longer shuts an owner out.
-const OLD_NEWS: f64 = 0.25;
-/// Age at which a queue summary counts half.
-const NEWS_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Time for which a node whose link broke gets no offers.
 const LINK_REST: Duration = Duration::from_secs(1);
 
@@ -41,9 +40,11 @@
 pub enum OwnerPolicy {
     /// The least loaded of a few, the better of two among many.
     #[default]
+    Mixed,
+    /// Always the least loaded.
     LeastLoaded,
-    /// Always the better of two.
-    TwoChoices,
+    /// Always the best of this many, drawn at random.
+    BestOf(u8),
     /// At random, in proportion to slots.
     EqualShares,
 }
@@ -62,15 +63,6 @@
     all: BTreeMap<NodeId, Candidate>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct OwnerLoad {
-    told: Option<(Duration, LoadSummary)>,
-    /// Offers made since the summary.
-    since: u32,
-    /// Offers that are not over.
-    open: u32,
-}
-
 /// The owners of each pool, and what is known of their load.
 #[derive(Debug, Default)]
 pub struct OwnerBoard {
@@ -189,6 +181,9 @@
             tried,
             now,
         };
+        if self.policy == OwnerPolicy::EqualShares {
+            return search.by_share(&owners.all, random);
+        }
         let near = search.best(&owners.near, random);
         if let Some((node, load)) = near
             && load < ROOM
@@ -230,29 +225,6 @@
     }
 }
 
-impl OwnerLoad {
-    fn ahead(&self, spec: &CallSpec, configured: u32, now: Duration) -> f64 {
-        let open = f64::from(self.open);
-        let Some((at, told)) = self.told else {
-            return open / f64::from(configured.max(1));
-        };
-        let age = now.saturating_sub(at).as_secs_f64();
-        let weight = 0.5_f64.powf(age / NEWS_HALF_LIFE.as_secs_f64());
-        if told.slots == 0 && weight > OLD_NEWS {
-            return f64::INFINITY;
-        }
-        let slots = if told.slots == 0 {
-            configured
-        } else {
-            told.slots
-        };
-        let tier = usize::from(spec.tier.0).min(told.waiting.len() - 1);
-        let waiting: u32 = told.waiting[..=tier].iter().sum();
-        let counted = f64::from(told.running + waiting) * weight + f64::from(self.since);
-        counted.max(open) / f64::from(slots.max(1))
-    }
-}
-
 /// One choice among the owners of a pool.
 struct OwnerSearch<'a> {
     board: &'a OwnerBoard,
@@ -267,9 +239,10 @@
             return None;
         }
         let best = match self.board.policy {
-            OwnerPolicy::EqualShares => self.by_share(among, random),
-            OwnerPolicy::LeastLoaded if among.len() <= COMPARE_ALL => self.least(among, random),
-            OwnerPolicy::LeastLoaded | OwnerPolicy::TwoChoices => self.of_two(among, random),
+            OwnerPolicy::LeastLoaded => self.least(among, random),
+            OwnerPolicy::Mixed if among.len() <= COMPARE_ALL => self.least(among, random),
+            OwnerPolicy::Mixed | OwnerPolicy::EqualShares => self.best_of(DRAWS, among, random),
+            OwnerPolicy::BestOf(draws) => self.best_of(draws, among, random),
         }?;
         let keeper = self.prefix_keeper(among);
         Some(
@@ -281,7 +254,7 @@
 
     /// The owner that the prefix belongs to, by rendezvous hashing.
     fn prefix_keeper(&self, among: &[Candidate]) -> Option<(NodeId, f64)> {
-        if self.spec.prefix == 0 || self.board.policy == OwnerPolicy::EqualShares {
+        if self.spec.prefix == 0 {
             return None;
         }
         let prefix = self.spec.prefix;
@@ -303,10 +276,15 @@
             .min_by(|one, two| one.1.total_cmp(&two.1))
     }
 
-    fn of_two(&self, among: &[Candidate], random: &mut Pcg64Mcg) -> Option<(NodeId, f64)> {
-        let first = self.draw(among, random)?;
-        let second = self.draw(among, random)?;
-        Some(if second.1 < first.1 { second } else { first })
+    fn best_of(
+        &self,
+        draws: u8,
+        among: &[Candidate],
+        random: &mut Pcg64Mcg,
+    ) -> Option<(NodeId, f64)> {
+        (0..draws)
+            .filter_map(|_| self.draw(among, random))
+            .min_by(|one, two| one.1.total_cmp(&two.1))
     }
 
     /// An allowed candidate at random: the next one after a random place.
@@ -320,8 +298,12 @@
             .map(|candidate| self.weigh(candidate))
     }
 
-    fn by_share(&self, among: &[Candidate], random: &mut Pcg64Mcg) -> Option<(NodeId, f64)> {
-        let allowed = || among.iter().filter(|candidate| self.allowed(candidate));
+    fn by_share(
+        &self,
+        among: &BTreeMap<NodeId, Candidate>,
+        random: &mut Pcg64Mcg,
+    ) -> Option<NodeId> {
+        let allowed = || among.values().filter(|candidate| self.allowed(candidate));
         let total: u32 = allowed().map(|candidate| candidate.slots).sum();
         let mut place = random.random_range(0..total.max(1));
         allowed()
@@ -330,7 +312,7 @@
                 place = place.saturating_sub(candidate.slots);
                 found
             })
-            .map(|candidate| (candidate.node, 0.0))
+            .map(|candidate| candidate.node)
     }
 
     fn weigh(&self, candidate: &Candidate) -> (NodeId, f64) {
