Go on with a call that the router itself took back

Cause: an urgent call that waited long was taken back from its owner; if the owner's answer came before the edge's, the call ended as cancelled, though its caller had not left. With nothing to move, a call was looked at again within the same tick until it was given up. Change: a cancellation that the caller did not ask for is a reroute; the next look is never in the same tick; `WaitPolicy` says what is done with a waiting call, so that the ways can be measured. The fuzzer now checks that only a cancelled call ends as cancelled, and finds the fault when it is put back.

--- a/kernel/src/routing.rs
+++ b/kernel/src/routing.rs
@@ -34,12 +34,16 @@
 use crate::routing::retry::RetryBudget;
 use crate::wire::{Message, RelayMessage};
 
-/// How the router decides where measurements left a choice.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct RouterSettings {
-    /// Whether an urgent call that waits long at its owner is offered to a second one as well,
-    /// rather than taken back from the first.
-    pub hedging: bool,
+/// What is done with an urgent call that waits long at its owner while another seems to have room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WaitPolicy {
+    /// Nothing.
+    Stay,
+    /// It is taken back and offered to the other.
+    #[default]
+    Move,
+    /// It is offered to the other as well; the first to start answers (hedging).
+    Hedge,
 }
 
 #[derive(Debug, Default)]
@@ -53,7 +57,7 @@
 
 /// Calls that entered at this node and are not over.
 pub struct CallRouter {
-    settings: RouterSettings,
+    waiting: WaitPolicy,
     config: Arc<Config>,
     owners: Arc<OwnerMap>,
     view: Arc<MemberView>,
@@ -71,9 +75,9 @@
 
 impl CallRouter {
     /// A router for a node's run.
-    pub fn new(profile: &NodeProfile, settings: RouterSettings) -> Self {
+    pub fn new(profile: &NodeProfile, waiting: WaitPolicy) -> Self {
         Self {
-            settings,
+            waiting,
             config: Arc::default(),
             owners: Arc::default(),
             view: Arc::default(),
@@ -249,7 +253,7 @@
 }
 
 fn build(profile: &NodeProfile) -> Box<dyn Plugin> {
-    Box::new(CallRouter::new(profile, RouterSettings::default()))
+    Box::new(CallRouter::new(profile, WaitPolicy::default()))
 }
 
 inventory::submit! {
--- a/kernel/src/routing/offers.rs
+++ b/kernel/src/routing/offers.rs
@@ -154,6 +154,11 @@
             NotRunCause::Returned(ReturnReason::Leaving) => {
                 (RetryKind::Reroute, RefusalReason::Leaving, None)
             }
+            // Its caller has not left: this node took it back from the owner.
+            NotRunCause::Returned(ReturnReason::Refused {
+                reason: RefusalReason::Cancelled,
+                ..
+            }) => (RetryKind::Reroute, RefusalReason::Overloaded, None),
             NotRunCause::Returned(ReturnReason::Refused {
                 reason,
                 retry_after,
@@ -163,7 +168,7 @@
         };
         open.refusal = reason;
         let refused = matches!(cause, NotRunCause::Returned(ReturnReason::Refused { .. }));
-        if refused && !self.worth_another(call, reason, context) {
+        if refused && kind == RetryKind::Paid && !self.worth_another(call, reason, context) {
             self.give_up(call, reason, retry_after, context);
         } else {
             self.retry(call, kind, context);
--- a/kernel/src/routing/watch.rs
+++ b/kernel/src/routing/watch.rs
@@ -7,10 +7,10 @@
 use crate::event::Action;
 use crate::ids::{AttemptId, CallId, NodeId};
 use crate::plugin::Context;
-use crate::routing::CallRouter;
 use crate::routing::attempt::{AttemptPhase, OpenAttempt};
 use crate::routing::offers::send_offer;
 use crate::routing::open::OpenCall;
+use crate::routing::{CallRouter, WaitPolicy};
 use crate::wire::WorkMessage;
 
 /// Time between two questions when the first found no answer.
@@ -70,11 +70,12 @@
             now + CANCEL_TIME
         } else {
             open.attempts()
-                .map(|attempt| now + wait_time(open, attempt, now))
+                .map(|attempt| now + self.wait_time(open, attempt, now))
                 .min()
                 .unwrap_or(now)
         };
-        self.wake_at(call, due);
+        // Never within the same tick, which would look at it for ever.
+        self.wake_at(call, due.max(now + Duration::from_millis(1)));
     }
 
     fn look_at(&mut self, call: CallId, questions: &mut Questions, context: &mut Context<'_>) {
@@ -93,7 +94,7 @@
         if matches!(attempt.phase, AttemptPhase::Withdrawn { .. }) {
             context.act(Action::WithdrawAttempt(attempt_id));
             self.watch(call, context.now);
-        } else if may_move(open, &attempt, context.now) {
+        } else if self.may_move(open, &attempt, context.now) {
             self.move_on(call, attempt, context);
         } else {
             self.ask(call, questions, context);
@@ -159,7 +160,7 @@
             .has_room(&spec, &tried, context.now, context.random);
         if !room || !self.budget.spend(spec.workspace, spec.class) {
             self.watch(call, context.now);
-        } else if self.settings.hedging {
+        } else if self.waiting == WaitPolicy::Hedge {
             self.hedge(call, context);
         } else {
             let attempt = AttemptId {
@@ -186,35 +187,35 @@
         }
         self.watch(call, context.now);
     }
-}
 
-fn may_move(open: &OpenCall, attempt: &OpenAttempt, now: Duration) -> bool {
-    attempt.phase == AttemptPhase::Offered
-        && movable(open, attempt)
-        && now >= attempt.offered + move_time(open)
-}
+    fn may_move(&self, open: &OpenCall, attempt: &OpenAttempt, now: Duration) -> bool {
+        self.movable(open, attempt) && now >= attempt.offered + move_time(open)
+    }
 
-fn movable(open: &OpenCall, attempt: &OpenAttempt) -> bool {
-    open.spec.tier == MOVED_TIER
-        && open.spec.repeatable
-        && open.hedge.is_none()
-        && !open.tried.contains(&attempt.owner)
+    fn movable(&self, open: &OpenCall, attempt: &OpenAttempt) -> bool {
+        self.waiting != WaitPolicy::Stay
+            && attempt.phase == AttemptPhase::Offered
+            && open.spec.tier == MOVED_TIER
+            && open.spec.repeatable
+            && open.hedge.is_none()
+            && !open.tried.contains(&attempt.owner)
+    }
+
+    fn wait_time(&self, open: &OpenCall, attempt: &OpenAttempt, now: Duration) -> Duration {
+        let withdrawn = matches!(attempt.phase, AttemptPhase::Withdrawn { .. });
+        let question = if attempt.unanswered > 0 || withdrawn {
+            ASK_AGAIN
+        } else {
+            attempt.patience
+        };
+        if !self.movable(open, attempt) {
+            return question;
+        }
+        let moved = (attempt.offered + move_time(open)).saturating_sub(now);
+        question.min(moved)
+    }
 }
 
 fn move_time(open: &OpenCall) -> Duration {
     open.spec.time_left.mul_f64(MOVE_SHARE)
 }
-
-fn wait_time(open: &OpenCall, attempt: &OpenAttempt, now: Duration) -> Duration {
-    let withdrawn = matches!(attempt.phase, AttemptPhase::Withdrawn { .. });
-    let question = if attempt.unanswered > 0 || withdrawn {
-        ASK_AGAIN
-    } else {
-        attempt.patience
-    };
-    if attempt.phase != AttemptPhase::Offered || !movable(open, attempt) {
-        return question;
-    }
-    let moved = (attempt.offered + move_time(open)).saturating_sub(now);
-    question.min(moved)
-}
--- a/kernel/tests/calls/faults.rs
+++ b/kernel/tests/calls/faults.rs
@@ -182,7 +182,8 @@
     let call = fleet.arrive(0, false, None);
     fleet.settle();
     assert_eq!(fleet.outcomes[&call].len(), 1);
-    assert!(whole(fleet.outcomes[&call][0]) || not_run(fleet.outcomes[&call][0]));
+    assert!(whole(fleet.outcomes[&call][0]));
+    assert_eq!(fleet.ran[&call], 1);
 }
 
 fn busy_alone(fleet: &mut Fleet) {
@@ -247,6 +248,35 @@
     assert!(!fleet.ran.contains_key(&calls[2]));
 }
 
+/// An urgent call that this node takes back from its own queue goes elsewhere; its caller is not
+/// told that it was cancelled.
+#[test]
+fn waiting_call_moves() {
+    let mut fleet = Fleet::new(2, 1);
+    let calls: Vec<_> = (0..8).map(|_| fleet.arrive(0, true, None)).collect();
+    fleet.deliver_all();
+    while let Some(run) = fleet.runs.iter().position(|run| run.owner == 1) {
+        fleet.complete(run);
+        fleet.deliver_all();
+    }
+    fleet.pass(Duration::from_millis(1_500));
+    fleet.deliver_all();
+    assert!(
+        fleet
+            .runs
+            .iter()
+            .any(|run| run.owner == 1 && run.work.attempt.number == 2)
+    );
+    fleet.settle();
+    for call in calls {
+        assert_eq!(
+            fleet.outcomes[&call],
+            [CallOutcome::Whole { tokens: TOKENS }]
+        );
+        assert_eq!(fleet.ran[&call], 1);
+    }
+}
+
 /// A late answer of an older try changes nothing.
 #[test]
 fn older_try_answers_late() {
--- a/kernel/tests/calls/fleet.rs
+++ b/kernel/tests/calls/fleet.rs
@@ -12,7 +12,7 @@
 use monsoonbank_kernel::keys::{KeyMint, RequestKey};
 use monsoonbank_kernel::membership::{Member, MemberView, NodeState};
 use monsoonbank_kernel::plugin::NodeProfile;
-use monsoonbank_kernel::routing::{CallRouter, RouterSettings};
+use monsoonbank_kernel::routing::{CallRouter, WaitPolicy};
 use monsoonbank_kernel::wire::{Message, WorkMessage};
 
 use crate::trace::describe;
@@ -67,7 +67,7 @@
     traced: u64,
     buried: BTreeSet<usize>,
     sequence: u64,
-    hedging: bool,
+    waiting: WaitPolicy,
     config: Arc<Config>,
 }
 
@@ -75,6 +75,26 @@
     NodeId::named(&format!("n{node}"))
 }
 
+/// An urgent call.
+pub fn call_spec(node: usize) -> CallSpec {
+    CallSpec {
+        call: CallId {
+            node: node_id(node),
+            incarnation: Incarnation(1),
+            sequence: 1,
+        },
+        workspace: WorkspaceId(7),
+        class: ClassId(1),
+        tier: Tier(0),
+        pool: PoolId::named("m"),
+        time_left: Duration::from_secs(2),
+        repeatable: true,
+        prompt_tokens: 10,
+        max_tokens: 0,
+        prefix: 0,
+    }
+}
+
 fn name(node: NodeId) -> usize {
     (0..9).find(|index| node_id(*index) == node).unwrap()
 }
@@ -94,10 +114,10 @@
 
 impl Fleet {
     pub fn new(nodes: usize, slots: u32) -> Self {
-        Self::build(nodes, slots, false)
+        Self::build(nodes, slots, WaitPolicy::Move)
     }
 
-    pub fn build(nodes: usize, slots: u32, hedging: bool) -> Self {
+    pub fn build(nodes: usize, slots: u32, waiting: WaitPolicy) -> Self {
         let mut fleet = Self {
             now: Duration::from_secs(10),
             kernels: Vec::new(),
@@ -115,7 +135,7 @@
             traced: u64::MAX,
             buried: BTreeSet::new(),
             sequence: 0,
-            hedging,
+            waiting,
             config: Arc::new(config(nodes, slots)),
         };
         for node in 0..nodes {
@@ -144,10 +164,7 @@
     fn boot(&mut self, node: usize) {
         let profile = self.profile(node);
         self.mints[node] = KeyMint::new(&profile);
-        let settings = RouterSettings {
-            hedging: self.hedging,
-        };
-        let router = CallRouter::new(&profile, settings);
+        let router = CallRouter::new(&profile, self.waiting);
         let mut kernel = Kernel::with_plugins(profile, |name| PLUGINS.contains(&name));
         kernel.replace("routing", Box::new(router));
         self.kernels[node] = Some(kernel);
@@ -157,7 +174,7 @@
         self.tell(node, Event::MembersChanged(self.view()));
     }
 
-    fn view(&self) -> Arc<MemberView> {
+    pub fn view(&self) -> Arc<MemberView> {
         let member = |node: usize| Member {
             name: format!("n{node}").into(),
             zone: ZoneId::named(&format!("z{node}")),
@@ -297,15 +314,8 @@
         };
         let spec = CallSpec {
             call,
-            workspace: WorkspaceId(7),
-            class: ClassId(1),
-            tier: Tier(0),
-            pool: PoolId::named("m"),
-            time_left: Duration::from_secs(2),
             repeatable,
-            prompt_tokens: 10,
-            max_tokens: 0,
-            prefix: 0,
+            ..call_spec(node)
         };
         self.tell(node, Event::CallArrived { spec, key });
         call
--- a/kernel/tests/calls/fuzz.rs
+++ b/kernel/tests/calls/fuzz.rs
@@ -1,12 +1,13 @@
 //! Three nodes under random faults, against an oracle that counts what the engines really ran.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use monsoonbank_kernel::call::{AttemptEnd, CallOutcome, RefusalReason};
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::CallId;
 use monsoonbank_kernel::keys::RequestKey;
+use monsoonbank_kernel::routing::WaitPolicy;
 use proptest::prelude::*;
 use proptest::sample::Index;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -91,6 +92,7 @@
     fleet: Fleet,
     keys: Vec<RequestKey>,
     calls: BTreeMap<CallId, KnownCall>,
+    cancelled: BTreeSet<CallId>,
 }
 
 impl<const HEDGING: bool> Oracle<HEDGING> {
@@ -130,6 +132,7 @@
                 if !self.calls.is_empty() {
                     let place = call.index(self.calls.len());
                     let call = *self.calls.keys().nth(place).unwrap();
+                    self.cancelled.insert(call);
                     let node = (0..NODES).find(|node| self.fleet.profile(*node).node == call.node);
                     self.fleet.tell(node.unwrap(), Event::CallCancelled(call));
                 }
@@ -188,13 +191,13 @@
             let outcomes = outcomes.map(Vec::as_slice).unwrap_or_default();
             assert!(outcomes.len() <= 1, "{call} ended twice: {outcomes:?}");
             if let Some(outcome) = outcomes.first() {
-                self.check_outcome(*call, *outcome, ran);
+                self.check_outcome(*call, known, *outcome, ran);
             }
         }
         assert!(by_key.values().all(|ran| *ran <= 1), "a key ran twice");
     }
 
-    fn check_outcome(&self, call: CallId, outcome: CallOutcome, ran: u32) {
+    fn check_outcome(&self, call: CallId, known: &KnownCall, outcome: CallOutcome, ran: u32) {
         match outcome {
             CallOutcome::Whole { tokens } => {
                 assert_eq!(tokens, TOKENS);
@@ -205,6 +208,11 @@
             CallOutcome::NotRun { reason, .. } => {
                 assert_eq!(ran, 0, "{call} not run ({reason}) but ran");
                 assert_ne!(reason, RefusalReason::Key);
+                let left = self.cancelled.contains(&call) || known.key.is_some();
+                assert!(
+                    left || reason != RefusalReason::Cancelled,
+                    "{call} was not cancelled"
+                );
             }
             CallOutcome::Unknown => {}
         }
@@ -216,10 +224,16 @@
     type Reference = AnyStep;
 
     fn init_test((): &()) -> Self {
+        let waiting = if HEDGING {
+            WaitPolicy::Hedge
+        } else {
+            WaitPolicy::Move
+        };
         Self {
-            fleet: Fleet::build(NODES, 1, HEDGING),
+            fleet: Fleet::build(NODES, 1, waiting),
             keys: Vec::new(),
             calls: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
         }
     }
 
--- a/kernel/tests/calls/keys.rs
+++ b/kernel/tests/calls/keys.rs
@@ -5,6 +5,7 @@
 use monsoonbank_kernel::call::{CallOutcome, RefusalReason};
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::{CallId, WorkspaceId};
+use monsoonbank_kernel::keys::memory::{CallOrigin, KeyMemory, KeyVerdict, MAX_ANSWERS, MAX_KEYS};
 use monsoonbank_kernel::keys::{KEY_LIFE, KeyChecker, KeyError, KeyMint, KeyParts, RequestKey};
 use monsoonbank_kernel::plugin::NodeProfile;
 use proptest::prelude::*;
@@ -205,6 +206,60 @@
     assert_eq!(checked, Err(KeyError::OtherMinter));
 }
 
+fn remembered(memory: &mut KeyMemory, mint: &KeyMint, sequence: u64) -> KeyParts {
+    let text = mint.mint(WorkspaceId(7), Duration::ZERO);
+    let parts = KeyParts::parse(&text).unwrap();
+    let call = call(sequence);
+    let origin = CallOrigin::Caller;
+    let verdict = memory.admit(&parts, 0, call, origin, Duration::ZERO);
+    assert_eq!(verdict, KeyVerdict::Run);
+    assert!(memory.end(parts.sequence, WHOLE, Duration::ZERO).is_empty());
+    parts
+}
+
+fn call(sequence: u64) -> CallId {
+    let NodeProfile {
+        node, incarnation, ..
+    } = profile();
+    CallId {
+        node,
+        incarnation,
+        sequence,
+    }
+}
+
+/// The oldest answer goes first; its call is still known to have run.
+#[test]
+fn answers_are_bounded() {
+    let (mut memory, mint) = (KeyMemory::default(), KeyMint::new(&profile()));
+    let first = remembered(&mut memory, &mint, 0);
+    for sequence in 1..=MAX_ANSWERS as u64 {
+        remembered(&mut memory, &mint, sequence);
+    }
+    assert_eq!(memory.forget(Duration::ZERO), [call(0)]);
+    let repeat = call(u64::MAX);
+    let verdict = memory.admit(&first, 0, repeat, CallOrigin::Caller, Duration::ZERO);
+    let (original, outcome) = (call(0), CallOutcome::Unknown);
+    assert_eq!(verdict, KeyVerdict::Repeat { original, outcome });
+}
+
+/// A key that was forgotten for want of room never runs again.
+#[test]
+fn keys_are_bounded() {
+    let (mut memory, mint) = (KeyMemory::default(), KeyMint::new(&profile()));
+    let unused = KeyParts::parse(&mint.mint(WorkspaceId(7), Duration::ZERO)).unwrap();
+    let first = remembered(&mut memory, &mint, 0);
+    for sequence in 1..=MAX_KEYS as u64 {
+        remembered(&mut memory, &mint, sequence);
+    }
+    memory.forget(Duration::ZERO);
+    assert_eq!(memory.len(), MAX_KEYS);
+    for key in [first, unused] {
+        let verdict = memory.admit(&key, 0, call(9), CallOrigin::Caller, Duration::ZERO);
+        assert_eq!(verdict, KeyVerdict::Expired);
+    }
+}
+
 proptest! {
     #[test]
     fn any_text_is_read_without_harm(text in ".{0,120}") {
--- a/kernel/tests/calls/main.rs
+++ b/kernel/tests/calls/main.rs
@@ -4,5 +4,6 @@
 mod fleet;
 mod fuzz;
 mod keys;
+mod owners;
 mod sessions;
 mod trace;
