Test each verdict on a try, the retry budget and refusals by name

Cause: the rule that tells `not_run` from `unknown` is one table; its rows deserve a case each. Change: a case for each row, the budget's share, the backoff's bound, and refusals with and without room elsewhere. The trial of waiting calls also prints loads at which the fast engines are too few.

--- a/kernel/examples/waiting_calls.rs
+++ b/kernel/examples/waiting_calls.rs
@@ -289,7 +289,7 @@
 
 fn main() {
     println!("load  way     attained %  p99 ms  wasted %  (of 5 seeds, the worst attainment)");
-    for load in [0.4, 0.5, 0.6, 0.65] {
+    for load in [0.4, 0.5, 0.6, 0.65, 0.7, 0.8] {
         for policy in [WaitPolicy::Stay, WaitPolicy::Move, WaitPolicy::Hedge] {
             let runs = (1..=5).map(|seed| Trial::new(policy, seed).run(load));
             let worst = runs.min_by(|one, two| one.attained.total_cmp(&two.attained));
--- a/kernel/tests/calls/main.rs
+++ b/kernel/tests/calls/main.rs
@@ -1,5 +1,6 @@
 //! Calls at their entry node: honest outcomes, retries, and keys, under faults.
 
+mod attempts;
 mod faults;
 mod fleet;
 mod fuzz;
