Bound the memory of keys by workspace too

Cause: with one floor for all, a workspace that uses many keys made other workspaces' keys unknown. A node that stayed dead was also looked through again at each change of members. Change: floors by workspace; one workspace holds at most a fifth of the keys and a quarter of the answers of a node. A dead node's calls are given up once.

--- a/kernel/src/keys/memory.rs
+++ b/kernel/src/keys/memory.rs
@@ -5,12 +5,16 @@
 
 use super::{KEY_LIFE, KeyParts};
 use crate::call::CallOutcome;
-use crate::ids::{CallId, NodeId};
+use crate::ids::{CallId, NodeId, WorkspaceId};
 
 /// Keys remembered at most; beyond it the lowest numbers are forgotten and never run again.
 pub const MAX_KEYS: usize = 100_000;
+/// Keys remembered of one workspace at most, so that one that floods takes from itself first.
+pub const MAX_WORKSPACE_KEYS: usize = 20_000;
 /// Answers kept at most, the newest. The edge keeps no answer above [`MAX_ANSWER_BYTES`].
 pub const MAX_ANSWERS: usize = 1_024;
+/// Answers kept of one workspace at most.
+pub const MAX_WORKSPACE_ANSWERS: usize = 256;
 /// Largest answer that an edge keeps for repeats, in bytes; with [`MAX_ANSWERS`] it bounds the
 /// memory for kept answers to 64 MiB. A repeat of a larger answer gets `unknown`.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1_024;
@@ -62,6 +66,7 @@
 
 #[derive(Debug)]
 struct KeyEntry {
+    workspace: WorkspaceId,
     state: KeyState,
     fingerprint: u64,
     /// Second of the kernel's clock until which the entry is kept.
@@ -71,6 +76,17 @@
     joined: Vec<(CallId, CallOrigin)>,
 }
 
+/// What is remembered of one workspace's keys.
+#[derive(Debug, Default)]
+struct WorkspaceKeys {
+    remembered: usize,
+    /// Entries whose call does not run, by the second until which they are kept.
+    expiry: BTreeSet<(u64, u64)>,
+    answers: VecDeque<u64>,
+    /// Keys with lower numbers may have been forgotten.
+    floor: u64,
+}
+
 /// Outcomes by key, bounded in number and time.
 #[derive(Debug, Default)]
 pub struct KeyMemory {
@@ -78,32 +94,38 @@
     /// Entries whose call does not run, by the second until which they are kept.
     expiry: BTreeSet<(u64, u64)>,
     answers: VecDeque<u64>,
-    /// Keys with lower numbers may have been forgotten.
-    floor: u64,
+    workspaces: BTreeMap<WorkspaceId, WorkspaceKeys>,
+    /// Calls whose kept answers may go.
+    gone: Vec<CallId>,
 }
 
 impl KeyMemory {
-    /// Decides on a call with a valid key, and remembers it.
+    /// Decides on a call with a key that is valid for the workspace, and remembers it.
     pub fn admit(
         &mut self,
         key: &KeyParts,
+        workspace: WorkspaceId,
         fingerprint: u64,
         call: CallId,
         origin: CallOrigin,
         now: Duration,
     ) -> KeyVerdict {
         let sequence = key.sequence;
+        let keys = self.workspaces.entry(workspace).or_default();
         if let Some(entry) = self.entries.get_mut(&sequence) {
             let verdict = entry.admit(fingerprint, call, origin);
             if verdict == KeyVerdict::Run {
                 self.expiry.remove(&(entry.until, sequence));
+                keys.expiry.remove(&(entry.until, sequence));
             }
             return verdict;
         }
-        if sequence < self.floor || key.age(now) > KEY_LIFE {
+        if sequence < keys.floor || key.age(now) > KEY_LIFE {
             return KeyVerdict::Expired;
         }
+        keys.remembered += 1;
         let entry = KeyEntry {
+            workspace,
             state: KeyState::Running(call),
             fingerprint,
             until: key.second + KEY_LIFE.as_secs() + 1,
@@ -132,31 +154,70 @@
             CallOutcome::Whole { .. } | CallOutcome::Unknown => KeyState::Ended(call, outcome),
         };
         entry.until = entry.until.max((now + KEEP).as_secs());
-        self.expiry.insert((entry.until, sequence));
+        let joined = std::mem::take(&mut entry.joined);
+        let (workspace, until) = (entry.workspace, entry.until);
+        self.expiry.insert((until, sequence));
+        let keys = self.workspaces.entry(workspace).or_default();
+        keys.expiry.insert((until, sequence));
         if matches!(outcome, CallOutcome::Whole { .. }) {
             self.answers.push_back(sequence);
+            keys.answers.push_back(sequence);
+        }
+        self.trim(workspace);
+        joined
+    }
+
+    /// Keeps a workspace within its own bounds.
+    fn trim(&mut self, workspace: WorkspaceId) {
+        let Some(keys) = self.workspaces.get_mut(&workspace) else {
+            return;
+        };
+        let answer = if keys.answers.len() > MAX_WORKSPACE_ANSWERS {
+            keys.answers.pop_front()
+        } else {
+            None
+        };
+        let key = if keys.remembered > MAX_WORKSPACE_KEYS {
+            keys.expiry.first().copied()
+        } else {
+            None
+        };
+        if let Some(sequence) = answer {
+            self.drop_answer(sequence);
+        }
+        if let Some((until, sequence)) = key {
+            self.remove(until, sequence);
         }
-        std::mem::take(&mut entry.joined)
     }
 
     /// Forgets what is too old or too much; gives the calls whose kept answers may go.
     pub fn forget(&mut self, now: Duration) -> Vec<CallId> {
-        let mut gone = Vec::new();
         while self.answers.len() > MAX_ANSWERS {
-            let sequence = self.answers.pop_front();
-            gone.extend(sequence.and_then(|sequence| self.drop_answer(sequence)));
+            if let Some(sequence) = self.answers.pop_front() {
+                self.drop_answer(sequence);
+            }
         }
         while let Some(&(until, sequence)) = self.expiry.first() {
             let old = until < now.as_secs();
             if !old && self.entries.len() <= MAX_KEYS {
                 break;
             }
-            self.expiry.pop_first();
-            self.floor = self.floor.max(sequence + 1);
-            gone.extend(self.drop_answer(sequence));
-            self.entries.remove(&sequence);
+            self.remove(until, sequence);
         }
-        gone
+        std::mem::take(&mut self.gone)
+    }
+
+    /// Forgets a key; no key of its workspace with a number up to this one runs from here on.
+    fn remove(&mut self, until: u64, sequence: u64) {
+        self.drop_answer(sequence);
+        self.expiry.remove(&(until, sequence));
+        let Some(entry) = self.entries.remove(&sequence) else {
+            return;
+        };
+        let keys = self.workspaces.entry(entry.workspace).or_default();
+        keys.expiry.remove(&(until, sequence));
+        keys.remembered = keys.remembered.saturating_sub(1);
+        keys.floor = keys.floor.max(sequence + 1);
     }
 
     /// Keys remembered.
@@ -174,13 +235,14 @@
         self.answers.len()
     }
 
-    fn drop_answer(&mut self, sequence: u64) -> Option<CallId> {
-        let entry = self.entries.get_mut(&sequence)?;
-        let KeyState::Ended(call, CallOutcome::Whole { .. }) = entry.state else {
-            return None;
+    fn drop_answer(&mut self, sequence: u64) {
+        let Some(entry) = self.entries.get_mut(&sequence) else {
+            return;
         };
-        entry.state = KeyState::Ended(call, CallOutcome::Unknown);
-        Some(call)
+        if let KeyState::Ended(call, CallOutcome::Whole { .. }) = entry.state {
+            entry.state = KeyState::Ended(call, CallOutcome::Unknown);
+            self.gone.push(call);
+        }
     }
 }
 
--- a/kernel/src/routing.rs
+++ b/kernel/src/routing.rs
@@ -152,7 +152,8 @@
         self.view
             .members
             .iter()
-            .filter(|(node, member)| **node != own && over(node, member.incarnation.0))
+            .filter(|(node, member)| **node != own && member.state != NodeState::Dead)
+            .filter(|(node, member)| over(node, member.incarnation.0))
             .map(|(node, _)| *node)
             .collect()
     }
--- a/kernel/src/routing/keyed.rs
+++ b/kernel/src/routing/keyed.rs
@@ -64,10 +64,10 @@
         origin: CallOrigin,
         context: &mut Context<'_>,
     ) {
-        let call = spec.call;
+        let (call, workspace, now) = (spec.call, spec.workspace, context.now);
         let verdict = self
             .memory
-            .admit(parts, fingerprint, call, origin, context.now);
+            .admit(parts, workspace, fingerprint, call, origin, now);
         match verdict {
             KeyVerdict::Run => self.open(spec, origin, Some(parts.sequence), context),
             KeyVerdict::Join { original } => {
--- a/kernel/tests/calls/keys.rs
+++ b/kernel/tests/calls/keys.rs
@@ -5,7 +5,9 @@
 use monsoonbank_kernel::call::{CallOutcome, RefusalReason};
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::{CallId, WorkspaceId};
-use monsoonbank_kernel::keys::memory::{CallOrigin, KeyMemory, KeyVerdict, MAX_ANSWERS, MAX_KEYS};
+use monsoonbank_kernel::keys::memory::{
+    CallOrigin, KeyMemory, KeyVerdict, MAX_WORKSPACE_ANSWERS, MAX_WORKSPACE_KEYS,
+};
 use monsoonbank_kernel::keys::{KEY_LIFE, KeyChecker, KeyError, KeyMint, KeyParts, RequestKey};
 use monsoonbank_kernel::plugin::NodeProfile;
 use proptest::prelude::*;
@@ -206,15 +208,39 @@
     assert_eq!(checked, Err(KeyError::OtherMinter));
 }
 
-fn remembered(memory: &mut KeyMemory, mint: &KeyMint, sequence: u64) -> KeyParts {
-    let text = mint.mint(WorkspaceId(7), Duration::ZERO);
-    let parts = KeyParts::parse(&text).unwrap();
-    let call = call(sequence);
-    let origin = CallOrigin::Caller;
-    let verdict = memory.admit(&parts, 0, call, origin, Duration::ZERO);
-    assert_eq!(verdict, KeyVerdict::Run);
-    assert!(memory.end(parts.sequence, WHOLE, Duration::ZERO).is_empty());
-    parts
+/// A memory, and a mint for one of its workspaces.
+struct KeyBook {
+    memory: KeyMemory,
+    mint: KeyMint,
+    workspace: WorkspaceId,
+}
+
+impl KeyBook {
+    fn new() -> Self {
+        Self {
+            memory: KeyMemory::default(),
+            mint: KeyMint::new(&profile()),
+            workspace: WorkspaceId(7),
+        }
+    }
+
+    fn mint(&self) -> KeyParts {
+        KeyParts::parse(&self.mint.mint(self.workspace, Duration::ZERO)).unwrap()
+    }
+
+    fn admit(&mut self, key: &KeyParts, sequence: u64) -> KeyVerdict {
+        let (origin, now) = (CallOrigin::Caller, Duration::ZERO);
+        self.memory
+            .admit(key, self.workspace, 0, call(sequence), origin, now)
+    }
+
+    /// A key whose call has run.
+    fn used(&mut self, sequence: u64) -> KeyParts {
+        let key = self.mint();
+        assert_eq!(self.admit(&key, sequence), KeyVerdict::Run);
+        self.memory.end(key.sequence, WHOLE, Duration::ZERO);
+        key
+    }
 }
 
 fn call(sequence: u64) -> CallId {
@@ -231,33 +257,36 @@
 /// The oldest answer goes first; its call is still known to have run.
 #[test]
 fn answers_are_bounded() {
-    let (mut memory, mint) = (KeyMemory::default(), KeyMint::new(&profile()));
-    let first = remembered(&mut memory, &mint, 0);
-    for sequence in 1..=MAX_ANSWERS as u64 {
-        remembered(&mut memory, &mint, sequence);
+    let mut book = KeyBook::new();
+    let first = book.used(0);
+    for sequence in 1..=MAX_WORKSPACE_ANSWERS as u64 {
+        book.used(sequence);
     }
-    assert_eq!(memory.forget(Duration::ZERO), [call(0)]);
-    let repeat = call(u64::MAX);
-    let verdict = memory.admit(&first, 0, repeat, CallOrigin::Caller, Duration::ZERO);
+    assert_eq!(book.memory.forget(Duration::ZERO), [call(0)]);
     let (original, outcome) = (call(0), CallOutcome::Unknown);
-    assert_eq!(verdict, KeyVerdict::Repeat { original, outcome });
+    let repeat = KeyVerdict::Repeat { original, outcome };
+    assert_eq!(book.admit(&first, u64::MAX), repeat);
 }
 
-/// A key that was forgotten for want of room never runs again.
+/// A key that was forgotten for want of room never runs again, nor one minted before it; another
+/// workspace's keys stay.
 #[test]
 fn keys_are_bounded() {
-    let (mut memory, mint) = (KeyMemory::default(), KeyMint::new(&profile()));
-    let unused = KeyParts::parse(&mint.mint(WorkspaceId(7), Duration::ZERO)).unwrap();
-    let first = remembered(&mut memory, &mint, 0);
-    for sequence in 1..=MAX_KEYS as u64 {
-        remembered(&mut memory, &mint, sequence);
-    }
-    memory.forget(Duration::ZERO);
-    assert_eq!(memory.len(), MAX_KEYS);
-    for key in [first, unused] {
-        let verdict = memory.admit(&key, 0, call(9), CallOrigin::Caller, Duration::ZERO);
-        assert_eq!(verdict, KeyVerdict::Expired);
+    let mut book = KeyBook::new();
+    let other = book.used(0);
+    book.workspace = WorkspaceId(8);
+    let unused = book.mint();
+    let first = book.used(1);
+    for sequence in 2..=1 + MAX_WORKSPACE_KEYS as u64 {
+        book.used(sequence);
     }
+    assert_eq!(book.memory.len(), MAX_WORKSPACE_KEYS + 1);
+    assert_eq!(book.admit(&first, 0), KeyVerdict::Expired);
+    assert_eq!(book.admit(&unused, 0), KeyVerdict::Expired);
+    let (original, outcome) = (call(0), WHOLE);
+    book.workspace = WorkspaceId(7);
+    let repeat = KeyVerdict::Repeat { original, outcome };
+    assert_eq!(book.admit(&other, 9), repeat);
 }
 
 proptest! {
