--- a/kernel/tests/calls/faults.rs
+++ b/kernel/tests/calls/faults.rs
@@ -248,6 +248,24 @@
     assert!(!fleet.ran.contains_key(&calls[2]));
 }
 
+/// A dead node's calls are given up when it is known to be dead, though its link stays open.
+#[test]
+fn owner_vanishes() {
+    for repeatable in [true, false] {
+        let mut fleet = Fleet::new(2, 1);
+        busy(&mut fleet);
+        let call = fleet.arrive(0, repeatable, None);
+        streaming(&mut fleet);
+        fleet.vanish(1);
+        fleet.bury();
+        assert_eq!(fleet.outcomes.contains_key(&call), !repeatable);
+        fleet.settle();
+        fleet.assert_at_rest();
+        assert!(!repeatable || whole(fleet.outcomes[&call][0]));
+        assert!(repeatable || unknown(fleet.outcomes[&call][0]));
+    }
+}
+
 /// An urgent call that this node takes back from its own queue goes elsewhere; its caller is not
 /// told that it was cancelled.
 #[test]
--- a/kernel/tests/calls/fleet.rs
+++ b/kernel/tests/calls/fleet.rs
@@ -411,11 +411,16 @@
         }
     }
 
-    /// A node's process ends without a word; its peers see their links break.
-    pub fn kill(&mut self, node: usize) {
+    /// A node's host loses its power: its peers' links stay open, and silent.
+    pub fn vanish(&mut self, node: usize) {
         self.kernels[node] = None;
         self.runs.retain(|run| run.owner != node);
         self.wire.retain(|frame| frame.to != node);
+    }
+
+    /// A node's process ends without a word; its peers see their links break.
+    pub fn kill(&mut self, node: usize) {
+        self.vanish(node);
         for peer in 0..self.kernels.len() {
             self.link_down(peer, node);
         }
--- a/kernel/tests/calls/keys.rs
+++ b/kernel/tests/calls/keys.rs
@@ -172,6 +172,27 @@
     assert_eq!(case.fleet.ran.values().sum::<u32>(), 1);
 }
 
+/// A relayed call that did not run is not run by a second copy of its message.
+#[test]
+fn relay_doubled_after_not_run() {
+    let mut case = KeyCase::new();
+    case.fleet
+        .tell(1, Event::OwnersChanged(std::sync::Arc::default()));
+    let key = Some(case.key.clone());
+    let call = case.fleet.arrive(0, false, key);
+    let frame = case.fleet.wire[0].clone();
+    case.fleet.settle();
+    assert!(matches!(
+        case.fleet.outcomes[&call][..],
+        [CallOutcome::NotRun { .. }]
+    ));
+    case.fleet.kill(2);
+    case.fleet.bury();
+    case.fleet.wire.push(frame);
+    case.fleet.settle();
+    assert!(case.fleet.ran.is_empty());
+}
+
 fn profile() -> NodeProfile {
     Fleet::new(1, 1).profile(0)
 }
