--- a/kernel/tests/calls/keys.rs
+++ b/kernel/tests/calls/keys.rs
@@ -5,6 +5,9 @@
 use monsoonbank_kernel::call::{CallOutcome, RefusalReason};
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::{CallId, WorkspaceId};
+use monsoonbank_kernel::keys::memory::{
+    CallOrigin, KeyMemory, KeyVerdict, MAX_WORKSPACE_ANSWERS, MAX_WORKSPACE_KEYS,
+};
 use monsoonbank_kernel::keys::{KEY_LIFE, KeyChecker, KeyError, KeyMint, KeyParts, RequestKey};
 use monsoonbank_kernel::plugin::NodeProfile;
 use proptest::prelude::*;
@@ -169,6 +172,27 @@
     assert_eq!(case.fleet.ran.values().sum::<u32>(), 1);
 }
 
+/// A relayed call that did not run is not run by a second copy of its message.
+#[test]
+fn relay_doubled_after_not_run() {
+    let mut case = KeyCase::new();
+    case.fleet
+        .tell(1, Event::OwnersChanged(std::sync::Arc::default()));
+    let key = Some(case.key.clone());
+    let call = case.fleet.arrive(0, false, key);
+    let frame = case.fleet.wire[0].clone();
+    case.fleet.settle();
+    assert!(matches!(
+        case.fleet.outcomes[&call][..],
+        [CallOutcome::NotRun { .. }]
+    ));
+    case.fleet.kill(2);
+    case.fleet.bury();
+    case.fleet.wire.push(frame);
+    case.fleet.settle();
+    assert!(case.fleet.ran.is_empty());
+}
+
 fn profile() -> NodeProfile {
     Fleet::new(1, 1).profile(0)
 }
@@ -205,6 +229,87 @@
     assert_eq!(checked, Err(KeyError::OtherMinter));
 }
 
+/// A memory, and a mint for one of its workspaces.
+struct KeyBook {
+    memory: KeyMemory,
+    mint: KeyMint,
+    workspace: WorkspaceId,
+}
+
+impl KeyBook {
+    fn new() -> Self {
+        Self {
+            memory: KeyMemory::default(),
+            mint: KeyMint::new(&profile()),
+            workspace: WorkspaceId(7),
+        }
+    }
+
+    fn mint(&self) -> KeyParts {
+        KeyParts::parse(&self.mint.mint(self.workspace, Duration::ZERO)).unwrap()
+    }
+
+    fn admit(&mut self, key: &KeyParts, sequence: u64) -> KeyVerdict {
+        let (origin, now) = (CallOrigin::Caller, Duration::ZERO);
+        self.memory
+            .admit(key, self.workspace, 0, call(sequence), origin, now)
+    }
+
+    /// A key whose call has run.
+    fn used(&mut self, sequence: u64) -> KeyParts {
+        let key = self.mint();
+        assert_eq!(self.admit(&key, sequence), KeyVerdict::Run);
+        self.memory.end(key.sequence, WHOLE, Duration::ZERO);
+        key
+    }
+}
+
+fn call(sequence: u64) -> CallId {
+    let NodeProfile {
+        node, incarnation, ..
+    } = profile();
+    CallId {
+        node,
+        incarnation,
+        sequence,
+    }
+}
+
+/// The oldest answer goes first; its call is still known to have run.
+#[test]
+fn answers_are_bounded() {
+    let mut book = KeyBook::new();
+    let first = book.used(0);
+    for sequence in 1..=MAX_WORKSPACE_ANSWERS as u64 {
+        book.used(sequence);
+    }
+    assert_eq!(book.memory.forget(Duration::ZERO), [call(0)]);
+    let (original, outcome) = (call(0), CallOutcome::Unknown);
+    let repeat = KeyVerdict::Repeat { original, outcome };
+    assert_eq!(book.admit(&first, u64::MAX), repeat);
+}
+
+/// A key that was forgotten for want of room never runs again, nor one minted before it; another
+/// workspace's keys stay.
+#[test]
+fn keys_are_bounded() {
+    let mut book = KeyBook::new();
+    let other = book.used(0);
+    book.workspace = WorkspaceId(8);
+    let unused = book.mint();
+    let first = book.used(1);
+    for sequence in 2..=1 + MAX_WORKSPACE_KEYS as u64 {
+        book.used(sequence);
+    }
+    assert_eq!(book.memory.len(), MAX_WORKSPACE_KEYS + 1);
+    assert_eq!(book.admit(&first, 0), KeyVerdict::Expired);
+    assert_eq!(book.admit(&unused, 0), KeyVerdict::Expired);
+    let (original, outcome) = (call(0), WHOLE);
+    book.workspace = WorkspaceId(7);
+    let repeat = KeyVerdict::Repeat { original, outcome };
+    assert_eq!(book.admit(&other, 9), repeat);
+}
+
 proptest! {
     #[test]
     fn any_text_is_read_without_harm(text in ".{0,120}") {
