--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -316,7 +316,7 @@
 
     /// After every event: goes into force, announces and reads on.
     fn settle(&mut self, context: &mut Context<'_>) {
-        self.ready |= self.is_newest(context.now);
+        self.ready = self.ready || self.is_newest(context.now);
         if self.ready && self.fold.config().version > self.in_force.version {
             self.in_force = Arc::new(self.fold.config().clone());
             context.raise(Event::ConfigApplied(Arc::clone(&self.in_force)));
