Give orders to engines from the node and the tool

Orders decided by the kernel went nowhere. Operators hand in orders at POST /v1/orders/UPSTREAM or with monsoon order; real nodes are shown to give one to an engine, and monsoon publish is shown against three nodes: accepted, in force, sent again, conflict, refused.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -14,6 +14,7 @@
 mod exit_codes;
 mod explain;
 mod load;
+mod order;
 mod publish;
 mod request;
 mod slopes;
@@ -49,6 +50,7 @@
         .subcommand(explain::command())
         .subcommand(publish::command())
         .subcommand(addresses::command())
+        .subcommand(order::command())
         .subcommand(state::command())
         .subcommand(drain::command())
         .subcommand(load::command())
@@ -84,6 +86,7 @@
         Some(("demo", matches)) => demo::run(matches).await,
         Some(("check", matches)) => check::run(matches),
         Some(("explain", matches)) => explain::run(matches),
+        Some(("order", matches)) => order::run(matches).await,
         Some(("publish", matches)) => publish::run(matches).await,
         Some(("where", matches)) => addresses::run(matches).await,
         Some(("state", matches)) => state::run(matches).await,
--- a/cli/tests/tool/main.rs
+++ b/cli/tests/tool/main.rs
@@ -1,5 +1,6 @@
 //! What the tool prints, by its binary.
 
+mod publish;
 mod support;
 
 use crate::support::{monsoon, told};
--- a/daemon/src/driver.rs
+++ b/daemon/src/driver.rs
@@ -13,7 +13,7 @@
 use crate::calls::{Delivery, LostAttempt};
 use crate::frame::{Chunk, Frame};
 use crate::shared::{Input, NodeShared};
-use crate::{links, platform, upstreams};
+use crate::{links, orders, platform, upstreams};
 
 /// Time between two ticks of the kernel.
 pub const TICK: Duration = Duration::from_millis(20);
@@ -123,7 +123,11 @@
         Action::ForgetAnswer(call) => shared.calls.forget_answer(call),
         Action::Append { ticket, record } => platform::append(shared, ticket, record),
         Action::ReadLog { from } => platform::read_log(shared, from),
-        Action::Order { .. } => {}
+        Action::Order {
+            request,
+            fencing,
+            not_after,
+        } => orders::give(shared, request, fencing, not_after),
         Action::Exit => shared.done.cancel(),
         Action::UseConfig(config) => {
             log::info!("event=config_in_force version={}", config.version);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod links;
 pub mod node;
 pub mod operators;
+pub mod orders;
 pub mod platform;
 pub mod proof;
 pub mod refusal;
--- a/daemon/src/operators.rs
+++ b/daemon/src/operators.rs
@@ -4,6 +4,7 @@
 
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::UpstreamId;
+use monsoonbank_kernel::leases::{EngineOrder, OrderRequest};
 use monsoonbank_kernel::plugin::GaugeSample;
 use monsoonbank_kernel::record::{ChangeRecord, PublishResult};
 use prometheus::TextEncoder;
@@ -31,6 +32,7 @@
     Documents,
     Publish,
     ChangeStatus,
+    Order,
 }
 
 struct OperatorApi {
@@ -51,6 +53,7 @@
         .push(Router::with_path("v1/state").get(api(OperatorCall::State)))
         .push(Router::with_path("v1/drain").post(api(OperatorCall::DrainNode)))
         .push(Router::with_path("v1/drain/{upstream}").post(api(OperatorCall::DrainUpstream)))
+        .push(Router::with_path("v1/orders/{upstream}").post(api(OperatorCall::Order)))
         .push(Router::with_path("v1/documents").get(api(OperatorCall::Documents)))
         .push(Router::with_path("v1/changes").post(api(OperatorCall::Publish)))
         .push(Router::with_path("v1/changes/{id}").get(api(OperatorCall::ChangeStatus)))
@@ -79,6 +82,7 @@
             OperatorCall::Documents => self.documents(response).await,
             OperatorCall::Publish => self.publish(request, response).await,
             OperatorCall::ChangeStatus => self.change_status(request, response),
+            OperatorCall::Order => self.order(request, response).await,
             OperatorCall::Ready | OperatorCall::Metrics => {}
         }
     }
@@ -134,9 +138,7 @@
         let name = request.param::<String>("upstream").unwrap_or_default();
         let upstream = UpstreamId::named(&name);
         if !self.shared.config().upstreams.contains_key(&upstream) {
-            let message = format!("no upstream is called `{name}`");
-            return CallerError::not_run(StatusCode::NOT_FOUND, "no_upstream", message)
-                .render(response);
+            return unknown_upstream(&name).render(response);
         }
         self.shared.event(Event::DrainUpstream(upstream));
     }
@@ -169,6 +171,28 @@
         response.render(Json(answer.await.unwrap_or(PublishResult::Unavailable)));
     }
 
+    /// Takes an order; its outcome is told in the `leases` section of the state dump.
+    async fn order(&self, request: &mut Request, response: &mut Response) {
+        let name = request.param::<String>("upstream").unwrap_or_default();
+        let upstream = UpstreamId::named(&name);
+        if !self.shared.config().upstreams.contains_key(&upstream) {
+            return unknown_upstream(&name).render(response);
+        }
+        match request.parse_json::<EngineOrder>().await {
+            Ok(order) => {
+                let request = OrderRequest { upstream, order };
+                self.shared.event(Event::OrderRequested(request));
+                response.status_code(StatusCode::ACCEPTED);
+                response.render(Json(json!({ "wanted": true })));
+            }
+            Err(error) => {
+                let message = format!("expected an order as JSON: {error}");
+                CallerError::not_run(StatusCode::BAD_REQUEST, "bad_order", message)
+                    .render(response);
+            }
+        }
+    }
+
     fn change_status(&self, request: &mut Request, response: &mut Response) {
         let id = request.param::<String>("id").unwrap_or_default();
         if let Some(status) = self.shared.changes.status(&id) {
@@ -191,6 +215,11 @@
     )
 }
 
+fn unknown_upstream(name: &str) -> CallerError {
+    let message = format!("no upstream is called `{name}`");
+    CallerError::not_run(StatusCode::NOT_FOUND, "no_upstream", message)
+}
+
 fn unauthorized() -> CallerError {
     CallerError::not_run(
         StatusCode::UNAUTHORIZED,
