Place engines by demand, with hysteresis

An engine served the pool it was listed in, whatever the demand. One that is listed with other pools under `also` is now ordered to load another pool's model when that pool's work has been above 1.2 times its slots for a minute and its own pool's below half for two; once the order is accepted a placement document on the log moves it, so that every node routes alike. One engine moves at a time and stays for ten minutes, and no pool loses its last one. Without `also` nothing changes.

--- a/cli/src/bench/scenario.rs
+++ b/cli/src/bench/scenario.rs
@@ -265,6 +265,7 @@
             address: format!("127.0.0.1:{}", 1_000 + n).into(),
             slots: shape.slots,
             checks_fencing: true,
+            also: Vec::new(),
         });
         let classes = self.classes.iter().map(|class| ClassSpec {
             name: class.name.clone(),
--- a/cli/src/publish.rs
+++ b/cli/src/publish.rs
@@ -134,9 +134,10 @@
             DocumentChange::set(document, replaces)
         })
         .collect();
-    let gone = in_force
-        .keys()
-        .filter(|key| removed.contains(key) || (prune && !keys.contains(key)));
+    let gone = in_force.keys().filter(|key| {
+        let placement = matches!(key, DocumentKey::Placement(_));
+        removed.contains(key) || (prune && !placement && !keys.contains(key))
+    });
     changes.extend(gone.map(|key| DocumentChange::remove(key.clone(), version(key))));
     changes
 }
--- a/cli/src/slopes/owners.rs
+++ b/cli/src/slopes/owners.rs
@@ -118,6 +118,7 @@
         address: "10.100.100.100:9000".into(),
         slots: SLOTS,
         checks_fencing: true,
+        also: Vec::new(),
     }
 }
 
--- a/kernel/benches/decision.rs
+++ b/kernel/benches/decision.rs
@@ -65,6 +65,7 @@
         address: "127.0.0.1:1".into(),
         slots: SLOTS,
         checks_fencing: true,
+        also: Vec::new(),
     };
     let tier = |tier: u8, floor: f64| TierSpec {
         tier: Tier(tier),
--- a/kernel/src/config.rs
+++ b/kernel/src/config.rs
@@ -17,8 +17,8 @@
 pub use document::{Document, DocumentKey, DocumentList, VersionedDocument};
 pub use rules::{RequestFacts, RuleIndex, RuleMismatch};
 pub use spec::{
-    ClassSpec, ConfigFile, PoolKind, PoolSpec, RuleMatch, RuleSpec, RuleTarget, TierSpec,
-    UpstreamSpec, WorkspaceSpec,
+    ClassSpec, ConfigFile, PlacementSpec, PoolKind, PoolSpec, RuleMatch, RuleSpec, RuleTarget,
+    TierSpec, UpstreamSpec, WorkspaceSpec,
 };
 
 /// An upstream with its names resolved.
@@ -26,12 +26,21 @@
 pub struct Upstream {
     /// As published.
     pub spec: UpstreamSpec,
-    /// The pool.
+    /// The pool that it serves now: its own, or the one that it was placed in.
     pub pool: PoolId,
     /// The availability zone.
     pub zone: ZoneId,
 }
 
+/// Where an upstream was placed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacedUpstream {
+    /// The pool's name.
+    pub pool: Box<str>,
+    /// The version of the document.
+    pub version: u64,
+}
+
 /// The whole configuration in force, names resolved. Shared and never changed in place. Each part
 /// is shared with the configuration before, unless it changed.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -54,6 +63,8 @@
     pub members: Arc<BTreeMap<PoolId, Vec<UpstreamId>>>,
     /// Upstreams by address.
     pub addresses: Arc<BTreeMap<Box<str>, UpstreamId>>,
+    /// Upstreams placed in a pool; one that its specification does not allow has no effect.
+    pub placements: Arc<BTreeMap<UpstreamId, PlacedUpstream>>,
     /// The ordered rule list.
     pub rules: Arc<Vec<RuleSpec>>,
     /// The index of the rule list.
@@ -102,6 +113,7 @@
             }
             Document::Upstream(upstream) => self.put_upstream(upstream),
             Document::Rules(rules) => self.put_rules(rules),
+            Document::Placement(placement) => self.put_placement(&placement),
         }
     }
 
@@ -118,6 +130,10 @@
             }
             DocumentKey::Upstream(name) => self.remove_upstream(UpstreamId::named(name)),
             DocumentKey::Rules => self.put_rules(Vec::new()),
+            DocumentKey::Placement(name) => {
+                Arc::make_mut(&mut self.placements).remove(&UpstreamId::named(name));
+                self.place_again(name);
+            }
         }
     }
 
@@ -156,7 +172,7 @@
     fn put_upstream(&mut self, spec: UpstreamSpec) {
         let id = UpstreamId::named(&spec.name);
         self.remove_upstream(id);
-        let pool = PoolId::named(&spec.pool);
+        let pool = self.pool_of(id, &spec);
         let zone = ZoneId::named(&spec.zone);
         let members = Arc::make_mut(&mut self.members).entry(pool).or_default();
         let position = members.partition_point(|member| *member < id);
@@ -166,6 +182,41 @@
         Arc::make_mut(&mut self.upstreams).insert(id, upstream);
     }
 
+    /// The pool that an upstream serves.
+    fn pool_of(&self, id: UpstreamId, spec: &UpstreamSpec) -> PoolId {
+        let placed = self.placements.get(&id);
+        let allowed = placed.filter(|placed| spec.also.contains(&placed.pool));
+        PoolId::named(allowed.map_or(&spec.pool, |placed| &placed.pool))
+    }
+
+    fn put_placement(&mut self, placement: &PlacementSpec) {
+        let id = UpstreamId::named(&placement.upstream);
+        let placed = PlacedUpstream {
+            pool: placement.pool.clone(),
+            version: 0,
+        };
+        Arc::make_mut(&mut self.placements).insert(id, placed);
+        self.place_again(&placement.upstream);
+    }
+
+    fn place_again(&mut self, name: &str) {
+        if let Some(upstream) = self.upstreams.get(&UpstreamId::named(name)) {
+            let spec = upstream.spec.clone();
+            self.put_upstream(spec);
+        }
+    }
+
+    /// Notes the version of a placement.
+    pub fn note_version(&mut self, key: &DocumentKey, version: u64) {
+        let DocumentKey::Placement(name) = key else {
+            return;
+        };
+        let placements = Arc::make_mut(&mut self.placements);
+        if let Some(placed) = placements.get_mut(&UpstreamId::named(name)) {
+            placed.version = version;
+        }
+    }
+
     fn remove_upstream(&mut self, id: UpstreamId) {
         if !self.upstreams.contains_key(&id) {
             return;
@@ -221,6 +272,13 @@
             }
             DocumentKey::Rules if self.rules.is_empty() => None,
             DocumentKey::Rules => Some(Document::Rules((*self.rules).clone())),
+            DocumentKey::Placement(name) => {
+                let placed = self.placements.get(&UpstreamId::named(name))?;
+                Some(Document::Placement(PlacementSpec {
+                    upstream: name.clone(),
+                    pool: placed.pool.clone(),
+                }))
+            }
         }
     }
 
--- a/kernel/src/config/check.rs
+++ b/kernel/src/config/check.rs
@@ -11,7 +11,8 @@
 use crate::config::document::{self, Document, DocumentKey};
 use crate::config::locate::{FieldPath, TextPosition, locate};
 use crate::config::spec::{
-    ClassSpec, ConfigFile, PoolSpec, RuleMatch, RuleSpec, TierSpec, UpstreamSpec, WorkspaceSpec,
+    ClassSpec, ConfigFile, PlacementSpec, PoolSpec, RuleMatch, RuleSpec, TierSpec, UpstreamSpec,
+    WorkspaceSpec,
 };
 use crate::ids::{ClassId, PoolId, UpstreamId, WorkspaceId};
 
@@ -175,6 +176,12 @@
     check_name(&upstream.name, faults);
     let pool = config.pools.contains_key(&PoolId::named(&upstream.pool));
     faults.require(pool, "pool", || unknown_pool(config, &upstream.pool));
+    for (position, name) in upstream.also.iter().enumerate() {
+        if !config.pools.contains_key(&PoolId::named(name)) {
+            let path = FieldPath::default().field("also").item(position);
+            faults.add(path, unknown_pool(config, name));
+        }
+    }
     faults.require(!upstream.zone.is_empty(), "zone", || {
         "no availability zone; expected its name".to_owned()
     });
@@ -193,6 +200,26 @@
     });
 }
 
+fn check_placement(config: &Config, placement: &PlacementSpec, faults: &mut FaultList) {
+    let upstream = config
+        .upstreams
+        .get(&UpstreamId::named(&placement.upstream));
+    faults.require(upstream.is_some(), "upstream", || {
+        let names = config
+            .upstreams
+            .values()
+            .map(|upstream| &*upstream.spec.name);
+        unknown("upstream", &placement.upstream, names)
+    });
+    let allowed = upstream.is_some_and(|upstream| {
+        upstream.spec.pool == placement.pool || upstream.spec.also.contains(&placement.pool)
+    });
+    faults.require(allowed, "pool", || {
+        let (upstream, pool) = (&placement.upstream, &placement.pool);
+        format!("`{upstream}` may not serve `{pool}`; expected its pool or one of `also`")
+    });
+}
+
 fn unknown_pool(config: &Config, name: &str) -> String {
     unknown("pool", name, config.pools.values().map(|pool| &*pool.name))
 }
@@ -297,6 +324,7 @@
         Document::Pool(pool) => check_pool(pool, &mut faults),
         Document::Upstream(upstream) => check_upstream(config, upstream, &mut faults),
         Document::Rules(rules) => check_rules(config, rules, &mut faults),
+        Document::Placement(placement) => check_placement(config, placement, &mut faults),
     }
     faults.0
 }
@@ -419,6 +447,7 @@
         Document::Pool(_) => "pools",
         Document::Upstream(_) => "upstreams",
         Document::Rules(_) => "rules",
+        Document::Placement(_) => "placements",
     }
 }
 
--- a/kernel/src/config/document.rs
+++ b/kernel/src/config/document.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use crate::config::spec::{
-    ClassSpec, ConfigFile, PoolSpec, RuleSpec, TierSpec, UpstreamSpec, WorkspaceSpec,
+    ClassSpec, ConfigFile, PlacementSpec, PoolSpec, RuleSpec, TierSpec, UpstreamSpec, WorkspaceSpec,
 };
 
 /// Names a document; written as `class/NAME`, `tiers` and so on.
@@ -32,6 +32,9 @@
     /// The ordered rule list.
     #[display("rules")]
     Rules,
+    /// The placement of an upstream.
+    #[display("placement/{_0}")]
+    Placement(Box<str>),
 }
 
 /// A text that names no document.
@@ -53,6 +56,7 @@
             Some(("workspace", name)) if !name.is_empty() => Ok(Self::Workspace(name.into())),
             Some(("pool", name)) if !name.is_empty() => Ok(Self::Pool(name.into())),
             Some(("upstream", name)) if !name.is_empty() => Ok(Self::Upstream(name.into())),
+            Some(("placement", name)) if !name.is_empty() => Ok(Self::Placement(name.into())),
             _ => Err(KeyError(text.into())),
         }
     }
@@ -88,6 +92,8 @@
     Upstream(UpstreamSpec),
     /// The ordered rule list.
     Rules(Vec<RuleSpec>),
+    /// The placement of an upstream.
+    Placement(PlacementSpec),
 }
 
 impl Document {
@@ -100,6 +106,7 @@
             Self::Pool(pool) => DocumentKey::Pool(pool.name.clone()),
             Self::Upstream(upstream) => DocumentKey::Upstream(upstream.name.clone()),
             Self::Rules(_) => DocumentKey::Rules,
+            Self::Placement(placement) => DocumentKey::Placement(placement.upstream.clone()),
         }
     }
 }
@@ -149,6 +156,8 @@
             Document::Pool(pool) => file.pools.push(pool),
             Document::Upstream(upstream) => file.upstreams.push(upstream),
             Document::Rules(rules) => file.rules = rules,
+            // Not the operators' to write.
+            Document::Placement(_) => {}
         }
     }
     file
--- a/kernel/src/config/spec.rs
+++ b/kernel/src/config/spec.rs
@@ -103,6 +103,20 @@
     /// Whether it refuses an order with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Other pools that it may be made to serve when their demand is high and its own pool's low.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub also: Vec<Box<str>>,
+}
+
+/// The pool that an upstream serves now, of those that its specification allows. Written by the
+/// nodes, not by operators.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSpec {
+    /// The upstream.
+    pub upstream: Box<str>,
+    /// The pool.
+    pub pool: Box<str>,
 }
 
 /// What a request must be for a rule to match; every field that is given must hold.
--- a/kernel/src/configuration/fold.rs
+++ b/kernel/src/configuration/fold.rs
@@ -73,8 +73,9 @@
         };
         for document in documents {
             let key = document.content.key();
-            fold.versions.insert(key, document.version);
             fold.config.put(document.content.clone());
+            fold.config.note_version(&key, document.version);
+            fold.versions.insert(key, document.version);
         }
         fold.config.version = version;
         for change in seen {
@@ -236,6 +237,7 @@
         let before = self.config.document(&change.key);
         if let Some(content) = &change.content {
             self.config.put(content.clone());
+            self.config.note_version(&change.key, version);
             self.versions.insert(change.key.clone(), version);
         } else {
             self.config.remove(&change.key);
--- a/kernel/src/leases.rs
+++ b/kernel/src/leases.rs
@@ -34,7 +34,7 @@
 const MAX_WANTED: usize = 16_384;
 
 /// The occasion for which the nodes are ranked as claimants.
-const CLAIM_OCCASION: u64 = 0x6c65_6173;
+pub const CLAIM_OCCASION: u64 = 0x6c65_6173;
 
 /// What an engine is told to do.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod limits;
 pub mod membership;
 pub mod ownership;
+pub mod placement;
 pub mod plugin;
 pub mod record;
 pub mod routing;
--- /dev/null
+++ b/kernel/src/placement.rs
@@ -0,0 +1,312 @@
+//! The plug-in that places engines: when one pool's demand stays high and another's low, an engine
+//! that may serve both is ordered to load the first one's model, and then serves it.
+//!
+//! Demand is taken from the queue summaries on the owners' answers. Hysteresis: a pool must be
+//! high, or low, for a while; one engine moves at a time, and stays where it is for a while. The
+//! move itself is a document on the log, so every node routes alike.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::call::LoadSummary;
+use crate::config::{Config, Document, PlacementSpec, Upstream};
+use crate::configuration::duty::rank;
+use crate::configuration::publish::RequestTicket;
+use crate::event::Event;
+use crate::ids::{CallId, NodeId, PoolId, UpstreamId};
+use crate::leases::orders::OrderOutcome;
+use crate::leases::{CLAIM_OCCASION, EngineOrder, OrderMessage, OrderRequest};
+use crate::membership::MemberView;
+use crate::plugin::{Context, NodeProfile, Plugin, Registration};
+use crate::record::{ChangeRecord, DocumentChange};
+use crate::wire::{Message, WorkMessage};
+
+/// Work running and waiting, as a share of the slots, from which a pool's demand is high.
+const HIGH: f64 = 1.2;
+
+/// The share up to which it is low.
+const LOW: f64 = 0.5;
+
+/// How long demand must stay high before an engine moves there.
+const HIGH_FOR: Duration = Duration::from_mins(1);
+
+/// How long demand must stay low before an engine moves away.
+const LOW_FOR: Duration = Duration::from_mins(2);
+
+/// Least time between two moves of one engine.
+const STAY: Duration = Duration::from_mins(10);
+
+/// How long a move may take.
+const MOVE_WAIT: Duration = Duration::from_mins(5);
+
+/// A queue summary is used for this long.
+const FRESH: Duration = Duration::from_secs(10);
+
+/// Time between two looks at the demand.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
+/// Open calls whose pool is remembered.
+const MAX_CALLS: usize = 65_536;
+
+/// The version that an engine is asked to load: whichever the weight store has as newest.
+const NEWEST: &str = "newest";
+
+/// Since when a pool's demand has been high or low.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolDemand {
+    /// High since.
+    pub high_since: Option<Duration>,
+    /// Low since.
+    pub low_since: Option<Duration>,
+}
+
+impl PoolDemand {
+    /// Takes the newest share of work running and waiting to slots.
+    pub fn see(&mut self, pressure: f64, now: Duration) {
+        self.high_since = (pressure >= HIGH).then(|| self.high_since.unwrap_or(now));
+        self.low_since = (pressure <= LOW).then(|| self.low_since.unwrap_or(now));
+    }
+
+    fn is_high(&self, now: Duration) -> bool {
+        self.high_since
+            .is_some_and(|since| now.saturating_sub(since) >= HIGH_FOR)
+    }
+
+    fn is_low(&self, now: Duration) -> bool {
+        self.low_since
+            .is_some_and(|since| now.saturating_sub(since) >= LOW_FOR)
+    }
+}
+
+/// An engine on its way to another pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementMove {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The pool's name.
+    pub to: Box<str>,
+}
+
+/// The move to make now, if any. A pool is never left without an engine.
+pub fn decide(
+    config: &Config,
+    demand: &BTreeMap<PoolId, PoolDemand>,
+    moved: &BTreeMap<UpstreamId, Duration>,
+    now: Duration,
+) -> Option<PlacementMove> {
+    let rested = |id: &UpstreamId| {
+        moved
+            .get(id)
+            .is_none_or(|since| now.saturating_sub(*since) >= STAY)
+    };
+    let spare = |upstream: &Upstream| {
+        let low = demand
+            .get(&upstream.pool)
+            .is_some_and(|demand| demand.is_low(now));
+        low && config
+            .members
+            .get(&upstream.pool)
+            .is_some_and(|all| all.len() > 1)
+    };
+    let wanted = |upstream: &Upstream| {
+        let spec = &upstream.spec;
+        let mut pools = std::iter::once(&spec.pool).chain(&spec.also);
+        pools
+            .find(|name| {
+                let pool = PoolId::named(name);
+                let high = demand.get(&pool).is_some_and(|demand| demand.is_high(now));
+                high && pool != upstream.pool
+            })
+            .cloned()
+    };
+    config
+        .upstreams
+        .iter()
+        .filter(|(id, upstream)| !upstream.spec.also.is_empty() && rested(id) && spare(upstream))
+        .find_map(|(id, upstream)| {
+            Some(PlacementMove {
+                upstream: *id,
+                to: wanted(upstream)?,
+            })
+        })
+}
+
+/// Watches demand, and moves one engine at a time.
+#[derive(Debug, Default)]
+pub struct EnginePlacer {
+    config: Arc<Config>,
+    view: Arc<MemberView>,
+    calls: BTreeMap<CallId, PoolId>,
+    loads: BTreeMap<(PoolId, NodeId), (LoadSummary, Duration)>,
+    demand: BTreeMap<PoolId, PoolDemand>,
+    moved: BTreeMap<UpstreamId, Duration>,
+    moving: Option<(PlacementMove, Duration)>,
+    look_at: Duration,
+    published: u64,
+}
+
+impl EnginePlacer {
+    fn learn(&mut self, pool: PoolId, from: NodeId, load: LoadSummary, now: Duration) {
+        self.loads.insert((pool, from), (load, now));
+    }
+
+    fn pressure(&self, pool: PoolId) -> f64 {
+        let loads = self
+            .loads
+            .range((pool, NodeId(0))..=(pool, NodeId(u64::MAX)));
+        let (mut work, mut slots) = (0, 0);
+        for (_, (load, _)) in loads {
+            work += load.running + load.waiting.iter().sum::<u32>();
+            slots += load.slots;
+        }
+        f64::from(work) / f64::from(slots.max(1))
+    }
+
+    fn look(&mut self, now: Duration) {
+        self.loads
+            .retain(|_, (_, seen)| now.saturating_sub(*seen) < FRESH);
+        let pools: Vec<PoolId> = self.config.pools.keys().copied().collect();
+        self.demand.retain(|pool, _| pools.contains(pool));
+        for pool in pools {
+            let pressure = self.pressure(pool);
+            self.demand.entry(pool).or_default().see(pressure, now);
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<'_>) {
+        let now = context.now;
+        if now < self.look_at {
+            return;
+        }
+        self.look_at = now + LOOK_EVERY;
+        self.look(now);
+        let late = |(_, since): &(PlacementMove, Duration)| now.saturating_sub(*since) > MOVE_WAIT;
+        if self.moving.as_ref().is_some_and(late) {
+            self.moving = None;
+        }
+        let first = rank(&self.view, context.profile.node, CLAIM_OCCASION) == 0;
+        if !first || self.moving.is_some() {
+            return;
+        }
+        let Some(chosen) = decide(&self.config, &self.demand, &self.moved, now) else {
+            return;
+        };
+        context.raise(Event::OrderRequested(order_for(&chosen)));
+        self.moved.insert(chosen.upstream, now);
+        self.moving = Some((chosen, now));
+    }
+
+    fn order_ended(
+        &mut self,
+        request: &OrderRequest,
+        outcome: OrderOutcome,
+        context: &mut Context<'_>,
+    ) {
+        let Some((chosen, _)) = self
+            .moving
+            .take_if(|(chosen, _)| order_for(chosen) == *request)
+        else {
+            return;
+        };
+        let Some(upstream) = self.config.upstreams.get(&chosen.upstream) else {
+            return;
+        };
+        if outcome == OrderOutcome::Accepted {
+            self.published += 1;
+            let placement = PlacementSpec {
+                upstream: upstream.spec.name.clone(),
+                pool: chosen.to,
+            };
+            let placed = self.config.placements.get(&chosen.upstream);
+            let replaces = placed.map_or(0, |placed| placed.version);
+            let profile = context.profile;
+            let (node, run, number) = (profile.node, profile.incarnation, self.published);
+            let record = ChangeRecord {
+                id: format!("placement-{node}-{run}-{number}").into(),
+                changes: vec![DocumentChange::set(
+                    Document::Placement(placement),
+                    replaces,
+                )],
+            };
+            let request = RequestTicket(u64::MAX - number);
+            context.raise(Event::PublishRequested { request, record });
+        }
+    }
+}
+
+fn order_for(chosen: &PlacementMove) -> OrderRequest {
+    OrderRequest {
+        upstream: chosen.upstream,
+        order: EngineOrder::LoadModel {
+            model: chosen.to.clone(),
+            version: NEWEST.into(),
+        },
+    }
+}
+
+impl Plugin for EnginePlacer {
+    fn handle(&mut self, event: &Event, context: &mut Context<'_>) {
+        match event {
+            Event::ConfigApplied(config) => self.config = Arc::clone(config),
+            Event::MembersChanged(view) => self.view = Arc::clone(view),
+            Event::CallAdmitted { spec, .. } => {
+                self.calls.insert(spec.call, spec.pool);
+                if self.calls.len() > MAX_CALLS {
+                    self.calls.pop_first();
+                }
+            }
+            Event::CallFinished(call) => {
+                self.calls.remove(call);
+            }
+            Event::PeerMessage {
+                from,
+                message: Message::Work(message),
+            } => match message {
+                WorkMessage::Ended { attempt, load, .. }
+                | WorkMessage::Returned { attempt, load, .. } => {
+                    if let Some(pool) = self.calls.get(&attempt.call).copied() {
+                        self.learn(pool, *from, *load, context.now);
+                    }
+                }
+                WorkMessage::Load { pool, load } => self.learn(*pool, *from, *load, context.now),
+                _ => {}
+            },
+            Event::PeerMessage {
+                message: Message::Order(OrderMessage::Ended { request, outcome }),
+                ..
+            } => self.order_ended(request, *outcome, context),
+            Event::Tick => self.tick(context),
+            _ => {}
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let pools: BTreeMap<String, Value> = self
+            .config
+            .pools
+            .iter()
+            .map(|(id, pool)| {
+                let demand = self.demand.get(id).copied().unwrap_or_default();
+                let told = json!({
+                    "pressure": self.pressure(*id),
+                    "high_since": demand.high_since,
+                    "low_since": demand.low_since,
+                });
+                (pool.name.to_string(), told)
+            })
+            .collect();
+        let moving = self.moving.as_ref().map(|(chosen, _)| &chosen.to);
+        json!({ "pools": pools, "moving_to": moving })
+    }
+}
+
+fn build(_profile: &NodeProfile) -> Box<dyn Plugin> {
+    Box::<EnginePlacer>::default()
+}
+
+inventory::submit! {
+    Registration { name: "placement", order: 42, build }
+}
--- a/kernel/tests/configuration/main.rs
+++ b/kernel/tests/configuration/main.rs
@@ -5,6 +5,7 @@
 mod fuzz;
 mod orders;
 mod outages;
+mod placement;
 mod publish;
 mod rules;
 mod support;
--- a/kernel/tests/configuration/support.rs
+++ b/kernel/tests/configuration/support.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use monsoonbank_kernel::config::{ConfigFile, Document, DocumentList, WorkspaceSpec};
+use monsoonbank_kernel::config::{Config, ConfigFile, Document, DocumentList, WorkspaceSpec};
 use monsoonbank_kernel::configuration::publish::RequestTicket;
 use monsoonbank_kernel::configuration::reach::PublishProgress;
 use monsoonbank_kernel::event::{Action, Event};
@@ -81,6 +81,7 @@
     appends: Vec<(AppendTicket, Record)>,
     pub versions: Vec<u64>,
     pub documents: DocumentList,
+    pub config: Option<Arc<Config>>,
 }
 
 /// An order that a node gave.
@@ -141,7 +142,7 @@
             seed: self.incarnation,
             secret: [0; 32],
         };
-        let wanted = |name: &str| matches!(name, "configuration" | "leases");
+        let wanted = |name: &str| matches!(name, "configuration" | "leases" | "placement");
         TestNode {
             id,
             kernel: Kernel::with_plugins(profile, wanted),
@@ -152,6 +153,7 @@
             appends: Vec::new(),
             versions: Vec::new(),
             documents: DocumentList::default(),
+            config: None,
         }
     }
 
@@ -228,6 +230,7 @@
                     at: now,
                     not_after,
                 }),
+                Action::UseConfig(config) => node.config = Some(config),
                 Action::DocumentsAnswered { list, .. } => node.documents = list,
                 _ => {}
             }
--- a/kernel/tests/dispatch/world.rs
+++ b/kernel/tests/dispatch/world.rs
@@ -62,6 +62,7 @@
         address: "127.0.0.1:1".into(),
         slots,
         checks_fencing: true,
+        also: Vec::new(),
     };
     let workspace = |name: &str| WorkspaceSpec {
         name: name.into(),
