Keep golden sessions of configuration, and split the checking

The order of what nodes ask for in a race, an outage and an order was shown nowhere. Golden sessions keep it; by them, nodes announced an offset to those that had just sent it, which they no longer do, and a node that knew no other node yet took calls without asking any: it now waits for answers, or two seconds, unless it is alone. What a node told is forgotten when it runs anew.

The checks of documents, of whole files and of texts stand in modules of their own.

--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use monsoonbank_daemon::settings::Settings;
-use monsoonbank_kernel::config::check::{FileFault, check_texts};
+use monsoonbank_kernel::config::text::{FileFault, check_texts};
 use serde_json::json;
 
 use crate::arguments::{self, OutputFormat};
--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use monsoonbank_kernel::config::check::check_texts;
+use monsoonbank_kernel::config::text::check_texts;
 use monsoonbank_kernel::config::{Config, ConfigFile, RequestFacts};
 use serde::Serialize;
 
--- a/cli/src/publish.rs
+++ b/cli/src/publish.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use monsoonbank_kernel::config::check::{FileFault, check_texts, parse as parse_file};
 use monsoonbank_kernel::config::document::{join, split};
+use monsoonbank_kernel::config::text::{FileFault, check_texts, parse as parse_file};
 use monsoonbank_kernel::config::{Document, DocumentKey, DocumentList};
 use monsoonbank_kernel::configuration::publish::ChangeStatus;
 use monsoonbank_kernel::record::{ChangeRecord, DocumentChange, PublishResult};
--- a/kernel/src/config.rs
+++ b/kernel/src/config.rs
@@ -13,6 +13,8 @@
 pub mod locate;
 pub mod rules;
 pub mod spec;
+pub mod text;
+pub mod whole;
 
 pub use document::{Document, DocumentKey, DocumentList, VersionedDocument};
 pub use rules::{RequestFacts, RuleIndex, RuleMismatch};
--- a/kernel/src/config/check.rs
+++ b/kernel/src/config/check.rs
@@ -1,6 +1,6 @@
-//! Checking a configuration: what the log's fold refuses, and what `monsoon check` tells.
+//! Checking documents: what the log's fold refuses, and what `monsoon check` tells.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,11 +8,10 @@
 
 use crate::call::Tier;
 use crate::config::Config;
-use crate::config::document::{self, Document, DocumentKey};
-use crate::config::locate::{FieldPath, TextPosition, locate};
+use crate::config::document::{Document, DocumentKey};
+use crate::config::locate::FieldPath;
 use crate::config::spec::{
-    ClassSpec, ConfigFile, PlacementSpec, PoolSpec, RuleMatch, RuleSpec, TierSpec, UpstreamSpec,
-    WorkspaceSpec,
+    ClassSpec, PlacementSpec, PoolSpec, RuleMatch, RuleSpec, TierSpec, UpstreamSpec, WorkspaceSpec,
 };
 use crate::ids::{ClassId, PoolId, UpstreamId, WorkspaceId};
 
@@ -33,7 +32,7 @@
 }
 
 impl ConfigFault {
-    fn under(self, path: &FieldPath) -> Self {
+    pub(crate) fn under(self, path: &FieldPath) -> Self {
         Self {
             path: path.clone().then(&self.path),
             message: self.message,
@@ -41,20 +40,6 @@
     }
 }
 
-/// Something that is wrong in a file.
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
-#[error("{file}:{position}: {field}: {message}")]
-pub struct FileFault {
-    /// The file.
-    pub file: Box<str>,
-    /// The place in the file.
-    pub position: TextPosition,
-    /// The field.
-    pub field: Box<str>,
-    /// What was found and what was expected.
-    pub message: Box<str>,
-}
-
 #[derive(Default)]
 struct FaultList(Vec<ConfigFault>);
 
@@ -354,221 +339,3 @@
     }
     faults.0
 }
-
-/// Rules that no request can reach, because one before matches everything that they match.
-pub fn unreachable_rules(rules: &[RuleSpec]) -> Vec<(usize, usize)> {
-    rules
-        .iter()
-        .enumerate()
-        .filter_map(|(position, rule)| {
-            let earlier = &rules[..position];
-            let cover = earlier
-                .iter()
-                .position(|other| other.when.covers(&rule.when))?;
-            Some((position, cover))
-        })
-        .collect()
-}
-
-fn duplicates<'a>(
-    section: &str,
-    names: impl Iterator<Item = &'a str>,
-    faults: &mut Vec<ConfigFault>,
-) {
-    let mut seen = BTreeMap::new();
-    for (position, name) in names.enumerate() {
-        let Some(first) = seen.insert(name, position) else {
-            continue;
-        };
-        faults.push(ConfigFault {
-            path: FieldPath::default()
-                .field(section)
-                .item(position)
-                .field("name"),
-            message: format!("`{name}` is also {section}[{first}]; expected another name").into(),
-        });
-    }
-}
-
-/// What is wrong with a whole configuration.
-pub fn check_file(file: &ConfigFile) -> Vec<ConfigFault> {
-    let config = Config::from_file(1, file);
-    let mut faults = Vec::new();
-    let mut positions: BTreeMap<&str, usize> = BTreeMap::new();
-    for document in document::split(file) {
-        let section = section_of(&document);
-        let mut path = FieldPath::default().field(section);
-        if !matches!(document, Document::Tiers(_) | Document::Rules(_)) {
-            let position = positions.entry(section).or_default();
-            path = path.item(*position);
-            *position += 1;
-        }
-        let found = check_document(&config, &document);
-        faults.extend(found.into_iter().map(|fault| fault.under(&path)));
-    }
-    duplicates(
-        "classes",
-        file.classes.iter().map(|class| &*class.name),
-        &mut faults,
-    );
-    let workspaces = file.workspaces.iter().map(|workspace| &*workspace.name);
-    duplicates("workspaces", workspaces, &mut faults);
-    duplicates(
-        "pools",
-        file.pools.iter().map(|pool| &*pool.name),
-        &mut faults,
-    );
-    let upstreams = file.upstreams.iter().map(|upstream| &*upstream.name);
-    duplicates("upstreams", upstreams, &mut faults);
-    faults.extend(
-        unreachable_rules(&file.rules)
-            .into_iter()
-            .map(|(rule, cover)| {
-                let other = &file.rules[cover].name;
-                ConfigFault {
-            path: FieldPath::default().field("rules").item(rule),
-            message: format!(
-                "rule `{}` is never reached; expected it before rule `{other}`, which matches \
-                 all that it matches",
-                file.rules[rule].name
-            )
-            .into(),
-        }
-            }),
-    );
-    faults
-}
-
-fn section_of(document: &Document) -> &'static str {
-    match document {
-        Document::Tiers(_) => "tiers",
-        Document::Class(_) => "classes",
-        Document::Workspace(_) => "workspaces",
-        Document::Pool(_) => "pools",
-        Document::Upstream(_) => "upstreams",
-        Document::Rules(_) => "rules",
-        Document::Placement(_) => "placements",
-    }
-}
-
-/// Reads a configuration from a YAML text; an error names the place, the field and what was
-/// expected.
-pub fn parse(file: &str, text: &str) -> Result<ConfigFile, FileFault> {
-    let deserializer = serde_yaml_ng::Deserializer::from_str(text);
-    serde_path_to_error::deserialize(deserializer).map_err(|error| {
-        let field = error.path().to_string();
-        let position = error
-            .inner()
-            .location()
-            .map_or_else(TextPosition::default, |location| TextPosition {
-                line: location.line(),
-                column: location.column(),
-            });
-        FileFault {
-            file: file.into(),
-            position,
-            field: field.into(),
-            message: without_place(&error.inner().to_string())
-                .replace("expected a duration", "expected a duration such as `650ms`")
-                .into(),
-        }
-    })
-}
-
-/// The parser's message without the place and path, which are told apart.
-fn without_place(message: &str) -> &str {
-    let message = message
-        .rsplit_once(" at line ")
-        .map_or(message, |(before, _)| before);
-    match message.split_once(": ") {
-        Some((path, rest)) if !path.contains(' ') => rest,
-        _ => message,
-    }
-}
-
-/// Reads and checks a configuration that is given as one YAML text.
-pub fn check_text(file: &str, text: &str) -> Result<ConfigFile, Vec<FileFault>> {
-    check_texts(&[(file, text)])
-}
-
-/// Reads and checks a configuration that is given as several YAML texts, each with part of it.
-pub fn check_texts(texts: &[(&str, &str)]) -> Result<ConfigFile, Vec<FileFault>> {
-    let mut faults = Vec::new();
-    let mut files = Vec::new();
-    for (file, text) in texts {
-        match parse(file, text) {
-            Ok(parsed) => files.push((*file, *text, parsed)),
-            Err(fault) => faults.push(fault),
-        }
-    }
-    if !faults.is_empty() {
-        return Err(faults);
-    }
-    let merged = merge(files.iter().map(|(_, _, parsed)| parsed));
-    faults.extend(
-        check_file(&merged)
-            .into_iter()
-            .map(|fault| place(&fault, &files)),
-    );
-    if faults.is_empty() {
-        return Ok(merged);
-    }
-    faults.sort_by(|one, other| (&one.file, one.position).cmp(&(&other.file, other.position)));
-    Err(faults)
-}
-
-fn merge<'a>(files: impl Iterator<Item = &'a ConfigFile>) -> ConfigFile {
-    let mut merged = ConfigFile::default();
-    for file in files {
-        merged.tiers.extend(file.tiers.iter().cloned());
-        merged.classes.extend(file.classes.iter().cloned());
-        merged.workspaces.extend(file.workspaces.iter().cloned());
-        merged.pools.extend(file.pools.iter().cloned());
-        merged.upstreams.extend(file.upstreams.iter().cloned());
-        merged.rules.extend(file.rules.iter().cloned());
-    }
-    merged
-}
-
-fn section_len(file: &ConfigFile, section: &str) -> usize {
-    match section {
-        "tiers" => file.tiers.len(),
-        "classes" => file.classes.len(),
-        "workspaces" => file.workspaces.len(),
-        "pools" => file.pools.len(),
-        "upstreams" => file.upstreams.len(),
-        _ => file.rules.len(),
-    }
-}
-
-/// Names the file, and the place in it, of a fault in the merged configuration.
-fn place(fault: &ConfigFault, files: &[(&str, &str, ConfigFile)]) -> FileFault {
-    use crate::config::locate::PathStep::{Field, Item};
-    let mut path = fault.path.clone();
-    let mut home = files.first();
-    if let [Field(section), rest @ ..] = path.0.as_mut_slice() {
-        let mut before = 0;
-        let wanted = match rest.first() {
-            Some(Item(position)) => *position,
-            _ => 0,
-        };
-        for file in files {
-            let count = section_len(&file.2, section);
-            if wanted < before + count {
-                home = Some(file);
-                break;
-            }
-            before += count;
-        }
-        if let Some(Item(position)) = rest.first_mut() {
-            *position -= before;
-        }
-    }
-    let (file, text) = home.map_or(("", ""), |(file, text, _)| (*file, *text));
-    FileFault {
-        file: file.into(),
-        position: locate(text, &path).unwrap_or_default(),
-        field: path.to_string().into(),
-        message: fault.message.clone(),
-    }
-}
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use crate::config::Config;
@@ -13,81 +12,33 @@
 use crate::configuration::fold::{ConfigFold, FoldStep, RefusedRecord};
 use crate::configuration::peers::PeerExchange;
 use crate::configuration::publish::{PublishTracker, RequestTicket};
-use crate::configuration::reach::{CountId, ReachCounter};
+use crate::configuration::reach::ReachCounter;
 use crate::configuration::reader::LogReader;
 use crate::configuration::tail::{EarlyRecords, RecordTail};
 use crate::event::{Action, Event};
 use crate::ids::NodeId;
 use crate::plugin::{Context, GaugeSample, NodeProfile, Plugin, Registration};
 use crate::record::{
-    AppendOwner, AppendResult, AppendTicket, ChangeRecord, CheckpointRecord, LogRecord,
-    PublishResult, Record,
+    AppendOwner, AppendResult, AppendTicket, ChangeRecord, LogRecord, PublishResult, Record,
 };
 use crate::wire::Message;
 
 pub mod checkpoint;
 pub mod duty;
 pub mod fold;
+pub mod message;
 pub mod peers;
 pub mod publish;
 pub mod reach;
 pub mod reader;
 pub mod tail;
 
+pub use message::ConfigurationMessage;
+
 /// Starting nodes are given a checkpoint at most this often, so that many of them at once cannot
 /// take a node's time.
 const CHECKPOINT_PAUSE: Duration = Duration::from_millis(200);
 
-/// Configuration records passed between nodes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ConfigurationMessage {
-    /// "I have everything before this offset."
-    Have {
-        /// The offset.
-        next: u64,
-        /// Whether the sender takes calls with it.
-        ready: bool,
-    },
-    /// The same, and the receiver is to answer with its own.
-    Ask {
-        /// The offset.
-        next: u64,
-        /// Whether the sender takes calls with it.
-        ready: bool,
-    },
-    /// "Send me the records from this offset on."
-    Want {
-        /// The offset.
-        from: u64,
-    },
-    /// Records that the receiver does not have yet.
-    Records(Vec<LogRecord>),
-    /// A part of a checkpoint, when records that the receiver lacks are kept no longer.
-    Checkpoint {
-        /// The newest checkpoint on the log holds every record before this offset.
-        covered: u64,
-        /// The part.
-        part: Box<CheckpointRecord>,
-    },
-    /// "Count the nodes at or past this version: yourself and these."
-    Count {
-        /// The count.
-        id: CountId,
-        /// The version.
-        version: u64,
-        /// The other nodes.
-        nodes: Vec<NodeId>,
-    },
-    /// The count so far.
-    Counted {
-        /// The count.
-        id: CountId,
-        /// Nodes at or past the version.
-        nodes: u32,
-    },
-}
-
 /// Keeps the configuration.
 #[derive(Debug, Default)]
 pub struct ConfigurationStore {
--- a/kernel/src/configuration/peers.rs
+++ b/kernel/src/configuration/peers.rs
@@ -74,12 +74,18 @@
 }
 
 impl PeerExchange {
-    /// Takes the newest view of which nodes live.
+    /// Takes the newest view of which nodes live. What a node told is forgotten when it is gone, or
+    /// runs anew with nothing kept.
     pub fn see(&mut self, view: &Arc<MemberView>) {
-        self.view = Arc::clone(view);
+        let run = |view: &MemberView, node: &NodeId| {
+            let member = view.members.get(node);
+            member.map(|member| member.incarnation)
+        };
         let live: BTreeSet<NodeId> = live_nodes(view).collect();
-        self.told.retain(|node, _| live.contains(node));
-        self.asked.retain(|node| live.contains(node));
+        let stays = |node: &NodeId| live.contains(node) && run(view, node) == run(&self.view, node);
+        self.told.retain(|node, _| stays(node));
+        self.asked.retain(stays);
+        self.view = Arc::clone(view);
     }
 
     /// The view of which nodes live.
@@ -108,8 +114,10 @@
         let Some(asked_at) = self.asked_at else {
             return false;
         };
+        let alone = self.view.members.len() == 1;
+        let asked = alone || !self.asked.is_empty();
         let all = self.asked.iter().all(|node| self.told.contains_key(node));
-        all || now.saturating_sub(asked_at) > ANSWER_WAIT * 2
+        (asked && all) || now.saturating_sub(asked_at) > ANSWER_WAIT * 2
     }
 
     /// Whether a node that takes calls itself has told how far it is.
@@ -117,9 +125,11 @@
         self.told.values().any(|told| told.ready)
     }
 
-    /// Announces a new offset to the neighbours.
+    /// Announces a new offset to the neighbours that are not known to have it.
     pub fn announce(&self, next: u64, ready: bool, context: &mut Context<'_>) {
-        for node in neighbours(&self.view, context.profile.node) {
+        let lacks = |node: &NodeId| self.told.get(node).is_none_or(|told| told.next < next);
+        let near = neighbours(&self.view, context.profile.node);
+        for node in near.into_iter().filter(lacks) {
             context.send(node, ConfigurationMessage::Have { next, ready });
         }
     }
--- a/kernel/tests/configuration/check.rs
+++ b/kernel/tests/configuration/check.rs
@@ -1,6 +1,6 @@
 //! What a check of a file tells: place, field, and what was expected.
 
-use monsoonbank_kernel::config::check::check_text;
+use monsoonbank_kernel::config::text::check_text;
 
 use crate::support::BASE;
 
--- a/kernel/tests/configuration/main.rs
+++ b/kernel/tests/configuration/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod fold;
 mod fuzz;
+mod golden;
 mod orders;
 mod outages;
 mod placement;
--- a/kernel/tests/configuration/support.rs
+++ b/kernel/tests/configuration/support.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::config::{Config, ConfigFile, Document, DocumentList, WorkspaceSpec};
+use monsoonbank_kernel::configuration::ConfigurationMessage;
 use monsoonbank_kernel::configuration::publish::RequestTicket;
 use monsoonbank_kernel::configuration::reach::PublishProgress;
 use monsoonbank_kernel::event::{Action, Event};
@@ -104,7 +105,9 @@
     pub answers: Vec<(u64, PublishResult)>,
     pub progress: Vec<(u64, PublishProgress)>,
     pub orders: Vec<GivenOrder>,
-    pub bytes: u64,
+    /// What the nodes asked for, a line each.
+    pub trace: Vec<String>,
+    ids: Vec<NodeId>,
     incarnation: u64,
 }
 
@@ -118,7 +121,10 @@
             answers: Vec::new(),
             progress: Vec::new(),
             orders: Vec::new(),
-            bytes: 0,
+            trace: Vec::new(),
+            ids: (0..count)
+                .map(|index| NodeId::named(&format!("node-{index}")))
+                .collect(),
             incarnation: 0,
         };
         for index in 0..count {
@@ -200,13 +206,9 @@
         let mut actions = Vec::new();
         node.kernel.handle(now, event, &mut actions);
         for action in actions {
+            self.trace.extend(line(index, now, &action, &self.ids));
             match action {
-                Action::Send { to, message } => {
-                    let mut bytes = Vec::new();
-                    ciborium::into_writer(&message, &mut bytes).expect("messages can be written");
-                    self.bytes += bytes.len() as u64;
-                    self.messages.push((node.id, to, message));
-                }
+                Action::Send { to, message } => self.messages.push((node.id, to, message)),
                 Action::ReadLog { from } => {
                     assert_eq!(node.read, None, "one read at a time");
                     node.read = Some(from);
@@ -333,6 +335,51 @@
     }
 }
 
+/// A line of the trace; none for what is not of interest.
+fn line(index: usize, now: Duration, action: &Action, ids: &[NodeId]) -> Option<String> {
+    let told = match action {
+        Action::Send { to, message } => {
+            let to = ids.iter().position(|id| id == to)?;
+            format!("to node-{to}: {}", short(message))
+        }
+        Action::ReadLog { from } => format!("reads from {from}"),
+        Action::Append { record, .. } => match record {
+            Record::Change(change) => format!("appends change {}", change.id),
+            Record::Checkpoint(part) => {
+                format!("appends checkpoint {} part {}", part.through, part.part)
+            }
+            Record::Lease(lease) => format!("appends lease on {}", lease.follows),
+        },
+        Action::PublishAnswered { id, result, .. } => format!("answers {id}: {result}"),
+        Action::PublishProgressed { progress, .. } => {
+            format!("counts {} of {}", progress.in_force, progress.of)
+        }
+        Action::UseConfig(config) => format!("uses version {}", config.version),
+        Action::Order {
+            request, fencing, ..
+        } => format!("orders {} with {fencing}", request.order),
+        _ => return None,
+    };
+    Some(format!("{:.2} node-{index} {told}", now.as_secs_f64()))
+}
+
+fn short(message: &Message) -> String {
+    let Message::Configuration(message) = message else {
+        return "order".into();
+    };
+    match message {
+        ConfigurationMessage::Have { next, ready } => format!("have {next}, ready {ready}"),
+        ConfigurationMessage::Ask { next, .. } => format!("ask, have {next}"),
+        ConfigurationMessage::Want { from } => format!("want from {from}"),
+        ConfigurationMessage::Records(records) => format!("{} records", records.len()),
+        ConfigurationMessage::Checkpoint { part, .. } => {
+            format!("checkpoint {} part {}", part.through, part.part)
+        }
+        ConfigurationMessage::Count { version, .. } => format!("count {version}"),
+        ConfigurationMessage::Counted { nodes, .. } => format!("counted {nodes}"),
+    }
+}
+
 impl TestNode {
     pub fn number(&self, field: &str) -> u64 {
         self.kernel.dump(Some("configuration"))["configuration"][field]
