--- a/kernel/tests/configuration/main.rs
+++ b/kernel/tests/configuration/main.rs
@@ -3,8 +3,10 @@
 mod check;
 mod fold;
 mod fuzz;
+mod golden;
 mod orders;
 mod outages;
+mod placement;
 mod publish;
 mod rules;
 mod support;
