--- a/cli/src/slopes/failures.rs
+++ b/cli/src/slopes/failures.rs
@@ -11,6 +11,8 @@
 const WARM_UP: Duration = Duration::from_secs(30);
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: u32 = 60;
+/// Time between two checks of a fleet that has settled, in seconds.
+const CHECK_SECONDS: u32 = 10;
 /// Zones of one region: 23 zones in 8 regions.
 const REGION: std::ops::Range<usize> = 0..3;
 
@@ -54,6 +56,10 @@
             *total += bytes;
             peak = peak.max(*bytes);
         }
+        // The check costs more than the second it is of.
+        if settled.is_some() && second % CHECK_SECONDS != 0 {
+            continue;
+        }
         if !fleet.agrees(&expected) {
             settled = None;
         } else if settled.is_none() {
--- a/kernel/src/membership.rs
+++ b/kernel/src/membership.rs
@@ -256,7 +256,7 @@
             } => self.receive(*from, message, context),
             Event::LinkDown(node) => self.link_down(*node, context),
             Event::LinkUp(node) => self.link_up(*node),
-            Event::NodeLeaving => self.leave(),
+            Event::NodeLeaving => self.leave(context.now),
             Event::DrainUpstream(upstream) => self.drain_upstream(*upstream, context),
             Event::UpstreamReported { upstream, report } => {
                 self.upstream_report(*upstream, report.leaving, context);
--- a/kernel/src/membership/hosts.rs
+++ b/kernel/src/membership/hosts.rs
@@ -28,7 +28,7 @@
         let zones: Vec<ZoneId> = self.rows.rows().values().map(|row| row.zone).collect();
         self.zones.name(zones.into_iter());
         for change in self.upstreams.list(hosts) {
-            self.upstream_changed(change, true, context);
+            self.upstream_changed(change, context);
         }
         if self.started.is_none() {
             self.start(context);
@@ -95,7 +95,8 @@
             group: true,
             world: false,
         };
-        self.outbox.add(NewsKey::Node(self.node), audience);
+        let key = NewsKey::Node(self.node);
+        self.outbox.add(key, audience, context.now);
         self.publish(context);
         if let Some(peer) = self.group.successor(self.node) {
             self.ask_repair(peer, context);
--- a/kernel/src/membership/news.rs
+++ b/kernel/src/membership/news.rs
@@ -1,5 +1,7 @@
 //! Telling news and taking it in.
 
+use std::time::Duration;
+
 use crate::event::Event;
 use crate::ids::{NodeId, UpstreamId};
 use crate::membership::MembershipTable;
@@ -10,6 +12,10 @@
 use crate::membership::upstream::UpstreamChange;
 use crate::plugin::Context;
 
+/// How long the second bridge of a zone waits for the first to tell the zone what came from
+/// another one.
+const SECOND_BRIDGE_WAIT: Duration = Duration::from_millis(300);
+
 /// Bridges of a zone that pass its news on at once; the others help in repairs.
 const TELLING_BRIDGES: usize = 2;
 
@@ -72,7 +78,13 @@
 
     /// Notes that a node's record changed; `here` when it was found out here or came from another
     /// zone, so that this node tells its group.
-    pub(super) fn note_change(&mut self, node: NodeId, before: &NodeRecord, here: bool) {
+    pub(super) fn note_change(
+        &mut self,
+        node: NodeId,
+        before: &NodeRecord,
+        here: bool,
+        now: Duration,
+    ) {
         self.dirty = true;
         let Some(row) = self.rows.get(node) else {
             return;
@@ -84,11 +96,20 @@
             world: own && notable && self.tells_world(),
         };
         if own || notable {
-            self.outbox.add(NewsKey::Node(node), audience);
+            let after = if own { now } else { self.telling_time(now) };
+            self.outbox.add(NewsKey::Node(node), audience, after);
         }
         self.forget_if_gone(node);
     }
 
+    /// When this node tells its group what came from another zone.
+    fn telling_time(&self, now: Duration) -> Duration {
+        match self.group.rank {
+            None | Some(0) => now,
+            Some(_) => now + SECOND_BRIDGE_WAIT,
+        }
+    }
+
     fn tells_world(&self) -> bool {
         self.group.rank.is_some_and(|rank| rank < TELLING_BRIDGES)
     }
@@ -120,7 +141,7 @@
                 continue;
             };
             if node == self.node {
-                self.refute(&record);
+                self.refute(&record, context.now);
             } else if self.merge_node(from, node, record, context) {
                 suspects.push(node);
             }
@@ -130,7 +151,7 @@
     }
 
     /// Gets past news of this node that is newer than its own: it raises its epoch above it.
-    fn refute(&mut self, told: &NodeRecord) {
+    fn refute(&mut self, told: &NodeRecord, now: Duration) {
         let Some(row) = self.rows.get(self.node) else {
             return;
         };
@@ -143,11 +164,11 @@
         };
         let before = row.record;
         self.rows.set_record(self.node, record);
-        self.note_change(self.node, &before, true);
+        self.note_change(self.node, &before, true, now);
     }
 
     /// Says that this node leaves; sticky for this run.
-    pub(super) fn leave(&mut self) {
+    pub(super) fn leave(&mut self, now: Duration) {
         let Some(row) = self.rows.get(self.node) else {
             return;
         };
@@ -161,7 +182,7 @@
         };
         let before = row.record;
         self.rows.set_record(self.node, record);
-        self.note_change(self.node, &before, true);
+        self.note_change(self.node, &before, true, now);
     }
 
     fn merge_node(
@@ -184,6 +205,9 @@
             if from == node && known.supersedes(&record) {
                 self.correct(node, context);
             }
+            if !outside && known == record {
+                self.outbox.told(NewsKey::Node(node));
+            }
             return false;
         }
         if record.incarnation == known.incarnation {
@@ -201,11 +225,8 @@
             self.prober.clear(node);
         }
         self.repair.learn(context.now);
-        self.note_change(
-            node,
-            &known,
-            outside && record.health != NodeHealth::Suspect,
-        );
+        let here = outside && record.health != NodeHealth::Suspect;
+        self.note_change(node, &known, here, context.now);
         record.health == NodeHealth::Suspect
     }
 
@@ -221,7 +242,10 @@
             let (new, change) = self.upstreams.merge(*upstream_news);
             if new {
                 self.repair.learn(context.now);
-                self.note_upstream(upstream_news.0, outside);
+                let after = self.telling_time(context.now);
+                self.note_upstream(upstream_news.0, outside, after);
+            } else if !outside {
+                self.outbox.told(NewsKey::Upstream(upstream_news.0));
             }
             raise_change(change, context);
         }
@@ -232,36 +256,32 @@
             if self.zones.merge(*zone_news) {
                 self.repair.learn(context.now);
                 let key = NewsKey::Zone(zone_news.0);
-                self.outbox.add(key, NewsAudience::default());
+                self.outbox.add(key, NewsAudience::default(), context.now);
                 self.dirty = true;
             }
         }
     }
 
-    fn note_upstream(&mut self, upstream: UpstreamId, here: bool) {
+    fn note_upstream(&mut self, upstream: UpstreamId, here: bool, after: Duration) {
         let audience = NewsAudience {
             group: here,
             world: self.tells_world(),
         };
-        self.outbox.add(NewsKey::Upstream(upstream), audience);
+        self.outbox
+            .add(NewsKey::Upstream(upstream), audience, after);
     }
 
     /// Tells everyone of a change that was found out here.
-    pub(super) fn upstream_changed(
-        &mut self,
-        change: UpstreamChange,
-        here: bool,
-        context: &mut Context<'_>,
-    ) {
+    pub(super) fn upstream_changed(&mut self, change: UpstreamChange, context: &mut Context<'_>) {
         let (UpstreamChange::Leaving(upstream) | UpstreamChange::Returned(upstream)) = change;
-        self.note_upstream(upstream, here);
+        self.note_upstream(upstream, true, context.now);
         raise_change(Some(change), context);
     }
 
     /// An operator wants an upstream to get nothing new.
     pub(super) fn drain_upstream(&mut self, upstream: UpstreamId, context: &mut Context<'_>) {
         if let Some(change) = self.upstreams.drain(upstream) {
-            self.upstream_changed(change, true, context);
+            self.upstream_changed(change, context);
         }
     }
 
@@ -273,7 +293,7 @@
         context: &mut Context<'_>,
     ) {
         if let Some(change) = self.upstreams.report(upstream, leaving, context.now) {
-            self.upstream_changed(change, true, context);
+            self.upstream_changed(change, context);
         }
     }
 
--- a/kernel/src/membership/outbox.rs
+++ b/kernel/src/membership/outbox.rs
@@ -40,6 +40,7 @@
 struct PendingNews {
     rides: u8,
     audience: NewsAudience,
+    group_after: Duration,
 }
 
 /// News that is still to be told.
@@ -71,17 +72,26 @@
         self.pending.is_empty()
     }
 
-    /// Notes news.
-    pub fn add(&mut self, key: NewsKey, audience: NewsAudience) {
+    /// Notes news; the group is told of it at `group_after` or later.
+    pub fn add(&mut self, key: NewsKey, audience: NewsAudience, group_after: Duration) {
         let entry = self.pending.entry(key).or_insert(PendingNews {
             rides: RIDES,
             audience,
+            group_after,
         });
         entry.rides = RIDES;
+        entry.group_after = group_after;
         entry.audience.group |= audience.group;
         entry.audience.world |= audience.world;
     }
 
+    /// Notes that another node told the group.
+    pub fn told(&mut self, key: NewsKey) {
+        if let Some(news) = self.pending.get_mut(&key) {
+            news.audience.group = false;
+        }
+    }
+
     /// News to go along with a probe.
     pub fn ride(&mut self) -> Vec<NewsKey> {
         let keys: Vec<NewsKey> = self
@@ -102,30 +112,35 @@
 
     /// News for the group, if `receivers` messages may be sent now.
     pub fn take_group(&mut self, receivers: usize, now: Duration) -> Vec<NewsKey> {
-        self.take(receivers, now, |audience| &mut audience.group)
+        self.take(receivers, now, |news| {
+            let due = now >= news.group_after;
+            due.then_some(&mut news.audience.group)
+        })
     }
 
     /// News for other zones, if `receivers` messages may be sent now.
     pub fn take_world(&mut self, receivers: usize, now: Duration) -> Vec<NewsKey> {
-        self.take(receivers, now, |audience| &mut audience.world)
+        self.take(receivers, now, |news| Some(&mut news.audience.world))
     }
 
     fn take(
         &mut self,
         receivers: usize,
         now: Duration,
-        flag: fn(&mut NewsAudience) -> &mut bool,
+        flag: impl Fn(&mut PendingNews) -> Option<&mut bool>,
     ) -> Vec<NewsKey> {
         let wanted = self
             .pending
             .values_mut()
-            .any(|news| *flag(&mut news.audience));
+            .any(|news| flag(news).is_some_and(|wanted| *wanted));
         if !wanted || !self.spend(receivers, now) {
             return Vec::new();
         }
         let mut keys = Vec::new();
         for (key, news) in &mut self.pending {
-            let wanted = flag(&mut news.audience);
+            let Some(wanted) = flag(news) else {
+                continue;
+            };
             if *wanted && keys.len() < NEWS_PER_MESSAGE {
                 *wanted = false;
                 keys.push(*key);
--- a/kernel/src/membership/probe.rs
+++ b/kernel/src/membership/probe.rs
@@ -178,14 +178,14 @@
         for (node, suspicion) in due {
             self.prober.suspicions.remove(&node);
             if self.prober.heard > suspicion.began {
-                self.declare_dead(node);
+                self.declare_dead(node, now);
             } else {
                 self.lose(node);
             }
         }
     }
 
-    fn declare_dead(&mut self, node: NodeId) {
+    fn declare_dead(&mut self, node: NodeId, now: Duration) {
         let Some(row) = self.rows.get(node) else {
             return;
         };
@@ -195,7 +195,7 @@
         };
         let before = row.record;
         self.rows.set_record(node, record);
-        self.note_change(node, &before, true);
+        self.note_change(node, &before, true, now);
     }
 
     /// Gives a node up without telling anyone: who hears from nobody may be the one that is cut
@@ -233,7 +233,7 @@
         }
         self.rows.set_record(node, record);
         self.outbox
-            .add(NewsKey::Node(node), NewsAudience::default());
+            .add(NewsKey::Node(node), NewsAudience::default(), now);
         self.dirty = true;
         let mut told = self.helpers(node, context);
         told.push(node);
--- a/kernel/src/membership/zone.rs
+++ b/kernel/src/membership/zone.rs
@@ -20,6 +20,9 @@
 /// A zone whose heartbeat stands still for so long is given up.
 pub const ZONE_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Share of a bridge's rounds that goes to zones that are given up.
+const LOST_ZONE_SHARE: f64 = 0.25;
+
 #[derive(Clone, Copy, Debug)]
 struct ZoneBeat {
     beat: u32,
@@ -160,12 +163,23 @@
         }
     }
 
+    /// A bridge of another zone. Zones that are given up get a share of the rounds only, so that
+    /// the zones on this side of a cut still hear of each other often.
     fn random_bridge(&self, context: &mut Context<'_>) -> Option<NodeId> {
-        let others = self.group.bridges.len().checked_sub(1).filter(|n| *n > 0)?;
-        let index = context.random.random_range(0..others);
         let own = context.profile.zone;
-        let mut zones = self.group.bridges.iter().filter(|(zone, _)| **zone != own);
-        let (_, bridges) = zones.nth(index)?;
+        let others = self.group.bridges.iter().filter(|(zone, _)| **zone != own);
+        let (lost, heard): (Vec<_>, Vec<_>) =
+            others.partition(|(zone, _)| self.zones.is_lost(**zone));
+        let try_lost = context.random.random_bool(LOST_ZONE_SHARE);
+        let zones = if heard.is_empty() || (try_lost && !lost.is_empty()) {
+            lost
+        } else {
+            heard
+        };
+        if zones.is_empty() {
+            return None;
+        }
+        let (_, bridges) = zones[context.random.random_range(0..zones.len())];
         let index = context.random.random_range(0..bridges.len());
         Some(bridges[index])
     }
@@ -191,7 +205,7 @@
                     group: true,
                     world: false,
                 };
-                self.outbox.add(NewsKey::Zone(zone), audience);
+                self.outbox.add(NewsKey::Zone(zone), audience, context.now);
                 self.dirty = true;
             }
         }
