--- a/cli/src/slopes.rs
+++ b/cli/src/slopes.rs
@@ -14,6 +14,7 @@
 mod failures;
 mod fit;
 mod fleet;
+mod messages;
 mod meter;
 mod owners;
 mod quiet;
@@ -137,6 +138,7 @@
             .map(|nodes| quiet::measure(*nodes, time, kills));
         report.fleets = samples.collect();
         report.fit();
+        report.messages = messages::measure();
         report.digests = sizes.iter().map(|nodes| digest::measure(*nodes)).collect();
     }
     if wanted("owners") {
--- /dev/null
+++ b/cli/src/slopes/messages.rs
@@ -0,0 +1,67 @@
+//! Sizes of the messages of membership, encoded, without headers.
+
+use monsoonbank_kernel::ids::{Incarnation, NodeId, UpstreamId};
+use monsoonbank_kernel::membership::MembershipMessage;
+use monsoonbank_kernel::membership::message::{NewsBatch, UpstreamNews, encoded_bytes};
+use monsoonbank_kernel::membership::record::{NodeNews, NodeRecord};
+use monsoonbank_kernel::wire::Message;
+use serde::{Deserialize, Serialize};
+
+/// Zones whose tags a message of the letter's fleet carries.
+const ZONES: u32 = 23;
+
+/// One kind of message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MessageSample {
+    /// The message.
+    pub message: Box<str>,
+    /// Its size, in bytes.
+    pub bytes: usize,
+}
+
+/// Measures every kind.
+pub fn measure() -> Vec<MessageSample> {
+    let node = NodeId::named("node-1");
+    let record = NodeRecord::started(Incarnation(1_764_700_000_000));
+    let news = NodeNews::new(node, &record);
+    let batch = |count| NewsBatch(vec![news; count], Vec::new(), Vec::new());
+    let upstream = UpstreamNews(UpstreamId::named("engine-1"), 1, 1);
+    let pairs: Vec<u32> = (0..ZONES)
+        .flat_map(|tag| [u32::MAX - tag, 100_000])
+        .collect();
+    let messages = [
+        (
+            "ping or its answer, no news",
+            MembershipMessage::Ping(100_000, u32::MAX, batch(0)),
+        ),
+        (
+            "the same with one piece of news",
+            MembershipMessage::Ping(100_000, u32::MAX, batch(1)),
+        ),
+        (
+            "probe in another's place",
+            MembershipMessage::ProbeFor(100_000, node),
+        ),
+        ("news of one node", MembershipMessage::News(batch(1))),
+        ("news of 32 nodes", MembershipMessage::News(batch(32))),
+        (
+            "news of one upstream",
+            MembershipMessage::News(NewsBatch(Vec::new(), vec![upstream], Vec::new())),
+        ),
+        (
+            "comparison, 23 zones differ from quiet",
+            MembershipMessage::Compare(pairs.clone()),
+        ),
+        (
+            "bridge, 23 zones",
+            MembershipMessage::Bridge(true, u32::MAX, pairs),
+        ),
+    ];
+    messages
+        .into_iter()
+        .map(|(name, message)| MessageSample {
+            message: name.into(),
+            bytes: encoded_bytes(&Message::from(message)),
+        })
+        .collect()
+}
--- a/cli/src/slopes/report.rs
+++ b/cli/src/slopes/report.rs
@@ -5,6 +5,7 @@
 use crate::slopes::digest::DigestSample;
 use crate::slopes::failures::FailureSample;
 use crate::slopes::fit::{self, GrowthFit};
+use crate::slopes::messages::MessageSample;
 use crate::slopes::owners::{BalanceSample, ChangeSample};
 use crate::slopes::quiet::FleetSample;
 use crate::slopes::state::StateSample;
@@ -16,6 +17,8 @@
     pub fleets: Vec<FleetSample>,
     /// How they grow.
     pub fits: Vec<GrowthFit>,
+    /// Sizes of messages.
+    pub messages: Vec<MessageSample>,
     /// Gossip of full digests.
     pub digests: Vec<DigestSample>,
     /// Costs of state.
@@ -63,6 +66,7 @@
         let parts = [
             (self.fleets.is_empty(), self.fleet_table()),
             (self.fits.is_empty(), self.fit_table()),
+            (self.messages.is_empty(), self.message_table()),
             (self.digests.is_empty(), self.digest_table()),
             (self.state.is_empty(), self.state_table()),
             (self.changes.is_empty(), self.change_table()),
@@ -111,6 +115,14 @@
         table("Growth, the best fit of each quantity first", head, rows)
     }
 
+    fn message_table(&self) -> String {
+        let rows = self
+            .messages
+            .iter()
+            .map(|row| vec![row.message.to_string(), row.bytes.to_string()]);
+        table("Messages, without headers", "message | bytes", rows)
+    }
+
     fn digest_table(&self) -> String {
         let rows = self
             .digests
--- a/cli/src/slopes/state.rs
+++ b/cli/src/slopes/state.rs
@@ -90,6 +90,7 @@
         records(14_000 * scale / 100),
         reports(10_000 * scale / 100),
         host_rows(10_980 * scale / 100),
+        host_list_text(10_980 * scale / 100),
     ]
 }
 
@@ -295,6 +296,21 @@
     })
 }
 
+/// The host list as the platform sends it: bytes of a row on the wire, and time to read it.
+fn host_list_text(count: usize) -> StateSample {
+    let hosts: Vec<HostEntry> = (0..count).map(host_row).collect();
+    let text = serde_json::to_vec(&hosts).unwrap_or_default();
+    let started = Instant::now();
+    let read: Vec<HostEntry> = serde_json::from_slice(&text).unwrap_or_default();
+    let spent = started.elapsed().as_secs_f64() * 1e6;
+    StateSample {
+        item: "host list row on the wire".into(),
+        count: read.len(),
+        bytes_each: text.len() as f64 / count as f64,
+        microseconds_each: spent / count as f64,
+    }
+}
+
 fn host_row(index: usize) -> HostEntry {
     let node = index < 980;
     HostEntry {
--- a/kernel/src/membership.rs
+++ b/kernel/src/membership.rs
@@ -206,6 +206,7 @@
         if self.started.is_none() {
             return;
         }
+        self.tick_repair(context);
         self.tick_probes(context);
         self.tick_zones(context);
         self.tick_news(context);
--- a/kernel/src/membership/hosts.rs
+++ b/kernel/src/membership/hosts.rs
@@ -97,9 +97,5 @@
         };
         let key = NewsKey::Node(self.node);
         self.outbox.add(key, audience, context.now);
-        self.publish(context);
-        if let Some(peer) = self.group.successor(self.node) {
-            self.ask_repair(peer, context);
-        }
     }
 }
--- a/kernel/src/membership/sync.rs
+++ b/kernel/src/membership/sync.rs
@@ -33,6 +33,7 @@
     gap: Duration,
     changed: Duration,
     started: bool,
+    asked: bool,
 }
 
 impl RepairTimer {
@@ -95,6 +96,18 @@
         }
     }
 
+    /// A run that has just begun asks a neighbour at its first tick: before that the edges do not
+    /// know any address.
+    pub(super) fn tick_repair(&mut self, context: &mut Context<'_>) {
+        if self.repair.asked {
+            return;
+        }
+        self.repair.asked = true;
+        if let Some(peer) = self.group.successor(self.node) {
+            self.ask_repair(peer, context);
+        }
+    }
+
     /// Asks a peer for what this node lacks.
     pub(super) fn ask_repair(&mut self, peer: NodeId, context: &mut Context<'_>) {
         let pairs: Vec<u32> = self
