--- a/cli/src/bench/bound.rs
+++ b/cli/src/bench/bound.rs
@@ -6,7 +6,9 @@
 //! token. The engines together offer one slot-second a second for each slot, less when they are
 //! slow or down. For divisible work of equal worth, serving the earliest deadline first and
 //! dropping what is overdue finishes the most (it is only idle when nothing can be served), and
-//! every real schedule is one of those allowed here. So no schedule reaches more.
+//! every real schedule is one of those allowed here. So no schedule reaches more. Only what is done
+//! while calls arrive counts, here and in the goodput that is compared with it: afterwards there is
+//! no contention, and time has no end.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -40,7 +42,11 @@
         }
         let arrival = record.calls.get(next_call).map(|call| call.at);
         let change = record.capacity.get(next_change).map(|(at, _)| *at);
-        let until = arrival.into_iter().chain(change).min();
+        if now >= scenario.length {
+            return done;
+        }
+        let end = Some(scenario.length);
+        let until = arrival.into_iter().chain(change).chain(end).min();
         let Some(Reverse((due, index))) = queue.peek().copied() else {
             match arrival {
                 Some(at) => now = at,
@@ -49,10 +55,7 @@
             continue;
         };
         if rate <= 0.0 {
-            match until {
-                Some(at) => now = at,
-                None => return done,
-            }
+            now = until.unwrap_or(scenario.length);
             continue;
         }
         let finish = now + Duration::from_secs_f64((left[index] / rate).min(1e7));
--- a/cli/src/bench/engine.rs
+++ b/cli/src/bench/engine.rs
@@ -17,6 +17,9 @@
 /// Tokens between two notices of progress after the first.
 const NOTICE: u32 = 16;
 
+/// Part of a prompt that is still read when its prefix is in the cache.
+pub const READ_WHEN_CACHED: f64 = 0.5;
+
 /// What an engine tells.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum EngineNews {
@@ -31,6 +34,7 @@
     output: u32,
     written_from: Option<u64>,
     mark: u32,
+    target: u64,
     ready: Duration,
 }
 
@@ -153,7 +157,7 @@
         let attempt = start.work.attempt;
         let mut prompt = f64::from(spec.prompt_tokens + start.work.resume_from);
         if self.hit(spec.prefix) {
-            prompt *= 0.5;
+            prompt *= READ_WHEN_CACHED;
         }
         let factor = if self.factor.is_finite() {
             self.factor
@@ -166,6 +170,7 @@
             output: output.saturating_sub(start.work.resume_from).max(1),
             written_from: None,
             mark: 1,
+            target: 0,
             ready,
         };
         self.reading.insert((ready, attempt));
@@ -202,7 +207,8 @@
             self.reading.pop_first();
             if let Some(run) = self.runs.get_mut(&attempt) {
                 run.written_from = Some(self.clock);
-                self.marks.insert((self.clock + TICKS as u64, attempt));
+                run.target = self.clock + TICKS as u64;
+                self.marks.insert((run.target, attempt));
             }
         }
         let mut news = Vec::new();
@@ -230,23 +236,21 @@
         }
         news.push(EngineNews::Progress(attempt, tokens));
         run.mark = (tokens + NOTICE - tokens % NOTICE).min(run.output);
-        let target = from + (f64::from(run.mark) * TICKS) as u64;
-        self.marks.insert((target, attempt));
+        run.target = from + (f64::from(run.mark) * TICKS) as u64;
+        self.marks.insert((run.target, attempt));
     }
 
     /// Takes a request out, done or not, and says what it cost.
-    pub fn remove(&mut self, now: Duration, attempt: AttemptId) -> Option<RunCost> {
+    pub fn remove(&mut self, now: Duration, attempt: AttemptId) -> RunCost {
         self.advance(now);
-        let before = self.queue.len();
-        self.queue
-            .retain(|(start, _)| start.work.attempt != attempt);
-        if self.queue.len() < before {
-            return Some(RunCost::default());
-        }
-        let run = self.runs.remove(&attempt)?;
+        let Some(run) = self.runs.remove(&attempt) else {
+            self.queue
+                .retain(|(start, _)| start.work.attempt != attempt);
+            return RunCost::default();
+        };
         let mut read = self.costs.remove(&attempt).unwrap_or_default();
         self.reading.remove(&(run.ready, attempt));
-        self.marks.retain(|(_, marked)| *marked != attempt);
+        self.marks.remove(&(run.target, attempt));
         let written = run.written_from.map_or(0, |from| self.clock - from);
         let tokens = ((written as f64 / TICKS) as u32).min(run.output);
         if run.written_from.is_none() {
@@ -256,11 +260,11 @@
         if let Some((start, output)) = self.queue.pop_front() {
             self.serve(now, start, output);
         }
-        Some(RunCost {
+        RunCost {
             tokens,
             read,
             all: read + f64::from(tokens) * self.shape.full_step(),
-        })
+        }
     }
 
     /// Attempts being served or waiting inside.
--- a/cli/src/bench/measure.rs
+++ b/cli/src/bench/measure.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::bench::bound;
+use crate::bench::engine::READ_WHEN_CACHED;
 use crate::bench::scenario::ScenarioFile;
 use crate::bench::traffic::PlannedCall;
 
@@ -20,6 +21,8 @@
 /// What is recorded of a call.
 #[derive(Clone, Debug, Default)]
 pub struct CallTrack {
+    /// When it was first sent to an engine.
+    pub began: Option<Duration>,
     /// When its first token came.
     pub first_token: Option<Duration>,
     /// When and how it ended.
@@ -96,14 +99,16 @@
     pub urgent_attainment: f64,
     /// Urgent calls shed or stopped for lower work.
     pub urgent_shed: u32,
-    /// Work that finished within its targets, in slot-seconds.
+    /// Work on calls that met their targets, done while calls arrive, in slot-seconds.
     pub goodput: f64,
-    /// The most that any schedule can reach.
+    /// The most that any schedule can reach of it.
     pub goodput_bound: f64,
     /// Goodput over its bound.
     pub goodput_share: f64,
     /// Share of work that was thrown away or done again.
     pub waste: f64,
+    /// Share of slots in use while calls arrive, on engines that work well.
+    pub busy: f64,
     /// The least progress of a lower tier in a window with work waiting, relative to its floor.
     pub floors: BTreeMap<u8, f64>,
     /// Jain's fairness index over workspaces that do not flood.
@@ -136,10 +141,25 @@
         first.saturating_sub(call.at) <= class.target && pace_kept
     }
 
-    /// Work of a call, in slot-seconds.
+    /// The least work that a call can take, in slot-seconds.
     pub fn work(&self, scenario: &ScenarioFile, index: usize) -> f64 {
         let call = &self.calls[index];
-        scenario.engines[0].work(f64::from(call.prompt), f64::from(call.output))
+        let engine = &scenario.engines[0];
+        let cached = call.prefix != 0 && engine.cached_prefixes > 0;
+        let read = if cached { READ_WHEN_CACHED } else { 1.0 };
+        engine.work(f64::from(call.prompt) * read, f64::from(call.output))
+    }
+
+    /// The part of a whole call that was done while calls arrived. What is done later is left out
+    /// on both sides of the comparison: there is no contention then.
+    fn done_part(&self, scenario: &ScenarioFile, index: usize) -> f64 {
+        let track = &self.tracks[index];
+        let (Some(began), Some((ended, _))) = (track.began, track.ended) else {
+            return 0.0;
+        };
+        let took = ended.saturating_sub(began).as_secs_f64();
+        let before_end = scenario.length.saturating_sub(began).as_secs_f64();
+        share(before_end, took).min(1.0)
     }
 
     fn class_figures(&self, scenario: &ScenarioFile, class: usize) -> ClassFigures {
@@ -197,10 +217,9 @@
     }
 
     /// The least of `running over floor` over all windows in which the tier had work waiting.
-    fn floor_progress(&self, scenario: &ScenarioFile, tier: u8, floor: f64) -> Option<f64> {
+    fn floor_progress(&self, tier: u8, floor: f64) -> Option<f64> {
         let index = usize::from(tier);
         let waited = |sample: &LoadSample| sample.waiting[index] > 0 && sample.slots > 0;
-        let _ = scenario;
         self.samples
             .windows(WINDOW)
             .filter(|window| window.iter().all(waited))
@@ -212,6 +231,12 @@
             .min_by(f64::total_cmp)
     }
 
+    fn busy(&self) -> f64 {
+        let running = self.samples.iter().flat_map(|sample| sample.running);
+        let slots = self.samples.iter().map(|sample| sample.slots);
+        share(running.map(f64::from).sum(), slots.map(f64::from).sum())
+    }
+
     /// All figures.
     pub fn figures(&self, scenario: &ScenarioFile, policy: &str, seed: u64) -> RunFigures {
         let classes: Vec<ClassFigures> = (0..scenario.classes.len())
@@ -224,13 +249,13 @@
             .sum();
         let goodput: f64 = (0..self.calls.len())
             .filter(|index| self.is_good(scenario, *index))
-            .map(|index| self.work(scenario, index))
+            .map(|index| self.work(scenario, index) * self.done_part(scenario, index))
             .sum();
         let all: f64 = self.tracks.iter().map(|track| track.work).sum();
         let lost: f64 = self.tracks.iter().map(CallTrack::lost).sum();
         let floors = scenario.tiers.iter().filter(|tier| tier.tier.0 > 0);
         let floors = floors.filter_map(|tier| {
-            let progress = self.floor_progress(scenario, tier.tier.0, tier.floor)?;
+            let progress = self.floor_progress(tier.tier.0, tier.floor)?;
             Some((tier.tier.0, progress))
         });
         let goodput_bound = bound::goodput(scenario, self);
@@ -243,6 +268,7 @@
             goodput_bound,
             goodput_share: share(goodput, goodput_bound),
             waste: if all > 0.0 { lost / all } else { 0.0 },
+            busy: self.busy(),
             floors: floors.collect(),
             jain: self.jain(scenario),
             open: self.tracks.iter().filter(|t| t.ended.is_none()).count() as u32,
--- a/cli/src/bench/policy.rs
+++ b/cli/src/bench/policy.rs
@@ -1,6 +1,6 @@
 //! Policies: the one that ships, variants of it, and simple ones to compare with.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use derive_more::Display;
@@ -112,6 +112,7 @@
     policy: BenchPolicy,
     engines: BTreeMap<UpstreamId, SimpleEngine>,
     queues: BTreeMap<Tier, VecDeque<(NodeId, WorkSpec)>>,
+    queued: BTreeSet<AttemptId>,
     running: BTreeMap<AttemptId, (NodeId, UpstreamId)>,
     turn: usize,
 }
@@ -122,6 +123,7 @@
             policy,
             engines: BTreeMap::new(),
             queues: BTreeMap::new(),
+            queued: BTreeSet::new(),
             running: BTreeMap::new(),
             turn: 0,
         }
@@ -160,7 +162,7 @@
     }
 
     fn fill(&mut self, context: &mut Context<'_>) {
-        while self.queues.values().any(|queue| !queue.is_empty()) {
+        while !self.queued.is_empty() {
             let Some(upstream) = self.choose() else {
                 return;
             };
@@ -171,6 +173,7 @@
             if let Some(engine) = self.engines.get_mut(&upstream) {
                 engine.in_flight += 1;
             }
+            self.queued.remove(&work.attempt);
             self.running.insert(work.attempt, (entry, upstream));
             context.act(Action::StartAttempt(AttemptStart { work, upstream }));
         }
@@ -198,11 +201,9 @@
     }
 
     fn asked(&self, from: NodeId, attempts: &[AttemptId], context: &mut Context<'_>) {
-        let queued = |attempt: &AttemptId| {
-            let mut all = self.queues.values().flatten();
-            all.any(|(_, work)| work.attempt == *attempt)
+        let holds = |attempt: &AttemptId| {
+            self.running.contains_key(attempt) || self.queued.contains(attempt)
         };
-        let holds = |attempt: &AttemptId| self.running.contains_key(attempt) || queued(attempt);
         let (held, missing) = attempts.iter().copied().partition(holds);
         context.send(from, WorkMessage::Held { held, missing });
     }
@@ -224,6 +225,7 @@
                     .entry(tier)
                     .or_default()
                     .push_back((*from, *work));
+                self.queued.insert(work.attempt);
                 self.fill(context);
             }
             Event::PeerMessage {
--- a/cli/src/bench/report.rs
+++ b/cli/src/bench/report.rs
@@ -69,6 +69,7 @@
             percent(run.urgent_attainment),
             run.urgent_shed.to_string(),
             percent(run.goodput_share),
+            percent(run.busy),
             percent(run.waste),
             floors.join(" "),
             format!("{:.4}", run.jain),
--- a/cli/src/bench/run.rs
+++ b/cli/src/bench/run.rs
@@ -285,6 +285,7 @@
         self.tell(Event::AttemptSent(attempt));
         let index = attempt.call.sequence as usize;
         self.record.tracks[index].runs += 1;
+        self.record.tracks[index].began.get_or_insert(self.now);
         let output = self.record.calls[index].output;
         self.engines[engine].start(self.now, start, output);
         self.tell_cache(engine);
@@ -335,9 +336,7 @@
 
     /// Takes a run off an engine and books its cost; gives back its tokens.
     fn charge(&mut self, engine: usize, attempt: AttemptId) -> u32 {
-        let Some(cost) = self.engines[engine].remove(self.now, attempt) else {
-            return 0;
-        };
+        let cost = self.engines[engine].remove(self.now, attempt);
         let track = &mut self.record.tracks[attempt.call.sequence as usize];
         track.work += cost.all;
         if track.runs > 1 {
@@ -457,11 +456,9 @@
         match (fault.kind, begins) {
             (FaultKind::Crash, true) => self.crash(engine),
             (FaultKind::Crash, false) => self.engines[engine].up = true,
-            (FaultKind::Slow { factor }, true) => {
-                self.engines[engine].set_factor(self.now, factor);
-            }
+            (FaultKind::Slow, true) => self.engines[engine].set_factor(self.now, fault.factor),
             (FaultKind::Hang, true) => self.engines[engine].set_factor(self.now, f64::INFINITY),
-            (FaultKind::Slow { .. } | FaultKind::Hang, false) => {
+            (FaultKind::Slow | FaultKind::Hang, false) => {
                 self.engines[engine].set_factor(self.now, 1.0);
             }
         }
--- a/cli/src/bench/scenario.rs
+++ b/cli/src/bench/scenario.rs
@@ -176,21 +176,24 @@
     /// The engine, counted from 0.
     pub engine: usize,
     /// What happens.
-    #[serde(flatten)]
     pub kind: FaultKind,
+    /// How many times longer everything takes, for a slow engine.
+    #[serde(default = "default_factor")]
+    pub factor: f64,
+}
+
+fn default_factor() -> f64 {
+    10.0
 }
 
 /// What happens to an engine.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "kind")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum FaultKind {
     /// It dies with all that it runs, and comes back empty.
     Crash,
     /// Everything takes longer.
-    Slow {
-        /// How many times longer.
-        factor: f64,
-    },
+    Slow,
     /// It takes requests and does nothing.
     Hang,
 }
--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -139,7 +139,7 @@
         let deadline = context.now + work.spec.time_left;
         let prompt = work.spec.prompt_tokens + work.resume_from;
         let expected = state.outputs.tokens(&work.spec);
-        let first_token = state.pace.first_token.expect(prompt);
+        let first_token = state.pace.first_token.expect_at_most(prompt);
         let held = HeldWork {
             work,
             entry,
--- a/kernel/src/dispatch/estimate.rs
+++ b/kernel/src/dispatch/estimate.rs
@@ -101,14 +101,25 @@
     sum_y: f64,
     sum_xx: f64,
     sum_xy: f64,
+    error: MovingMean,
 }
 
+/// Mean errors that are added to the expected time where it must not be exceeded.
+const SAFE_ERRORS: f64 = 4.0;
+
+/// Samples of the error that weigh most.
+const ERROR_WINDOW: u32 = 200;
+
 const FADE: f64 = 0.995;
 
 impl FirstTokenModel {
     /// Takes in the time that a prompt of `tokens` took to its first token.
     pub fn add(&mut self, tokens: u32, time: Duration) {
         let (x, y) = (f64::from(tokens), time.as_secs_f64());
+        if self.weight > 0.0 {
+            let error = (y - self.expect(tokens).as_secs_f64()).abs();
+            self.error.add(error, ERROR_WINDOW);
+        }
         self.weight = self.weight * FADE + 1.0;
         self.sum_x = self.sum_x * FADE + x;
         self.sum_y = self.sum_y * FADE + y;
@@ -116,6 +127,12 @@
         self.sum_xy = self.sum_xy * FADE + x * y;
     }
 
+    /// A time that the first token of such a prompt seldom exceeds.
+    pub fn expect_at_most(&self, tokens: u32) -> Duration {
+        let error = self.error.get().unwrap_or_default() * SAFE_ERRORS;
+        self.expect(tokens) + Duration::from_secs_f64(error)
+    }
+
     /// Expected time for a prompt of `tokens`; zero as long as nothing is known.
     pub fn expect(&self, tokens: u32) -> Duration {
         if self.weight == 0.0 {
--- a/kernel/src/dispatch/health.rs
+++ b/kernel/src/dispatch/health.rs
@@ -10,7 +10,7 @@
 const FIRST_EJECTION: Duration = Duration::from_millis(500);
 
 /// Longest time out of service.
-const LONGEST_EJECTION: Duration = Duration::from_secs(30);
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 
 /// Strikes that eject.
 const STRIKES: u32 = 3;
