Pass tokens on to callers without waiting for acknowledgements

The HTTP server library never sets TCP_NODELAY, so the second and later tokens of a stream waited in the node's socket for the acknowledgement of the ones before, which a caller's host delays by about 40 ms. The listening sockets now have the option set; accepted connections inherit it on Linux.

Ruled out: the engine (the direct way), the links between nodes (they set the option already).

--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -12,7 +12,7 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::prelude::{Router, Server};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
 
 use crate::error::NodeError;
@@ -20,6 +20,9 @@
 use crate::shared::{NodeShared, SharedParts};
 use crate::{callers, driver, links, operators, platform, reports};
 
+/// Connections waiting to be accepted.
+const BACKLOG: u32 = 1024;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A running node.
@@ -71,12 +74,14 @@
 
 impl NodeListeners {
     /// Listens on the addresses of the settings; port 0 takes a free one.
+    // The sockets belong to the runtime that awaits this.
+    #[allow(clippy::unused_async)]
     pub async fn bind(settings: &Settings) -> Result<Self, NodeError> {
         let listen = &settings.listen;
         Ok(Self {
-            callers: bind(listen.callers, "callers").await?,
-            peers: bind(listen.peers, "nodes").await?,
-            operators: bind(listen.operators, "operators").await?,
+            callers: bind(listen.callers, "callers")?,
+            peers: bind(listen.peers, "nodes")?,
+            operators: bind(listen.operators, "operators")?,
         })
     }
 
@@ -90,13 +95,25 @@
     }
 }
 
-async fn bind(address: SocketAddr, role: &'static str) -> Result<TcpListener, NodeError> {
-    let listen = |source| NodeError::Listen {
+fn bind(address: SocketAddr, role: &'static str) -> Result<TcpListener, NodeError> {
+    listen(address).map_err(|source| NodeError::Listen {
         address,
         role,
         source,
+    })
+}
+
+/// Listens on a port. Accepted connections inherit `TCP_NODELAY`: otherwise a token waits for the
+/// acknowledgement of the one before.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
-    TcpListener::bind(address).await.map_err(listen)
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 /// Starts a node on sockets that listen already.
