Test the demonstration, the load tool and their help

Both deployments run for four seconds with few nodes, an engine crash, a killed and a stopped node; every call must have exactly one end, and none may be lost, crossed, doubled, run twice or refused after it ran. The load tool runs against a served fleet. The comparison of answers has a case for each fault that it must find.

--- /dev/null
+++ b/cli/tests/fleet/main.rs
@@ -0,0 +1,100 @@
+//! Whole fleets, started by the tool's binary.
+
+mod support;
+#[path = "../../src/verify.rs"]
+mod verify;
+
+use serde_json::Value;
+
+use crate::support::{ServedFleet, run_json};
+use crate::verify::{AnswerVerdict, judge};
+
+macro_rules! demos {
+    ($($name:ident: $deployment:expr, $nodes:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let (code, report) = run_json(&[
+                "demo", "--deployment", $deployment, "--nodes", $nodes, "--seconds", "4",
+                "--rate", "40", "--format", "json",
+            ]);
+            for class in report["classes"].as_array().expect("classes") {
+                check_class(class);
+            }
+            assert_eq!(report["incidents"].as_array().map(Vec::len), Some(3), "{report:#}");
+            assert_eq!(code, Some(0), "{report:#}");
+        })*
+    };
+}
+
+demos! {
+    tauhere_keeps_its_promises: "tauhere", "4";
+    bengal_keeps_its_promises: "bengal", "5";
+}
+
+/// Every call has exactly one end, and none of the ends that may not be.
+fn check_class(class: &Value) {
+    let count = |name: &str| class[name].as_u64().expect("a count");
+    let ends: u64 = ["whole", "refused", "unknown", "cut"]
+        .map(count)
+        .iter()
+        .sum();
+    assert_eq!(count("sent"), ends, "{class:#}");
+    for name in ["lost", "crossed", "doubled", "ran_twice", "refused_but_ran"] {
+        assert_eq!(count(name), 0, "{name}: {class:#}");
+    }
+    assert!(count("whole") > 0, "{class:#}");
+}
+
+#[test]
+fn load_takes_every_way_in_turn() {
+    let fleet = ServedFleet::start("2");
+    let target = format!("node={}", fleet.callers);
+    let (code, report) = run_json(&[
+        "load",
+        "--target",
+        &target,
+        "--direct",
+        &fleet.engine,
+        "--token",
+        "kauri-books-token",
+        "--model",
+        "tauhere-writer",
+        "--rate",
+        "20",
+        "--seconds",
+        "2",
+        "--check",
+        "--format",
+        "json",
+    ]);
+    assert_eq!(code, Some(0), "{report:#}");
+    let ways = report["ways"].as_array().expect("ways");
+    for (way, name) in ways.iter().zip(["node", "direct"]) {
+        assert_eq!(way["name"], name);
+        assert!(way["whole"].as_u64() > Some(0), "{way:#}");
+        assert_eq!(way["whole"], way["sent"], "{way:#}");
+    }
+    assert_eq!(report["added"][0]["name"], "node");
+}
+
+macro_rules! verdicts {
+    ($($name:ident: $got:expr => $verdict:ident;)*) => {
+        $(#[test]
+        fn $name() {
+            assert_eq!(judge("w1 w2 w3 w2 ", $got), AnswerVerdict::$verdict);
+        })*
+    };
+}
+
+verdicts! {
+    every_token_once_is_whole: "w1 w2 w3 w2 " => Whole;
+    nothing_is_short: "" => Short;
+    missing_end_is_short: "w1 w2 w3 " => Short;
+    missing_middle_is_short: "w1 w3 w2 " => Short;
+    repeated_token_is_doubled: "w1 w1 w2 w3 w2 " => Doubled;
+    repeated_answer_is_doubled: "w1 w2 w3 w2 w1 w2 w3 w2 " => Doubled;
+    resumed_too_early_is_doubled: "w1 w2 w1 w2 w3 w2 " => Doubled;
+    foreign_token_is_crossed: "w1 w9 w2 w3 w2 " => Crossed;
+    foreign_answer_is_crossed: "w7 w8 w9 w7 " => Crossed;
+    half_a_token_is_crossed: "w1 w2 w3 w" => Crossed;
+}
--- a/cli/tests/tool/main.rs
+++ b/cli/tests/tool/main.rs
@@ -67,3 +67,6 @@
     "--remove",
     "w/x"
 );
+golden!(demo_help, "demo", "--help");
+golden!(load_help, "load", "--help");
+golden!(demo_bad_rate, "demo", "--rate", "0");
--- a/cli/tests/tool/support.rs
+++ b/cli/tests/tool/support.rs
@@ -6,6 +6,8 @@
 pub fn monsoon() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_monsoon"));
     command.current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/.."));
+    // Help texts wrap at the terminal's width.
+    command.env("COLUMNS", "100");
     command
 }
 
