--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -5,29 +5,24 @@
 mod deployment;
 mod fleet;
 mod incidents;
+mod report;
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use indicatif::{ProgressBar, ProgressStyle};
-use monsoonbank_kernel::config::ConfigFile;
-use serde::Serialize;
+use monsoonbank_kernel::config::{ConfigFile, PoolKind};
 use tokio::time::Instant;
 
 use crate::arguments::{self, OutputFormat};
 use crate::caller::KilledNodes;
-use crate::demo::audit::RunAudit;
-use crate::demo::callers::EndedCall;
 use crate::demo::deployment::Deployment;
 use crate::demo::fleet::{Fleet, UpstreamSpeed};
-use crate::demo::incidents::IncidentNote;
+use crate::demo::report::DemoReport;
 use crate::error::CliError;
 use crate::exchange;
 use crate::exit_codes::ExitCode;
-use crate::table;
-use crate::tally::{ClassRow, ClassTally, ClassTarget};
 use crate::traffic::{TrafficBacklog, TrafficBurst, TrafficPlan};
 
 const LONG_ABOUT: &str = "\
@@ -138,25 +133,6 @@
     rate: f64,
 }
 
-/// What the demonstration showed.
-#[derive(Clone, Debug, Serialize)]
-struct DemoReport {
-    deployment: Box<str>,
-    seconds: u64,
-    seed: u64,
-    nodes: u64,
-    rate: f64,
-    incidents: Vec<IncidentNote>,
-    stopped_as_planned: bool,
-    classes: Vec<ClassRow>,
-}
-
-impl DemoReport {
-    fn kept(&self) -> bool {
-        self.stopped_as_planned && !self.classes.iter().any(|row| row.counts.broken())
-    }
-}
-
 /// Runs the command.
 pub async fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     let options = options(matches)?;
@@ -169,7 +145,7 @@
     fleet.stop().await;
     match arguments::chosen_format(matches) {
         OutputFormat::Json => println!("{:#}", serde_json::json!(report)),
-        OutputFormat::Text => print_report(&report),
+        OutputFormat::Text => report::print(&report),
     }
     Ok(if report.kept() {
         ExitCode::Success
@@ -271,7 +247,7 @@
         rate: options.rate,
         stopped_as_planned: incidents.stopped_as_planned,
         incidents: incidents.notes,
-        classes: rows(fleet, &plan, &calls),
+        classes: report::rows(fleet, &plan, &calls),
     })
 }
 
@@ -285,8 +261,8 @@
     TrafficPlan {
         classes: options.deployment.traffic(),
         workspaces: deployment::sources(&fleet.file),
-        model: pool(monsoonbank_kernel::config::PoolKind::Model),
-        service: pool(monsoonbank_kernel::config::PoolKind::Service),
+        model: pool(PoolKind::Model),
+        service: pool(PoolKind::Service),
         rate: options.rate,
         length: options.length,
         backlog: Some(TrafficBacklog {
@@ -309,51 +285,3 @@
     progress.set_message("calls under way");
     progress
 }
-
-fn rows(fleet: &Fleet, plan: &TrafficPlan, calls: &[EndedCall]) -> Vec<ClassRow> {
-    let targets = targets(&fleet.file);
-    let mut tallies: Vec<ClassTally> = plan
-        .classes
-        .iter()
-        .map(|class| ClassTally::new(targets.get(&*class.class).copied()))
-        .collect();
-    let audit = RunAudit::read(fleet);
-    for call in calls {
-        let tally = &mut tallies[call.class];
-        tally.note(call.due, call.body.units(), &call.result);
-        audit.check(call, tally);
-    }
-    plan.classes
-        .iter()
-        .zip(&tallies)
-        .map(|(class, tally)| tally.row(&class.class, plan.length))
-        .collect()
-}
-
-fn targets(file: &ConfigFile) -> BTreeMap<&str, ClassTarget> {
-    let target = |class: &monsoonbank_kernel::config::ClassSpec| ClassTarget {
-        first: class.target,
-        token_gap: class.token_target,
-    };
-    file.classes
-        .iter()
-        .map(|class| (&*class.name, target(class)))
-        .collect()
-}
-
-fn print_report(report: &DemoReport) {
-    println!(
-        "{}: {} nodes, {} s, {} requests/s, seed {}",
-        report.deployment, report.nodes, report.seconds, report.rate, report.seed
-    );
-    for note in &report.incidents {
-        println!("  {:>6.1} s  {}", note.at_ms as f64 / 1000.0, note.what);
-    }
-    println!("{}", table::class_table(&report.classes));
-    let verdict = if report.kept() {
-        "nothing lost, crossed or doubled; nothing ran twice; nothing refused ran"
-    } else {
-        "a promise was broken"
-    };
-    println!("{verdict}");
-}
--- a/cli/src/load.rs
+++ b/cli/src/load.rs
@@ -1,11 +1,12 @@
 //! `monsoon load`: open-loop load on running nodes, beside the same load straight to an upstream.
 
+mod report;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use reqwest::Client;
-use serde::Serialize;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -15,8 +16,7 @@
 use crate::exchange::{self, ExchangeEnd, ExchangeTarget};
 use crate::exit_codes::ExitCode;
 use crate::request::RequestBody;
-use crate::table;
-use crate::tally::{ClassRow, ClassTally};
+use crate::tally::ClassTally;
 use crate::traffic::{ArrivalSource, ClassTraffic, RequestShape, TrafficPlan, WorkspaceSource};
 
 const LONG_ABOUT: &str = "\
@@ -139,28 +139,6 @@
     checked: bool,
 }
 
-/// What a target adds to the direct way.
-#[derive(Clone, Debug, Serialize)]
-struct AddedLatency {
-    name: Box<str>,
-    /// Difference of the medians, in milliseconds.
-    p50_ms: f64,
-    /// Difference of the 99th percentiles, in milliseconds.
-    p99_ms: f64,
-    /// Ratio of the medians.
-    p50_ratio: f64,
-    /// Ratio of the 99th percentiles.
-    p99_ratio: f64,
-}
-
-#[derive(Clone, Debug, Serialize)]
-struct LoadReport {
-    rate: f64,
-    seconds: u64,
-    ways: Vec<ClassRow>,
-    added: Vec<AddedLatency>,
-}
-
 /// Runs the command.
 pub async fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     let plan = plan(matches)?;
@@ -172,10 +150,10 @@
         checked: matches.get_flag("check"),
     });
     let tallies = send(&run, &plan, seed).await;
-    let report = report(&run, &plan, &tallies);
+    let report = report::report(&run.ways, &plan, &tallies);
     match arguments::chosen_format(matches) {
         OutputFormat::Json => println!("{:#}", serde_json::json!(report)),
-        OutputFormat::Text => print_report(&report),
+        OutputFormat::Text => report::print(&report),
     }
     let broken = report.ways.iter().any(|row| row.counts.broken());
     Ok(if broken {
@@ -308,44 +286,3 @@
         ExchangeEnd::Broken => CallEnd::Lost.into(),
     }
 }
-
-fn report(run: &LoadRun, plan: &TrafficPlan, tallies: &[ClassTally]) -> LoadReport {
-    let rows: Vec<ClassRow> = run
-        .ways
-        .iter()
-        .zip(tallies)
-        .map(|(way, tally)| tally.row(&way.name, plan.length))
-        .collect();
-    let direct = run.ways.iter().position(|way| way.direct);
-    let added = direct.map_or_else(Vec::new, |direct| {
-        let others = rows.iter().enumerate().filter(|(way, _)| *way != direct);
-        others.map(|(_, row)| added(row, &rows[direct])).collect()
-    });
-    LoadReport {
-        rate: plan.rate,
-        seconds: plan.length.as_secs(),
-        ways: rows,
-        added,
-    }
-}
-
-fn added(row: &ClassRow, direct: &ClassRow) -> AddedLatency {
-    let (own, base) = (row.first_token_ms, direct.first_token_ms);
-    AddedLatency {
-        name: row.name.clone(),
-        p50_ms: own.p50 - base.p50,
-        p99_ms: own.p99 - base.p99,
-        p50_ratio: own.p50 / base.p50,
-        p99_ratio: own.p99 / base.p99,
-    }
-}
-
-fn print_report(report: &LoadReport) {
-    println!("{}", table::class_table(&report.ways));
-    for added in &report.added {
-        println!(
-            "{} adds to the direct way: p50 {:+.3} ms (x{:.2}), p99 {:+.3} ms (x{:.2})",
-            added.name, added.p50_ms, added.p50_ratio, added.p99_ms, added.p99_ratio
-        );
-    }
-}
