Tell why calls were refused in the tables of `demo` and `load`

A count of `not_run` alone does not say whether a limit, a deadline or a lost upstream refused a call. Each class with refusals now has a line with its reasons, and the JSON has them as `refusals`.

--- a/cli/src/caller.rs
+++ b/cli/src/caller.rs
@@ -43,17 +43,41 @@
 }
 
 /// What came of a call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct CallResult {
     /// How it ended.
     pub end: CallEnd,
     /// When the answer came, if it came to its end.
     pub times: Option<AnswerTimes>,
+    /// Why it was refused, as the node's constant for programs.
+    pub reason: Option<Box<str>>,
 }
 
 impl From<CallEnd> for CallResult {
     fn from(end: CallEnd) -> Self {
-        Self { end, times: None }
+        Self {
+            end,
+            times: None,
+            reason: None,
+        }
+    }
+}
+
+impl CallResult {
+    /// A call that did not run.
+    pub fn refused(reason: &str) -> Self {
+        Self {
+            reason: Some(reason.into()),
+            ..CallEnd::Refused.into()
+        }
+    }
+
+    /// An answer that came to its end.
+    pub fn answered(verdict: AnswerVerdict, times: AnswerTimes) -> Self {
+        Self {
+            times: Some(times),
+            ..CallEnd::from(verdict).into()
+        }
     }
 }
 
@@ -233,13 +257,10 @@
 
 fn next_step(end: ExchangeEnd, body: &RequestBody, killed: bool) -> NextStep {
     match end {
-        ExchangeEnd::Answer(verdict, times) => NextStep::End(CallResult {
-            end: verdict.into(),
-            times: Some(times),
-        }),
+        ExchangeEnd::Answer(verdict, times) => NextStep::End(CallResult::answered(verdict, times)),
         ExchangeEnd::NotRun(note) if &*note.code == "leaving" => NextStep::Elsewhere,
         ExchangeEnd::NotRun(RefusalNote { key: Some(key), .. }) => NextStep::WithKey(key),
-        ExchangeEnd::NotRun(_) => NextStep::End(CallEnd::Refused.into()),
+        ExchangeEnd::NotRun(note) => NextStep::End(CallResult::refused(&note.code)),
         ExchangeEnd::Unknown => NextStep::End(CallEnd::Unknown.into()),
         ExchangeEnd::Unsent => NextStep::Elsewhere,
         // The key's owner knows what became of the call.
--- a/cli/src/demo/report.rs
+++ b/cli/src/demo/report.rs
@@ -83,6 +83,9 @@
         println!("  {:>6.1} s  {}", note.at_ms as f64 / 1000.0, note.what);
     }
     println!("{}", table::class_table(&report.classes));
+    for line in table::refusal_lines(&report.classes) {
+        println!("{line}");
+    }
     let verdict = if report.kept() {
         "nothing lost, crossed or doubled; nothing ran twice; nothing refused ran"
     } else {
--- a/cli/src/load.rs
+++ b/cli/src/load.rs
@@ -277,11 +277,9 @@
 
 fn call_result(end: &ExchangeEnd) -> CallResult {
     match end {
-        ExchangeEnd::Answer(verdict, times) => CallResult {
-            end: (*verdict).into(),
-            times: Some(*times),
-        },
-        ExchangeEnd::NotRun(_) | ExchangeEnd::Unsent => CallEnd::Refused.into(),
+        ExchangeEnd::Answer(verdict, times) => CallResult::answered(*verdict, *times),
+        ExchangeEnd::NotRun(note) => CallResult::refused(&note.code),
+        ExchangeEnd::Unsent => CallResult::refused("unreachable"),
         ExchangeEnd::Unknown => CallEnd::Unknown.into(),
         ExchangeEnd::Broken => CallEnd::Lost.into(),
     }
--- a/cli/src/load/report.rs
+++ b/cli/src/load/report.rs
@@ -69,6 +69,9 @@
 /// Prints the report for people.
 pub fn print(report: &LoadReport) {
     println!("{}", table::class_table(&report.ways));
+    for line in table::refusal_lines(&report.ways) {
+        println!("{line}");
+    }
     for added in &report.added {
         println!(
             "{} adds to the direct way: p50 {:+.3} ms (x{:.2}), p99 {:+.3} ms (x{:.2})",
--- a/cli/src/table.rs
+++ b/cli/src/table.rs
@@ -41,6 +41,20 @@
     table
 }
 
+/// One line for each class with refusals: how many for which reason.
+pub fn refusal_lines(rows: &[ClassRow]) -> Vec<String> {
+    let refused = rows.iter().filter(|row| !row.refusals.is_empty());
+    refused
+        .map(|row| {
+            let reasons = row.refusals.iter();
+            let reasons: Vec<String> = reasons
+                .map(|(reason, count)| format!("{reason} {count}"))
+                .collect();
+            format!("not_run of {}: {}", row.name, reasons.join(", "))
+        })
+        .collect()
+}
+
 fn cells(row: &ClassRow) -> [String; 17] {
     let counts = &row.counts;
     let first = row.first_token_ms;
--- a/cli/src/tally.rs
+++ b/cli/src/tally.rs
@@ -1,5 +1,6 @@
 //! Sums over the calls of a class.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -43,6 +44,7 @@
     delivered: u64,
     /// Tokens or runs that upstreams did for the class, by their own counters.
     pub produced: u64,
+    refusals: BTreeMap<Box<str>, u64>,
     first: Histogram<u64>,
     gap: Histogram<u64>,
 }
@@ -100,6 +102,8 @@
     /// How the calls ended.
     #[serde(flatten)]
     pub counts: CallCounts,
+    /// Refused calls by reason.
+    pub refusals: BTreeMap<Box<str>, u64>,
     /// Share of calls that met the class's target.
     pub attainment: Option<f64>,
     /// Tokens (or runs of a plain service) a second, of calls that met the target.
@@ -135,6 +139,7 @@
             on_target_units: 0,
             delivered: 0,
             produced: 0,
+            refusals: BTreeMap::new(),
             first: times.clone(),
             gap: times,
         }
@@ -144,6 +149,9 @@
     pub fn note(&mut self, since: Instant, units: u64, result: &CallResult) {
         self.counts.sent += 1;
         self.counts.note(result.end);
+        if let Some(reason) = &result.reason {
+            *self.refusals.entry(reason.clone()).or_default() += 1;
+        }
         if result.end != CallEnd::Whole {
             return;
         }
@@ -174,6 +182,7 @@
         ClassRow {
             name: name.into(),
             counts: self.counts,
+            refusals: self.refusals.clone(),
             attainment: self.target.map(|_| self.on_target as f64 / sent),
             goodput: self.on_target_units as f64 / length.as_secs_f64(),
             wasted: (self.produced > 0).then(|| wasted as f64 / self.produced as f64),
