Spread the demonstration's backlog over its first tenth

Three hundred bulk calls in the same instant met the workspaces' rate limits, which hold over the fleet: 119 of the 120 refusals of a 12 s run were of that instant or the 0.35 s after it, so the table showed the limits and not the tiers. The backlog is now a burst of the bulk class over the first tenth of the run; the demand over that time is the same.

--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -23,7 +23,7 @@
 use crate::error::CliError;
 use crate::exchange;
 use crate::exit_codes::ExitCode;
-use crate::traffic::{TrafficBacklog, TrafficBurst, TrafficPlan};
+use crate::traffic::{TrafficBurst, TrafficPlan};
 
 const LONG_ABOUT: &str = "\
 Runs a whole fleet in one process on loopback ports and checks every answer.
@@ -44,11 +44,11 @@
   monsoon demo --serve
   monsoon demo --serve --config one-engine.yaml --step-ms 0";
 
-/// Class burst, as shares of the run and times the usual rate.
-const BURST: (f64, f64, f64) = (0.2, 0.35, 6.0);
+/// Work left over from the night, as shares of the run and times the usual rate.
+const BULK_BURST: (f64, f64, f64) = (0.0, 0.1, 20.0);
 
-/// Size of the bulk class's backlog at the start, in seconds of the usual rate of all classes.
-const BACKLOG_SECONDS: f64 = 2.0;
+/// Burst of the urgent class, as shares of the run and times the usual rate.
+const URGENT_BURST: (f64, f64, f64) = (0.2, 0.35, 6.0);
 
 /// The command's arguments.
 pub fn command() -> Command {
@@ -252,7 +252,12 @@
 }
 
 fn plan(fleet: &Fleet, options: DemoOptions) -> TrafficPlan {
-    let (from, to, factor) = BURST;
+    let burst = |class, (from, to, factor): (f64, f64, f64)| TrafficBurst {
+        class,
+        from: options.length.mul_f64(from),
+        to: options.length.mul_f64(to),
+        factor,
+    };
     let pool = |kind| {
         let mut pools = fleet.file.pools.iter();
         let found = pools.find(|pool| pool.kind == kind);
@@ -265,16 +270,10 @@
         service: pool(PoolKind::Service),
         rate: options.rate,
         length: options.length,
-        backlog: Some(TrafficBacklog {
-            class: deployment::BULK_CLASS,
-            count: (options.rate * BACKLOG_SECONDS) as u64,
-        }),
-        burst: Some(TrafficBurst {
-            class: deployment::BURST_CLASS,
-            from: options.length.mul_f64(from),
-            to: options.length.mul_f64(to),
-            factor,
-        }),
+        bursts: vec![
+            burst(deployment::BULK_CLASS, BULK_BURST),
+            burst(deployment::URGENT_CLASS, URGENT_BURST),
+        ],
     }
 }
 
--- a/cli/src/demo/deployment.rs
+++ b/cli/src/demo/deployment.rs
@@ -5,8 +5,8 @@
 
 use crate::traffic::{ClassTraffic, RequestShape, WorkspaceSource};
 
-/// Index of the class that bursts.
-pub const BURST_CLASS: usize = 0;
+/// Index of the urgent class that bursts.
+pub const URGENT_CLASS: usize = 0;
 
 /// Index of the bulk class that has a backlog at the start.
 pub const BULK_CLASS: usize = 4;
--- a/cli/src/load.rs
+++ b/cli/src/load.rs
@@ -207,8 +207,7 @@
         service,
         rate,
         length: Duration::from_secs(seconds),
-        backlog: None,
-        burst: None,
+        bursts: Vec::new(),
     })
 }
 
--- a/cli/src/traffic.rs
+++ b/cli/src/traffic.rs
@@ -69,19 +69,8 @@
     pub rate: f64,
     /// How long requests arrive.
     pub length: Duration,
-    /// Requests that arrive all at once at the start.
-    pub backlog: Option<TrafficBacklog>,
     /// More requests of one class for a while.
-    pub burst: Option<TrafficBurst>,
-}
-
-/// Requests that arrive all at once at the start.
-#[derive(Clone, Copy, Debug)]
-pub struct TrafficBacklog {
-    /// Index of the class.
-    pub class: usize,
-    /// How many.
-    pub count: u64,
+    pub bursts: Vec<TrafficBurst>,
 }
 
 /// More requests of one class for a while.
@@ -150,13 +139,11 @@
     }
 
     fn weight(&self, index: usize) -> f64 {
-        let usual = self.plan.classes[index].share;
-        match &self.plan.burst {
-            Some(burst) if burst.class == index && (burst.from..burst.to).contains(&self.at) => {
-                usual * burst.factor
-            }
-            _ => usual,
-        }
+        let bursts = self.plan.bursts.iter();
+        let now = bursts
+            .filter(|burst| burst.class == index && (burst.from..burst.to).contains(&self.at));
+        let factor: f64 = now.map(|burst| burst.factor).product();
+        self.plan.classes[index].share * factor
     }
 }
 
@@ -165,10 +152,7 @@
 
     fn next(&mut self) -> Option<TrafficArrival> {
         self.number += 1;
-        let class = match self.plan.backlog {
-            Some(backlog) if self.number <= backlog.count => backlog.class,
-            _ => self.advance(),
-        };
+        let class = self.advance();
         if self.at >= self.plan.length {
             return None;
         }
