--- a/kernel/tests/ownership.rs
+++ b/kernel/tests/ownership.rs
@@ -25,6 +25,7 @@
         address: "127.0.0.1:9".into(),
         slots: 50,
         checks_fencing: true,
+        also: Vec::new(),
     };
     let file = ConfigFile {
         pools: vec![PoolSpec {
