--- a/kernel/src/dispatch/admission.rs
+++ b/kernel/src/dispatch/admission.rs
@@ -1,5 +1,6 @@
 //! Admission: says early what cannot be met, the lowest tier first.
 
+use std::ops::Bound;
 use std::time::Duration;
 
 use crate::call::{RefusalReason, Tier};
@@ -51,6 +52,7 @@
             None if self.waiting_to(tier) < self.free_slots() => return None,
             None => return self.late(tier),
             Some(slack) if slack > LONG_SLACK || !self.settings.early_refusal => return None,
+            Some(_) if self.lower_can_give(tier) => return None,
             Some(slack) => self.wait(held)? > slack.mul_f64(DOUBT),
         };
         late.then(|| self.refusal(RefusalReason::Overloaded, tier))
@@ -59,16 +61,17 @@
     /// The refusal of work that is late, unless a lower tier holds slots beyond its floor: then the
     /// lower tier gives way first, and the work runs late.
     fn late(&self, tier: Tier) -> Option<Refusal> {
-        let slots = self.slots();
-        let spare = self
-            .tiers
-            .range(tier..)
-            .skip_while(|(lower, _)| **lower == tier)
-            .any(|(_, state)| state.above_floor(slots) > 0);
-        let refusable = slots == 0 || !spare;
+        let refusable = self.slots() == 0 || !self.lower_can_give(tier);
         refusable.then(|| self.refusal(RefusalReason::Deadline, tier))
     }
 
+    /// Whether a lower tier holds slots beyond its floor.
+    fn lower_can_give(&self, tier: Tier) -> bool {
+        let slots = self.slots();
+        let mut lower = self.tiers.range((Bound::Excluded(tier), Bound::Unbounded));
+        lower.any(|(_, state)| state.above_floor(slots) > 0)
+    }
+
     fn refusal(&self, reason: RefusalReason, tier: Tier) -> Refusal {
         let backlog: u64 = self.tiers.range(..=tier).map(|(_, t)| t.queue.cost()).sum();
         let wait = self.time_for(tier, backlog).unwrap_or(RETRY_AFTER.0);
--- a/kernel/src/dispatch/runs.rs
+++ b/kernel/src/dispatch/runs.rs
@@ -172,6 +172,10 @@
             held.passed += tokens;
             held.work.resume_from += tokens;
             held.requeues += 1;
+            if held.begun() {
+                // Its caller waits for the next token now.
+                held.deadline = now;
+            }
             held.cost = self.remaining_cost(held);
             return RunEnd::Requeued;
         }
--- a/kernel/tests/dispatch/world.rs
+++ b/kernel/tests/dispatch/world.rs
@@ -31,6 +31,8 @@
     pub stops: Vec<AttemptId>,
     /// Every message to another node, in order.
     pub messages: Vec<(NodeId, WorkMessage)>,
+    /// Every action, a line each.
+    pub log: Vec<String>,
     sequence: u64,
 }
 
@@ -114,6 +116,7 @@
             runs: BTreeMap::new(),
             stops: Vec::new(),
             messages: Vec::new(),
+            log: Vec::new(),
             sequence: 0,
         };
         world.tell(Event::ConfigApplied(config));
@@ -147,6 +150,7 @@
         let mut actions = Vec::new();
         self.kernel.handle(self.now, event, &mut actions);
         for action in actions {
+            self.note(&action);
             match action {
                 Action::StartAttempt(start) => {
                     let before = self.runs.insert(start.work.attempt, start);
@@ -163,6 +167,43 @@
         }
     }
 
+    /// Adds a line to the log.
+    pub fn note(&mut self, action: &Action) {
+        let number = |attempt: &AttemptId| attempt.call.sequence;
+        let line = match action {
+            Action::StartAttempt(start) => {
+                let spec = &start.work.spec;
+                let upstream = &self.config.upstreams[&start.upstream].spec.name;
+                let from = start.work.resume_from;
+                format!(
+                    "start {} (tier {}) on {upstream} from token {from}",
+                    number(&start.work.attempt),
+                    spec.tier
+                )
+            }
+            Action::CancelAttempt(attempt) => format!("stop {}", number(attempt)),
+            Action::Send {
+                message: Message::Work(message),
+                ..
+            } => match message {
+                WorkMessage::Started(attempt) => format!("tell started {}", number(attempt)),
+                WorkMessage::Returned {
+                    attempt, reason, ..
+                } => format!("tell returned {}: {reason:?}", number(attempt)),
+                WorkMessage::Ended { attempt, end, .. } => {
+                    format!("tell ended {}: {end:?}", number(attempt))
+                }
+                other => format!("tell {other:?}"),
+            },
+            _ => return,
+        };
+        let time = self
+            .now
+            .saturating_sub(Duration::from_secs(100))
+            .as_millis();
+        self.log.push(format!("{time:>6} ms  {line}"));
+    }
+
     pub fn pass(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
