--- a/cli/src/slopes/state.rs
+++ b/cli/src/slopes/state.rs
@@ -1,7 +1,7 @@
 //! State and time that one node's kernel spends on each engine, workspace, rule, queued call and
 //! configuration record.
 
-use std::sync::Arc;
+use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
 use monsoonbank_kernel::call::{CallSpec, LoadReport, Tier, WorkSpec};
@@ -53,25 +53,28 @@
     })
 }
 
-/// Runs `work`, which makes `count` of something, on a thread of its own: the allocator then takes
-/// fresh memory for it and what earlier samples freed hides nothing. What `work` gives back is kept
-/// while the memory is read, and the thread ends with it.
+/// Runs `work`, which makes `count` of something, on a thread of its own that stays until the
+/// process ends. The allocator then takes fresh memory for every sample: nothing that an earlier
+/// one freed hides what this one takes.
 fn sample<T: Send + 'static>(
     item: &str,
     count: usize,
     work: impl FnOnce() -> T + Send + 'static,
 ) -> StateSample {
-    let measured = move || {
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || {
         let before = meter::resident_bytes();
         let started = Instant::now();
         let held = work();
         let spent = started.elapsed();
         let bytes = meter::resident_bytes().saturating_sub(before);
-        // Kept for good, so that the next thread's memory is fresh as well.
-        std::mem::forget(held);
-        (bytes, spent)
-    };
-    let (bytes, spent) = std::thread::spawn(measured).join().unwrap_or_default();
+        let told = sender.send((bytes, spent));
+        while told.is_ok() {
+            std::thread::park();
+        }
+        drop(held);
+    });
+    let (bytes, spent) = receiver.recv().unwrap_or_default();
     StateSample {
         item: item.into(),
         count,
@@ -86,6 +89,7 @@
         engines(10_000 * scale / 100),
         workspaces(5_400 * scale / 100),
         rules(5_400 * scale / 100),
+        classifications(5_400 * scale / 100),
         queued_calls(10_000 * scale / 100),
         records(14_000 * scale / 100),
         reports(10_000 * scale / 100),
@@ -145,26 +149,38 @@
     }
 }
 
-/// Rules in force; the time is that of classifying one request that only the last rule matches,
-/// over the number of rules.
+/// Rules in force.
 fn rules(count: usize) -> StateSample {
+    let file = rule_file(count);
+    sample("rule", count, move || Config::from_file(1, &file))
+}
+
+fn rule_file(count: usize) -> ConfigFile {
     let mut file = base_file();
     file.rules = (0..count).map(rule).collect();
-    let config = Config::from_file(1, &file);
-    let mut sample = sample("rule", count, move || Config::from_file(1, &file));
-    let name = format!("workspace-{}", count - 1);
+    file
+}
+
+/// Requests classified by `rules` rules of which only the last matches.
+fn classifications(rules: usize) -> StateSample {
+    let config = Config::from_file(1, &rule_file(rules));
+    let name = format!("workspace-{}", rules - 1);
     let facts = RequestFacts {
         workspace: &name,
         model: "model",
         ..RequestFacts::default()
     };
+    let requests = 0..1_000;
     let started = Instant::now();
-    let found = (0..100)
-        .filter(|_| config.classify(&facts).is_some())
-        .count();
+    let found = requests.filter(|_| config.classify(&facts).is_some());
+    let count = found.count();
     let spent = started.elapsed().as_secs_f64() * 1e6;
-    sample.microseconds_each = spent / (found.max(1) * count) as f64;
-    sample
+    StateSample {
+        item: format!("request classified by {rules} rules").into(),
+        count,
+        bytes_each: 0.0,
+        microseconds_each: spent / count.max(1) as f64,
+    }
 }
 
 fn base_file() -> ConfigFile {
@@ -248,6 +264,9 @@
             kernel.handle(NOW, Event::LogRead { records, end }, &mut actions);
             actions.clear();
         }
+        let dump = kernel.dump(Some("configuration"))["configuration"].take();
+        let refused = dump["refused"].as_array().map(Vec::len);
+        assert_eq!((&dump["next_offset"], refused), (&count.into(), Some(0)));
         (kernel, records)
     })
 }
