--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -90,8 +90,9 @@
         let Ok(caller) = intake::identify(&self.shared, request) else {
             return Vec::new();
         };
-        let now = self.shared.now();
-        let mint = || self.shared.mint.mint(caller.workspace, now);
-        (0..wanted.min(MAX_KEYS)).map(|_| mint()).collect()
+        let wanted = 0..wanted.min(MAX_KEYS);
+        wanted
+            .map_while(|_| self.shared.fresh_key(caller.workspace))
+            .collect()
     }
 }
--- a/daemon/src/services.rs
+++ b/daemon/src/services.rs
@@ -57,8 +57,7 @@
         let class = caller.config.classes.get(&found.class).cloned();
         let key = text_header(request, KEY_HEADER);
         if class.as_ref().is_some_and(|class| !class.repeatable) && key.is_none() {
-            let key = self.shared.mint.mint(caller.workspace, self.shared.now());
-            return Err(key_required(key));
+            return Err(key_required(self.shared.fresh_key(caller.workspace)));
         }
         let parts = request_parts(request, path, key, body);
         let answer = intake::open(&self.shared, &caller, found, &shape, parts)?;
@@ -137,7 +136,15 @@
     request.headers().get(name)?.to_str().ok().map(Into::into)
 }
 
-fn key_required(key: Box<str>) -> CallerError {
+/// The answer to a call that needs a key; `fresh` is one to use, unless this node leaves.
+fn key_required(fresh: Option<Box<str>>) -> CallerError {
+    let Some(key) = fresh else {
+        return CallerError::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "leaving",
+            "this node is stopping; ask another for an Idempotency-Key",
+        );
+    };
     let error = CallerError::not_run(
         StatusCode::PRECONDITION_REQUIRED,
         "key_required",
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -9,9 +9,9 @@
 use monsoonbank_kernel::clock::Clock;
 use monsoonbank_kernel::config::Config;
 use monsoonbank_kernel::event::Event;
-use monsoonbank_kernel::ids::{AttemptId, CallId, NodeId, UpstreamId};
+use monsoonbank_kernel::ids::{AttemptId, CallId, NodeId, UpstreamId, WorkspaceId};
 use monsoonbank_kernel::keys::KeyMint;
-use monsoonbank_kernel::membership::MemberView;
+use monsoonbank_kernel::membership::{MemberView, NodeState};
 use monsoonbank_kernel::ownership::OwnerMap;
 use monsoonbank_kernel::plugin::{GaugeSample, NodeProfile};
 use serde_json::Value;
@@ -81,8 +81,7 @@
     pub clock: Box<dyn Clock>,
     /// The entry's open calls.
     pub calls: CallTable,
-    /// Mints idempotency keys.
-    pub mint: KeyMint,
+    mint: KeyMint,
     /// Operators' changes of configuration.
     pub changes: ChangeTable,
     /// Links to other nodes.
@@ -274,6 +273,14 @@
         read(&self.members)
     }
 
+    /// A fresh idempotency key; none while this node leaves, since nobody else could run it.
+    pub fn fresh_key(&self, workspace: WorkspaceId) -> Option<Box<str>> {
+        let members = self.members();
+        let own = members.members.get(&self.profile.node);
+        let leaving = own.is_some_and(|member| member.state == NodeState::Leaving);
+        (!leaving).then(|| self.mint.mint(workspace, self.now()))
+    }
+
     /// Upstreams that this node owns.
     pub fn owned(&self) -> Vec<UpstreamId> {
         let owners = read(&self.owners);
--- a/daemon/tests/keys.rs
+++ b/daemon/tests/keys.rs
@@ -144,3 +144,21 @@
         .await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_node_mints_no_keys() {
+    let fleet = TestFleet::start(2, 1).await;
+    assert_eq!(fleet.keys(0, 3).await.len(), 3);
+    fleet.nodes[0].drain();
+    let mut keys = fleet.keys(0, 3).await;
+    for _ in 0..200 {
+        if keys.is_empty() {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        keys = fleet.keys(0, 3).await;
+    }
+    assert_eq!(keys, Vec::<String>::new());
+    let response = fleet.post(0, "/services/gate/lockers/7", &json!({})).await;
+    assert_eq!(response.status().as_u16(), 503);
+}
