Check scenario files too; split the owner's replies and the whole answers off

Change: scenario files are told apart and checked; dispatch/replies.rs has what an owner tells entries, message.rs puts a completion's pieces together.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -7,7 +7,7 @@
 mod policy;
 mod report;
 mod run;
-mod scenario;
+pub mod scenario;
 mod traffic;
 
 use std::path::{Path, PathBuf};
--- a/cli/src/bench/scenario.rs
+++ b/cli/src/bench/scenario.rs
@@ -206,17 +206,22 @@
             file: file.clone(),
             source,
         })?;
-        let deserializer = serde_yaml_ng::Deserializer::from_str(&text);
+        Self::parse(&file, &text)
+    }
+
+    /// Parses and checks the text of the scenario file called `file`.
+    pub fn parse(file: &str, text: &str) -> Result<Self, BenchError> {
+        let deserializer = serde_yaml_ng::Deserializer::from_str(text);
         let scenario: Self =
             serde_path_to_error::deserialize(deserializer).map_err(|source| BenchError::Field {
-                file: file.clone(),
+                file: file.into(),
                 field: source.path().to_string().into(),
                 reason: source.inner().to_string().into(),
             })?;
         scenario
             .check()
             .map_err(|(field, reason)| BenchError::Field {
-                file,
+                file: file.into(),
                 field: field.into(),
                 reason,
             })?;
--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::arguments::{self, OutputFormat};
+use crate::bench::scenario::ScenarioFile;
 use crate::error::CliError;
 use crate::exit_codes::ExitCode;
 
@@ -29,7 +30,7 @@
 /// The command's arguments.
 pub fn command() -> Command {
     Command::new("check")
-        .about("Checks configuration and settings files without a node")
+        .about("Checks configuration, settings and scenario files without a node")
         .long_about(LONG_ABOUT)
         .arg(
             Arg::new("paths")
@@ -101,6 +102,23 @@
     file.text.lines().any(|line| line.starts_with("listen:"))
 }
 
+fn is_scenario(file: &TextFile) -> bool {
+    file.text.lines().any(|line| line.starts_with("engines:"))
+}
+
+/// What is wrong with settings files and scenario files.
+fn wrong_files(settings: &[TextFile], scenarios: &[TextFile]) -> Vec<String> {
+    let settings = settings
+        .iter()
+        .filter_map(|file| Settings::parse(&file.name, &file.text).err())
+        .map(|error| error.to_string());
+    let scenarios = scenarios
+        .iter()
+        .filter_map(|file| ScenarioFile::parse(&file.name, &file.text).err())
+        .map(|error| error.to_string());
+    settings.chain(scenarios).collect()
+}
+
 fn fault_text(fault: &FileFault) -> serde_json::Value {
     json!({
         "file": fault.file,
@@ -114,8 +132,10 @@
 /// Runs the command.
 pub fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     let paths = matches.get_many::<PathBuf>("paths").into_iter().flatten();
-    let (settings, configs): (Vec<TextFile>, Vec<TextFile>) =
+    let (settings, others): (Vec<TextFile>, Vec<TextFile>) =
         read_files(paths)?.into_iter().partition(is_settings);
+    let (scenarios, configs): (Vec<TextFile>, Vec<TextFile>) =
+        others.into_iter().partition(is_scenario);
     let texts: Vec<(&str, &str)> = configs
         .iter()
         .map(|file| (&*file.name, file.text.as_str()))
@@ -125,11 +145,7 @@
     } else {
         check_texts(&texts).err().unwrap_or_default()
     };
-    let wrong: Vec<String> = settings
-        .iter()
-        .filter_map(|file| Settings::parse(&file.name, &file.text).err())
-        .map(|error| error.to_string())
-        .collect();
+    let wrong = wrong_files(&settings, &scenarios);
     let valid = faults.is_empty() && wrong.is_empty();
     match arguments::chosen_format(matches) {
         OutputFormat::Json => {
@@ -147,7 +163,10 @@
                 println!("{error}");
             }
             if valid {
-                println!("valid: {} files", texts.len() + settings.len());
+                println!(
+                    "valid: {} files",
+                    texts.len() + settings.len() + scenarios.len()
+                );
             }
         }
     }
--- a/cli/tests/tool/main.rs
+++ b/cli/tests/tool/main.rs
@@ -22,6 +22,12 @@
 golden!(check_valid, "check", TAUHERE);
 golden!(check_broken, "check", BROKEN);
 golden!(check_broken_json, "check", "--format", "json", BROKEN);
+golden!(check_scenarios, "check", "examples/scenarios");
+golden!(
+    check_broken_scenario,
+    "check",
+    "cli/tests/tool/broken-scenario.yaml"
+);
 golden!(check_nothing, "check", "cli/tests");
 golden!(
     explain_tag,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod frame;
 pub mod intake;
 pub mod links;
+pub mod message;
 pub mod node;
 pub mod operators;
 pub mod orders;
--- /dev/null
+++ b/daemon/src/message.rs
@@ -0,0 +1,90 @@
+//! A completion's pieces, put together for a caller that wants its answer whole.
+
+use serde_json::{Value, json};
+
+use crate::completions::{AnswerFrame, CompletionKind};
+use crate::frame::Chunk;
+
+/// Puts the pieces of an answer together for a caller that wants it whole.
+#[derive(Debug, Default)]
+pub struct WholeMessage {
+    text: String,
+    tool_calls: Vec<Value>,
+    finish_reason: Value,
+    usage: Option<Value>,
+}
+
+impl WholeMessage {
+    /// Takes in the next piece.
+    pub fn add(&mut self, chunk: &Chunk) {
+        match chunk {
+            Chunk::Choices { json, .. } => self.add_choice(json),
+            Chunk::Usage(json) => self.usage = serde_json::from_str(json).ok(),
+            Chunk::Head { .. } | Chunk::Data(_) => {}
+        }
+    }
+
+    fn add_choice(&mut self, json: &str) {
+        let Ok(choices) = serde_json::from_str::<Value>(json) else {
+            return;
+        };
+        let Some(choice) = choices.get(0) else {
+            return;
+        };
+        let delta = choice.get("delta");
+        let text = choice
+            .get("text")
+            .or_else(|| delta.and_then(|delta| delta.get("content")));
+        self.text
+            .push_str(text.and_then(Value::as_str).unwrap_or_default());
+        let calls = delta
+            .and_then(|delta| delta.get("tool_calls"))
+            .and_then(Value::as_array);
+        for call in calls.into_iter().flatten() {
+            self.add_tool_call(call);
+        }
+        if let Some(reason) = choice
+            .get("finish_reason")
+            .filter(|reason| !reason.is_null())
+        {
+            self.finish_reason = reason.clone();
+        }
+    }
+
+    /// Tool calls come in pieces, too: the arguments of one index belong together.
+    fn add_tool_call(&mut self, piece: &Value) {
+        let index = piece
+            .get("index")
+            .and_then(Value::as_u64)
+            .unwrap_or_default() as usize;
+        let Some(known) = self.tool_calls.get_mut(index) else {
+            self.tool_calls.push(piece.clone());
+            return;
+        };
+        let more = piece.pointer("/function/arguments").and_then(Value::as_str);
+        if let (Some(more), Some(arguments)) = (more, known.pointer_mut("/function/arguments")) {
+            *arguments = format!("{}{more}", arguments.as_str().unwrap_or_default()).into();
+        }
+    }
+
+    /// The whole answer.
+    pub fn finish(self, frame: &AnswerFrame) -> Value {
+        let choice = match frame.kind {
+            CompletionKind::Text => json!({
+                "index": 0, "text": self.text, "finish_reason": self.finish_reason,
+                "logprobs": Value::Null,
+            }),
+            CompletionKind::Chat => {
+                let mut message = json!({ "role": "assistant", "content": self.text });
+                if !self.tool_calls.is_empty() {
+                    message["tool_calls"] = Value::Array(self.tool_calls);
+                }
+                json!({ "index": 0, "message": message, "finish_reason": self.finish_reason })
+            }
+        };
+        json!({
+            "id": frame.id, "object": frame.kind.object(false), "created": frame.created,
+            "model": frame.model, "choices": [choice], "usage": self.usage,
+        })
+    }
+}
--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -13,6 +13,7 @@
 pub mod past;
 pub mod pool;
 pub mod preemption;
+pub mod replies;
 pub mod runs;
 pub mod state;
 pub mod tier;
@@ -223,81 +224,6 @@
         Some(held)
     }
 
-    fn load(&self, pool: PoolId) -> LoadSummary {
-        self.pools
-            .get(&pool)
-            .map(PoolState::summary)
-            .unwrap_or_default()
-    }
-
-    fn answer_returned(
-        &mut self,
-        entry: NodeId,
-        work: &WorkSpec,
-        reason: ReturnReason,
-        context: &mut Context<'_>,
-    ) {
-        let pool = work.spec.pool;
-        let load = self.load(pool);
-        self.news.told(context.now, pool, entry, load);
-        let attempt = work.attempt;
-        context.send(
-            entry,
-            WorkMessage::Returned {
-                attempt,
-                reason,
-                load,
-            },
-        );
-    }
-
-    /// Answers an offer that was never taken in.
-    fn give_back(
-        &mut self,
-        entry: NodeId,
-        work: WorkSpec,
-        reason: ReturnReason,
-        context: &mut Context<'_>,
-    ) {
-        self.past.add(context.now, work.attempt);
-        self.answer_returned(entry, &work, reason, context);
-    }
-
-    fn answer_ended(&mut self, held: &HeldWork, end: AttemptEnd, context: &mut Context<'_>) {
-        let pool = held.work.spec.pool;
-        let load = self.load(pool);
-        self.news.told(context.now, pool, held.entry, load);
-        let attempt = held.work.attempt;
-        context.send(held.entry, WorkMessage::Ended { attempt, end, load });
-    }
-
-    /// Gives all waiting work of a pool back to the nodes that it came from.
-    fn hand_back(&mut self, pool: PoolId, reason: ReturnReason, context: &mut Context<'_>) {
-        let waiting: Vec<WorkKey> = self
-            .arena
-            .iter()
-            .filter(|(_, held)| held.work.spec.pool == pool && held.run.is_none())
-            .map(|(key, _)| key)
-            .collect();
-        for key in waiting {
-            self.withdraw(key);
-            let Some(held) = self.drop_work(key, context.now) else {
-                continue;
-            };
-            self.answer_waiting(&held, reason, context);
-        }
-    }
-
-    /// Answers for work that waited, as not run only if no earlier run of it can have begun.
-    fn answer_waiting(&mut self, held: &HeldWork, reason: ReturnReason, context: &mut Context<'_>) {
-        if held.ran || held.passed > 0 {
-            let tokens = held.passed;
-            self.answer_ended(held, AttemptEnd::Cancelled { tokens }, context);
-        } else {
-            self.answer_returned(held.entry, &held.work, reason, context);
-        }
-    }
-
     fn withdraw(&mut self, key: WorkKey) {
         let held = &self.arena[key];
         if let Some(state) = self.pools.get_mut(&held.work.spec.pool) {
@@ -382,13 +308,6 @@
         }
     }
 
-    /// Tells an entry that heard nothing for long which of its attempts are held here.
-    fn asked(&self, from: NodeId, attempts: &[AttemptId], context: &mut Context<'_>) {
-        let holds = |attempt: &AttemptId| self.attempts.contains_key(attempt);
-        let (held, missing) = attempts.iter().copied().partition(holds);
-        context.send(from, WorkMessage::Held { held, missing });
-    }
-
     /// Drops waiting work, or asks a run to stop for good.
     fn abandon(&mut self, key: WorkKey, context: &mut Context<'_>) {
         let held = &self.arena[key];
--- /dev/null
+++ b/kernel/src/dispatch/replies.rs
@@ -0,0 +1,108 @@
+//! What the owner tells entry nodes of their work: given back, over, or still held.
+
+use crate::call::{AttemptEnd, LoadSummary, ReturnReason, WorkSpec};
+use crate::dispatch::WorkDispatcher;
+use crate::dispatch::held::{HeldWork, WorkKey};
+use crate::dispatch::pool::PoolState;
+use crate::ids::{AttemptId, NodeId, PoolId};
+use crate::plugin::Context;
+use crate::wire::WorkMessage;
+
+impl WorkDispatcher {
+    pub(super) fn load(&self, pool: PoolId) -> LoadSummary {
+        self.pools
+            .get(&pool)
+            .map(PoolState::summary)
+            .unwrap_or_default()
+    }
+
+    pub(super) fn answer_returned(
+        &mut self,
+        entry: NodeId,
+        work: &WorkSpec,
+        reason: ReturnReason,
+        context: &mut Context<'_>,
+    ) {
+        let pool = work.spec.pool;
+        let load = self.load(pool);
+        self.news.told(context.now, pool, entry, load);
+        let attempt = work.attempt;
+        context.send(
+            entry,
+            WorkMessage::Returned {
+                attempt,
+                reason,
+                load,
+            },
+        );
+    }
+
+    /// Answers an offer that was never taken in.
+    pub(super) fn give_back(
+        &mut self,
+        entry: NodeId,
+        work: WorkSpec,
+        reason: ReturnReason,
+        context: &mut Context<'_>,
+    ) {
+        self.past.add(context.now, work.attempt);
+        self.answer_returned(entry, &work, reason, context);
+    }
+
+    pub(super) fn answer_ended(
+        &mut self,
+        held: &HeldWork,
+        end: AttemptEnd,
+        context: &mut Context<'_>,
+    ) {
+        let pool = held.work.spec.pool;
+        let load = self.load(pool);
+        self.news.told(context.now, pool, held.entry, load);
+        let attempt = held.work.attempt;
+        context.send(held.entry, WorkMessage::Ended { attempt, end, load });
+    }
+
+    /// Gives all waiting work of a pool back to the nodes that it came from.
+    pub(super) fn hand_back(
+        &mut self,
+        pool: PoolId,
+        reason: ReturnReason,
+        context: &mut Context<'_>,
+    ) {
+        let waiting: Vec<WorkKey> = self
+            .arena
+            .iter()
+            .filter(|(_, held)| held.work.spec.pool == pool && held.run.is_none())
+            .map(|(key, _)| key)
+            .collect();
+        for key in waiting {
+            self.withdraw(key);
+            let Some(held) = self.drop_work(key, context.now) else {
+                continue;
+            };
+            self.answer_waiting(&held, reason, context);
+        }
+    }
+
+    /// Answers for work that waited, as not run only if no earlier run of it can have begun.
+    pub(super) fn answer_waiting(
+        &mut self,
+        held: &HeldWork,
+        reason: ReturnReason,
+        context: &mut Context<'_>,
+    ) {
+        if held.ran || held.passed > 0 {
+            let tokens = held.passed;
+            self.answer_ended(held, AttemptEnd::Cancelled { tokens }, context);
+        } else {
+            self.answer_returned(held.entry, &held.work, reason, context);
+        }
+    }
+
+    /// Tells an entry that heard nothing for long which of its attempts are held here.
+    pub(super) fn asked(&self, from: NodeId, attempts: &[AttemptId], context: &mut Context<'_>) {
+        let holds = |attempt: &AttemptId| self.attempts.contains_key(attempt);
+        let (held, missing) = attempts.iter().copied().partition(holds);
+        context.send(from, WorkMessage::Held { held, missing });
+    }
+}
