Measure publishing, lost nodes and control traffic of whole fleets

The promises about configuration and lost nodes had tests, but no command told how long they take with real sockets. `monsoon bench fleet` starts nodes and stand-ins as tasks of one process and looks at the configuration, members and owners that each node has in force, every 2 ms. The fleet can now start one more node, and a node's shared state tells the owners it sees.

The kill closes the node's sockets, as the end of a process does; a host that falls silent was not measured.

--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -1,11 +1,11 @@
 //! `monsoon demo`: a whole fleet in one process, with traffic, faults and a report.
 
 mod audit;
-mod callers;
-mod deployment;
-mod fleet;
+pub mod callers;
+pub mod deployment;
+pub mod fleet;
 mod incidents;
-mod report;
+pub mod report;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/cli/src/demo/fleet.rs
+++ b/cli/src/demo/fleet.rs
@@ -152,6 +152,22 @@
         Ok(())
     }
 
+    /// Starts one more node and adds it to the host list.
+    pub async fn start_node(&self, name: &str, zone: &str) -> Result<FleetNode, CliError> {
+        let settings = settings(name, zone, &self.log, &self.hosts);
+        let listeners = NodeListeners::bind(&settings).await?;
+        let row = node_row(&settings, &listeners)?;
+        let handle = node::start_with(settings, listeners)?;
+        let mut rows = self.hosts.rows();
+        rows.push(row);
+        self.hosts.set_rows(rows);
+        Ok(FleetNode {
+            name: name.into(),
+            zone: zone.into(),
+            handle,
+        })
+    }
+
     /// Stops everything.
     pub async fn stop(self) {
         for node in &self.nodes {
@@ -208,15 +224,7 @@
         let zone = &zones[index % zones.len()];
         let settings = settings(&format!("node-{}", index + 1), zone, log, hosts);
         let listeners = NodeListeners::bind(&settings).await?;
-        let [callers, peers, _] = listeners.addresses().map_err(CliError::Standin)?;
-        rows.push(HostRow {
-            name: settings.name.clone(),
-            zone: zone.clone(),
-            role: HostRole::Node,
-            peer_address: peers.to_string().into(),
-            caller_address: callers.to_string().into(),
-            leaving: false,
-        });
+        rows.push(node_row(&settings, &listeners)?);
         bound.push((settings, listeners));
     }
     hosts.set_rows(rows);
@@ -231,6 +239,18 @@
     Ok(nodes)
 }
 
+fn node_row(settings: &Settings, listeners: &NodeListeners) -> Result<HostRow, CliError> {
+    let [callers, peers, _] = listeners.addresses().map_err(CliError::Standin)?;
+    Ok(HostRow {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        role: HostRole::Node,
+        peer_address: peers.to_string().into(),
+        caller_address: callers.to_string().into(),
+        leaving: false,
+    })
+}
+
 fn zones(file: &ConfigFile) -> Vec<Box<str>> {
     let mut zones: Vec<Box<str>> = file
         .upstreams
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -57,6 +57,20 @@
         /// The node.
         node: Box<str>,
     },
+    /// A node of a measured fleet does not show what it should.
+    #[error("{node}: does not show {what} in time")]
+    NotShown {
+        /// The node.
+        node: Box<str>,
+        /// What it should show.
+        what: &'static str,
+    },
+    /// A change of configuration was not accepted.
+    #[error("a change was not accepted: {told}")]
+    NotAccepted {
+        /// The node's answer.
+        told: Box<str>,
+    },
     /// The HTTP client cannot be made.
     #[error("cannot make the HTTP client: {0}")]
     Client(reqwest::Error),
--- /dev/null
+++ b/cli/src/fleet.rs
@@ -0,0 +1,170 @@
+//! `monsoon bench fleet`: what whole fleets of nodes do, measured on loopback sockets.
+
+use std::fs;
+use std::time::Duration;
+
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::arguments::{self, OutputFormat};
+use crate::demo::deployment::Deployment;
+use crate::demo::fleet::{Fleet, UpstreamSpeed};
+use crate::error::CliError;
+use crate::exit_codes::ExitCode;
+
+mod control;
+mod loss;
+mod publish;
+mod quantiles;
+mod report;
+mod views;
+
+use report::FleetReport;
+
+const PARTS: [&str; 3] = ["publish", "loss", "control"];
+
+/// Speed of the stand-ins, as in the demonstration.
+const SPEED: UpstreamSpeed = UpstreamSpeed {
+    step: Duration::from_millis(20),
+    work: Duration::from_millis(10),
+};
+
+/// The command.
+pub fn command() -> Command {
+    Command::new("fleet")
+        .about("Measure what whole fleets of nodes do, on loopback sockets")
+        .long_about(
+            "Measure what whole fleets of nodes do. Nodes and stand-ins for the platform and the \
+             upstreams run as tasks of this process with sockets of their own.",
+        )
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_name("NAME")
+                .action(ArgAction::Append)
+                .value_delimiter(',')
+                .value_parser(PossibleValuesParser::new(PARTS))
+                .help("The measurements to make; may be given again [default: all]"),
+        )
+        .arg(count("nodes", "9", "Nodes, but for `control`"))
+        .arg(count(
+            "publishes",
+            "200",
+            "Changes published for each state of the log",
+        ))
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("STATE")
+                .value_delimiter(',')
+                .default_value("healthy,slow,down")
+                .value_parser(PossibleValuesParser::new(["healthy", "slow", "down"]))
+                .help("States of the log for `publish`"),
+        )
+        .arg(count("kills", "10", "Nodes killed, one after another"))
+        .arg(
+            Arg::new("sizes")
+                .long("sizes")
+                .value_name("NODES")
+                .value_delimiter(',')
+                .default_value("9,20,40,80")
+                .value_parser(value_parser!(u64).range(2..=160))
+                .help("Fleet sizes for `control`"),
+        )
+        .arg(count(
+            "seconds",
+            "20",
+            "Length of a window of `control`, in seconds",
+        ))
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .value_name("FILE")
+                .help("Writes the results to this file, as JSON; keeps what it has of others"),
+        )
+        .arg(arguments::format())
+}
+
+fn count(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .help(help)
+        .default_value(default)
+        .value_parser(value_parser!(u64).range(1..=3600))
+}
+
+/// What was asked for.
+struct FleetOptions {
+    nodes: u64,
+    publishes: u64,
+    logs: Vec<String>,
+    kills: u64,
+    sizes: Vec<u64>,
+    length: Duration,
+}
+
+impl FleetOptions {
+    fn read(matches: &ArgMatches) -> Self {
+        let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+        let logs = matches.get_many::<String>("logs").into_iter().flatten();
+        let sizes = matches.get_many::<u64>("sizes").into_iter().flatten();
+        Self {
+            nodes: number("nodes"),
+            publishes: number("publishes"),
+            logs: logs.cloned().collect(),
+            kills: number("kills"),
+            sizes: sizes.copied().collect(),
+            length: Duration::from_secs(number("seconds")),
+        }
+    }
+}
+
+/// Runs the command.
+pub async fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let options = FleetOptions::read(matches);
+    let wanted = |part: &str| {
+        let only = matches.get_many::<String>("only");
+        only.is_none_or(|mut names| names.any(|name| name == part))
+    };
+    let mut report = FleetReport::default();
+    if wanted("publish") {
+        report.publish = publish::measure(&options).await?;
+    }
+    if wanted("loss") {
+        report.loss = Some(loss::measure(&options).await?);
+    }
+    if wanted("control") {
+        report.control = Some(control::measure(&options).await?);
+    }
+    match arguments::chosen_format(matches) {
+        OutputFormat::Json => println!("{:#}", serde_json::json!(report)),
+        OutputFormat::Text => report.print(),
+    }
+    if let Some(file) = matches.get_one::<String>("output") {
+        write(file, report)?;
+    }
+    Ok(ExitCode::Success)
+}
+
+fn write(file: &str, report: FleetReport) -> Result<(), CliError> {
+    let failed = |source| CliError::File {
+        file: file.into(),
+        source,
+    };
+    let kept = match fs::read_to_string(file) {
+        Ok(text) => serde_json::from_str(&text).map_err(|error| failed(error.into()))?,
+        Err(_) => FleetReport::default(),
+    };
+    let text = format!("{:#}\n", serde_json::json!(report.or(kept)));
+    fs::write(file, text).map_err(failed)
+}
+
+async fn start(nodes: u64) -> Result<Fleet, CliError> {
+    let file = serde_yaml_ng::from_str(Deployment::Bengal.config_text());
+    let file = file.map_err(|error| CliError::Argument {
+        name: "--nodes",
+        reason: error.to_string().into(),
+    })?;
+    Fleet::start(file, nodes, SPEED).await
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod exit_codes;
 mod explain;
+mod fleet;
 mod load;
 mod order;
 mod publish;
@@ -63,6 +64,7 @@
         .args_conflicts_with_subcommands(true)
         .subcommand_negates_reqs(true)
         .subcommand(slopes::command())
+        .subcommand(fleet::command())
 }
 
 fn main() -> std::process::ExitCode {
@@ -92,15 +94,16 @@
         Some(("state", matches)) => state::run(matches).await,
         Some(("drain", matches)) => drain::run(matches).await,
         Some(("load", matches)) => load::run(matches).await,
-        Some(("bench", matches)) => bench(matches),
+        Some(("bench", matches)) => bench(matches).await,
         Some(("completions", matches)) => Ok(completions::run(matches, command())),
         _ => Ok(ExitCode::Failure),
     }
 }
 
-fn bench(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+async fn bench(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     match matches.subcommand() {
         Some(("slopes", matches)) => slopes::run(matches),
+        Some(("fleet", matches)) => fleet::run(matches).await,
         _ => Ok(bench::run(matches).map(|()| ExitCode::Success)?),
     }
 }
--- a/cli/src/slopes.rs
+++ b/cli/src/slopes.rs
@@ -12,10 +12,10 @@
 
 mod digest;
 mod failures;
-mod fit;
+pub mod fit;
 mod fleet;
 mod messages;
-mod meter;
+pub mod meter;
 mod owners;
 mod quiet;
 mod report;
--- a/cli/src/slopes/meter.rs
+++ b/cli/src/slopes/meter.rs
@@ -24,3 +24,16 @@
         .and_then(|word| word.parse().ok());
     pages.unwrap_or(0) * PAGE_BYTES
 }
+
+/// Processor time of the whole process so far, at the resolution of the system's clock ticks.
+pub fn process_time() -> Duration {
+    const TICK_MILLIS: u64 = 10;
+    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // The name, in parentheses, may hold spaces.
+    let rest = text.rsplit(") ").next().unwrap_or_default();
+    let field = |index| {
+        let word = rest.split_whitespace().nth(index);
+        word.and_then(|word| word.parse::<u64>().ok()).unwrap_or(0)
+    };
+    Duration::from_millis((field(11) + field(12)) * TICK_MILLIS)
+}
--- a/cli/tests/fleet/main.rs
+++ b/cli/tests/fleet/main.rs
@@ -98,3 +98,27 @@
     foreign_answer_is_crossed: "w7 w8 w9 w7 " => Crossed;
     half_a_token_is_crossed: "w1 w2 w3 w" => Crossed;
 }
+
+#[test]
+fn bench_fleet_publishes() {
+    let (code, report) = run_json(&[
+        "bench",
+        "fleet",
+        "--only",
+        "publish",
+        "--nodes",
+        "3",
+        "--publishes",
+        "2",
+        "--logs",
+        "healthy,down",
+        "--format",
+        "json",
+    ]);
+    assert_eq!(code, Some(0), "{report:#}");
+    let samples = report["publish"].as_array().expect("samples");
+    assert_eq!(samples.len(), 2, "{report:#}");
+    for sample in samples {
+        assert_eq!(sample["in_force_ms"]["count"], 2, "{report:#}");
+    }
+}
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -274,6 +274,11 @@
         read(&self.members)
     }
 
+    /// Which node owns which upstream, as this node sees it.
+    pub fn owners(&self) -> Arc<OwnerMap> {
+        read(&self.owners)
+    }
+
     /// Upstreams that this node owns.
     pub fn owned(&self) -> Vec<UpstreamId> {
         let owners = read(&self.owners);
