Measure rolling replacement, control under load and the way of streams

`monsoon bench fleet` now replaces all nodes in turn under load beside the same load without, counts control bytes under load as well, and compares the way of streams through one node and two with the direct one.

--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -5,23 +5,27 @@
 
 use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use monsoonbank_kernel::config::{ConfigFile, PoolKind};
 
 use crate::arguments::{self, OutputFormat};
-use crate::demo::deployment::Deployment;
+use crate::demo::deployment::{self, Deployment};
 use crate::demo::fleet::{Fleet, UpstreamSpeed};
 use crate::error::CliError;
 use crate::exit_codes::ExitCode;
+use crate::traffic::TrafficPlan;
 
 mod control;
 mod loss;
+mod path;
 mod publish;
 mod quantiles;
 mod report;
+mod rolling;
 mod views;
 
 use report::FleetReport;
 
-const PARTS: [&str; 3] = ["publish", "loss", "control"];
+const PARTS: [&str; 5] = ["publish", "loss", "rolling", "control", "path"];
 
 /// Speed of the stand-ins, as in the demonstration.
 const SPEED: UpstreamSpeed = UpstreamSpeed {
@@ -74,8 +78,9 @@
         .arg(count(
             "seconds",
             "20",
-            "Length of a window of `control`, in seconds",
+            "Length of a window of `control` and of a load, in seconds",
         ))
+        .arg(count("rate", "150", "Requests a second of a load"))
         .arg(
             Arg::new("output")
                 .long("output")
@@ -95,6 +100,7 @@
 }
 
 /// What was asked for.
+#[derive(Clone, Debug)]
 struct FleetOptions {
     nodes: u64,
     publishes: u64,
@@ -102,6 +108,7 @@
     kills: u64,
     sizes: Vec<u64>,
     length: Duration,
+    rate: f64,
 }
 
 impl FleetOptions {
@@ -116,6 +123,7 @@
             kills: number("kills"),
             sizes: sizes.copied().collect(),
             length: Duration::from_secs(number("seconds")),
+            rate: number("rate") as f64,
         }
     }
 }
@@ -134,9 +142,15 @@
     if wanted("loss") {
         report.loss = Some(loss::measure(&options).await?);
     }
+    if wanted("rolling") {
+        report.rolling = Some(rolling::measure(&options).await?);
+    }
     if wanted("control") {
         report.control = Some(control::measure(&options).await?);
     }
+    if wanted("path") {
+        report.path = Some(path::measure(&options).await?);
+    }
     match arguments::chosen_format(matches) {
         OutputFormat::Json => println!("{:#}", serde_json::json!(report)),
         OutputFormat::Text => report.print(),
@@ -161,10 +175,31 @@
 }
 
 async fn start(nodes: u64) -> Result<Fleet, CliError> {
+    Fleet::start(config()?, nodes, SPEED).await
+}
+
+fn config() -> Result<ConfigFile, CliError> {
     let file = serde_yaml_ng::from_str(Deployment::Bengal.config_text());
-    let file = file.map_err(|error| CliError::Argument {
+    file.map_err(|error| CliError::Argument {
         name: "--nodes",
         reason: error.to_string().into(),
-    })?;
-    Fleet::start(file, nodes, SPEED).await
+    })
+}
+
+/// The demonstration's traffic without bursts.
+fn plan(fleet: &Fleet, options: &FleetOptions) -> TrafficPlan {
+    let pool = |kind| {
+        let mut pools = fleet.file.pools.iter();
+        let found = pools.find(|pool| pool.kind == kind);
+        found.map_or_else(|| "".into(), |pool| pool.name.clone())
+    };
+    TrafficPlan {
+        classes: Deployment::Bengal.traffic(),
+        workspaces: deployment::sources(&fleet.file),
+        model: pool(PoolKind::Model),
+        service: pool(PoolKind::Service),
+        rate: options.rate,
+        length: options.length,
+        bursts: Vec::new(),
+    }
 }
--- a/cli/src/fleet/control.rs
+++ b/cli/src/fleet/control.rs
@@ -1,12 +1,16 @@
 //! Control traffic, processor time and memory of a node, by the size of the fleet.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use indicatif::ProgressBar;
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 
+use crate::demo::callers;
 use crate::demo::fleet::Fleet;
 use crate::error::CliError;
+use crate::exchange;
 use crate::fleet::{FleetOptions, views};
 use crate::slopes::fit::{GrowthFit, fits};
 use crate::slopes::meter;
@@ -14,6 +18,9 @@
 /// Time after the nodes have met until a window begins.
 const SETTLE: Duration = Duration::from_secs(5);
 
+/// Seed of the load.
+const SEED: u64 = 1;
+
 /// What was measured at one size.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ControlSample {
@@ -36,14 +43,22 @@
     pub seconds: f64,
     /// Without load, by size.
     pub idle: Vec<ControlSample>,
+    /// Requests a second of the load, over the whole fleet.
+    #[serde(default)]
+    pub rate: f64,
+    /// Under load, by size; the processor time and memory are those of callers and upstreams too.
+    #[serde(default)]
+    pub loaded: Vec<ControlSample>,
     /// Growth of bytes sent and received, best shape first.
     pub growth: Vec<GrowthFit>,
 }
 
 /// Measures each size.
 pub async fn measure(options: &FleetOptions) -> Result<ControlTable, CliError> {
+    let client = exchange::client().map_err(CliError::Client)?;
     let empty = meter::resident_bytes();
     let mut idle = Vec::new();
+    let mut loaded = Vec::new();
     for nodes in &options.sizes {
         let fleet = super::start(*nodes).await?;
         views::wait_for(&fleet.nodes, Instant::now(), "all nodes", |node| {
@@ -52,25 +67,53 @@
         .await?;
         sleep(SETTLE).await;
         idle.push(window(&fleet, options.length, empty).await);
+        let progress = ProgressBar::hidden();
+        let plan = super::plan(&fleet, options);
+        let traffic = callers::send_traffic(
+            &fleet,
+            &client,
+            plan,
+            SEED,
+            Instant::now(),
+            Arc::default(),
+            &progress,
+        );
+        let (_, sample) = tokio::join!(traffic, window(&fleet, options.length, empty));
+        loaded.push(sample);
         fleet.stop().await;
     }
-    let points = |value: fn(&ControlSample) -> f64| -> Vec<(usize, f64)> {
-        let samples = idle.iter();
-        samples
-            .map(|sample| (sample.nodes, value(sample)))
-            .collect()
-    };
-    let bytes = points(|sample| sample.sent_bytes + sample.received_bytes);
-    let core = points(|sample| sample.core_percent);
-    let mut growth = fits("control bytes/s a node, idle", &bytes);
-    growth.extend(fits("percent of a core a node, idle", &core));
+    let mut growth = fits(
+        "control bytes/s a node, idle",
+        &points(&idle, control_bytes),
+    );
+    growth.extend(fits(
+        "control bytes/s a node, loaded",
+        &points(&loaded, control_bytes),
+    ));
+    growth.extend(fits(
+        "percent of a core a node, idle",
+        &points(&idle, |sample| sample.core_percent),
+    ));
     Ok(ControlTable {
         seconds: options.length.as_secs_f64(),
         idle,
+        rate: options.rate,
+        loaded,
         growth,
     })
 }
 
+fn control_bytes(sample: &ControlSample) -> f64 {
+    sample.sent_bytes + sample.received_bytes
+}
+
+fn points(samples: &[ControlSample], value: fn(&ControlSample) -> f64) -> Vec<(usize, f64)> {
+    let samples = samples.iter();
+    samples
+        .map(|sample| (sample.nodes, value(sample)))
+        .collect()
+}
+
 async fn window(fleet: &Fleet, length: Duration, empty: u64) -> ControlSample {
     let (sent, received) = bytes(fleet);
     let time = meter::process_time();
--- a/cli/src/fleet/report.rs
+++ b/cli/src/fleet/report.rs
@@ -2,9 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::control::ControlTable;
+use crate::fleet::control::{ControlSample, ControlTable};
 use crate::fleet::loss::LossSample;
+use crate::fleet::path::PathTable;
 use crate::fleet::publish::PublishSample;
+use crate::fleet::rolling::{LoadRow, RollingSample};
 
 /// Everything that was measured.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -15,9 +17,15 @@
     /// Lost nodes.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub loss: Option<LossSample>,
+    /// All nodes replaced under load.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rolling: Option<RollingSample>,
     /// Control traffic.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub control: Option<ControlTable>,
+    /// The way of streams.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub path: Option<PathTable>,
 }
 
 impl FleetReport {
@@ -30,7 +38,9 @@
         Self {
             publish: self.publish,
             loss: self.loss.or(other.loss),
+            rolling: self.rolling.or(other.rolling),
             control: self.control.or(other.control),
+            path: self.path.or(other.path),
         }
     }
 
@@ -51,24 +61,89 @@
             println!("  given up by all   {}", loss.given_up_ms);
             println!("  owned again       {}", loss.owned_again_ms);
         }
+        if let Some(rolling) = &self.rolling {
+            print_rolling(rolling);
+        }
         if let Some(control) = &self.control {
             print_control(control);
         }
+        if let Some(path) = &self.path {
+            print_path(path);
+        }
+    }
+}
+
+fn print_rolling(sample: &RollingSample) {
+    println!(
+        "{} nodes replaced in turn, {} requests/s for {} s:",
+        sample.nodes, sample.rate, sample.seconds
+    );
+    println!("  left after        {}", sample.left_ms);
+    print_load("kept", &sample.kept);
+    print_load("replaced", &sample.replaced);
+}
+
+fn print_load(name: &str, rows: &[LoadRow]) {
+    for row in rows {
+        println!(
+            "  {name:<8} {:<16} sent {}, whole {}, not_run {}, unknown {}, lost {}, doubled {}, \
+             attained {:.2}%",
+            row.class,
+            row.sent,
+            row.whole,
+            row.refused,
+            row.unknown,
+            row.lost,
+            row.doubled,
+            row.attainment * 100.0
+        );
+        for (reason, count) in &row.refusals {
+            println!("           not_run for {reason}: {count}");
+        }
     }
 }
 
 fn print_control(table: &ControlTable) {
     println!("control, idle, windows of {:.0} s, a node:", table.seconds);
-    for row in &table.idle {
+    print_samples(&table.idle);
+    println!("control, with {} requests/s over the fleet:", table.rate);
+    print_samples(&table.loaded);
+    for fit in &table.growth {
+        println!(
+            "  {}: {} with slope {:.4}, at the origin {:.1}, residual {:.2}",
+            fit.quantity, fit.shape, fit.slope, fit.intercept, fit.residual
+        );
+    }
+}
+
+fn print_samples(samples: &[ControlSample]) {
+    for row in samples {
         println!(
             "  {:>3} nodes: sent {:.0} B/s, received {:.0} B/s, {:.2}% of a core, {:.1} MiB",
             row.nodes, row.sent_bytes, row.received_bytes, row.core_percent, row.memory_mib
         );
     }
-    for fit in &table.growth {
+}
+
+fn print_path(table: &PathTable) {
+    println!(
+        "streams of {} tokens, {} requests/s, loads of {} s:",
+        table.tokens, table.rate, table.seconds
+    );
+    for row in &table.ways {
         println!(
-            "  {}: {} with slope {:.4}, at the origin {:.1}, residual {:.2}",
-            fit.quantity, fit.shape, fit.slope, fit.intercept, fit.residual
+            "  {:<8} first token p50 {:.3} ms ({:+.3}), p99 {:.3} ms ({:+.3}); alone: {:.0} \
+             tokens/s, {} whole, {} others, {:.2} ms of processor a 1,000 tokens, nodes' part {:.2}",
+            row.way,
+            row.p50_ms,
+            row.added_p50_ms,
+            row.p99_ms,
+            row.added_p99_ms,
+            row.tokens_per_second,
+            row.whole,
+            row.others,
+            row.process_ms,
+            row.nodes_ms
         );
     }
 }
--- a/cli/src/load.rs
+++ b/cli/src/load.rs
@@ -1,6 +1,6 @@
 //! `monsoon load`: open-loop load on running nodes, beside the same load straight to an upstream.
 
-mod report;
+pub mod report;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use crate::error::CliError;
 use crate::exchange::{self, ExchangeEnd, ExchangeTarget};
 use crate::exit_codes::ExitCode;
+use crate::load::report::LoadReport;
 use crate::request::RequestBody;
 use crate::tally::ClassTally;
 use crate::traffic::{ArrivalSource, ClassTraffic, RequestShape, TrafficPlan, WorkspaceSource};
@@ -125,10 +126,13 @@
 
 /// A way that requests take.
 #[derive(Clone, Debug)]
-struct LoadWay {
-    name: Box<str>,
-    address: Box<str>,
-    direct: bool,
+pub struct LoadWay {
+    /// Its name in the report.
+    pub name: Box<str>,
+    /// IP number and port.
+    pub address: Box<str>,
+    /// Whether it is an upstream and no node.
+    pub direct: bool,
 }
 
 /// What every request needs.
@@ -163,6 +167,23 @@
     })
 }
 
+/// Sends a plan's requests along the ways in turn; answers are not compared.
+pub async fn measure(
+    ways: Vec<LoadWay>,
+    plan: &TrafficPlan,
+    token: &str,
+    seed: u64,
+) -> Result<LoadReport, CliError> {
+    let run = Arc::new(LoadRun {
+        ways,
+        client: exchange::client().map_err(CliError::Client)?,
+        token: token.into(),
+        checked: false,
+    });
+    let tallies = send(&run, plan, seed).await;
+    Ok(report::report(&run.ways, plan, &tallies))
+}
+
 fn ways(matches: &ArgMatches) -> Vec<LoadWay> {
     let targets = matches.get_many::<String>("target").into_iter().flatten();
     let mut ways: Vec<LoadWay> = targets
