--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -281,9 +281,14 @@
         (!leaving).then(|| self.mint.mint(workspace, self.now()))
     }
 
+    /// Which node owns which upstream, as this node sees it.
+    pub fn owners(&self) -> Arc<OwnerMap> {
+        read(&self.owners)
+    }
+
     /// Upstreams that this node owns.
     pub fn owned(&self) -> Vec<UpstreamId> {
-        let owners = read(&self.owners);
+        let owners = self.owners();
         let own = |owner: &NodeId| *owner == self.profile.node;
         owners
             .owners
