Stop limiters and holders of shares from answering each other without end

Change: a grant says whether a part is taken back, and only then is it answered; a node sends at most four other messages about its demand a second.

--- a/kernel/src/limits.rs
+++ b/kernel/src/limits.rs
@@ -58,6 +58,8 @@
         share: LimitShare,
         /// How long it holds, counted from when it arrives.
         length: Duration,
+        /// Whether the limiter takes a part back: it must be told what is still held.
+        reclaim: bool,
     },
 }
 
@@ -65,6 +67,11 @@
 /// traffic.
 const MOST_AT_ONCE: usize = 4;
 
+/// Messages about its demand that a node sends in a second, over all workspaces, and the most at
+/// once. Without an answer in time a node uses an even share.
+const MESSAGES_PER_SECOND: f64 = 4.0;
+const MOST_MESSAGES: f64 = 64.0;
+
 /// Calls a second, and calls at a time, that stand for no limit: beyond what a fleet can take in,
 /// and safe to share out.
 const UNLIMITED_RATE: f64 = 1e9;
@@ -81,6 +88,8 @@
     /// The live nodes before the last change of them, and when that was.
     former_nodes: Vec<NodeId>,
     nodes_changed: Duration,
+    messages: f64,
+    refilled: Duration,
     local: BTreeMap<WorkspaceId, LocalAllowance>,
     admitted: BTreeMap<CallId, WorkspaceId>,
     ledger: ShareLedger,
@@ -203,7 +212,18 @@
         }
     }
 
+    /// Tells the limiter the demand, within the budget of such messages.
     fn ask(&mut self, workspace: WorkspaceId, context: &mut Context<'_>) {
+        let passed = context.now.saturating_sub(self.refilled).as_secs_f64();
+        self.refilled = context.now;
+        self.messages = (self.messages + passed * MESSAGES_PER_SECOND).min(MOST_MESSAGES);
+        if self.messages >= 1.0 {
+            self.messages -= 1.0;
+            self.tell_demand(workspace, context);
+        }
+    }
+
+    fn tell_demand(&mut self, workspace: WorkspaceId, context: &mut Context<'_>) {
         let Some(limiter) = self.limiter(workspace) else {
             return;
         };
@@ -252,6 +272,7 @@
                     workspace,
                     share: grant.share,
                     length: grant.length,
+                    reclaim: grant.reclaim,
                 },
             );
         }
@@ -262,14 +283,16 @@
         workspace: WorkspaceId,
         share: LimitShare,
         length: Duration,
+        reclaim: bool,
         context: &mut Context<'_>,
     ) {
         let Some(allowance) = self.local.get_mut(&workspace) else {
             return;
         };
-        let shrunk = allowance.granted(context.now, share, length);
-        if shrunk {
-            self.ask(workspace, context);
+        allowance.granted(context.now, share, length);
+        // The answer to a node's own demand is not answered again: two nodes would never stop.
+        if reclaim {
+            self.tell_demand(workspace, context);
         }
         self.release_waiting(workspace, context);
     }
@@ -385,7 +408,8 @@
                     workspace,
                     share,
                     length,
-                } => self.granted(*workspace, *share, *length, context),
+                    reclaim,
+                } => self.granted(*workspace, *share, *length, *reclaim, context),
             },
             Event::Tick => self.tick(context),
             _ => {}
--- a/kernel/src/limits/allowance.rs
+++ b/kernel/src/limits/allowance.rs
@@ -247,10 +247,9 @@
         self.wanted
     }
 
-    /// Takes in a share; whether it is smaller than the one held before.
-    pub fn granted(&mut self, now: Duration, share: LimitShare, length: Duration) -> bool {
-        let before = self.share(now);
-        if before.is_none() {
+    /// Takes in a share.
+    pub fn granted(&mut self, now: Duration, share: LimitShare, length: Duration) {
+        if self.share(now).is_none() {
             self.tokens = self.tokens.max(1.0);
             self.filled = now;
         }
@@ -258,7 +257,6 @@
             share,
             until: now + length,
         });
-        before.is_some_and(|old| share.rate < old.rate || share.concurrent < old.concurrent)
     }
 
     /// Whether nothing is left to remember.
--- a/kernel/src/limits/ledger.rs
+++ b/kernel/src/limits/ledger.rs
@@ -28,6 +28,8 @@
     pub share: LimitShare,
     /// How long it holds.
     pub length: Duration,
+    /// Whether a part is taken back: the holder must say what it still holds.
+    pub reclaim: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -201,6 +203,7 @@
             node,
             share,
             length: until.saturating_sub(now),
+            reclaim: false,
         }
     }
 
@@ -234,6 +237,7 @@
                 node: *node,
                 share: smaller(holder.held, *part),
                 length: holder.until.saturating_sub(now),
+                reclaim: true,
             });
         }
         for grant in &grants {
--- a/kernel/tests/limits/main.rs
+++ b/kernel/tests/limits/main.rs
@@ -9,6 +9,7 @@
 use monsoonbank_kernel::event::{Action, Event};
 use monsoonbank_kernel::ids::{CallId, ClassId, Incarnation, NodeId, PoolId, WorkspaceId, ZoneId};
 use monsoonbank_kernel::kernel::Kernel;
+use monsoonbank_kernel::limits::{LimitMessage, LimitShare};
 use monsoonbank_kernel::membership::{Member, MemberView, NodeState};
 use monsoonbank_kernel::plugin::NodeProfile;
 use monsoonbank_kernel::wire::Message;
@@ -367,3 +368,54 @@
         assert_eq!((fleet.limited, fleet.running()), (0, 100));
     }
 );
+
+case!(
+    steady_calls_of_many_nodes_cost_few_messages,
+    fleet = Fleet::new(9, Some(300.0), Some(60)),
+    {
+        let all: Vec<usize> = (0..9).collect();
+        fleet.load(&all, 10, 5);
+        fleet.messages = 0;
+        let let_in = fleet.load(&all, 10, 20);
+        assert_eq!(let_in, 9 * 10 * 20);
+        assert!(fleet.messages <= 9 * 20, "{} messages", fleet.messages);
+    }
+);
+
+case!(
+    a_flood_at_many_nodes_costs_few_messages,
+    fleet = Fleet::new(9, Some(50.0), None),
+    {
+        let all: Vec<usize> = (0..9).collect();
+        fleet.load(&all, 20, 5);
+        fleet.messages = 0;
+        fleet.load(&all, 20, 20);
+        assert!(fleet.messages <= 9 * 20 * 4, "{} messages", fleet.messages);
+    }
+);
+
+case!(
+    only_a_share_that_is_taken_back_is_answered,
+    fleet = Fleet::new(2, None, Some(40)),
+    {
+        fleet.pass(Duration::from_secs(5));
+        fleet.call(0);
+        fleet.cut = true;
+        for (concurrent, reclaim, answers) in [(9, false, 0), (5, false, 0), (3, true, 1)] {
+            fleet.messages = 0;
+            let grant = LimitMessage::Grant {
+                workspace: WorkspaceId::named("w"),
+                share: LimitShare {
+                    rate: 1e6,
+                    concurrent,
+                },
+                length: Duration::from_secs(20),
+                reclaim,
+            };
+            let message = Message::Limit(grant);
+            let from = fleet.ids[1];
+            fleet.tell(0, Event::PeerMessage { from, message });
+            assert!(fleet.messages <= answers, "{} messages", fleet.messages);
+        }
+    }
+);
