--- /dev/null
+++ b/daemon/src/gateway.rs
@@ -0,0 +1,205 @@
+//! A node that passes calls on unchanged: everything it holds, and how it starts and stops.
+//!
+//! A call is read by `listener`, matched by `intake`, sent by `relay` through `channels`, and its
+//! stream is passed on by `stream`. `follow` reads the platform's store, `peers` talks with the
+//! other nodes, `desk` answers lookups and checks.
+
+pub mod channels;
+pub mod decisions;
+pub mod desk;
+pub mod events;
+pub mod follow;
+pub mod intake;
+pub mod listener;
+pub mod metrics;
+pub mod peers;
+pub mod relay;
+pub mod reply;
+pub mod settings;
+pub mod stream;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use monsoonbank_kernel::clock::{Clock, MonotonicClock};
+use monsoonbank_kernel::gateway::budget::RetryBudget;
+use monsoonbank_kernel::gateway::fleet::FleetView;
+use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
+use monsoonbank_kernel::gateway::rules::RuleTable;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::NodeError;
+use crate::gateway::channels::ChannelPool;
+use crate::gateway::decisions::{Decision, DecisionLog};
+use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::settings::GatewaySettings;
+
+/// The configuration in force, and the bytes it came as, for other nodes.
+#[derive(Clone, Debug)]
+pub struct ActiveTable {
+    /// Ready for lookups.
+    pub rules: Rc<RuleTable>,
+    /// As the operator wrote it.
+    pub bytes: Bytes,
+}
+
+/// How well this node hears the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreView {
+    /// When the last call failed.
+    pub failed_at: Option<Duration>,
+    /// When the store was back after that.
+    pub returned_at: Duration,
+    /// Position in the registry's log up to which this node has read.
+    pub registry_offset: u64,
+    /// Whether the registry has been read at all.
+    pub registry_known: bool,
+}
+
+/// Everything that a node holds; one thread, so cells suffice.
+pub struct Gateway {
+    /// What its operator told it.
+    pub settings: GatewaySettings,
+    /// The steady clock.
+    pub clock: MonotonicClock,
+    /// The configuration in force.
+    pub table: RefCell<Option<ActiveTable>>,
+    /// Upstreams.
+    pub registry: RefCell<UpstreamRegistry>,
+    /// Other nodes.
+    pub fleet: RefCell<FleetView>,
+    /// Budgets for repeats, by pool.
+    pub budgets: RefCell<BTreeMap<Box<str>, RetryBudget>>,
+    /// Connections to upstreams.
+    pub channels: ChannelPool,
+    /// How well the store is heard.
+    pub store: Cell<StoreView>,
+    /// Since when the node has been leaving.
+    pub leaving_since: Cell<Option<Duration>>,
+    /// Calls that have not ended.
+    pub open_calls: Cell<usize>,
+    /// Connections of callers.
+    pub open_connections: Cell<usize>,
+    /// Decision lines.
+    pub decisions: DecisionLog,
+    /// Counters and histograms.
+    pub metrics: GatewayMetrics,
+    /// Names this run of the process.
+    pub incarnation: u64,
+    /// Tells idle connections of callers that the node leaves.
+    pub leave_notice: tokio::sync::Notify,
+    /// Wakes readers of the store that wait for their next turn.
+    pub store_nudge: tokio::sync::Notify,
+}
+
+impl Gateway {
+    /// Time on the steady clock.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.leaving_since.get().is_none()
+            && self.table.borrow().is_some()
+            && self.store.get().registry_known
+    }
+
+    /// The configuration in force.
+    pub fn rules(&self) -> Option<Rc<RuleTable>> {
+        self.table
+            .borrow()
+            .as_ref()
+            .map(|table| table.rules.clone())
+    }
+
+    /// Nodes that share budgets, this one included.
+    pub fn node_count(&self) -> usize {
+        1 + self.fleet.borrow().iter().count()
+    }
+}
+
+/// Time for which a node that leaves goes on taking calls on connections that callers still use.
+/// Callers keep an address for up to three times the lookup's time to live.
+const LINGER: Duration = Duration::from_millis(2500);
+/// Part of the grace period after which the node ends whatever it still has. The rest is kept for
+/// the process's own end.
+const GRACE_PART: f64 = 0.93;
+
+/// Runs a node until it is told to stop and has finished its calls.
+pub async fn run(settings: GatewaySettings) -> Result<(), NodeError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Runtime)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(NodeError::Runtime)?;
+    let mut random = [0; 8];
+    getrandom::fill(&mut random)?;
+    let clock = MonotonicClock::new();
+    let gateway = Rc::new(Gateway {
+        decisions: DecisionLog::start(clock, settings.name.clone()),
+        metrics: GatewayMetrics::new(),
+        channels: ChannelPool::default(),
+        clock,
+        table: RefCell::default(),
+        registry: RefCell::default(),
+        fleet: RefCell::default(),
+        budgets: RefCell::default(),
+        store: Cell::default(),
+        leaving_since: Cell::new(None),
+        open_calls: Cell::new(0),
+        open_connections: Cell::new(0),
+        incarnation: follow::start_time(),
+        leave_notice: tokio::sync::Notify::new(),
+        store_nudge: tokio::sync::Notify::new(),
+        settings,
+    });
+    gateway.decisions.line(&Decision::Started {
+        zone: &gateway.settings.zone,
+    });
+    listener::start(&gateway).await?;
+    peers::start(&gateway).await?;
+    follow::start(&gateway, u64::from_le_bytes(random));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => reread(&gateway),
+        }
+    }
+    leave(&gateway).await;
+    Ok(())
+}
+
+/// Checks the settings file again. What it may change at run time is nothing that this node
+/// listens on, so calls go on untouched; a wrong file is reported and the older stays in force.
+fn reread(gateway: &Gateway) {
+    let outcome = GatewaySettings::load(&gateway.settings.file);
+    let error = outcome.err().map(|error| error.to_string());
+    gateway.decisions.line(&Decision::Reloaded {
+        error: error.as_deref(),
+    });
+}
+
+async fn leave(gateway: &Gateway) {
+    let since = gateway.now();
+    gateway.leaving_since.set(Some(since));
+    gateway.leave_notice.notify_waiters();
+    gateway.decisions.line(&Decision::Leaving {
+        open_calls: gateway.open_calls.get(),
+    });
+    let last = since + gateway.settings.times.grace.mul_f64(GRACE_PART);
+    let pause = Duration::from_millis(50);
+    while gateway.now() < last {
+        let quiet = gateway.open_calls.get() == 0 && gateway.now() > since + LINGER;
+        if quiet {
+            break;
+        }
+        tokio::time::sleep(pause).await;
+    }
+    gateway.decisions.line(&Decision::Left {
+        open_calls: gateway.open_calls.get(),
+    });
+    gateway.decisions.finish();
+}
--- /dev/null
+++ b/daemon/src/gateway/desk.rs
@@ -0,0 +1,171 @@
+//! Answers checks, lookups, operators and other nodes: small questions with small answers.
+
+use std::cmp::Reverse;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use monsoonbank_kernel::gateway::registry::UpstreamEntry;
+use monsoonbank_platform::{lookup, names};
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::gateway::Gateway;
+use crate::gateway::reply::{self, Reply};
+
+/// How long callers may use a lookup's answer.
+pub const LOOKUP_LIFE: Duration = Duration::from_secs(2);
+/// Longest time that a question may take to arrive, and that its connection may stay idle.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(15);
+/// Path of the configuration in force, for other nodes.
+pub const CONFIGURATION_PATH: &str = "/configuration";
+/// Path of the registry, for other nodes.
+pub const REGISTRY_PATH: &str = "/registry";
+
+/// Accepts connections of those who ask.
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = gateway.clone();
+                tokio::task::spawn_local(async move {
+                    let service = service_fn(|request| answer(gateway.clone(), request));
+                    let connection = http1::Builder::new()
+                        .timer(TokioTimer::new())
+                        .header_read_timeout(QUESTION_TIMEOUT)
+                        .max_buf_size(8192)
+                        .serve_connection(TokioIo::new(stream), service);
+                    if let Err(error) = connection.await {
+                        log::debug!("a connection broke: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("a connection was not accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+    let query = request.uri().query().unwrap_or_default();
+    Ok(match request.uri().path() {
+        names::READY_PATH if gateway.is_ready() => reply::whole(StatusCode::OK, ""),
+        names::READY_PATH => reply::failure(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        names::LOOKUP_PATH => addresses(&gateway, lookup::caller_zone(query)),
+        CONFIGURATION_PATH => configuration(&gateway),
+        REGISTRY_PATH => registry(&gateway),
+        "/metrics" => reply::whole(StatusCode::OK, gateway.metrics.text()),
+        "/state" => state(&gateway),
+        _ => reply::failure(StatusCode::NOT_FOUND, "no such question"),
+    })
+}
+
+fn json_reply(body: Vec<u8>) -> Reply {
+    let mut reply = reply::whole(StatusCode::OK, body);
+    let kind = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
+
+/// Addresses of nodes that take calls: those of the caller's availability zone, if there are any.
+fn addresses(gateway: &Gateway, zone: Option<&str>) -> Reply {
+    let now = gateway.now();
+    let fleet = gateway.fleet.borrow();
+    let settings = &gateway.settings;
+    let mut nodes: Vec<(&str, SocketAddr)> = fleet
+        .live(now)
+        .filter(|peer| peer.word.ready)
+        .map(|peer| (&*peer.word.zone, peer.word.callers))
+        .collect();
+    if gateway.is_ready() {
+        nodes.push((&settings.zone, settings.listen.callers));
+    }
+    let is_near = |node: &(&str, SocketAddr)| Some(node.0) == zone;
+    if nodes.iter().any(is_near) {
+        nodes.retain(is_near);
+    }
+    nodes.sort_by_key(|node| Reverse(is_near(node)));
+    nodes.truncate(lookup::MOST_ADDRESSES);
+    if nodes.is_empty() {
+        return reply::failure(StatusCode::SERVICE_UNAVAILABLE, "no node takes calls");
+    }
+    let addresses: Vec<SocketAddr> = nodes.into_iter().map(|(_, address)| address).collect();
+    json_reply(lookup::encode(&addresses, LOOKUP_LIFE))
+}
+
+fn configuration(gateway: &Gateway) -> Reply {
+    match &*gateway.table.borrow() {
+        Some(table) => reply::whole(StatusCode::OK, table.bytes.clone()),
+        None => reply::failure(StatusCode::NOT_FOUND, "no configuration yet"),
+    }
+}
+
+fn registry(gateway: &Gateway) -> Reply {
+    let registry = gateway.registry.borrow();
+    let entries: Vec<(UpstreamEntry, bool)> = registry
+        .iter()
+        .map(|(_, upstream)| (upstream.entry.clone(), upstream.left.is_some()))
+        .collect();
+    let mut body = Vec::new();
+    match ciborium::into_writer(&(gateway.store.get().registry_offset, entries), &mut body) {
+        Ok(()) => reply::whole(StatusCode::OK, body),
+        Err(error) => reply::failure(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+/// All that the node believes, for operators.
+fn state(gateway: &Gateway) -> Reply {
+    let now = gateway.now();
+    let upstreams: Vec<serde_json::Value> = gateway
+        .registry
+        .borrow()
+        .iter()
+        .map(|(_, upstream)| {
+            let total = upstream.load.total(now);
+            json!({
+                "id": upstream.entry.id,
+                "pool": upstream.entry.pool,
+                "address": upstream.entry.address,
+                "zone": upstream.entry.zone,
+                "left": upstream.left.map(|cause| cause.to_string()),
+                "own_calls": upstream.load.own_calls(),
+                "calls": total.calls,
+                "prompt_tokens": total.prompt_tokens,
+                "resting": upstream.health.resting(now),
+                "failures": upstream.health.failures(),
+            })
+        })
+        .collect();
+    let fleet = gateway.fleet.borrow();
+    let peers: Vec<serde_json::Value> = fleet
+        .iter()
+        .map(|peer| {
+            json!({
+                "name": peer.word.name,
+                "zone": peer.word.zone,
+                "ready": peer.word.ready,
+                "version": peer.word.version,
+                "age_ms": now.saturating_sub(peer.heard_at).as_millis() as u64,
+            })
+        })
+        .collect();
+    let body = json!({
+        "name": gateway.settings.name,
+        "ready": gateway.is_ready(),
+        "version": gateway.rules().map(|rules| rules.version),
+        "registry_offset": gateway.store.get().registry_offset,
+        "open_calls": gateway.open_calls.get(),
+        "upstreams": upstreams,
+        "peers": peers,
+    });
+    json_reply(body.to_string().into_bytes())
+}
--- /dev/null
+++ b/daemon/src/gateway/follow.rs
@@ -0,0 +1,335 @@
+//! Follows the platform's store: the operator's configuration and the upstreams' registry.
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use monsoonbank_kernel::clock::Clock;
+use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamKey};
+use monsoonbank_platform::store::{KeyedRecord, StoreClient, StoreError};
+use monsoonbank_platform::{configuration, entry, names};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::{ActiveTable, Gateway};
+
+/// How long the store keeps a read of the configuration waiting. A connection that has fallen
+/// silent shows after this and `PATIENCE`; each answer without news costs one call.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(2500);
+/// Time between two reads of the registry: an upstream that leaves has to be known well within
+/// two seconds, and each read is one call.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
+/// Time beyond the wait that the store gets to answer. It takes 4 ms when it is well.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// First pause after a failed call; doubles up to `LONGEST_PAUSE`.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after a failed call: the store's return shows within this.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// When the process started, as a number that grows with each start.
+pub fn start_time() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    millis(since)
+}
+
+/// Starts both readers.
+pub fn start(gateway: &Rc<Gateway>, seed: u64) {
+    let random = |stream: u64| Pcg64Mcg::seed_from_u64(seed ^ stream);
+    let configuration = StoreReader::new(gateway, "configuration", random(1));
+    tokio::task::spawn_local(follow_configuration(configuration));
+    let registry = StoreReader::new(gateway, "registry", random(2));
+    tokio::task::spawn_local(follow_registry(registry));
+    tokio::task::spawn_local(settle_lapsed(gateway.clone()));
+}
+
+/// A reader with its own connection and its own pauses after failures.
+struct StoreReader {
+    gateway: Rc<Gateway>,
+    client: StoreClient,
+    name: &'static str,
+    random: Pcg64Mcg,
+    failures: u32,
+    lost_since: Option<Duration>,
+}
+
+impl StoreReader {
+    fn new(gateway: &Rc<Gateway>, name: &'static str, random: Pcg64Mcg) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            client: StoreClient::new(gateway.settings.store.address),
+            name,
+            random,
+            failures: 0,
+            lost_since: None,
+        }
+    }
+
+    fn succeeded(&mut self) {
+        self.count("answered");
+        self.failures = 0;
+        let Some(since) = self.lost_since.take() else {
+            return;
+        };
+        let now = self.gateway.now();
+        let mut view = self.gateway.store.get();
+        view.returned_at = now;
+        self.gateway.store.set(view);
+        let lost_ms = millis(now.saturating_sub(since));
+        self.gateway.decisions.line(&Decision::StoreBack {
+            reader: self.name,
+            lost_ms,
+        });
+    }
+
+    async fn failed(&mut self, error: &StoreError) {
+        self.count("failed");
+        let now = self.gateway.now();
+        let mut view = self.gateway.store.get();
+        view.failed_at = Some(now);
+        self.gateway.store.set(view);
+        if self.lost_since.is_none() {
+            self.lost_since = Some(now);
+            let reason = error.to_string();
+            self.gateway.decisions.line(&Decision::StoreLost {
+                reader: self.name,
+                reason: &reason,
+            });
+        }
+        let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(4));
+        self.failures += 1;
+        let pause = pause
+            .min(LONGEST_PAUSE)
+            .mul_f64(self.random.random_range(0.5..1.0));
+        tokio::time::sleep(pause).await;
+    }
+
+    fn count(&self, outcome: &str) {
+        self.gateway
+            .metrics
+            .store_calls
+            .with_label_values(&[self.name, outcome])
+            .inc();
+    }
+
+    /// Whether the store has been well for long enough to trust that a missing entry means leaving.
+    fn trusted(&self) -> bool {
+        let view = self.gateway.store.get();
+        let trust = self.gateway.settings.times.trust;
+        view.failed_at
+            .is_none_or(|at| self.gateway.now() > at + trust)
+    }
+}
+
+async fn follow_configuration(mut reader: StoreReader) {
+    let mut position = None;
+    loop {
+        let outcome = match position {
+            None => newest_configuration(&mut reader).await,
+            Some(from) => more_configuration(&mut reader, from).await,
+        };
+        match outcome {
+            Ok(next) => {
+                reader.succeeded();
+                position = Some(next);
+            }
+            Err(StoreError::Expired { .. }) => position = None,
+            Err(error) => reader.failed(&error).await,
+        }
+    }
+}
+
+async fn newest_configuration(reader: &mut StoreReader) -> Result<u64, StoreError> {
+    let snapshot = reader
+        .client
+        .newest(names::OPERATOR_TOPIC, PATIENCE)
+        .await?;
+    take_configurations(&reader.gateway, &snapshot.records);
+    Ok(snapshot.end)
+}
+
+async fn more_configuration(reader: &mut StoreReader, from: u64) -> Result<u64, StoreError> {
+    let reading = reader
+        .client
+        .read(names::OPERATOR_TOPIC, from, CONFIGURATION_WAIT, PATIENCE);
+    let batch = reading.await?;
+    take_configurations(&reader.gateway, &batch.records);
+    Ok(batch.next)
+}
+
+fn take_configurations(gateway: &Gateway, records: &[KeyedRecord]) {
+    for record in records
+        .iter()
+        .filter(|record| record.key == names::CONFIGURATION_KEY)
+    {
+        if let Some(value) = &record.value {
+            take_configuration(gateway, value, "store");
+        }
+    }
+}
+
+/// Puts a configuration in force if it is newer than the one in force.
+pub fn take_configuration(gateway: &Gateway, bytes: &Bytes, source: &str) {
+    let rules = match configuration::decode(bytes) {
+        Ok(rules) => rules,
+        Err(error) => {
+            let reason = error.to_string();
+            gateway.decisions.line(&Decision::ConfigurationRejected {
+                source,
+                reason: &reason,
+            });
+            return;
+        }
+    };
+    if gateway
+        .rules()
+        .is_some_and(|current| current.version >= rules.version)
+    {
+        return;
+    }
+    gateway.decisions.line(&Decision::ConfigurationApplied {
+        version: rules.version,
+        rules: rules.rule_count(),
+        source,
+    });
+    gateway
+        .metrics
+        .version
+        .set(i64::try_from(rules.version).unwrap_or(i64::MAX));
+    let table = ActiveTable {
+        rules: Rc::new(rules),
+        bytes: bytes.clone(),
+    };
+    *gateway.table.borrow_mut() = Some(table);
+}
+
+async fn follow_registry(mut reader: StoreReader) {
+    let mut position = None;
+    loop {
+        let outcome = match position {
+            None => newest_registry(&mut reader).await,
+            Some(from) => more_registry(&mut reader, from).await,
+        };
+        match outcome {
+            Ok(next) => {
+                reader.succeeded();
+                position = Some(next);
+                let mut view = reader.gateway.store.get();
+                view.registry_offset = view.registry_offset.max(next);
+                view.registry_known = true;
+                reader.gateway.store.set(view);
+            }
+            Err(StoreError::Expired { .. }) => {
+                position = None;
+                continue;
+            }
+            Err(error) => {
+                reader.failed(&error).await;
+                continue;
+            }
+        }
+        let nudge = reader.gateway.store_nudge.notified();
+        let _ = tokio::time::timeout(REGISTRY_PAUSE, nudge).await;
+    }
+}
+
+async fn newest_registry(reader: &mut StoreReader) -> Result<u64, StoreError> {
+    let snapshot = reader
+        .client
+        .newest(names::UPSTREAM_TOPIC, PATIENCE)
+        .await?;
+    let trusted = reader.trusted();
+    let gateway = &reader.gateway;
+    take_entries(gateway, &snapshot.records, trusted);
+    let listed: Vec<Box<str>> = snapshot
+        .records
+        .iter()
+        .filter(|record| record.value.is_some())
+        .map(|record| String::from_utf8_lossy(&record.key).into())
+        .collect();
+    let changed = gateway
+        .registry
+        .borrow_mut()
+        .retain(&listed, trusted, gateway.now());
+    changed
+        .into_iter()
+        .for_each(|key| upstream_changed(gateway, key));
+    Ok(snapshot.end)
+}
+
+async fn more_registry(reader: &mut StoreReader, from: u64) -> Result<u64, StoreError> {
+    let reading = reader
+        .client
+        .read(names::UPSTREAM_TOPIC, from, Duration::ZERO, PATIENCE);
+    let batch = reading.await?;
+    let trusted = reader.trusted();
+    take_entries(&reader.gateway, &batch.records, trusted);
+    Ok(batch.next)
+}
+
+fn take_entries(gateway: &Gateway, records: &[KeyedRecord], trusted: bool) {
+    for record in records {
+        let id = String::from_utf8_lossy(&record.key);
+        let change = match &record.value {
+            None => RegistryChange::Removed(id.into()),
+            Some(value) => match entry::decode(&id, value) {
+                Ok(entry) => RegistryChange::Put(entry),
+                Err(error) => {
+                    log::warn!("the entry of upstream {id} is malformed: {error}");
+                    continue;
+                }
+            },
+        };
+        take_change(gateway, change, trusted);
+    }
+}
+
+/// Takes a change of the registry in and writes down what it changes.
+pub fn take_change(gateway: &Gateway, change: RegistryChange, trusted: bool) {
+    let changed = gateway
+        .registry
+        .borrow_mut()
+        .apply(change, trusted, gateway.now());
+    if let Some(key) = changed {
+        upstream_changed(gateway, key);
+    }
+}
+
+fn upstream_changed(gateway: &Gateway, key: UpstreamKey) {
+    let registry = gateway.registry.borrow();
+    let Some(upstream) = registry.get(key) else {
+        return;
+    };
+    let left = upstream.left.map(|cause| cause.to_string());
+    gateway.decisions.line(&Decision::UpstreamChanged {
+        upstream: &upstream.entry.id,
+        pool: &upstream.entry.pool,
+        left: left.as_deref(),
+        lapsed: upstream.lapsed_at.is_some(),
+    });
+    if upstream.left.is_some() {
+        gateway.channels.close(key);
+    }
+}
+
+/// Gives up upstreams whose lapsed entries did not come back.
+async fn settle_lapsed(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        let view = gateway.store.get();
+        let sound = view
+            .failed_at
+            .is_none_or(|failed_at| view.returned_at > failed_at);
+        if !sound {
+            continue;
+        }
+        let gone = gateway
+            .registry
+            .borrow_mut()
+            .settle(view.returned_at, gateway.clock.now());
+        gone.into_iter()
+            .for_each(|key| upstream_changed(&gateway, key));
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/intake.rs
@@ -0,0 +1,206 @@
+//! Reads a caller's request and decides by the rules what it is.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap};
+use hyper::{Method, Request, StatusCode, Uri};
+use monsoonbank_kernel::gateway::rules::{CallClass, CallRule, RuleTable};
+use monsoonbank_platform::head::{self, CallHead};
+
+use crate::gateway::Gateway;
+use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::reply::{self, Reply};
+
+/// What a caller that asks before the node is ready is told to wait: a configuration is usually
+/// read within that time.
+const START_PAUSE: Duration = Duration::from_millis(300);
+/// Time that a call without a deadline of its own gets.
+const DEFAULT_TIME: Duration = Duration::from_secs(60);
+
+/// A call that the rules let in.
+#[derive(Debug)]
+pub struct Call {
+    /// What its head says.
+    pub head: CallHead,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, as they came.
+    pub target: Uri,
+    /// Its headers that an upstream gets.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The class that the first matching rule gave it.
+    pub class: CallClass,
+    /// The pool that the rule sent it to.
+    pub pool: Box<str>,
+    /// Whether the pool runs engines.
+    pub engines: bool,
+    /// Its rank; 0 is the most urgent.
+    pub tier: u8,
+    /// Who calls.
+    pub workspace: Option<Box<str>>,
+    /// When its head was read.
+    pub started: Duration,
+    /// When it must have ended.
+    pub deadline: Duration,
+}
+
+/// Why a request is not let in.
+#[derive(Debug)]
+struct Rejection {
+    status: StatusCode,
+    reason: Box<str>,
+}
+
+impl Rejection {
+    fn new(status: StatusCode, reason: impl Into<Box<str>>) -> Self {
+        Self {
+            status,
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Reads a request whole and lets it in, or answers it.
+pub async fn admit(gateway: &Gateway, request: Request<Incoming>) -> Result<Rc<Call>, Reply> {
+    let started = gateway.now();
+    let (parts, body) = request.into_parts();
+    let id = head::decode_call(&parts.headers)
+        .map(|head| head.id)
+        .unwrap_or_default();
+    let rejected = |rejection: Rejection| {
+        let version = gateway.rules().map_or(0, |rules| rules.version);
+        gateway.decisions.line(&Decision::Refused {
+            call: &id,
+            status: rejection.status.as_u16(),
+            reason: &rejection.reason,
+            version,
+        });
+        answer(&rejection)
+    };
+    let head = check_head(&parts.headers, &parts.uri).map_err(rejected)?;
+    let body = read_body(gateway, body).await.map_err(rejected)?;
+    let rules = gateway
+        .rules()
+        .ok_or_else(|| rejected(no_configuration()))?;
+    let rule = find_rule(&rules, &head, parts.uri.path()).map_err(rejected)?;
+    let workspace = find_workspace(&rules, rule, &head).map_err(rejected)?;
+    let tier = workspace
+        .as_ref()
+        .and_then(|(_, tier)| *tier)
+        .unwrap_or(rule.class.tier);
+    let pool: Box<str> = rule.pool(draw(&head.id)).into();
+    let patience = head
+        .time_left
+        .unwrap_or(DEFAULT_TIME)
+        .min(rule.class.timeout);
+    let call = Call {
+        engines: rules.pool(&pool).is_some_and(|pool| pool.engine.is_some()),
+        class: rule.class.clone(),
+        tier,
+        workspace: workspace.map(|(name, _)| name),
+        headers: head::lasting_headers(&parts.headers),
+        method: parts.method,
+        target: parts.uri,
+        body,
+        started,
+        deadline: started + patience,
+        pool,
+        head,
+    };
+    gateway.decisions.line(&Decision::Matched {
+        call: &call.head.id,
+        rule: &rule.name,
+        pool: &call.pool,
+        tier,
+        left_ms: millis(patience),
+        version: rules.version,
+    });
+    Ok(Rc::new(call))
+}
+
+fn answer(rejection: &Rejection) -> Reply {
+    match rejection.status {
+        StatusCode::SERVICE_UNAVAILABLE => reply::not_run(&rejection.reason, START_PAUSE),
+        status => reply::failure(status, &rejection.reason),
+    }
+}
+
+fn no_configuration() -> Rejection {
+    Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet")
+}
+
+fn check_head(headers: &HeaderMap, uri: &Uri) -> Result<CallHead, Rejection> {
+    let bad = |reason: &str| Rejection::new(StatusCode::BAD_REQUEST, reason);
+    if uri.scheme().is_some() || !uri.path().starts_with('/') {
+        return Err(bad("the target is not a path"));
+    }
+    if headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.contains_key(header::CONTENT_LENGTH)
+    {
+        return Err(bad("two lengths of the body"));
+    }
+    head::decode_call(headers).map_err(|error| bad(&error.to_string()))
+}
+
+async fn read_body(gateway: &Gateway, body: Incoming) -> Result<Bytes, Rejection> {
+    let Some(rules) = gateway.rules() else {
+        return Err(no_configuration());
+    };
+    let bounds = rules.bounds;
+    let reading = Limited::new(body, bounds.body_bytes).collect();
+    let Ok(read) = tokio::time::timeout(bounds.idle_timeout, reading).await else {
+        return Err(Rejection::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body took too long",
+        ));
+    };
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Rejection::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large",
+        )),
+        Err(error) => Err(Rejection::new(StatusCode::BAD_REQUEST, error.to_string())),
+    }
+}
+
+fn find_rule<'a>(
+    rules: &'a RuleTable,
+    head: &CallHead,
+    path: &str,
+) -> Result<&'a CallRule, Rejection> {
+    let none = || Rejection::new(StatusCode::NOT_FOUND, "no rule matches");
+    rules.find(&head.host, path).ok_or_else(none)
+}
+
+type FoundWorkspace = (Box<str>, Option<u8>);
+
+fn find_workspace(
+    rules: &RuleTable,
+    rule: &CallRule,
+    head: &CallHead,
+) -> Result<Option<FoundWorkspace>, Rejection> {
+    if !rules.has_workspaces() {
+        return Ok(None);
+    }
+    let found = head.key.as_deref().and_then(|key| rules.workspace(key));
+    match found {
+        Some(workspace) => Ok(Some((workspace.name.clone(), workspace.tier))),
+        None if rule.public => Ok(None),
+        None => Err(Rejection::new(
+            StatusCode::UNAUTHORIZED,
+            "the key is not known",
+        )),
+    }
+}
+
+/// A number that is uniform over calls, from the call's own name.
+fn draw(id: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+}
--- /dev/null
+++ b/daemon/src/gateway/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters and latency histograms, in the text form of Prometheus.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Upper ends of the latency buckets, in seconds: around the targets in use, 0.1 to 2.5 s.
+const BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 3.0, 6.0, 15.0,
+];
+
+/// Everything that a gateway counts.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Calls that ended, by tier and outcome.
+    pub calls: IntCounterVec,
+    /// Attempts that ended without an answer to pass on, by pool and end.
+    pub attempts: IntCounterVec,
+    /// Time to the first piece of the answer, by tier.
+    pub first_piece: HistogramVec,
+    /// Calls to the store, by reader and outcome.
+    pub store_calls: IntCounterVec,
+    /// Connections to upstreams that were opened, by pool.
+    pub channels_opened: IntCounterVec,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+    /// Calls that have not ended.
+    pub open_calls: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Registers all metrics; their names are fixed, so a failure is a broken invariant.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("a new name");
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("a valid name");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("a new name");
+            gauge
+        };
+        let options = HistogramOpts::new(
+            "monsoonbank_first_piece_seconds",
+            "Time to the first piece of an answer",
+        );
+        let first_piece =
+            HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["tier"]).expect("a valid name");
+        registry
+            .register(Box::new(first_piece.clone()))
+            .expect("a new name");
+        Self {
+            calls: counter(
+                "monsoonbank_calls_total",
+                "Calls that ended",
+                &["tier", "outcome"],
+            ),
+            attempts: counter(
+                "monsoonbank_failed_attempts_total",
+                "Attempts without an answer to pass on",
+                &["pool", "end"],
+            ),
+            first_piece,
+            store_calls: counter(
+                "monsoonbank_store_calls_total",
+                "Calls to the platform's store",
+                &["reader", "outcome"],
+            ),
+            channels_opened: counter(
+                "monsoonbank_upstream_connections_total",
+                "Connections to upstreams that were opened",
+                &["pool"],
+            ),
+            version: gauge("monsoonbank_configuration_version", "Version in force"),
+            open_calls: gauge("monsoonbank_open_calls", "Calls that have not ended"),
+            registry,
+        }
+    }
+
+    /// Counts a first piece.
+    pub fn observe_first(&self, tier: u8, took: Duration) {
+        let tier = tier.to_string();
+        self.first_piece
+            .with_label_values(&[&tier])
+            .observe(took.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metrics cannot be written: {error}");
+        }
+        text
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/peers.rs
@@ -0,0 +1,202 @@
+//! Words between nodes: who is there, what each has in force and how much work it has where.
+//!
+//! Words are datagrams: each replaces the one before, so a lost one costs a fraction of a second.
+//! What is too large for a datagram is fetched from the node that named it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::fleet::NodeWord;
+use monsoonbank_kernel::gateway::load::WorkCount;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::error::NodeError;
+use crate::gateway::Gateway;
+use crate::gateway::decisions::Decision;
+
+/// Time between two words to nodes of the same availability zone, which share its upstreams.
+const NEAR_PAUSE: Duration = Duration::from_millis(200);
+/// Near words for each word to nodes of other zones, which are told of no work.
+const NEAR_WORDS: u64 = 3;
+/// Largest datagram: one that networks do not split.
+const MOST_BYTES: usize = 1400;
+
+/// What one node tells another.
+#[derive(Debug, Serialize, Deserialize)]
+enum PeerMessage {
+    /// What it says of itself.
+    Word(NodeWord),
+    /// Nodes that it knows, for one that it had not heard.
+    Known(Vec<SocketAddr>),
+}
+
+/// Starts to speak and to listen.
+pub async fn start(gateway: &Rc<Gateway>) -> Result<(), NodeError> {
+    let address = gateway.settings.peer_address();
+    let socket = UdpSocket::bind(address).await;
+    let socket = socket.map_err(|source| NodeError::Listen {
+        address,
+        role: "other nodes",
+        source,
+    })?;
+    let socket = Rc::new(socket);
+    let port = address.port();
+    let seeds = gateway
+        .settings
+        .peers
+        .seeds
+        .iter()
+        .map(|seed| SocketAddr::new(seed.ip(), port));
+    let seeds: BTreeSet<SocketAddr> = seeds.filter(|seed| *seed != address).collect();
+    tokio::task::spawn_local(listen(gateway.clone(), socket.clone()));
+    tokio::task::spawn_local(speak(gateway.clone(), socket, seeds));
+    Ok(())
+}
+
+fn own_word(gateway: &Gateway, with_work: bool) -> NodeWord {
+    let settings = &gateway.settings;
+    let registry = gateway.registry.borrow();
+    let work = registry
+        .iter()
+        .filter(|(_, upstream)| with_work && upstream.load.own_calls() > 0)
+        .map(|(_, upstream)| {
+            let own = upstream.load.own();
+            (upstream.entry.id.clone(), own.calls, own.prompt_tokens)
+        })
+        .collect();
+    NodeWord {
+        name: settings.name.clone(),
+        incarnation: gateway.incarnation,
+        zone: settings.zone.clone(),
+        callers: settings.listen.callers,
+        peers: settings.peer_address(),
+        ready: gateway.is_ready(),
+        version: gateway.rules().map_or(0, |rules| rules.version),
+        registry_offset: gateway.store.get().registry_offset,
+        work,
+    }
+}
+
+async fn send(socket: &UdpSocket, to: SocketAddr, message: &PeerMessage) {
+    let mut bytes = Vec::with_capacity(256);
+    if let Err(error) = ciborium::into_writer(message, &mut bytes) {
+        log::warn!("a word cannot be written: {error}");
+        return;
+    }
+    if bytes.len() > MOST_BYTES {
+        log::debug!("a word of {} bytes may be split on its way", bytes.len());
+    }
+    if let Err(error) = socket.send_to(&bytes, to).await {
+        log::debug!("a word to {to} was not sent: {error}");
+    }
+}
+
+async fn speak(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, seeds: BTreeSet<SocketAddr>) {
+    let mut round = 0;
+    loop {
+        let far_round = round % NEAR_WORDS == 0;
+        let near = PeerMessage::Word(own_word(&gateway, true));
+        let far = PeerMessage::Word(own_word(&gateway, false));
+        let targets: Vec<(SocketAddr, bool)> = gateway
+            .fleet
+            .borrow()
+            .iter()
+            .map(|peer| (peer.word.peers, peer.word.zone == gateway.settings.zone))
+            .collect();
+        for (to, is_near) in &targets {
+            if *is_near {
+                send(&socket, *to, &near).await;
+            } else if far_round {
+                send(&socket, *to, &far).await;
+            }
+        }
+        for seed in seeds
+            .iter()
+            .filter(|seed| far_round && !targets.iter().any(|(to, _)| to == *seed))
+        {
+            send(&socket, *seed, &far).await;
+        }
+        round += 1;
+        tokio::time::sleep(NEAR_PAUSE).await;
+        gateway.fleet.borrow_mut().forget(gateway.now());
+        gateway.decisions.flush();
+    }
+}
+
+async fn listen(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; 64 << 10];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log::debug!("a word was not received: {error}");
+                continue;
+            }
+        };
+        match ciborium::from_reader(&buffer[..length]) {
+            Ok(PeerMessage::Word(word)) => hear(&gateway, &socket, word).await,
+            Ok(PeerMessage::Known(addresses)) => {
+                let own = gateway.settings.peer_address();
+                let known: BTreeSet<SocketAddr> = gateway
+                    .fleet
+                    .borrow()
+                    .iter()
+                    .map(|peer| peer.word.peers)
+                    .collect();
+                let message = PeerMessage::Word(own_word(&gateway, false));
+                for to in addresses
+                    .iter()
+                    .filter(|to| **to != own && !known.contains(to))
+                {
+                    send(&socket, *to, &message).await;
+                }
+            }
+            Err(error) => log::warn!("a word is malformed: {error}"),
+        }
+    }
+}
+
+async fn hear(gateway: &Rc<Gateway>, socket: &UdpSocket, word: NodeWord) {
+    if word.name == gateway.settings.name {
+        return;
+    }
+    let now = gateway.now();
+    take_work(gateway, &word, now);
+    let from = word.peers;
+    let (name, zone) = (word.name.clone(), word.zone.clone());
+    let fresh = gateway.fleet.borrow_mut().heard(word, now);
+    if !fresh {
+        return;
+    }
+    gateway.decisions.line(&Decision::PeerHeard {
+        peer: &name,
+        zone: &zone,
+    });
+    let known = gateway
+        .fleet
+        .borrow()
+        .iter()
+        .map(|peer| peer.word.peers)
+        .collect();
+    send(socket, from, &PeerMessage::Word(own_word(gateway, false))).await;
+    send(socket, from, &PeerMessage::Known(known)).await;
+}
+
+fn take_work(gateway: &Gateway, word: &NodeWord, now: Duration) {
+    let mut registry = gateway.registry.borrow_mut();
+    for (id, calls, prompt_tokens) in &word.work {
+        let Some(key) = registry.key(id) else {
+            continue;
+        };
+        if let Some(upstream) = registry.get_mut(key) {
+            let count = WorkCount {
+                calls: *calls,
+                prompt_tokens: *prompt_tokens,
+            };
+            upstream.load.heard(&word.name, count, now);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/relay.rs
@@ -0,0 +1,528 @@
+//! Sends a call to upstreams until one answers or it must be given up.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
+use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
+use monsoonbank_kernel::gateway::registry::UpstreamKey;
+use monsoonbank_kernel::gateway::rules::{AnswerForm, CallSafety};
+use monsoonbank_platform::answer::{self, AnswerKind};
+use monsoonbank_platform::head::{self, UpstreamOrder};
+
+use crate::gateway::Gateway;
+use crate::gateway::channels::{self, UpstreamChannel};
+use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::intake::Call;
+use crate::gateway::reply::{self, Reply};
+use crate::gateway::stream;
+
+/// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
+const MOST_ANSWER_BYTES: usize = 8 << 20;
+/// Hosts that may fail to accept a connection before a call is given up.
+const MOST_CONNECTS: usize = 3;
+/// What a refused caller is told to wait: about the time in which a full engine frees slots.
+const BUSY_PAUSE: Duration = Duration::from_millis(400);
+
+/// What a call has been through.
+#[derive(Debug, Default)]
+pub struct CallTrail {
+    /// Upstreams that it was sent to or could not be sent to.
+    pub tried: Vec<UpstreamKey>,
+    /// What came of that.
+    pub history: CallHistory,
+    connects: usize,
+}
+
+/// A call's work at an upstream, counted until this is dropped.
+pub struct WorkShare {
+    gateway: Rc<Gateway>,
+    /// The upstream.
+    pub key: UpstreamKey,
+    unread: u32,
+}
+
+impl WorkShare {
+    fn begin(gateway: &Rc<Gateway>, call: &Call, choice: &UpstreamChoice) -> Self {
+        let now = gateway.now();
+        if let Some(upstream) = gateway.registry.borrow_mut().get_mut(choice.key) {
+            upstream.load.begin(choice.unread_tokens);
+            for part in call.head.prompt.shared_parts() {
+                upstream.load.part_used(part.id, now);
+            }
+        }
+        Self {
+            gateway: gateway.clone(),
+            key: choice.key,
+            unread: choice.unread_tokens,
+        }
+    }
+
+    /// The upstream has read the prompt.
+    pub fn prompt_read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
+            upstream.load.prompt_read(unread);
+        }
+    }
+}
+
+impl Drop for WorkShare {
+    fn drop(&mut self) {
+        self.prompt_read();
+        if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
+            upstream.load.end();
+        }
+    }
+}
+
+/// An attempt whose answer's head has come.
+pub struct OpenAttempt {
+    /// The connection.
+    pub channel: UpstreamChannel,
+    /// Its work.
+    pub work: WorkShare,
+    /// The answer.
+    pub response: Response<Incoming>,
+}
+
+/// An attempt that gave no answer to pass on.
+pub struct FailedAttempt {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// More on it.
+    pub reason: Box<str>,
+    /// The upstream's own failure, if it gave one.
+    pub answer: Option<Reply>,
+}
+
+impl FailedAttempt {
+    fn new(end: AttemptEnd, reason: impl ToString) -> Self {
+        Self {
+            end,
+            reason: reason.to_string().into(),
+            answer: None,
+        }
+    }
+}
+
+/// How a call ended, for its log line and counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum CallOutcome {
+    /// The caller got the whole answer.
+    #[display("answered")]
+    Answered,
+    /// The caller got the upstream's failure.
+    #[display("failed")]
+    Failed,
+    /// It did not run, and the caller was told so.
+    #[display("not_run")]
+    NotRun,
+    /// It may have run, and the caller was told that nothing is known.
+    #[display("unknown")]
+    Unknown,
+    /// Its stream was cut off.
+    #[display("cut")]
+    Cut,
+    /// The caller left.
+    #[display("caller_left")]
+    CallerLeft,
+}
+
+/// Follows one call to its end, which it writes down.
+pub struct CallWatch {
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    outcome: CallOutcome,
+    /// Status of the answer.
+    pub status: u16,
+    /// When the first piece of the answer was there.
+    pub first_at: Option<Duration>,
+    /// Events that were passed on.
+    pub events: u64,
+}
+
+impl CallWatch {
+    /// Begins to follow a call.
+    pub fn new(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Self {
+        gateway.open_calls.set(gateway.open_calls.get() + 1);
+        gateway.metrics.open_calls.inc();
+        Self {
+            gateway: gateway.clone(),
+            call: call.clone(),
+            outcome: CallOutcome::CallerLeft,
+            status: 0,
+            first_at: None,
+            events: 0,
+        }
+    }
+
+    /// Notes how the call ends.
+    pub fn set(&mut self, outcome: CallOutcome) {
+        self.outcome = outcome;
+    }
+
+    /// Notes that the first piece of the answer is there.
+    pub fn first_piece(&mut self) {
+        if self.first_at.is_some() {
+            return;
+        }
+        let now = self.gateway.now();
+        self.first_at = Some(now);
+        self.gateway
+            .metrics
+            .observe_first(self.call.tier, now.saturating_sub(self.call.started));
+    }
+}
+
+impl Drop for CallWatch {
+    fn drop(&mut self) {
+        let gateway = &self.gateway;
+        gateway
+            .open_calls
+            .set(gateway.open_calls.get().saturating_sub(1));
+        gateway.metrics.open_calls.dec();
+        let outcome = self.outcome.to_string();
+        let tier = self.call.tier.to_string();
+        gateway
+            .metrics
+            .calls
+            .with_label_values(&[tier.as_str(), outcome.as_str()])
+            .inc();
+        let since = |at: Duration| millis(at.saturating_sub(self.call.started));
+        gateway.decisions.line(&Decision::Ended {
+            call: &self.call.head.id,
+            outcome: &outcome,
+            status: self.status,
+            took_ms: since(gateway.now()),
+            first_ms: self.first_at.map(since),
+            events: self.events,
+        });
+    }
+}
+
+/// Carries a call to its answer.
+pub async fn carry(gateway: Rc<Gateway>, call: Rc<Call>) -> Reply {
+    let mut watch = CallWatch::new(&gateway, &call);
+    let mut trail = CallTrail::default();
+    loop {
+        let attempt = match next_attempt(&gateway, &call, &mut trail, None).await {
+            Ok(attempt) => attempt,
+            Err(failed) => return give_up(watch, &trail, failed),
+        };
+        let key = attempt.work.key;
+        let answered = match call.class.form {
+            AnswerForm::Whole => pass_whole(&gateway, &call, attempt, &mut watch).await,
+            AnswerForm::Events { .. } => {
+                match stream::first_event(&gateway, &call, attempt).await {
+                    Ok(begun) => {
+                        watch.first_piece();
+                        watch.status = begun.status().as_u16();
+                        return stream::pass_on(gateway, call, watch, trail, begun);
+                    }
+                    Err(failed) => Err(failed),
+                }
+            }
+        };
+        match answered {
+            Ok(reply) => return reply,
+            Err(failed) => {
+                if !settle(&gateway, &call, &mut trail, key, &failed) {
+                    return give_up(watch, &trail, failed);
+                }
+            }
+        }
+    }
+}
+
+/// Sends the call until the head of an answer to it comes. `after` is the last event that the
+/// caller has been given.
+pub async fn next_attempt(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    trail: &mut CallTrail,
+    after: Option<u64>,
+) -> Result<OpenAttempt, FailedAttempt> {
+    loop {
+        let Some(choice) = choose(gateway, call, trail) else {
+            return Err(FailedAttempt::new(
+                AttemptEnd::NotSent,
+                "no upstream takes work",
+            ));
+        };
+        trail.tried.push(choice.key);
+        match attempt(gateway, call, trail, &choice, after).await {
+            Ok(attempt) => return Ok(attempt),
+            Err(failed) => {
+                if !settle(gateway, call, trail, choice.key, &failed) {
+                    return Err(failed);
+                }
+            }
+        }
+    }
+}
+
+fn choose(gateway: &Gateway, call: &Call, trail: &CallTrail) -> Option<UpstreamChoice> {
+    let input = ChoiceInput {
+        pool: &call.pool,
+        zone: &gateway.settings.zone,
+        prompt: &call.head.prompt,
+        tried: &trail.tried,
+        now: gateway.now(),
+    };
+    choice::choose(&gateway.registry.borrow(), &input)
+}
+
+/// Takes the end of an attempt in. Gives whether to try again.
+pub fn settle(
+    gateway: &Gateway,
+    call: &Call,
+    trail: &mut CallTrail,
+    key: UpstreamKey,
+    failed: &FailedAttempt,
+) -> bool {
+    let now = gateway.now();
+    trail.history.may_have_run |= failed.end.may_have_run();
+    let room = has_room(gateway, call, trail, failed.end, now);
+    let next = outcome::next_step(failed.end, call.class.safety, trail.history, room);
+    let mut registry = gateway.registry.borrow_mut();
+    if failed.end == AttemptEnd::Moved {
+        registry.replaced(key);
+        gateway.store_nudge.notify_waiters();
+    }
+    let Some(upstream) = registry.get_mut(key) else {
+        return next == NextStep::Retry;
+    };
+    match failed.end {
+        AttemptEnd::NotSent | AttemptEnd::Lost if now < call.deadline => {
+            upstream.health.silent(now)
+        }
+        AttemptEnd::Failed | AttemptEnd::Refused => upstream.health.answered(false),
+        AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Moved => {}
+    }
+    let end = failed.end.to_string();
+    gateway
+        .metrics
+        .attempts
+        .with_label_values(&[&*call.pool, end.as_str()])
+        .inc();
+    gateway.decisions.line(&Decision::AttemptEnded {
+        call: &call.head.id,
+        upstream: &upstream.entry.id,
+        end: &end,
+        next: &next.to_string(),
+        reason: &failed.reason,
+    });
+    next == NextStep::Retry
+}
+
+fn has_room(
+    gateway: &Gateway,
+    call: &Call,
+    trail: &mut CallTrail,
+    end: AttemptEnd,
+    now: Duration,
+) -> bool {
+    if now >= call.deadline {
+        return false;
+    }
+    if end == AttemptEnd::NotSent {
+        trail.connects += 1;
+        return trail.connects < MOST_CONNECTS;
+    }
+    if trail.history.sends >= call.class.max_attempts {
+        return false;
+    }
+    if call.class.safety == CallSafety::AtMostOnce && trail.history.may_have_run {
+        return false;
+    }
+    let nodes = gateway.node_count();
+    let spec = gateway.settings.retries.spec();
+    let mut budgets = gateway.budgets.borrow_mut();
+    budgets
+        .entry(call.pool.clone())
+        .or_default()
+        .try_repeat(now, &spec, nodes)
+}
+
+async fn attempt(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    trail: &mut CallTrail,
+    choice: &UpstreamChoice,
+    after: Option<u64>,
+) -> Result<OpenAttempt, FailedAttempt> {
+    let not_sent =
+        |reason: &dyn ToString| FailedAttempt::new(AttemptEnd::NotSent, reason.to_string());
+    let Some((id, address)) = gateway
+        .registry
+        .borrow()
+        .get(choice.key)
+        .map(|upstream| (upstream.entry.id.clone(), upstream.entry.address))
+    else {
+        return Err(not_sent(&"the upstream is gone"));
+    };
+    let work = WorkShare::begin(gateway, call, choice);
+    let mut channel = match gateway
+        .channels
+        .take(choice.key, call.class.safety, gateway.now())
+    {
+        Some(channel) => channel,
+        None => {
+            let channel = channels::open(choice.key, address).await;
+            gateway
+                .metrics
+                .channels_opened
+                .with_label_values(&[&*call.pool])
+                .inc();
+            channel.map_err(|error| not_sent(&error))?
+        }
+    };
+    let now = gateway.now();
+    if now >= call.deadline {
+        return Err(not_sent(&"the deadline has passed"));
+    }
+    let request = request(call, &id, call.deadline - now, after);
+    count_send(gateway, call, trail);
+    gateway.decisions.line(&Decision::Sent {
+        call: &call.head.id,
+        upstream: &id,
+        attempt: trail.history.sends,
+        cost: choice.cost as u64,
+        unread: choice.unread_tokens,
+        left_ms: millis(call.deadline - now),
+    });
+    let answer = tokio::time::timeout(
+        call.deadline - now,
+        channel.sender.try_send_request(request),
+    );
+    let response = match answer.await {
+        Err(_) => {
+            return Err(FailedAttempt::new(
+                AttemptEnd::Lost,
+                "the deadline has passed",
+            ));
+        }
+        Ok(Err(error)) if error.message().is_some() => return Err(not_sent(error.error())),
+        Ok(Err(error)) => return Err(FailedAttempt::new(AttemptEnd::Lost, error.error())),
+        Ok(Ok(response)) => response,
+    };
+    match answer::classify(response.status(), response.headers(), &call.head.id) {
+        AnswerKind::Success | AnswerKind::Failure => Ok(OpenAttempt {
+            channel,
+            work,
+            response,
+        }),
+        AnswerKind::NotRun => Err(FailedAttempt::new(AttemptEnd::Refused, response.status())),
+        AnswerKind::Moved => Err(FailedAttempt::new(AttemptEnd::Moved, "another incarnation")),
+        AnswerKind::Foreign => Err(FailedAttempt::new(
+            AttemptEnd::Lost,
+            "not the call's answer",
+        )),
+    }
+}
+
+fn count_send(gateway: &Gateway, call: &Call, trail: &mut CallTrail) {
+    trail.history.sends += 1;
+    if trail.history.sends == 1 {
+        let mut budgets = gateway.budgets.borrow_mut();
+        budgets
+            .entry(call.pool.clone())
+            .or_default()
+            .count_call(gateway.now());
+    }
+}
+
+fn request(
+    call: &Call,
+    upstream: &str,
+    time_left: Duration,
+    after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.clone();
+    *request.headers_mut() = call.headers.clone();
+    let order = UpstreamOrder {
+        upstream,
+        workspace: call.workspace.as_deref(),
+        time_left,
+        tier: call.engines.then_some(call.tier),
+        last_event: after.or(call.head.last_event),
+    };
+    head::encode_order(request.headers_mut(), &order);
+    request
+}
+
+async fn pass_whole(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    attempt: OpenAttempt,
+    watch: &mut CallWatch,
+) -> Result<Reply, FailedAttempt> {
+    let OpenAttempt {
+        channel,
+        work,
+        response,
+    } = attempt;
+    let (parts, body) = response.into_parts();
+    let left = call.deadline.saturating_sub(gateway.now());
+    let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
+    let body = match tokio::time::timeout(left, reading).await {
+        Err(_) => {
+            return Err(FailedAttempt::new(
+                AttemptEnd::Lost,
+                "the deadline has passed",
+            ));
+        }
+        Ok(Err(error)) => return Err(FailedAttempt::new(AttemptEnd::Lost, error)),
+        Ok(Ok(body)) => body.to_bytes(),
+    };
+    let now = gateway.now();
+    gateway
+        .channels
+        .keep(channel, answer::keep_alive(&parts.headers), now);
+    let mut reply = reply::whole(parts.status, body);
+    *reply.headers_mut() = answer::lasting_headers(&parts.headers);
+    watch.first_piece();
+    watch.status = parts.status.as_u16();
+    if !parts.status.is_success() {
+        let reason = parts.status.to_string().into();
+        return Err(FailedAttempt {
+            end: AttemptEnd::Failed,
+            reason,
+            answer: Some(reply),
+        });
+    }
+    if let Some(upstream) = gateway.registry.borrow_mut().get_mut(work.key) {
+        upstream.health.answered(true);
+    }
+    watch.set(CallOutcome::Answered);
+    Ok(reply)
+}
+
+fn give_up(mut watch: CallWatch, trail: &CallTrail, failed: FailedAttempt) -> Reply {
+    let (outcome, reply) = match failed.answer {
+        Some(answer) => (CallOutcome::Failed, answer),
+        None if trail.history.may_have_run => {
+            let late = watch.gateway.now() >= watch.call.deadline;
+            let status = if late {
+                StatusCode::GATEWAY_TIMEOUT
+            } else {
+                StatusCode::BAD_GATEWAY
+            };
+            (CallOutcome::Unknown, reply::failure(status, &failed.reason))
+        }
+        None => (
+            CallOutcome::NotRun,
+            reply::not_run(&failed.reason, BUSY_PAUSE),
+        ),
+    };
+    watch.status = reply.status().as_u16();
+    watch.set(outcome);
+    reply
+}
--- /dev/null
+++ b/daemon/src/gateway/stream.rs
@@ -0,0 +1,299 @@
+//! Passes a stream on whole event by whole event, and lets another upstream go on where one breaks.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, Either, StreamBody};
+use hyper::body::Frame;
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+use monsoonbank_kernel::gateway::outcome::AttemptEnd;
+use monsoonbank_kernel::gateway::rules::AnswerForm;
+use monsoonbank_platform::answer;
+
+use crate::gateway::Gateway;
+use crate::gateway::decisions::Decision;
+use crate::gateway::events::{EventSplitter, WholeEvent};
+use crate::gateway::intake::Call;
+use crate::gateway::relay::{self, CallOutcome, CallTrail, CallWatch, FailedAttempt, OpenAttempt};
+use crate::gateway::reply::{self, CutError, Reply};
+
+/// The next piece of an upstream's stream.
+enum StreamPiece {
+    /// A whole event.
+    Event(WholeEvent),
+    /// Bytes after the last event of a complete stream.
+    Rest(Bytes),
+    /// The stream is complete.
+    End,
+}
+
+/// An upstream's stream that is being read.
+struct UpstreamStream {
+    parts: Parts,
+    attempt: OpenAttempt,
+    splitter: EventSplitter,
+    ended: bool,
+}
+
+/// A stream whose first piece is there.
+pub struct BegunStream {
+    stream: UpstreamStream,
+    first: StreamPiece,
+}
+
+impl BegunStream {
+    /// The answer's status.
+    pub fn status(&self) -> StatusCode {
+        self.stream.parts.status
+    }
+}
+
+impl UpstreamStream {
+    async fn next(&mut self, gateway: &Gateway, call: &Call) -> Result<StreamPiece, FailedAttempt> {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return Ok(StreamPiece::Event(event));
+            }
+            if self.ended {
+                let rest = self.splitter.rest();
+                return Ok(if rest.is_empty() {
+                    StreamPiece::End
+                } else {
+                    StreamPiece::Rest(rest)
+                });
+            }
+            self.read(gateway, call).await?;
+        }
+    }
+
+    async fn read(&mut self, gateway: &Gateway, call: &Call) -> Result<(), FailedAttempt> {
+        let lost = |reason: &dyn ToString| FailedAttempt {
+            end: AttemptEnd::Lost,
+            reason: reason.to_string().into(),
+            answer: None,
+        };
+        let left = call.deadline.saturating_sub(gateway.now());
+        let frame = tokio::time::timeout(left, self.attempt.response.body_mut().frame()).await;
+        match frame.map_err(|_| lost(&"the deadline has passed"))? {
+            None => self.ended = true,
+            Some(Err(error)) => return Err(lost(&error)),
+            Some(Ok(frame)) => {
+                let Some(bytes) = frame.data_ref() else {
+                    return Ok(());
+                };
+                if !self.splitter.push(bytes) {
+                    return Err(lost(&"an event is too large"));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads up to the first piece of a stream, so that nothing is promised to the caller before.
+pub async fn first_event(
+    gateway: &Gateway,
+    call: &Call,
+    attempt: OpenAttempt,
+) -> Result<BegunStream, FailedAttempt> {
+    let OpenAttempt {
+        channel,
+        work,
+        response,
+    } = attempt;
+    let (parts, body) = response.into_parts();
+    let attempt = OpenAttempt {
+        channel,
+        work,
+        response: Response::new(body),
+    };
+    let mut stream = UpstreamStream {
+        parts,
+        attempt,
+        splitter: EventSplitter::default(),
+        ended: false,
+    };
+    if !stream.parts.status.is_success() {
+        return Err(whole_failure(gateway, call, stream).await);
+    }
+    let first = stream.next(gateway, call).await?;
+    stream.attempt.work.prompt_read();
+    Ok(BegunStream { stream, first })
+}
+
+async fn whole_failure(
+    gateway: &Gateway,
+    call: &Call,
+    mut stream: UpstreamStream,
+) -> FailedAttempt {
+    while !stream.ended {
+        if let Err(failed) = stream.read(gateway, call).await {
+            return failed;
+        }
+    }
+    let status = stream.parts.status;
+    let mut reply = reply::whole(status, stream.splitter.rest());
+    *reply.headers_mut() = answer::lasting_headers(&stream.parts.headers);
+    FailedAttempt {
+        end: AttemptEnd::Failed,
+        reason: status.to_string().into(),
+        answer: Some(reply),
+    }
+}
+
+/// A stream on its way to the caller.
+struct CallerStream {
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    watch: CallWatch,
+    trail: CallTrail,
+    source: Option<UpstreamStream>,
+    pending: Option<StreamPiece>,
+    last_event: Option<u64>,
+}
+
+/// The answer that carries a stream that has begun.
+pub fn pass_on(
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    watch: CallWatch,
+    trail: CallTrail,
+    begun: BegunStream,
+) -> Reply {
+    let status = begun.stream.parts.status;
+    let headers = answer::lasting_headers(&begun.stream.parts.headers);
+    let last_event = call.head.last_event;
+    let stream = CallerStream {
+        gateway,
+        call,
+        watch,
+        trail,
+        source: Some(begun.stream),
+        pending: Some(begun.first),
+        last_event,
+    };
+    let pieces = futures_util::stream::unfold(Some(stream), |stream| async move {
+        let mut stream = stream?;
+        match stream.next_piece().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(stream))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    let mut reply = Response::new(Either::Right(StreamBody::new(pieces.boxed_local())));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
+
+impl CallerStream {
+    /// The next bytes for the caller; none when the stream is complete.
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, CutError> {
+        loop {
+            let piece = match self.pending.take() {
+                Some(piece) => piece,
+                None => self.next_from_source().await?,
+            };
+            match piece {
+                StreamPiece::Event(event) if self.is_repeated(&event) => {}
+                StreamPiece::Event(event) => {
+                    self.last_event = event.id.or(self.last_event);
+                    self.watch.events += 1;
+                    return Ok(Some(event.bytes));
+                }
+                StreamPiece::Rest(rest) => return Ok(Some(rest)),
+                StreamPiece::End => {
+                    self.complete();
+                    return Ok(None);
+                }
+            }
+        }
+    }
+
+    fn is_repeated(&self, event: &WholeEvent) -> bool {
+        event
+            .id
+            .is_some_and(|id| self.last_event.is_some_and(|last| id <= last))
+    }
+
+    async fn next_from_source(&mut self) -> Result<StreamPiece, CutError> {
+        loop {
+            let Some(source) = self.source.as_mut() else {
+                return Err(CutError::Upstream);
+            };
+            let failed = match source.next(&self.gateway, &self.call).await {
+                Ok(piece) => return Ok(piece),
+                Err(failed) => failed,
+            };
+            let key = source.attempt.work.key;
+            // Closes the connection, which makes the upstream drop what it still works on.
+            self.source = None;
+            self.resume(key, failed).await?;
+        }
+    }
+
+    async fn resume(
+        &mut self,
+        key: monsoonbank_kernel::gateway::registry::UpstreamKey,
+        failed: FailedAttempt,
+    ) -> Result<(), CutError> {
+        let again = relay::settle(&self.gateway, &self.call, &mut self.trail, key, &failed);
+        let resumable = self.call.class.form == AnswerForm::Events { resumable: true };
+        if !again || !resumable {
+            return Err(self.cut());
+        }
+        let after = self.last_event;
+        let attempt = relay::next_attempt(&self.gateway, &self.call, &mut self.trail, after).await;
+        let Ok(attempt) = attempt else {
+            return Err(self.cut());
+        };
+        let key = attempt.work.key;
+        if let Some(upstream) = self.gateway.registry.borrow().get(key) {
+            self.gateway.decisions.line(&Decision::Resumed {
+                call: &self.call.head.id,
+                upstream: &upstream.entry.id,
+                after: after.unwrap_or(0),
+            });
+        }
+        match first_event(&self.gateway, &self.call, attempt).await {
+            Ok(begun) => {
+                self.pending = Some(begun.first);
+                self.source = Some(begun.stream);
+                Ok(())
+            }
+            Err(failed) => Box::pin(self.resume(key, failed)).await,
+        }
+    }
+
+    fn cut(&mut self) -> CutError {
+        self.watch.set(CallOutcome::Cut);
+        if self.gateway.now() >= self.call.deadline {
+            CutError::Deadline
+        } else {
+            CutError::Upstream
+        }
+    }
+
+    /// Keeps the connection for other calls.
+    fn complete(&mut self) {
+        self.watch.set(CallOutcome::Answered);
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let now = self.gateway.now();
+        let announced = answer::keep_alive(&source.parts.headers);
+        if let Some(upstream) = self
+            .gateway
+            .registry
+            .borrow_mut()
+            .get_mut(source.attempt.work.key)
+        {
+            upstream.health.answered(true);
+        }
+        self.gateway
+            .channels
+            .keep(source.attempt.channel, announced, now);
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod exit_codes;
 pub mod frame;
+pub mod gateway;
 pub mod intake;
 pub mod links;
 pub mod message;
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::error::NodeError;
@@ -111,28 +112,38 @@
 impl Settings {
     /// Reads a settings file. Errors name the file, the line and the field.
     pub fn load(path: &Path) -> Result<Self, NodeError> {
-        let file: Box<str> = path.display().to_string().into();
-        let text = std::fs::read_to_string(path).map_err(|source| NodeError::SettingsUnread {
-            file: file.clone(),
-            source,
-        })?;
-        Self::parse(&file, &text)
+        load_yaml(path)
     }
 
     /// Parses the text of the settings file called `file`.
     pub fn parse(file: &str, text: &str) -> Result<Self, NodeError> {
-        let parser = serde_yaml_ng::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(parser).map_err(|error| {
-            let line = error
-                .inner()
-                .location()
-                .map_or(1, |location| location.line());
-            NodeError::SettingsInvalid {
-                file: file.into(),
-                line,
-                field: error.path().to_string().into(),
-                reason: error.inner().to_string().into(),
-            }
-        })
+        parse_yaml(file, text)
     }
 }
+
+/// Reads any settings file. Errors name the file, the line and the field.
+pub fn load_yaml<T: DeserializeOwned>(path: &Path) -> Result<T, NodeError> {
+    let file: Box<str> = path.display().to_string().into();
+    let text = std::fs::read_to_string(path).map_err(|source| NodeError::SettingsUnread {
+        file: file.clone(),
+        source,
+    })?;
+    parse_yaml(&file, &text)
+}
+
+/// Parses the text of the settings file called `file`.
+pub fn parse_yaml<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, NodeError> {
+    let parser = serde_yaml_ng::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(parser).map_err(|error| {
+        let line = error
+            .inner()
+            .location()
+            .map_or(1, |location| location.line());
+        NodeError::SettingsInvalid {
+            file: file.into(),
+            line,
+            field: error.path().to_string().into(),
+            reason: error.inner().to_string().into(),
+        }
+    })
+}
--- /dev/null
+++ b/kernel/src/gateway.rs
@@ -0,0 +1,14 @@
+//! Decisions of a node that passes calls on unchanged: which rule a call falls under, which upstream
+//! takes it, whether it may be tried again and what its end means.
+//!
+//! Every part is a plain value that is told the time; the daemon's gateway owns the sockets.
+
+pub mod budget;
+pub mod choice;
+pub mod fleet;
+pub mod health;
+pub mod load;
+pub mod outcome;
+pub mod prompt;
+pub mod registry;
+pub mod rules;
--- /dev/null
+++ b/kernel/src/gateway/fleet.rs
@@ -0,0 +1,88 @@
+//! The other nodes, as their own words tell them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What a node says of itself, several times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeWord {
+    /// Its name.
+    pub name: Box<str>,
+    /// Grows with each start of the node's process.
+    pub incarnation: u64,
+    /// Its availability zone.
+    pub zone: Box<str>,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other nodes reach it.
+    pub peers: SocketAddr,
+    /// Whether it takes new calls.
+    pub ready: bool,
+    /// Version of the configuration that it has in force; 0 is none.
+    pub version: u64,
+    /// Position in the registry's log up to which it has read.
+    pub registry_offset: u64,
+    /// Its work: upstream id, calls, prompt tokens.
+    pub work: Vec<(Box<str>, u32, u32)>,
+}
+
+/// Time after which a silent node is no longer named to callers: four of the longest pauses
+/// between two words of a node.
+pub const SILENT_AFTER: Duration = Duration::from_millis(2000);
+/// Time after which a silent node is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+
+/// Another node.
+#[derive(Clone, Debug)]
+pub struct FleetPeer {
+    /// Its newest word.
+    pub word: NodeWord,
+    /// When that came.
+    pub heard_at: Duration,
+}
+
+/// All other nodes that were heard.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    peers: BTreeMap<Box<str>, FleetPeer>,
+}
+
+impl FleetView {
+    /// Takes a word in. Gives whether the node is new or started again.
+    pub fn heard(&mut self, word: NodeWord, now: Duration) -> bool {
+        let known = self.peers.get(&word.name).map(|peer| peer.word.incarnation);
+        if known.is_some_and(|incarnation| incarnation > word.incarnation) {
+            return false;
+        }
+        let fresh = known != Some(word.incarnation);
+        self.peers.insert(
+            word.name.clone(),
+            FleetPeer {
+                word,
+                heard_at: now,
+            },
+        );
+        fresh
+    }
+
+    /// Forgets nodes that have long been silent.
+    pub fn forget(&mut self, now: Duration) {
+        self.peers
+            .retain(|_, peer| peer.heard_at + FORGOTTEN_AFTER > now);
+    }
+
+    /// Nodes that are there.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &FleetPeer> {
+        self.peers
+            .values()
+            .filter(move |peer| peer.heard_at + SILENT_AFTER > now)
+    }
+
+    /// Every node that is known, live or not.
+    pub fn iter(&self) -> impl Iterator<Item = &FleetPeer> {
+        self.peers.values()
+    }
+}
--- /dev/null
+++ b/kernel/src/gateway/prompt.rs
@@ -0,0 +1,36 @@
+//! What a call says of its prompt: sizes and the parts that it shares with other calls.
+
+/// One part of a prompt, named by its content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the part's content.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// Sizes of a model call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptShape {
+    /// Tokens to read before the first token is generated.
+    pub prompt_tokens: u32,
+    /// Most tokens that may be generated.
+    pub output_tokens: u32,
+    /// The prompt's parts in order; the last belongs to the call or its session alone.
+    pub parts: Box<[PromptPart]>,
+}
+
+impl PromptShape {
+    /// The parts that other calls may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// The longest part that other calls may share, which decides where cached work pays most.
+    pub fn anchor(&self) -> Option<PromptPart> {
+        self.shared_parts()
+            .iter()
+            .copied()
+            .max_by_key(|part| part.tokens)
+    }
+}
--- /dev/null
+++ b/kernel/src/gateway/rules.rs
@@ -0,0 +1,226 @@
+//! The ordered rules that decide a call's class and pool, and who may call.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::gateway::prompt::PromptShape;
+
+/// Whether a call may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallSafety {
+    /// Running it again does no harm.
+    Idempotent,
+    /// It may run once at most.
+    AtMostOnce,
+}
+
+/// How an answer is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// As one body.
+    Whole,
+    /// As server-sent events with increasing ids.
+    Events {
+        /// Whether another upstream may go on after the last event that was passed on.
+        resumable: bool,
+    },
+}
+
+/// What the first matching rule makes of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallClass {
+    /// Whether the call may run more than once.
+    pub safety: CallSafety,
+    /// How its answer is passed on.
+    pub form: AnswerForm,
+    /// Rank among classes; 0 is the most urgent.
+    pub tier: u8,
+    /// Longest time until the final answer.
+    pub timeout: Duration,
+    /// Time within which the answer, or the first event of a stream, is wanted.
+    pub target: Duration,
+    /// Most upstreams that one call may be sent to.
+    pub max_attempts: u32,
+    /// Whether calls carry prompts whose parts upstreams cache.
+    pub cached: bool,
+}
+
+/// A pool and its share of a rule's calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolShare {
+    /// The pool's name.
+    pub pool: Box<str>,
+    /// Its share, relative to the rule's other pools.
+    pub weight: u32,
+}
+
+/// One when-then rule.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallRule {
+    /// The operator's name for it.
+    pub name: Box<str>,
+    /// When: the host that is called, in lower case.
+    pub host: Box<str>,
+    /// When: how the path begins.
+    pub path_prefix: Box<str>,
+    /// Then: the class.
+    pub class: CallClass,
+    /// Then: the pools that may run it; never empty.
+    pub pools: Box<[PoolShare]>,
+    /// Whether callers need no key.
+    pub public: bool,
+}
+
+/// A pool of interchangeable upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolSpec {
+    /// The pool's name.
+    pub name: Box<str>,
+    /// Most connections that one upstream accepts from all nodes together.
+    pub max_connections: u32,
+    /// Calls that one upstream works on at a time, if it runs a model.
+    pub engine: Option<EngineSpec>,
+}
+
+/// What is known of a pool's engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSpec {
+    /// Calls in one batch.
+    pub slots: u32,
+    /// Tokens that the KV cache holds.
+    pub cache_tokens: u64,
+    /// Bytes of KV cache for one token.
+    pub token_bytes: f64,
+}
+
+/// A workspace's entry in the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkspaceSpec {
+    /// The workspace's name, as upstreams are told.
+    pub name: Box<str>,
+    /// Goes before the rule's tier, if set.
+    pub tier: Option<u8>,
+}
+
+/// Bounds on what a caller may send and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerBounds {
+    /// Largest head, in bytes.
+    pub head_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a head to arrive.
+    pub head_timeout: Duration,
+    /// Longest time that a connection may stay idle.
+    pub idle_timeout: Duration,
+}
+
+/// One version of the configuration, ready for lookups.
+#[derive(Clone, Debug)]
+pub struct RuleTable {
+    /// Grows with each version.
+    pub version: u64,
+    /// Bounds on callers.
+    pub bounds: CallerBounds,
+    rules: BTreeMap<Box<str>, Vec<CallRule>>,
+    pools: BTreeMap<Box<str>, PoolSpec>,
+    workspaces: Vec<WorkspaceSpec>,
+    keys: BTreeMap<Box<str>, usize>,
+}
+
+impl RuleTable {
+    /// Puts rules in the order in which they are tried: the longest path first within a host.
+    pub fn new(
+        version: u64,
+        bounds: CallerBounds,
+        rules: Vec<CallRule>,
+        pools: Vec<PoolSpec>,
+    ) -> Self {
+        let mut by_host: BTreeMap<Box<str>, Vec<CallRule>> = BTreeMap::new();
+        for rule in rules {
+            by_host.entry(rule.host.clone()).or_default().push(rule);
+        }
+        for list in by_host.values_mut() {
+            list.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
+        }
+        Self {
+            version,
+            bounds,
+            rules: by_host,
+            pools: pools
+                .into_iter()
+                .map(|pool| (pool.name.clone(), pool))
+                .collect(),
+            workspaces: Vec::new(),
+            keys: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a workspace and the keys that name it.
+    pub fn add_workspace(
+        &mut self,
+        workspace: WorkspaceSpec,
+        keys: impl IntoIterator<Item = Box<str>>,
+    ) {
+        let index = self.workspaces.len();
+        self.workspaces.push(workspace);
+        self.keys.extend(keys.into_iter().map(|key| (key, index)));
+    }
+
+    /// The first rule that matches.
+    pub fn find(&self, host: &str, path: &str) -> Option<&CallRule> {
+        let rules = self.rules.get(host)?;
+        rules
+            .iter()
+            .find(|rule| path.starts_with(&*rule.path_prefix))
+    }
+
+    /// Whether callers must show a key at all.
+    pub fn has_workspaces(&self) -> bool {
+        !self.workspaces.is_empty()
+    }
+
+    /// The workspace that a key names.
+    pub fn workspace(&self, key: &str) -> Option<&WorkspaceSpec> {
+        self.keys.get(key).map(|index| &self.workspaces[*index])
+    }
+
+    /// A pool by name.
+    pub fn pool(&self, name: &str) -> Option<&PoolSpec> {
+        self.pools.get(name)
+    }
+
+    /// Number of rules.
+    pub fn rule_count(&self) -> usize {
+        self.rules.values().map(Vec::len).sum()
+    }
+}
+
+impl CallRule {
+    /// The pool for a call, by weight; `draw` is uniform over all of `u64`.
+    pub fn pool(&self, draw: u64) -> &str {
+        let total: u64 = self.pools.iter().map(|share| u64::from(share.weight)).sum();
+        let mut point = draw % total.max(1);
+        for share in &self.pools {
+            let weight = u64::from(share.weight);
+            if point < weight {
+                return &share.pool;
+            }
+            point -= weight;
+        }
+        &self.pools[0].pool
+    }
+}
+
+/// A call as the kernel sees it.
+#[derive(Clone, Debug)]
+pub struct CallFacts {
+    /// The pool that takes it.
+    pub pool: Box<str>,
+    /// Rank; 0 is the most urgent.
+    pub tier: u8,
+    /// When it must have ended, on the node's steady clock.
+    pub deadline: Duration,
+    /// Sizes of its prompt, if it is a model call.
+    pub prompt: PromptShape,
+}
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod configuration;
 pub mod dispatch;
 pub mod event;
+pub mod gateway;
 pub mod ids;
 pub mod kernel;
 pub mod keys;
