Give callers the first event after a resume

Cause: after a stream went on at another upstream, the loop read the second event of the new stream before the first, which was held apart; ids 8 and 10 stood next to each other in every resumed stream. Ruled out: an event cut by the crash (held back whole), ids that skip (they count by one).

--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -231,6 +231,9 @@
             // Closes the connection, which makes the upstream drop what it still works on.
             self.source = None;
             self.resume(key, failed).await?;
+            if let Some(piece) = self.pending.take() {
+                return Ok(piece);
+            }
         }
     }
 
