Rank calls at engines by workspace first and rule within it

Cause: every workspace of the sites has a rank of its own, so the rule's rank was never used and chat was preempted beside digests. Both are now told in one number.

--- a/daemon/src/gateway/intake.rs
+++ b/daemon/src/gateway/intake.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, StatusCode, Uri};
-use monsoonbank_kernel::gateway::rules::{CallClass, CallRule, RuleTable};
+use monsoonbank_kernel::gateway::rules::{CallClass, CallRule, RuleTable, WorkspaceSpec};
 use monsoonbank_platform::head::{self, CallHead};
 
 use crate::gateway::Gateway;
@@ -90,10 +90,7 @@
         .ok_or_else(|| rejected(no_configuration()))?;
     let rule = find_rule(&rules, &head, parts.uri.path()).map_err(rejected)?;
     let workspace = find_workspace(&rules, rule, &head).map_err(rejected)?;
-    let tier = workspace
-        .as_ref()
-        .and_then(|(_, tier)| *tier)
-        .unwrap_or(rule.class.tier);
+    let tier = rules.tier(rule, workspace);
     let pool: Box<str> = rule.pool(draw(&head.id)).into();
     let patience = head
         .time_left
@@ -103,7 +100,7 @@
         engines: rules.pool(&pool).is_some_and(|pool| pool.engine.is_some()),
         class: rule.class.clone(),
         tier,
-        workspace: workspace.map(|(name, _)| name),
+        workspace: workspace.map(|workspace| workspace.name.clone()),
         headers: head::lasting_headers(&parts.headers),
         method: parts.method,
         target: parts.uri,
@@ -179,25 +176,19 @@
     rules.find(&head.host, path).ok_or_else(none)
 }
 
-type FoundWorkspace = (Box<str>, Option<u8>);
-
-fn find_workspace(
-    rules: &RuleTable,
+fn find_workspace<'a>(
+    rules: &'a RuleTable,
     rule: &CallRule,
     head: &CallHead,
-) -> Result<Option<FoundWorkspace>, Rejection> {
+) -> Result<Option<&'a WorkspaceSpec>, Rejection> {
     if !rules.has_workspaces() {
         return Ok(None);
     }
     let found = head.key.as_deref().and_then(|key| rules.workspace(key));
-    match found {
-        Some(workspace) => Ok(Some((workspace.name.clone(), workspace.tier))),
-        None if rule.public => Ok(None),
-        None => Err(Rejection::new(
-            StatusCode::UNAUTHORIZED,
-            "the key is not known",
-        )),
+    if found.is_none() && !rule.public {
+        return Err(Rejection::new(StatusCode::UNAUTHORIZED, "the key is not known"));
     }
+    Ok(found)
 }
 
 /// A number that is uniform over calls, from the call's own name.
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -122,6 +122,7 @@
     pub version: u64,
     /// Bounds on callers.
     pub bounds: CallerBounds,
+    tier_count: u8,
     rules: BTreeMap<Box<str>, Vec<CallRule>>,
     pools: BTreeMap<Box<str>, PoolSpec>,
     workspaces: Vec<WorkspaceSpec>,
@@ -136,6 +137,7 @@
         rules: Vec<CallRule>,
         pools: Vec<PoolSpec>,
     ) -> Self {
+        let highest = rules.iter().map(|rule| rule.class.tier).max().unwrap_or(0);
         let mut by_host: BTreeMap<Box<str>, Vec<CallRule>> = BTreeMap::new();
         for rule in rules {
             by_host.entry(rule.host.clone()).or_default().push(rule);
@@ -146,6 +148,7 @@
         Self {
             version,
             bounds,
+            tier_count: highest.saturating_add(1),
             rules: by_host,
             pools: pools
                 .into_iter()
@@ -185,6 +188,14 @@
         self.keys.get(key).map(|index| &self.workspaces[*index])
     }
 
+    /// A call's rank: the workspace's goes first, the rule's decides within it.
+    pub fn tier(&self, rule: &CallRule, workspace: Option<&WorkspaceSpec>) -> u8 {
+        let Some(above) = workspace.and_then(|workspace| workspace.tier) else {
+            return rule.class.tier;
+        };
+        above.saturating_mul(self.tier_count).saturating_add(rule.class.tier)
+    }
+
     /// A pool by name.
     pub fn pool(&self, name: &str) -> Option<&PoolSpec> {
         self.pools.get(name)
