Choose upstreams by waits, stalls and cached prompts; fetch what another keeps

Cause: prompts of bulk calls were read between the tokens of urgent streams (pauses of 40 ms a chunk), and shared parts were read again in every zone.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -19,7 +19,7 @@
 pub mod stream;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -73,6 +73,8 @@
     pub fleet: RefCell<FleetView>,
     /// Budgets for repeats, by pool.
     pub budgets: RefCell<BTreeMap<Box<str>, RetryBudget>>,
+    /// Parts of prompts that were sent since the last word to other nodes.
+    pub sent_parts: RefCell<BTreeSet<(u64, u64)>>,
     /// Connections to upstreams.
     pub channels: ChannelPool,
     /// How well the store is heard.
@@ -146,6 +148,7 @@
         registry: RefCell::default(),
         fleet: RefCell::default(),
         budgets: RefCell::default(),
+        sent_parts: RefCell::default(),
         store: Cell::default(),
         leaving_since: Cell::new(None),
         open_calls: Cell::new(0),
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -117,10 +117,12 @@
         upstream: &'a str,
         /// Which attempt, from 1.
         attempt: u32,
-        /// The upstream's cost in prompt tokens.
-        cost: u64,
+        /// The upstream's cost, in thousandths of the call's target.
+        cost: i64,
         /// Prompt tokens that it has to read.
         unread: u32,
+        /// Whether it fetches parts of the prompt from another upstream.
+        fetches: bool,
         /// Time that is left, in ms.
         left_ms: u64,
     },
--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -137,9 +137,10 @@
                 "address": upstream.entry.address,
                 "zone": upstream.entry.zone,
                 "left": upstream.left.map(|cause| cause.to_string()),
-                "own_calls": upstream.load.own_calls(),
+                "own_calls": upstream.load.own().calls,
                 "calls": total.calls,
                 "prompt_tokens": total.prompt_tokens,
+                "held_tokens": total.held_tokens,
                 "resting": upstream.health.resting(now),
                 "failures": upstream.health.failures(),
             })
--- a/daemon/src/gateway/intake.rs
+++ b/daemon/src/gateway/intake.rs
@@ -8,7 +8,9 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, StatusCode, Uri};
-use monsoonbank_kernel::gateway::rules::{CallClass, CallRule, RuleTable, WorkspaceSpec};
+use monsoonbank_kernel::gateway::rules::{
+    CallClass, CallRule, EngineSpec, RuleTable, WorkspaceSpec,
+};
 use monsoonbank_platform::head::{self, CallHead};
 
 use crate::gateway::Gateway;
@@ -38,8 +40,10 @@
     pub class: CallClass,
     /// The pool that the rule sent it to.
     pub pool: Box<str>,
-    /// Whether the pool runs engines.
-    pub engines: bool,
+    /// The pool's engines, if it runs any.
+    pub engine: Option<EngineSpec>,
+    /// Whether its pauses have to be the shortest of its pool.
+    pub tight: bool,
     /// Its rank; 0 is the most urgent.
     pub tier: u8,
     /// Who calls.
@@ -97,7 +101,8 @@
         .unwrap_or(DEFAULT_TIME)
         .min(rule.class.timeout);
     let call = Call {
-        engines: rules.pool(&pool).is_some_and(|pool| pool.engine.is_some()),
+        engine: rules.pool(&pool).and_then(|pool| pool.engine),
+        tight: rules.is_tight(rule),
         class: rule.class.clone(),
         tier,
         workspace: workspace.map(|workspace| workspace.name.clone()),
@@ -186,7 +191,10 @@
     }
     let found = head.key.as_deref().and_then(|key| rules.workspace(key));
     if found.is_none() && !rule.public {
-        return Err(Rejection::new(StatusCode::UNAUTHORIZED, "the key is not known"));
+        return Err(Rejection::new(
+            StatusCode::UNAUTHORIZED,
+            "the key is not known",
+        ));
     }
     Ok(found)
 }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::fleet::NodeWord;
-use monsoonbank_kernel::gateway::load::WorkCount;
+use monsoonbank_kernel::gateway::registry::id_hash;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -19,8 +19,10 @@
 
 /// Time between two words to nodes of the same availability zone, which share its upstreams.
 const NEAR_PAUSE: Duration = Duration::from_millis(200);
-/// Near words for each word to nodes of other zones, which are told of no work.
-const NEAR_WORDS: u64 = 3;
+/// Near words for each word to nodes of other zones.
+const NEAR_WORDS: u64 = 2;
+/// Parts of prompts in one datagram, about 16 bytes each.
+const MOST_PARTS: usize = 48;
 /// Largest datagram: one that networks do not split.
 const MOST_BYTES: usize = 1400;
 
@@ -56,16 +58,13 @@
     Ok(())
 }
 
-fn own_word(gateway: &Gateway, with_work: bool) -> NodeWord {
+fn own_word(gateway: &Gateway, parts: Vec<(u64, u64)>) -> NodeWord {
     let settings = &gateway.settings;
     let registry = gateway.registry.borrow();
     let work = registry
         .iter()
-        .filter(|(_, upstream)| with_work && upstream.load.own_calls() > 0)
-        .map(|(_, upstream)| {
-            let own = upstream.load.own();
-            (upstream.entry.id.clone(), own.calls, own.prompt_tokens)
-        })
+        .filter(|(_, upstream)| upstream.load.own().calls > 0)
+        .map(|(_, upstream)| (id_hash(&upstream.entry.id), upstream.load.own()))
         .collect();
     NodeWord {
         name: settings.name.clone(),
@@ -77,6 +76,7 @@
         version: gateway.rules().map_or(0, |rules| rules.version),
         registry_offset: gateway.store.get().registry_offset,
         work,
+        parts,
     }
 }
 
@@ -96,10 +96,13 @@
 
 async fn speak(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, seeds: BTreeSet<SocketAddr>) {
     let mut round = 0;
+    let mut far_parts = BTreeSet::new();
     loop {
         let far_round = round % NEAR_WORDS == 0;
-        let near = PeerMessage::Word(own_word(&gateway, true));
-        let far = PeerMessage::Word(own_word(&gateway, false));
+        let parts = std::mem::take(&mut *gateway.sent_parts.borrow_mut());
+        far_parts.extend(parts.iter().copied());
+        let near = PeerMessage::Word(own_word(&gateway, newest_parts(&parts)));
+        let far = PeerMessage::Word(own_word(&gateway, newest_parts(&far_parts)));
         let targets: Vec<(SocketAddr, bool)> = gateway
             .fleet
             .borrow()
@@ -113,11 +116,14 @@
                 send(&socket, *to, &far).await;
             }
         }
-        for seed in seeds
-            .iter()
-            .filter(|seed| far_round && !targets.iter().any(|(to, _)| to == *seed))
-        {
-            send(&socket, *seed, &far).await;
+        if far_round {
+            far_parts.clear();
+            for seed in seeds
+                .iter()
+                .filter(|seed| !targets.iter().any(|(to, _)| to == *seed))
+            {
+                send(&socket, *seed, &far).await;
+            }
         }
         round += 1;
         tokio::time::sleep(NEAR_PAUSE).await;
@@ -126,6 +132,11 @@
     }
 }
 
+/// As many as a datagram holds; the rest costs a few prompts that are read twice.
+fn newest_parts(parts: &BTreeSet<(u64, u64)>) -> Vec<(u64, u64)> {
+    parts.iter().copied().take(MOST_PARTS).collect()
+}
+
 async fn listen(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; 64 << 10];
     loop {
@@ -146,7 +157,7 @@
                     .iter()
                     .map(|peer| peer.word.peers)
                     .collect();
-                let message = PeerMessage::Word(own_word(&gateway, false));
+                let message = PeerMessage::Word(own_word(&gateway, Vec::new()));
                 for to in addresses
                     .iter()
                     .filter(|to| **to != own && !known.contains(to))
@@ -181,22 +192,27 @@
         .iter()
         .map(|peer| peer.word.peers)
         .collect();
-    send(socket, from, &PeerMessage::Word(own_word(gateway, false))).await;
+    send(
+        socket,
+        from,
+        &PeerMessage::Word(own_word(gateway, Vec::new())),
+    )
+    .await;
     send(socket, from, &PeerMessage::Known(known)).await;
 }
 
 fn take_work(gateway: &Gateway, word: &NodeWord, now: Duration) {
     let mut registry = gateway.registry.borrow_mut();
-    for (id, calls, prompt_tokens) in &word.work {
-        let Some(key) = registry.key(id) else {
-            continue;
-        };
-        if let Some(upstream) = registry.get_mut(key) {
-            let count = WorkCount {
-                calls: *calls,
-                prompt_tokens: *prompt_tokens,
-            };
-            upstream.load.heard(&word.name, count, now);
+    for (hash, count) in &word.work {
+        let key = registry.by_hash(*hash);
+        if let Some(upstream) = key.and_then(|key| registry.get_mut(key)) {
+            upstream.load.heard(&word.name, *count, now);
+        }
+    }
+    for (part, hash) in &word.parts {
+        let key = registry.by_hash(*hash);
+        if let Some(upstream) = key.and_then(|key| registry.get_mut(key)) {
+            upstream.load.part_used(*part, now);
         }
     }
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -1,5 +1,6 @@
 //! Sends a call to upstreams until one answers or it must be given up.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,8 +9,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
+use monsoonbank_kernel::gateway::load::WorkItem;
 use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
-use monsoonbank_kernel::gateway::registry::UpstreamKey;
+use monsoonbank_kernel::gateway::registry::{self, UpstreamKey};
 use monsoonbank_kernel::gateway::rules::{AnswerForm, CallSafety};
 use monsoonbank_platform::answer::{self, AnswerKind};
 use monsoonbank_platform::head::{self, UpstreamOrder};
@@ -43,28 +45,37 @@
     gateway: Rc<Gateway>,
     /// The upstream.
     pub key: UpstreamKey,
-    unread: u32,
+    item: WorkItem,
 }
 
 impl WorkShare {
     fn begin(gateway: &Rc<Gateway>, call: &Call, choice: &UpstreamChoice) -> Self {
         let now = gateway.now();
+        let prompt = &call.head.prompt;
+        let item = WorkItem {
+            unread_tokens: choice.unread_tokens,
+            held_tokens: prompt.prompt_tokens + prompt.output_tokens,
+            tight: call.tight,
+        };
         if let Some(upstream) = gateway.registry.borrow_mut().get_mut(choice.key) {
-            upstream.load.begin(choice.unread_tokens);
-            for part in call.head.prompt.shared_parts() {
+            upstream.load.begin(item);
+            let hash = registry::id_hash(&upstream.entry.id);
+            let mut sent_parts = gateway.sent_parts.borrow_mut();
+            for part in prompt.shared_parts() {
                 upstream.load.part_used(part.id, now);
+                sent_parts.insert((part.id, hash));
             }
         }
         Self {
             gateway: gateway.clone(),
             key: choice.key,
-            unread: choice.unread_tokens,
+            item,
         }
     }
 
     /// The upstream has read the prompt.
     pub fn prompt_read(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
+        let unread = std::mem::take(&mut self.item.unread_tokens);
         if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
             upstream.load.prompt_read(unread);
         }
@@ -75,7 +86,7 @@
     fn drop(&mut self) {
         self.prompt_read();
         if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
-            upstream.load.end();
+            upstream.load.end(self.item);
         }
     }
 }
@@ -271,6 +282,9 @@
         pool: &call.pool,
         zone: &gateway.settings.zone,
         prompt: &call.head.prompt,
+        target: call.class.target,
+        tight: call.tight,
+        cache_tokens: call.engine.map_or(0, |engine| engine.cache_tokens),
         tried: &trail.tried,
         now: gateway.now(),
     };
@@ -386,14 +400,17 @@
     if now >= call.deadline {
         return Err(not_sent(&"the deadline has passed"));
     }
-    let request = request(call, &id, call.deadline - now, after);
+    let keeper = choice.fetch_from;
+    let fetch_from = keeper.and_then(|keeper| address_of(gateway, keeper));
+    let request = request(call, &id, fetch_from, call.deadline - now, after);
     count_send(gateway, call, trail);
     gateway.decisions.line(&Decision::Sent {
         call: &call.head.id,
         upstream: &id,
         attempt: trail.history.sends,
-        cost: choice.cost as u64,
+        cost: choice.cost as i64,
         unread: choice.unread_tokens,
+        fetches: choice.fetch_from.is_some(),
         left_ms: millis(call.deadline - now),
     });
     let answer = tokio::time::timeout(
@@ -426,6 +443,14 @@
     }
 }
 
+fn address_of(gateway: &Gateway, key: UpstreamKey) -> Option<SocketAddr> {
+    gateway
+        .registry
+        .borrow()
+        .get(key)
+        .map(|upstream| upstream.entry.address)
+}
+
 fn count_send(gateway: &Gateway, call: &Call, trail: &mut CallTrail) {
     trail.history.sends += 1;
     if trail.history.sends == 1 {
@@ -440,6 +465,7 @@
 fn request(
     call: &Call,
     upstream: &str,
+    fetch_from: Option<SocketAddr>,
     time_left: Duration,
     after: Option<u64>,
 ) -> Request<Full<Bytes>> {
@@ -451,7 +477,8 @@
         upstream,
         workspace: call.workspace.as_deref(),
         time_left,
-        tier: call.engines.then_some(call.tier),
+        tier: call.engine.map(|_| call.tier),
+        fetch_from,
         last_event: after.or(call.head.last_event),
     };
     head::encode_order(request.headers_mut(), &order);
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -1,19 +1,40 @@
-//! Which upstream takes a call.
+//! Which upstream takes a call, and from which other one it fetches what that keeps of the prompt.
+//!
+//! Costs are in thousandths of the call's own target: a cost of 1,000 is a wait as long as the
+//! target.
 
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::gateway::load::WorkCount;
 use crate::gateway::prompt::PromptShape;
 use crate::gateway::registry::{Upstream, UpstreamKey, UpstreamRegistry};
 
-/// What another call in a batch costs the others, in prompt tokens: one more call lengthens each
-/// step, which over a usual answer equals reading about this many tokens.
-const CALL_TOKENS: f64 = 300.0;
-/// What bytes between availability zones are worth, in prompt tokens of waiting.
-const ZONE_TOKENS: f64 = 2500.0;
-/// What a call that is sent in vain costs, in prompt tokens.
-const FAILURE_TOKENS: f64 = 20_000.0;
+/// Prompt tokens that an engine reads in a ms. Only a scale: engines in use read about 50.
+const TOKENS_PER_MS: f64 = 50.0;
+/// What one more call in a batch costs each other, in ms: it lengthens each of some hundred steps
+/// by a few hundredths of a ms.
+const CALL_MS: f64 = 4.0;
+/// Prompt tokens in a row that stretch a tight stream's pause to its bound: a piece is a handful of
+/// tokens, and each waits for a chunk of 2,048 tokens or so.
+const STALL_TOKENS: f64 = 12_000.0;
+/// What a tight stream loses by such a pause.
+const STALL_COST: f64 = 100.0;
+/// What bytes between availability zones cost, against the worth of an answer in time.
+const ZONE_COST: f64 = 150.0;
+/// What a call that is sent in vain costs.
+const FAILURE_COST: f64 = 1500.0;
+/// What it costs to hold more tokens than the engine's cache has: others are preempted.
+const CACHE_COST: f64 = 3000.0;
+/// What each call beyond an engine's slots waits, in ms: about what a slot takes to come free.
+const SLOT_MS: f64 = 60.0;
+/// Part of the cache that calls may hold. The rest is for what is cached between calls.
+const CACHE_PART: f64 = 0.85;
+/// What a token that is fetched costs, against one that is read.
+const FETCH_PART: f64 = 0.07;
+/// What speaks for the upstream on which all nodes agree when none is known to keep the prompt.
+const HOME_COST: f64 = 40.0;
 
 /// Where a call comes from and what it needs.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +45,12 @@
     pub zone: &'a str,
     /// The call's prompt.
     pub prompt: &'a PromptShape,
+    /// Time within which the first piece of its answer is wanted.
+    pub target: Duration,
+    /// Whether its pauses have to be the shortest of its pool.
+    pub tight: bool,
+    /// Tokens that an engine of the pool keeps; 0 if the pool runs no engines.
+    pub cache_tokens: u64,
     /// Upstreams that it was sent to already.
     pub tried: &'a [UpstreamKey],
     /// Now.
@@ -35,41 +62,65 @@
 pub struct UpstreamChoice {
     /// The upstream.
     pub key: UpstreamKey,
-    /// Its cost, in prompt tokens.
+    /// Its cost.
     pub cost: f64,
     /// Prompt tokens that it has to read.
     pub unread_tokens: u32,
+    /// The upstream that keeps more of the prompt.
+    pub fetch_from: Option<UpstreamKey>,
+}
+
+/// The upstream that keeps most of a call's prompt.
+#[derive(Clone, Copy, Debug)]
+struct PromptKeeper {
+    key: UpstreamKey,
+    tokens: u32,
 }
 
 /// The cheapest upstream that takes new work, if there is any.
 pub fn choose(registry: &UpstreamRegistry, input: &ChoiceInput) -> Option<UpstreamChoice> {
+    let all: Vec<(UpstreamKey, &Upstream)> = registry.usable(input.pool).collect();
+    let keeper = prompt_keeper(&all, input);
+    let home = if keeper.is_none() {
+        anchor_home(&all, input)
+    } else {
+        None
+    };
     let fresh = |key: &UpstreamKey| !input.tried.contains(key);
-    let candidates: Vec<(UpstreamKey, &Upstream)> = registry
-        .usable(input.pool)
-        .filter(|(key, _)| fresh(key))
-        .collect();
-    let rested = candidates
+    let rested = |upstream: &Upstream| !upstream.health.resting(input.now);
+    let any_rested = all
         .iter()
-        .any(|(_, upstream)| !upstream.health.resting(input.now));
-    let home = anchor_home(&candidates, input);
-    candidates
-        .iter()
-        .filter(|(_, upstream)| !rested || !upstream.health.resting(input.now))
-        .map(|(key, upstream)| weigh(*key, upstream, input, home))
+        .any(|(key, upstream)| fresh(key) && rested(upstream));
+    all.iter()
+        .filter(|(key, upstream)| fresh(key) && (!any_rested || rested(upstream)))
+        .map(|(key, upstream)| weigh(*key, upstream, input, keeper, home))
         .min_by(|one, other| one.cost.total_cmp(&other.cost))
 }
 
-/// The upstream that all nodes agree on for the call's longest shared part: highest hash wins.
-fn anchor_home(
-    candidates: &[(UpstreamKey, &Upstream)],
-    input: &ChoiceInput,
-) -> Option<UpstreamKey> {
-    let anchor = input.prompt.anchor()?;
-    let local = |upstream: &Upstream| &*upstream.entry.zone == input.zone;
-    let any_local = candidates.iter().any(|(_, upstream)| local(upstream));
-    candidates
+fn prompt_keeper(all: &[(UpstreamKey, &Upstream)], input: &ChoiceInput) -> Option<PromptKeeper> {
+    let near = |upstream: &Upstream| &*upstream.entry.zone == input.zone;
+    let (key, _, tokens) = all
         .iter()
-        .filter(|(_, upstream)| !any_local || local(upstream))
+        .filter(|(_, upstream)| !upstream.health.resting(input.now))
+        .map(|(key, upstream)| {
+            (
+                *key,
+                *upstream,
+                upstream.load.kept_tokens(input.prompt, input.now),
+            )
+        })
+        .max_by_key(|(_, upstream, tokens)| (*tokens, near(upstream)))?;
+    (tokens > 0).then_some(PromptKeeper { key, tokens })
+}
+
+/// The upstream that all nodes of a zone agree on for the call's last shared part: the highest
+/// hash wins.
+fn anchor_home(all: &[(UpstreamKey, &Upstream)], input: &ChoiceInput) -> Option<UpstreamKey> {
+    let anchor = input.prompt.shared_parts().last()?;
+    let near = |upstream: &Upstream| &*upstream.entry.zone == input.zone;
+    let any_near = all.iter().any(|(_, upstream)| near(upstream));
+    all.iter()
+        .filter(|(_, upstream)| !any_near || near(upstream))
         .max_by_key(|(_, upstream)| xxh3_64_with_seed(upstream.entry.id.as_bytes(), anchor.id))
         .map(|(key, _)| *key)
 }
@@ -78,34 +129,67 @@
     key: UpstreamKey,
     upstream: &Upstream,
     input: &ChoiceInput,
+    keeper: Option<PromptKeeper>,
     home: Option<UpstreamKey>,
 ) -> UpstreamChoice {
-    let unread = unread_tokens(upstream, input, home == Some(key));
     let total = upstream.load.total(input.now);
-    let mut cost = f64::from(total.prompt_tokens) + CALL_TOKENS * f64::from(total.calls);
-    cost += f64::from(unread);
-    cost += FAILURE_TOKENS * upstream.health.failures();
+    let kept = upstream.load.kept_tokens(input.prompt, input.now);
+    let keeper = keeper.filter(|keeper| keeper.key != key && keeper.tokens > kept);
+    let fetched = keeper.map_or(0, |keeper| keeper.tokens - kept);
+    let unread = input.prompt.prompt_tokens.saturating_sub(kept + fetched);
+    let mut cost = wait_cost(
+        upstream,
+        input,
+        total,
+        f64::from(unread) + FETCH_PART * f64::from(fetched),
+    );
+    cost += stall_cost(input, total, f64::from(unread));
+    cost += FAILURE_COST * upstream.health.failures();
+    cost += cache_cost(input, total);
     if &*upstream.entry.zone != input.zone {
-        cost += ZONE_TOKENS;
+        cost += ZONE_COST;
     }
-    if total.calls >= upstream.entry.slots {
-        cost += f64::from(total.calls - upstream.entry.slots + 1) * CALL_TOKENS * 10.0;
+    if home == Some(key) {
+        cost -= HOME_COST;
     }
     UpstreamChoice {
         key,
         cost,
         unread_tokens: unread,
+        fetch_from: keeper.map(|keeper| keeper.key),
     }
 }
 
-/// Prompt tokens that the upstream does not keep. A part counts as kept only behind kept parts.
-fn unread_tokens(upstream: &Upstream, input: &ChoiceInput, home: bool) -> u32 {
-    let mut kept = 0;
-    for part in input.prompt.shared_parts() {
-        if !home && !upstream.load.keeps(part.id, input.now) {
-            break;
-        }
-        kept += part.tokens;
+/// What the call itself waits.
+fn wait_cost(upstream: &Upstream, input: &ChoiceInput, total: WorkCount, unread: f64) -> f64 {
+    let beyond = (total.calls + 1).saturating_sub(upstream.entry.slots);
+    let wait_ms = (f64::from(total.prompt_tokens) + unread) / TOKENS_PER_MS
+        + CALL_MS * f64::from(total.calls)
+        + SLOT_MS * f64::from(beyond);
+    wait_ms / input.target.as_secs_f64().max(0.001)
+}
+
+/// What tight streams lose by prompts that are read beside them.
+fn stall_cost(input: &ChoiceInput, total: WorkCount, unread: f64) -> f64 {
+    let pending = (f64::from(total.prompt_tokens) + unread) / STALL_TOKENS;
+    let streams = if input.tight {
+        3.0
+    } else {
+        f64::from(total.tight_streams)
+    };
+    streams * STALL_COST * pending * pending
+}
+
+/// What is lost where calls hold more tokens than the cache has.
+fn cache_cost(input: &ChoiceInput, total: WorkCount) -> f64 {
+    if input.cache_tokens == 0 {
+        return 0.0;
+    }
+    let held = f64::from(total.held_tokens) + f64::from(input.prompt.prompt_tokens);
+    let excess = held / (CACHE_PART * input.cache_tokens as f64) - 1.0;
+    if excess > 0.0 {
+        CACHE_COST * (0.3 + excess)
+    } else {
+        0.0
     }
-    input.prompt.prompt_tokens.saturating_sub(kept)
 }
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::load::WorkCount;
+
 /// What a node says of itself, several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeWord {
@@ -25,8 +27,10 @@
     pub version: u64,
     /// Position in the registry's log up to which it has read.
     pub registry_offset: u64,
-    /// Its work: upstream id, calls, prompt tokens.
-    pub work: Vec<(Box<str>, u32, u32)>,
+    /// Its work at upstreams, by the hash of their ids.
+    pub work: Vec<(u64, WorkCount)>,
+    /// Parts of prompts that it sent lately, with the hash of the upstream's id.
+    pub parts: Vec<(u64, u64)>,
 }
 
 /// Time after which a silent node is no longer named to callers: four of the longest pauses
--- a/kernel/src/gateway/load.rs
+++ b/kernel/src/gateway/load.rs
@@ -3,21 +3,45 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use derive_more::{Add, AddAssign};
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::prompt::{PromptPart, PromptShape};
+
 /// Work of one node at one upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Serialize, Deserialize)]
 pub struct WorkCount {
     /// Calls that were sent and have not ended.
     pub calls: u32,
+    /// Streams among them whose pauses have to be the shortest of their pool.
+    pub tight_streams: u32,
     /// Prompt tokens of those that have shown no token yet.
     pub prompt_tokens: u32,
+    /// Tokens that all of them may come to hold in the KV cache.
+    pub held_tokens: u32,
 }
 
-/// Time after which another node's word no longer counts: five of its usual rounds.
-const WORD_AGE: Duration = Duration::from_secs(1);
+/// One call's part of an upstream's work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkItem {
+    /// Prompt tokens that the upstream has to read.
+    pub unread_tokens: u32,
+    /// Tokens that the call may come to hold.
+    pub held_tokens: u32,
+    /// Whether its pauses have to be the shortest of its pool.
+    pub tight: bool,
+}
+
+/// Time after which another node's word no longer counts: three of its longest pauses.
+const WORD_AGE: Duration = Duration::from_millis(1500);
 
-/// Time for which an upstream is taken to keep a part of a prompt after its last use.
+/// Time for which an upstream is taken to keep a part of a prompt after its last use. Caches hold
+/// some hundred prompts and drop what was used least lately; few parts rest this long.
 const CACHE_AGE: Duration = Duration::from_secs(20);
 
+/// Parts that are remembered before old ones are dropped: bounds memory to some 100 kB an upstream.
+const MOST_PARTS: usize = 4096;
+
 /// All work at an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamLoad {
@@ -28,19 +52,26 @@
 
 impl UpstreamLoad {
     /// A call was sent.
-    pub fn begin(&mut self, prompt_tokens: u32) {
-        self.own.calls += 1;
-        self.own.prompt_tokens = self.own.prompt_tokens.saturating_add(prompt_tokens);
+    pub fn begin(&mut self, item: WorkItem) {
+        self.own += WorkCount {
+            calls: 1,
+            tight_streams: u32::from(item.tight),
+            prompt_tokens: item.unread_tokens,
+            held_tokens: item.held_tokens,
+        };
     }
 
     /// The first part of its answer came: its prompt has been read.
-    pub fn prompt_read(&mut self, prompt_tokens: u32) {
-        self.own.prompt_tokens = self.own.prompt_tokens.saturating_sub(prompt_tokens);
+    pub fn prompt_read(&mut self, tokens: u32) {
+        self.own.prompt_tokens = self.own.prompt_tokens.saturating_sub(tokens);
     }
 
-    /// It ended.
-    pub fn end(&mut self) {
+    /// It ended; its prompt was told as read before.
+    pub fn end(&mut self, item: WorkItem) {
         self.own.calls = self.own.calls.saturating_sub(1);
+        self.own.held_tokens = self.own.held_tokens.saturating_sub(item.held_tokens);
+        let tight = u32::from(item.tight);
+        self.own.tight_streams = self.own.tight_streams.saturating_sub(tight);
     }
 
     /// Another node's word on its own work here.
@@ -48,11 +79,6 @@
         self.others.insert(node.into(), (now, count));
     }
 
-    /// This node's calls.
-    pub fn own_calls(&self) -> u32 {
-        self.own.calls
-    }
-
     /// This node's work.
     pub fn own(&self) -> WorkCount {
         self.own
@@ -61,24 +87,30 @@
     /// Work of all nodes whose word is fresh.
     pub fn total(&self, now: Duration) -> WorkCount {
         let fresh = self.others.values().filter(|(at, _)| *at + WORD_AGE > now);
-        fresh.fold(self.own, |sum, (_, count)| WorkCount {
-            calls: sum.calls + count.calls,
-            prompt_tokens: sum.prompt_tokens.saturating_add(count.prompt_tokens),
-        })
+        fresh.fold(self.own, |sum, (_, count)| sum + *count)
     }
 
     /// A call with this part of a prompt was sent here.
     pub fn part_used(&mut self, part: u64, now: Duration) {
         self.parts.insert(part, now);
-        if self.parts.len() > 4096 {
+        if self.parts.len() > MOST_PARTS {
             self.parts.retain(|_, at| *at + CACHE_AGE > now);
         }
     }
 
-    /// Whether the upstream is taken to keep this part.
-    pub fn keeps(&self, part: u64, now: Duration) -> bool {
+    fn keeps(&self, part: PromptPart, now: Duration) -> bool {
         self.parts
-            .get(&part)
+            .get(&part.id)
             .is_some_and(|at| *at + CACHE_AGE > now)
     }
+
+    /// Tokens of the prompt's shared parts that the upstream is taken to keep: a part is kept
+    /// together with all before it.
+    pub fn kept_tokens(&self, prompt: &PromptShape, now: Duration) -> u32 {
+        let shared = prompt.shared_parts();
+        let last = shared.iter().rposition(|part| self.keeps(*part, now));
+        last.map_or(0, |last| {
+            shared[..=last].iter().map(|part| part.tokens).sum()
+        })
+    }
 }
--- a/kernel/src/gateway/prompt.rs
+++ b/kernel/src/gateway/prompt.rs
@@ -25,12 +25,4 @@
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
-
-    /// The longest part that other calls may share, which decides where cached work pays most.
-    pub fn anchor(&self) -> Option<PromptPart> {
-        self.shared_parts()
-            .iter()
-            .copied()
-            .max_by_key(|part| part.tokens)
-    }
 }
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
@@ -75,11 +76,18 @@
 /// registry's return. The platform promises about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_millis(2000);
 
+/// Stands for an upstream's id in words between nodes: 32 bits, five bytes on the wire. Two of
+/// 10,000 upstreams share one with a chance of one in a hundred, which costs a worse choice.
+pub fn id_hash(id: &str) -> u64 {
+    xxh3_64(id.as_bytes()) >> 32
+}
+
 /// Every upstream that this process has heard of.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     upstreams: BTreeMap<UpstreamKey, Upstream>,
     keys: BTreeMap<Box<str>, UpstreamKey>,
+    hashes: BTreeMap<u64, UpstreamKey>,
     pools: BTreeMap<Box<str>, Vec<UpstreamKey>>,
     next_key: u32,
 }
@@ -129,6 +137,7 @@
             }
         }
         self.keys.insert(entry.id.clone(), key);
+        self.hashes.insert(id_hash(&entry.id), key);
         self.pools.entry(entry.pool.clone()).or_default().push(key);
         let upstream = Upstream {
             left: entry.leaving.then_some(LeavingCause::Draining),
@@ -198,7 +207,7 @@
         let idle: Vec<UpstreamKey> = self
             .upstreams
             .iter()
-            .filter(|(_, upstream)| upstream.left.is_some() && upstream.load.own_calls() == 0)
+            .filter(|(_, upstream)| upstream.left.is_some() && upstream.load.own().calls == 0)
             .map(|(key, _)| *key)
             .collect();
         idle
@@ -227,6 +236,11 @@
         self.keys.get(id).copied()
     }
 
+    /// The upstream whose id has this hash.
+    pub fn by_hash(&self, hash: u64) -> Option<UpstreamKey> {
+        self.hashes.get(&hash).copied()
+    }
+
     /// All upstreams.
     pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         self.upstreams
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -41,6 +41,8 @@
     pub target: Duration,
     /// Most upstreams that one call may be sent to.
     pub max_attempts: u32,
+    /// Longest pause between two pieces of a stream that is still in time.
+    pub gap: Option<Duration>,
     /// Whether calls carry prompts whose parts upstreams cache.
     pub cached: bool,
 }
@@ -193,7 +195,20 @@
         let Some(above) = workspace.and_then(|workspace| workspace.tier) else {
             return rule.class.tier;
         };
-        above.saturating_mul(self.tier_count).saturating_add(rule.class.tier)
+        above
+            .saturating_mul(self.tier_count)
+            .saturating_add(rule.class.tier)
+    }
+
+    /// Whether no other class of the rule's pools wants shorter pauses.
+    pub fn is_tight(&self, rule: &CallRule) -> bool {
+        let shares_pool = |other: &&CallRule| {
+            let shared = |share: &PoolShare| rule.pools.iter().any(|own| own.pool == share.pool);
+            other.pools.iter().any(shared)
+        };
+        let gaps = self.rules.values().flatten().filter(shares_pool);
+        let shortest = gaps.filter_map(|other| other.class.gap).min();
+        rule.class.gap.is_some_and(|gap| shortest == Some(gap))
     }
 
     /// A pool by name.
