--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod reply;
 pub mod settings;
 pub mod stream;
+pub mod waiting;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,6 +30,7 @@
 use monsoonbank_kernel::gateway::fleet::FleetView;
 use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
 use monsoonbank_kernel::gateway::rules::RuleTable;
+use monsoonbank_kernel::gateway::waiting::WaitList;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::NodeError;
@@ -75,6 +77,10 @@
     pub budgets: RefCell<BTreeMap<Box<str>, RetryBudget>>,
     /// Parts of prompts that were sent since the last word to other nodes.
     pub sent_parts: RefCell<BTreeSet<(u64, u64)>>,
+    /// Calls that wait for room.
+    pub waiting: RefCell<WaitList>,
+    /// Tells waiting calls that there may be room.
+    pub room_notice: tokio::sync::Notify,
     /// Connections to upstreams.
     pub channels: ChannelPool,
     /// How well the store is heard.
@@ -149,6 +155,8 @@
         fleet: RefCell::default(),
         budgets: RefCell::default(),
         sent_parts: RefCell::default(),
+        waiting: RefCell::default(),
+        room_notice: tokio::sync::Notify::new(),
         store: Cell::default(),
         leaving_since: Cell::new(None),
         open_calls: Cell::new(0),
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -109,6 +109,15 @@
         /// Version of the configuration that decided it.
         version: u64,
     },
+    /// A call waited for room.
+    Waited {
+        /// The call.
+        call: &'a str,
+        /// For how long, in ms.
+        waited_ms: u64,
+        /// Whether an upstream had room in the end.
+        found: bool,
+    },
     /// An attempt begins.
     Sent {
         /// The call.
--- a/daemon/src/gateway/intake.rs
+++ b/daemon/src/gateway/intake.rs
@@ -46,6 +46,8 @@
     pub tight: bool,
     /// Its rank; 0 is the most urgent.
     pub tier: u8,
+    /// Number of ranks.
+    pub tiers: u8,
     /// Who calls.
     pub workspace: Option<Box<str>>,
     /// When its head was read.
@@ -103,6 +105,7 @@
     let call = Call {
         engine: rules.pool(&pool).and_then(|pool| pool.engine),
         tight: rules.is_tight(rule),
+        tiers: rules.tiers(),
         class: rule.class.clone(),
         tier,
         workspace: workspace.map(|workspace| workspace.name.clone()),
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -176,6 +176,7 @@
     }
     let now = gateway.now();
     take_work(gateway, &word, now);
+    gateway.room_notice.notify_waiters();
     let from = word.peers;
     let (name, zone) = (word.name.clone(), word.zone.clone());
     let fresh = gateway.fleet.borrow_mut().heard(word, now);
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -21,7 +21,7 @@
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::intake::Call;
 use crate::gateway::reply::{self, Reply};
-use crate::gateway::stream;
+use crate::gateway::{stream, waiting};
 
 /// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
@@ -88,6 +88,7 @@
         if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
             upstream.load.end(self.item);
         }
+        self.gateway.room_notice.notify_waiters();
     }
 }
 
@@ -259,10 +260,10 @@
     after: Option<u64>,
 ) -> Result<OpenAttempt, FailedAttempt> {
     loop {
-        let Some(choice) = choose(gateway, call, trail) else {
+        let Some(choice) = waiting::wait_for_room(gateway, call, trail).await else {
             return Err(FailedAttempt::new(
                 AttemptEnd::NotSent,
-                "no upstream takes work",
+                "no upstream has room",
             ));
         };
         trail.tried.push(choice.key);
@@ -277,12 +278,15 @@
     }
 }
 
-fn choose(gateway: &Gateway, call: &Call, trail: &CallTrail) -> Option<UpstreamChoice> {
+/// The upstream for a call, if one has room.
+pub fn choose(gateway: &Gateway, call: &Call, trail: &CallTrail) -> Option<UpstreamChoice> {
     let input = ChoiceInput {
         pool: &call.pool,
         zone: &gateway.settings.zone,
         prompt: &call.head.prompt,
         target: call.class.target,
+        tier: call.tier,
+        tiers: call.tiers,
         tight: call.tight,
         cache_tokens: call.engine.map_or(0, |engine| engine.cache_tokens),
         tried: &trail.tried,
--- /dev/null
+++ b/daemon/src/gateway/waiting.rs
@@ -0,0 +1,83 @@
+//! Lets a call wait for room at an upstream, and gives up when that takes too long.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::choice::UpstreamChoice;
+use monsoonbank_kernel::gateway::waiting::WaitRank;
+
+use crate::gateway::Gateway;
+use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::intake::Call;
+use crate::gateway::relay::{self, CallTrail};
+
+/// Part of a call's time for which it waits. What is left lets its caller come back once, which
+/// may wait up to a third of it.
+const PATIENCE_PART: f64 = 0.33;
+/// Time after which a waiting call looks again even if nothing was told: work of other nodes ends
+/// unseen until their next word.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// A place in the list of waiting calls, given up when this is dropped.
+struct WaitPlace<'a> {
+    gateway: &'a Gateway,
+    pool: &'a str,
+    rank: WaitRank,
+}
+
+impl Drop for WaitPlace<'_> {
+    fn drop(&mut self) {
+        self.gateway
+            .waiting
+            .borrow_mut()
+            .leave(self.pool, self.rank);
+        self.gateway.room_notice.notify_waiters();
+    }
+}
+
+/// The upstream for a call, once one has room and it is the call's turn. None if there is no
+/// upstream at all, or none with room in time.
+pub async fn wait_for_room(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    trail: &CallTrail,
+) -> Option<UpstreamChoice> {
+    let blocked = |rank: Option<WaitRank>| {
+        let first = gateway.waiting.borrow().first(&call.pool);
+        first.is_some_and(|first| match rank {
+            Some(rank) => first != rank,
+            None => first.tier <= call.tier,
+        })
+    };
+    if !blocked(None)
+        && let Some(choice) = relay::choose(gateway, call, trail)
+    {
+        return Some(choice);
+    }
+    let since = gateway.now();
+    let until = since + call.deadline.saturating_sub(since).mul_f64(PATIENCE_PART);
+    let rank = gateway
+        .waiting
+        .borrow_mut()
+        .join(&call.pool, call.tier, call.deadline);
+    let place = WaitPlace {
+        gateway,
+        pool: &call.pool,
+        rank,
+    };
+    let mut choice = None;
+    while choice.is_none() && gateway.now() < until {
+        let notice = gateway.room_notice.notified();
+        let _ = tokio::time::timeout(LOOK_PAUSE, notice).await;
+        if !blocked(Some(rank)) {
+            choice = relay::choose(gateway, call, trail);
+        }
+    }
+    drop(place);
+    gateway.decisions.line(&Decision::Waited {
+        call: &call.head.id,
+        waited_ms: millis(gateway.now().saturating_sub(since)),
+        found: choice.is_some(),
+    });
+    choice
+}
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -12,3 +12,4 @@
 pub mod prompt;
 pub mod registry;
 pub mod rules;
+pub mod waiting;
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -25,12 +25,15 @@
 const ZONE_COST: f64 = 150.0;
 /// What a call that is sent in vain costs.
 const FAILURE_COST: f64 = 1500.0;
-/// What it costs to hold more tokens than the engine's cache has: others are preempted.
-const CACHE_COST: f64 = 3000.0;
-/// What each call beyond an engine's slots waits, in ms: about what a slot takes to come free.
-const SLOT_MS: f64 = 60.0;
 /// Part of the cache that calls may hold. The rest is for what is cached between calls.
 const CACHE_PART: f64 = 0.85;
+/// Part of an engine's slots that are given out. The rest is for what other nodes have sent and not
+/// told yet.
+const SLOT_PART: f64 = 0.92;
+/// Part of slots and cache that the least urgent calls leave to others.
+const RESERVED_PART: f64 = 0.2;
+/// Calls for each slot of a plain service, which queues a few and ends each in some ms.
+const PLAIN_QUEUE: f64 = 3.0;
 /// What a token that is fetched costs, against one that is read.
 const FETCH_PART: f64 = 0.07;
 /// What speaks for the upstream on which all nodes agree when none is known to keep the prompt.
@@ -47,6 +50,10 @@
     pub prompt: &'a PromptShape,
     /// Time within which the first piece of its answer is wanted.
     pub target: Duration,
+    /// Its rank; 0 is the most urgent.
+    pub tier: u8,
+    /// Number of ranks.
+    pub tiers: u8,
     /// Whether its pauses have to be the shortest of its pool.
     pub tight: bool,
     /// Tokens that an engine of the pool keeps; 0 if the pool runs no engines.
@@ -93,10 +100,26 @@
         .any(|(key, upstream)| fresh(key) && rested(upstream));
     all.iter()
         .filter(|(key, upstream)| fresh(key) && (!any_rested || rested(upstream)))
+        .filter(|(_, upstream)| has_room(upstream, input))
         .map(|(key, upstream)| weigh(*key, upstream, input, keeper, home))
         .min_by(|one, other| one.cost.total_cmp(&other.cost))
 }
 
+/// Whether an upstream can take the call without making others wait or be preempted. The less
+/// urgent a call is, the more room it leaves for others.
+fn has_room(upstream: &Upstream, input: &ChoiceInput) -> bool {
+    let total = upstream.load.total(input.now);
+    let slots = f64::from(upstream.entry.slots);
+    if input.cache_tokens == 0 {
+        return f64::from(total.calls) < slots * PLAIN_QUEUE;
+    }
+    let reserved = RESERVED_PART * f64::from(input.tier) / f64::from(input.tiers.max(1));
+    let most_held = (CACHE_PART - reserved) * input.cache_tokens as f64;
+    let held = f64::from(total.held_tokens) + f64::from(input.prompt.prompt_tokens);
+    let alone = total.calls == 0;
+    f64::from(total.calls) < slots * (SLOT_PART - reserved) && (alone || held < most_held)
+}
+
 fn prompt_keeper(all: &[(UpstreamKey, &Upstream)], input: &ChoiceInput) -> Option<PromptKeeper> {
     let near = |upstream: &Upstream| &*upstream.entry.zone == input.zone;
     let (key, _, tokens) = all
@@ -138,14 +161,12 @@
     let fetched = keeper.map_or(0, |keeper| keeper.tokens - kept);
     let unread = input.prompt.prompt_tokens.saturating_sub(kept + fetched);
     let mut cost = wait_cost(
-        upstream,
         input,
         total,
         f64::from(unread) + FETCH_PART * f64::from(fetched),
     );
     cost += stall_cost(input, total, f64::from(unread));
     cost += FAILURE_COST * upstream.health.failures();
-    cost += cache_cost(input, total);
     if &*upstream.entry.zone != input.zone {
         cost += ZONE_COST;
     }
@@ -161,11 +182,9 @@
 }
 
 /// What the call itself waits.
-fn wait_cost(upstream: &Upstream, input: &ChoiceInput, total: WorkCount, unread: f64) -> f64 {
-    let beyond = (total.calls + 1).saturating_sub(upstream.entry.slots);
+fn wait_cost(input: &ChoiceInput, total: WorkCount, unread: f64) -> f64 {
     let wait_ms = (f64::from(total.prompt_tokens) + unread) / TOKENS_PER_MS
-        + CALL_MS * f64::from(total.calls)
-        + SLOT_MS * f64::from(beyond);
+        + CALL_MS * f64::from(total.calls);
     wait_ms / input.target.as_secs_f64().max(0.001)
 }
 
@@ -179,17 +198,3 @@
     };
     streams * STALL_COST * pending * pending
 }
-
-/// What is lost where calls hold more tokens than the cache has.
-fn cache_cost(input: &ChoiceInput, total: WorkCount) -> f64 {
-    if input.cache_tokens == 0 {
-        return 0.0;
-    }
-    let held = f64::from(total.held_tokens) + f64::from(input.prompt.prompt_tokens);
-    let excess = held / (CACHE_PART * input.cache_tokens as f64) - 1.0;
-    if excess > 0.0 {
-        CACHE_COST * (0.3 + excess)
-    } else {
-        0.0
-    }
-}
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -200,6 +200,19 @@
             .saturating_add(rule.class.tier)
     }
 
+    /// Number of ranks that calls can have.
+    pub fn tiers(&self) -> u8 {
+        let above = self
+            .workspaces
+            .iter()
+            .filter_map(|workspace| workspace.tier)
+            .max();
+        above
+            .unwrap_or(0)
+            .saturating_add(1)
+            .saturating_mul(self.tier_count)
+    }
+
     /// Whether no other class of the rule's pools wants shorter pauses.
     pub fn is_tight(&self, rule: &CallRule) -> bool {
         let shares_pool = |other: &&CallRule| {
