Take nothing new late in a node's grace period

Cause of LOST: a node that was told to stop took calls until its end; a stream that it took 3.2 to 5.7 s after the signal was cut at 7.5 s. It now refuses (not run, come back at once) from 2.5 s on.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -124,14 +124,19 @@
             .map(|table| table.rules.clone())
     }
 
+    /// Whether the node takes new calls: also for a while after it was told to stop.
+    pub fn takes_calls(&self) -> bool {
+        self.leaving_since.get().is_none_or(|since| self.now() < since + LINGER)
+    }
+
     /// Nodes that share budgets, this one included.
     pub fn node_count(&self) -> usize {
         1 + self.fleet.borrow().iter().count()
     }
 }
 
-/// Time for which a node that leaves goes on taking calls on connections that callers still use.
-/// Callers keep an address for up to three times the lookup's time to live.
+/// Time for which a node that leaves goes on taking calls. Callers that keep its address for longer
+/// find its port closed; a call that is taken later may not end within the grace period.
 const LINGER: Duration = Duration::from_millis(2500);
 /// Part of the grace period after which the node ends whatever it still has. The rest is kept for
 /// the process's own end.
--- a/daemon/src/gateway/listener.rs
+++ b/daemon/src/gateway/listener.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::error::NodeError;
-use crate::gateway::reply::Reply;
+use crate::gateway::reply::{self, Reply};
 use crate::gateway::{Gateway, desk, intake, relay};
 
 /// Descriptors that are kept for files, upstreams, peers and the store.
@@ -69,6 +69,9 @@
                 continue;
             }
         };
+        if !gateway.takes_calls() {
+            return;
+        }
         if gateway.open_connections.get() >= most {
             continue;
         }
@@ -128,9 +131,9 @@
 
 async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Result<Reply, Infallible> {
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let admitted = intake::admit(&gateway, request).await;
-    let mut reply = match admitted {
-        Ok(call) => relay::carry(gateway.clone(), call).await,
+    let mut reply = match intake::admit(&gateway, request).await {
+        Ok(call) if gateway.takes_calls() => relay::carry(gateway.clone(), call).await,
+        Ok(_) => reply::not_run("the node is leaving", Duration::ZERO),
         Err(reply) => reply,
     };
     // A second length may have been dropped before the headers were seen; what follows a body in
