Learn versions and departures from other nodes and at once after an outage

The reader now asks anew when the other reader finds the store back, keeps no read waiting while the store is doubtful, and fetches from a node whose word shows a newer version.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod decisions;
 pub mod desk;
 pub mod events;
+pub mod exchange;
 pub mod follow;
 pub mod intake;
 pub mod listener;
@@ -99,8 +100,12 @@
     pub incarnation: u64,
     /// Tells idle connections of callers that the node leaves.
     pub leave_notice: tokio::sync::Notify,
-    /// Wakes readers of the store that wait for their next turn.
+    /// Wakes the reader of the registry before its next turn.
     pub store_nudge: tokio::sync::Notify,
+    /// Makes the reader of the configuration ask anew.
+    pub configuration_nudge: tokio::sync::Notify,
+    /// Whether something is being fetched from another node.
+    pub fetching: Cell<bool>,
 }
 
 impl Gateway {
@@ -116,6 +121,16 @@
             && self.store.get().registry_known
     }
 
+    /// Whether a call to the store failed lately, so that a read that is kept waiting may have
+    /// been lost without a sign.
+    pub fn store_doubtful(&self) -> bool {
+        let trust = self.settings.times.trust;
+        self.store
+            .get()
+            .failed_at
+            .is_some_and(|at| self.now() < at + trust)
+    }
+
     /// The configuration in force.
     pub fn rules(&self) -> Option<Rc<RuleTable>> {
         self.table
@@ -126,7 +141,9 @@
 
     /// Whether the node takes new calls: also for a while after it was told to stop.
     pub fn takes_calls(&self) -> bool {
-        self.leaving_since.get().is_none_or(|since| self.now() < since + LINGER)
+        self.leaving_since
+            .get()
+            .is_none_or(|since| self.now() < since + LINGER)
     }
 
     /// Nodes that share budgets, this one included.
@@ -169,6 +186,8 @@
         incarnation: follow::start_time(),
         leave_notice: tokio::sync::Notify::new(),
         store_nudge: tokio::sync::Notify::new(),
+        configuration_nudge: tokio::sync::Notify::new(),
+        fetching: Cell::new(false),
         settings,
     });
     gateway.decisions.line(&Decision::Started {
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -83,6 +83,13 @@
         /// Its availability zone.
         zone: &'a str,
     },
+    /// Nothing was fetched from another node.
+    FetchFailed {
+        /// The node.
+        peer: &'a str,
+        /// Why.
+        reason: &'a str,
+    },
     /// A call was refused before any upstream was chosen.
     Refused {
         /// The call.
--- /dev/null
+++ b/daemon/src/gateway/exchange.rs
@@ -0,0 +1,136 @@
+//! Fetches from another node what that has read of the store and this one has not.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use monsoonbank_kernel::gateway::fleet::NodeWord;
+use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry};
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+use crate::gateway::decisions::Decision;
+use crate::gateway::{Gateway, desk, follow};
+
+/// Time for a node to answer. Zones are a few ms apart; a configuration has some 100 kB.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest answer that is taken.
+const MOST_BYTES: usize = 16 << 20;
+
+/// Why nothing was fetched.
+#[derive(Debug, Error)]
+pub enum FetchError {
+    /// No connection came about, or it broke.
+    #[error("{0}")]
+    Broken(#[from] std::io::Error),
+    /// The answer is not HTTP, or broke off.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// The answer is too large or broke off.
+    #[error("{0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// No answer came in time.
+    #[error("no answer in time")]
+    TimedOut,
+    /// The node has nothing to give.
+    #[error("the node has nothing to give")]
+    Nothing,
+    /// The answer is not in the expected form.
+    #[error("{0}")]
+    Malformed(#[from] ciborium::de::Error<std::io::Error>),
+}
+
+/// Fetches what `word` shows that its node has and this one lacks. One fetch at a time: the next
+/// word tells again.
+pub fn catch_up(gateway: &Rc<Gateway>, word: &NodeWord) {
+    let own_version = gateway.rules().map_or(0, |rules| rules.version);
+    let view = gateway.store.get();
+    let lacks_rules = word.version > own_version;
+    let lacks_entries = gateway.store_doubtful() && word.registry_offset > view.registry_offset;
+    let wanted = lacks_rules || lacks_entries || !view.registry_known && word.registry_offset > 0;
+    if !wanted || gateway.fetching.replace(true) {
+        return;
+    }
+    let (gateway, peer, address) = (gateway.clone(), word.name.clone(), word.peers);
+    tokio::task::spawn_local(async move {
+        let fetched = fetch_all(&gateway, &peer, address, lacks_rules).await;
+        if let Err(error) = fetched {
+            let reason = error.to_string();
+            gateway.decisions.line(&Decision::FetchFailed {
+                peer: &peer,
+                reason: &reason,
+            });
+        }
+        gateway.fetching.set(false);
+    });
+}
+
+async fn fetch_all(
+    gateway: &Gateway,
+    peer: &str,
+    address: SocketAddr,
+    rules: bool,
+) -> Result<(), FetchError> {
+    if rules {
+        let bytes = fetch(address, desk::CONFIGURATION_PATH).await?;
+        follow::take_configuration(gateway, &bytes, peer);
+    }
+    let bytes = fetch(address, desk::REGISTRY_PATH).await?;
+    let (offset, entries): (u64, Vec<(UpstreamEntry, bool)>) = ciborium::from_reader(&bytes[..])?;
+    take_entries(gateway, offset, entries);
+    Ok(())
+}
+
+/// Takes another node's entries in: an upstream that left there has left.
+fn take_entries(gateway: &Gateway, offset: u64, entries: Vec<(UpstreamEntry, bool)>) {
+    let mut view = gateway.store.get();
+    if offset <= view.registry_offset {
+        return;
+    }
+    for (entry, left) in entries {
+        let id = entry.id.clone();
+        let known = gateway.registry.borrow().key(&id).is_some();
+        if !left {
+            follow::take_change(gateway, RegistryChange::Put(entry), true);
+        } else if known {
+            follow::take_change(gateway, RegistryChange::Removed(id), true);
+        }
+    }
+    view.registry_offset = offset;
+    view.registry_known = true;
+    gateway.store.set(view);
+}
+
+async fn fetch(address: SocketAddr, path: &str) -> Result<Bytes, FetchError> {
+    let fetching = tokio::time::timeout(FETCH_TIMEOUT, exchange(address, path));
+    fetching.await.unwrap_or(Err(FetchError::TimedOut))
+}
+
+async fn exchange(address: SocketAddr, path: &str) -> Result<Bytes, FetchError> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::task::spawn_local(async move {
+        // What ends the connection is told to the request.
+        let _ = connection.await;
+    });
+    let mut request = Request::new(Empty::<Bytes>::new());
+    if let Ok(target) = path.parse() {
+        *request.uri_mut() = target;
+    }
+    let response = sender.send_request(request).await?;
+    if !response.status().is_success() {
+        task.abort();
+        return Err(FetchError::Nothing);
+    }
+    let body = Limited::new(response.into_body(), MOST_BYTES)
+        .collect()
+        .await;
+    task.abort();
+    Ok(body.map_err(FetchError::Body)?.to_bytes())
+}
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -77,6 +77,7 @@
         let mut view = self.gateway.store.get();
         view.returned_at = now;
         self.gateway.store.set(view);
+        self.gateway.configuration_nudge.notify_waiters();
         let lost_ms = millis(now.saturating_sub(since));
         self.gateway.decisions.line(&Decision::StoreBack {
             reader: self.name,
@@ -116,10 +117,7 @@
 
     /// Whether the store has been well for long enough to trust that a missing entry means leaving.
     fn trusted(&self) -> bool {
-        let view = self.gateway.store.get();
-        let trust = self.gateway.settings.times.trust;
-        view.failed_at
-            .is_none_or(|at| self.gateway.now() > at + trust)
+        !self.gateway.store_doubtful()
     }
 }
 
@@ -151,11 +149,27 @@
 }
 
 async fn more_configuration(reader: &mut StoreReader, from: u64) -> Result<u64, StoreError> {
+    let gateway = reader.gateway.clone();
+    let wait = if gateway.store_doubtful() {
+        Duration::ZERO
+    } else {
+        CONFIGURATION_WAIT
+    };
     let reading = reader
         .client
-        .read(names::OPERATOR_TOPIC, from, CONFIGURATION_WAIT, PATIENCE);
-    let batch = reading.await?;
-    take_configurations(&reader.gateway, &batch.records);
+        .read(names::OPERATOR_TOPIC, from, wait, PATIENCE);
+    let batch = tokio::select! {
+        batch = reading => batch?,
+        () = gateway.configuration_nudge.notified() => {
+            reader.client.reconnect();
+            let again = reader.client.read(names::OPERATOR_TOPIC, from, Duration::ZERO, PATIENCE);
+            again.await?
+        }
+    };
+    take_configurations(&gateway, &batch.records);
+    if wait.is_zero() && batch.records.is_empty() {
+        tokio::time::sleep(REGISTRY_PAUSE).await;
+    }
     Ok(batch.next)
 }
 
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -14,8 +14,8 @@
 use tokio::net::UdpSocket;
 
 use crate::error::NodeError;
-use crate::gateway::Gateway;
 use crate::gateway::decisions::Decision;
+use crate::gateway::{Gateway, exchange};
 
 /// Time between two words to nodes of the same availability zone, which share its upstreams.
 const NEAR_PAUSE: Duration = Duration::from_millis(200);
@@ -176,6 +176,7 @@
     }
     let now = gateway.now();
     take_work(gateway, &word, now);
+    exchange::catch_up(gateway, &word);
     gateway.room_notice.notify_waiters();
     let from = word.peers;
     let (name, zone) = (word.name.clone(), word.zone.clone());
