Read the store once a zone; leave a fifth of an engine's slots free

The first node by name of a zone that the store answers now reads; the others learn from its words, at once when something changed, and fetch what they lack. Words go to at most eight near and eight far nodes a round, so their number does not grow.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -56,8 +56,6 @@
     pub failed_at: Option<Duration>,
     /// When the store was back after that.
     pub returned_at: Duration,
-    /// Position in the registry's log up to which this node has read.
-    pub registry_offset: u64,
     /// Whether the registry has been read at all.
     pub registry_known: bool,
 }
@@ -104,6 +102,8 @@
     pub store_nudge: tokio::sync::Notify,
     /// Makes the reader of the configuration ask anew.
     pub configuration_nudge: tokio::sync::Notify,
+    /// Tells all nodes at once that something changed.
+    pub announcement: tokio::sync::Notify,
     /// Whether something is being fetched from another node.
     pub fetching: Cell<bool>,
 }
@@ -121,6 +121,14 @@
             && self.store.get().registry_known
     }
 
+    /// Whether this node reads the store for its availability zone.
+    pub fn is_reader(&self) -> bool {
+        let settings = &self.settings;
+        self.fleet
+            .borrow()
+            .is_reader(&settings.name, &settings.zone, self.now())
+    }
+
     /// Whether a call to the store failed lately, so that a read that is kept waiting may have
     /// been lost without a sign.
     pub fn store_doubtful(&self) -> bool {
@@ -187,6 +195,7 @@
         leave_notice: tokio::sync::Notify::new(),
         store_nudge: tokio::sync::Notify::new(),
         configuration_nudge: tokio::sync::Notify::new(),
+        announcement: tokio::sync::Notify::new(),
         fetching: Cell::new(false),
         settings,
     });
--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -118,7 +118,7 @@
         .map(|(_, upstream)| (upstream.entry.clone(), upstream.left.is_some()))
         .collect();
     let mut body = Vec::new();
-    match ciborium::into_writer(&(gateway.store.get().registry_offset, entries), &mut body) {
+    match ciborium::into_writer(&entries, &mut body) {
         Ok(()) => reply::whole(StatusCode::OK, body),
         Err(error) => reply::failure(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
@@ -165,7 +165,7 @@
         "name": gateway.settings.name,
         "ready": gateway.is_ready(),
         "version": gateway.rules().map(|rules| rules.version),
-        "registry_offset": gateway.store.get().registry_offset,
+        "reader": gateway.is_reader(),
         "open_calls": gateway.open_calls.get(),
         "upstreams": upstreams,
         "peers": peers,
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -19,6 +19,8 @@
 
 /// Time for a node to answer. Zones are a few ms apart; a configuration has some 100 kB.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Least time between two fetches: what a node that lags costs others.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
 /// Largest answer that is taken.
 const MOST_BYTES: usize = 16 << 20;
 
@@ -51,8 +53,10 @@
     let own_version = gateway.rules().map_or(0, |rules| rules.version);
     let view = gateway.store.get();
     let lacks_rules = word.version > own_version;
-    let lacks_entries = gateway.store_doubtful() && word.registry_offset > view.registry_offset;
-    let wanted = lacks_rules || lacks_entries || !view.registry_known && word.registry_offset > 0;
+    let reads_itself = gateway.is_reader() && !gateway.store_doubtful();
+    let differs = word.registry_digest != gateway.registry.borrow().digest();
+    let lacks_entries = differs && word.store_well && !reads_itself;
+    let wanted = lacks_rules || lacks_entries || !view.registry_known && word.registry_digest != 0;
     if !wanted || gateway.fetching.replace(true) {
         return;
     }
@@ -66,6 +70,7 @@
                 reason: &reason,
             });
         }
+        tokio::time::sleep(FETCH_PAUSE).await;
         gateway.fetching.set(false);
     });
 }
@@ -81,27 +86,33 @@
         follow::take_configuration(gateway, &bytes, peer);
     }
     let bytes = fetch(address, desk::REGISTRY_PATH).await?;
-    let (offset, entries): (u64, Vec<(UpstreamEntry, bool)>) = ciborium::from_reader(&bytes[..])?;
-    take_entries(gateway, offset, entries);
+    let entries: Vec<(UpstreamEntry, bool)> = ciborium::from_reader(&bytes[..])?;
+    take_entries(gateway, entries);
     Ok(())
 }
 
 /// Takes another node's entries in: an upstream that left there has left.
-fn take_entries(gateway: &Gateway, offset: u64, entries: Vec<(UpstreamEntry, bool)>) {
+fn take_entries(gateway: &Gateway, entries: Vec<(UpstreamEntry, bool)>) {
     let mut view = gateway.store.get();
-    if offset <= view.registry_offset {
-        return;
-    }
     for (entry, left) in entries {
         let id = entry.id.clone();
         let known = gateway.registry.borrow().key(&id).is_some();
         if !left {
             follow::take_change(gateway, RegistryChange::Put(entry), true);
-        } else if known {
+        } else if !known {
+            // It left before this node heard of it; known as left, it makes the digests agree.
+            follow::take_change(
+                gateway,
+                RegistryChange::Put(UpstreamEntry {
+                    leaving: true,
+                    ..entry
+                }),
+                true,
+            );
+        } else {
             follow::take_change(gateway, RegistryChange::Removed(id), true);
         }
     }
-    view.registry_offset = offset;
     view.registry_known = true;
     gateway.store.set(view);
 }
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -22,6 +22,8 @@
 const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
 /// Time beyond the wait that the store gets to answer. It takes 4 ms when it is well.
 const PATIENCE: Duration = Duration::from_millis(800);
+/// Time between two looks of a node that does not read at whether it should.
+const TURN_PAUSE: Duration = Duration::from_millis(250);
 /// First pause after a failed call; doubles up to `LONGEST_PAUSE`.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call: the store's return shows within this.
@@ -121,9 +123,19 @@
     }
 }
 
+/// Waits until it is this node's turn to read the store for its availability zone.
+async fn readers_turn(gateway: &Gateway) {
+    while !gateway.is_reader() {
+        tokio::time::sleep(TURN_PAUSE).await;
+    }
+}
+
 async fn follow_configuration(mut reader: StoreReader) {
     let mut position = None;
     loop {
+        if position.is_some() {
+            readers_turn(&reader.gateway).await;
+        }
         let outcome = match position {
             None => newest_configuration(&mut reader).await,
             Some(from) => more_configuration(&mut reader, from).await,
@@ -173,13 +185,16 @@
     Ok(batch.next)
 }
 
+/// Names the store as the source of a configuration.
+const STORE_SOURCE: &str = "store";
+
 fn take_configurations(gateway: &Gateway, records: &[KeyedRecord]) {
     for record in records
         .iter()
         .filter(|record| record.key == names::CONFIGURATION_KEY)
     {
         if let Some(value) = &record.value {
-            take_configuration(gateway, value, "store");
+            take_configuration(gateway, value, STORE_SOURCE);
         }
     }
 }
@@ -217,11 +232,17 @@
         bytes: bytes.clone(),
     };
     *gateway.table.borrow_mut() = Some(table);
+    if source == STORE_SOURCE {
+        gateway.announcement.notify_one();
+    }
 }
 
 async fn follow_registry(mut reader: StoreReader) {
     let mut position = None;
     loop {
+        if position.is_some() {
+            readers_turn(&reader.gateway).await;
+        }
         let outcome = match position {
             None => newest_registry(&mut reader).await,
             Some(from) => more_registry(&mut reader, from).await,
@@ -231,7 +252,6 @@
                 reader.succeeded();
                 position = Some(next);
                 let mut view = reader.gateway.store.get();
-                view.registry_offset = view.registry_offset.max(next);
                 view.registry_known = true;
                 reader.gateway.store.set(view);
             }
@@ -308,6 +328,9 @@
         .apply(change, trusted, gateway.now());
     if let Some(key) = changed {
         upstream_changed(gateway, key);
+        if gateway.is_reader() {
+            gateway.announcement.notify_one();
+        }
     }
 }
 
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -21,6 +21,9 @@
 const NEAR_PAUSE: Duration = Duration::from_millis(200);
 /// Near words for each word to nodes of other zones.
 const NEAR_WORDS: u64 = 2;
+/// Most near and far words in a round.
+const MOST_NEAR: usize = 8;
+const MOST_FAR: usize = 8;
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
 /// Largest datagram: one that networks do not split.
@@ -74,7 +77,8 @@
         peers: settings.peer_address(),
         ready: gateway.is_ready(),
         version: gateway.rules().map_or(0, |rules| rules.version),
-        registry_offset: gateway.store.get().registry_offset,
+        store_well: gateway.store.get().registry_known && !gateway.store_doubtful(),
+        registry_digest: registry.digest(),
         work,
         parts,
     }
@@ -96,42 +100,62 @@
 
 async fn speak(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, seeds: BTreeSet<SocketAddr>) {
     let mut round = 0;
+    let mut near_turn = 0;
+    let mut far_turn = 0;
     let mut far_parts = BTreeSet::new();
     loop {
-        let far_round = round % NEAR_WORDS == 0;
+        let announced = tokio::time::timeout(NEAR_PAUSE, gateway.announcement.notified())
+            .await
+            .is_ok();
+        gateway.fleet.borrow_mut().forget(gateway.now());
+        gateway.decisions.flush();
         let parts = std::mem::take(&mut *gateway.sent_parts.borrow_mut());
         far_parts.extend(parts.iter().copied());
-        let near = PeerMessage::Word(own_word(&gateway, newest_parts(&parts)));
-        let far = PeerMessage::Word(own_word(&gateway, newest_parts(&far_parts)));
-        let targets: Vec<(SocketAddr, bool)> = gateway
-            .fleet
-            .borrow()
-            .iter()
-            .map(|peer| (peer.word.peers, peer.word.zone == gateway.settings.zone))
-            .collect();
-        for (to, is_near) in &targets {
-            if *is_near {
-                send(&socket, *to, &near).await;
-            } else if far_round {
-                send(&socket, *to, &far).await;
-            }
-        }
-        if far_round {
-            far_parts.clear();
-            for seed in seeds
-                .iter()
-                .filter(|seed| !targets.iter().any(|(to, _)| to == *seed))
-            {
-                send(&socket, *seed, &far).await;
-            }
+        let (near, far) = targets(&gateway);
+        let word = PeerMessage::Word(own_word(&gateway, newest_parts(&parts)));
+        let most = if announced { usize::MAX } else { MOST_NEAR };
+        for to in next_targets(&near, &mut near_turn, most) {
+            send(&socket, to, &word).await;
         }
         round += 1;
-        tokio::time::sleep(NEAR_PAUSE).await;
-        gateway.fleet.borrow_mut().forget(gateway.now());
-        gateway.decisions.flush();
+        if !announced && round % NEAR_WORDS != 0 {
+            continue;
+        }
+        let word = PeerMessage::Word(own_word(&gateway, newest_parts(&far_parts)));
+        far_parts.clear();
+        let most = if announced { usize::MAX } else { MOST_FAR };
+        for to in next_targets(&far, &mut far_turn, most) {
+            send(&socket, to, &word).await;
+        }
+        let known = |seed: &SocketAddr| near.contains(seed) || far.contains(seed);
+        for seed in seeds.iter().filter(|seed| !known(seed)) {
+            send(&socket, *seed, &word).await;
+        }
     }
 }
 
+/// Other nodes of this availability zone, and those of others.
+fn targets(gateway: &Gateway) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let fleet = gateway.fleet.borrow();
+    let zone = &gateway.settings.zone;
+    let (near, far): (Vec<_>, Vec<_>) = fleet
+        .iter()
+        .map(|peer| (peer.word.peers, peer.word.zone == *zone))
+        .partition(|(_, near)| *near);
+    let addresses = |list: Vec<(SocketAddr, bool)>| list.into_iter().map(|(to, _)| to).collect();
+    (addresses(near), addresses(far))
+}
+
+/// The next `most` targets in turn, so that what a round costs does not grow with the fleet.
+fn next_targets(all: &[SocketAddr], turn: &mut usize, most: usize) -> Vec<SocketAddr> {
+    let count = all.len().min(most);
+    let from = *turn;
+    *turn = turn.wrapping_add(count);
+    (0..count)
+        .map(|step| all[from.wrapping_add(step) % all.len()])
+        .collect()
+}
+
 /// As many as a datagram holds; the rest costs a few prompts that are read twice.
 fn newest_parts(parts: &BTreeSet<(u64, u64)>) -> Vec<(u64, u64)> {
     parts.iter().copied().take(MOST_PARTS).collect()
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -29,7 +29,7 @@
 const CACHE_PART: f64 = 0.85;
 /// Part of an engine's slots that are given out. The rest is for what other nodes have sent and not
 /// told yet.
-const SLOT_PART: f64 = 0.92;
+const SLOT_PART: f64 = 0.82;
 /// Part of slots and cache that the least urgent calls leave to others.
 const RESERVED_PART: f64 = 0.2;
 /// Calls for each slot of a plain service, which queues a few and ends each in some ms.
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -25,8 +25,10 @@
     pub ready: bool,
     /// Version of the configuration that it has in force; 0 is none.
     pub version: u64,
-    /// Position in the registry's log up to which it has read.
-    pub registry_offset: u64,
+    /// Whether the store answers it.
+    pub store_well: bool,
+    /// Digest of the upstreams that it knows and of those that left.
+    pub registry_digest: u64,
     /// Its work at upstreams, by the hash of their ids.
     pub work: Vec<(u64, WorkCount)>,
     /// Parts of prompts that it sent lately, with the hash of the upstream's id.
@@ -36,6 +38,8 @@
 /// Time after which a silent node is no longer named to callers: four of the longest pauses
 /// between two words of a node.
 pub const SILENT_AFTER: Duration = Duration::from_secs(2);
+/// Time after which a silent node no longer reads for others. A word comes every 0.2 to 0.8 s.
+const READER_SILENT_AFTER: Duration = Duration::from_millis(1500);
 /// Time after which a silent node is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
 
@@ -78,6 +82,16 @@
             .retain(|_, peer| peer.heard_at + FORGOTTEN_AFTER > now);
     }
 
+    /// Whether this node reads the store for its availability zone: the first by name that is there
+    /// and that the store answers. All others learn from it.
+    pub fn is_reader(&self, name: &str, zone: &str, now: Duration) -> bool {
+        let before_me = |peer: &&FleetPeer| {
+            let fresh = peer.heard_at + READER_SILENT_AFTER > now;
+            fresh && peer.word.store_well && &*peer.word.zone == zone && &*peer.word.name < name
+        };
+        !self.peers.values().any(|peer| before_me(&peer))
+    }
+
     /// Nodes that are there.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &FleetPeer> {
         self.peers
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
@@ -241,6 +241,18 @@
         self.hashes.get(&hash).copied()
     }
 
+    /// Stands for the ids of all upstreams and whether each has left; the same on nodes that know
+    /// the same.
+    pub fn digest(&self) -> u64 {
+        let mark = |upstream: &Upstream| {
+            let left = u64::from(upstream.left.is_some());
+            xxh3_64_with_seed(upstream.entry.id.as_bytes(), left) >> 32
+        };
+        self.upstreams
+            .values()
+            .fold(0, |digest, upstream| digest ^ mark(upstream))
+    }
+
     /// All upstreams.
     pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         self.upstreams
