--- /dev/null
+++ b/kernel/tests/gateway/choice.rs
@@ -0,0 +1,259 @@
+//! Which upstream takes a call.
+
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::choice::{ChoiceInput, UpstreamChoice, choose};
+use monsoonbank_kernel::gateway::load::{WorkCount, WorkItem};
+use monsoonbank_kernel::gateway::prompt::{PromptPart, PromptShape};
+use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry, UpstreamRegistry};
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn registry(zones: &[&str]) -> UpstreamRegistry {
+    let mut registry = UpstreamRegistry::default();
+    for (index, zone) in zones.iter().enumerate() {
+        let port = 1000 + u16::try_from(index).expect("few");
+        let entry = UpstreamEntry {
+            id: format!("i-{index}").into(),
+            pool: "model".into(),
+            address: ([127, 0, 0, 1], port).into(),
+            zone: (*zone).into(),
+            slots: 10,
+            leaving: false,
+        };
+        registry.apply(RegistryChange::Put(entry), true, NOW);
+    }
+    registry
+}
+
+fn bulk(tokens: u32) -> PromptShape {
+    PromptShape {
+        prompt_tokens: tokens,
+        output_tokens: 100,
+        parts: Box::default(),
+    }
+}
+
+fn shared(id: u64) -> PromptShape {
+    let parts = [
+        PromptPart { id, tokens: 5000 },
+        PromptPart {
+            id: 999,
+            tokens: 1000,
+        },
+    ];
+    PromptShape {
+        prompt_tokens: 6000,
+        output_tokens: 100,
+        parts: parts.into(),
+    }
+}
+
+fn input<'a>(prompt: &'a PromptShape, tight: bool) -> ChoiceInput<'a> {
+    ChoiceInput {
+        pool: "model",
+        zone: "east",
+        prompt,
+        target: Duration::from_millis(if tight { 300 } else { 2000 }),
+        tier: 0,
+        tiers: 3,
+        tight,
+        cache_tokens: 500_000,
+        tried: &[],
+        now: NOW,
+    }
+}
+
+fn id(registry: &UpstreamRegistry, choice: Option<UpstreamChoice>) -> String {
+    let upstream = choice.and_then(|choice| registry.get(choice.key));
+    upstream.map_or_else(
+        || "none".to_owned(),
+        |upstream| upstream.entry.id.to_string(),
+    )
+}
+
+fn load(registry: &mut UpstreamRegistry, id: &str, item: WorkItem, times: usize) {
+    let key = registry.key(id).expect("known");
+    for _ in 0..times {
+        registry.get_mut(key).expect("known").load.begin(item);
+    }
+}
+
+#[test]
+fn urgent_streams_stay_away_from_long_prompts() {
+    let mut registry = registry(&["east", "east"]);
+    load(
+        &mut registry,
+        "i-0",
+        WorkItem {
+            unread_tokens: 20_000,
+            ..WorkItem::default()
+        },
+        1,
+    );
+    load(&mut registry, "i-1", WorkItem::default(), 5);
+    let prompt = bulk(600);
+    assert_eq!(
+        id(&registry, choose(&registry, &input(&prompt, true))),
+        "i-1"
+    );
+}
+
+#[test]
+fn long_prompts_stay_away_from_urgent_streams() {
+    let mut registry = registry(&["east", "east"]);
+    load(
+        &mut registry,
+        "i-0",
+        WorkItem {
+            tight: true,
+            ..WorkItem::default()
+        },
+        6,
+    );
+    load(
+        &mut registry,
+        "i-1",
+        WorkItem {
+            unread_tokens: 10_000,
+            ..WorkItem::default()
+        },
+        2,
+    );
+    let prompt = bulk(12_000);
+    assert_eq!(
+        id(&registry, choose(&registry, &input(&prompt, false))),
+        "i-1"
+    );
+}
+
+#[test]
+fn a_kept_prompt_draws_calls_until_its_keeper_is_busy() {
+    let mut registry = registry(&["east", "east"]);
+    let key = registry.key("i-1").expect("known");
+    registry.get_mut(key).expect("known").load.part_used(7, NOW);
+    let prompt = shared(7);
+    let choice = choose(&registry, &input(&prompt, false)).expect("a choice");
+    assert_eq!(
+        (choice.key, choice.unread_tokens, choice.fetch_from),
+        (key, 1000, None)
+    );
+    load(
+        &mut registry,
+        "i-1",
+        WorkItem {
+            unread_tokens: 30_000,
+            ..WorkItem::default()
+        },
+        1,
+    );
+    let choice = choose(&registry, &input(&prompt, false)).expect("a choice");
+    assert_eq!(id(&registry, Some(choice)), "i-0");
+    assert_eq!(
+        (choice.unread_tokens, choice.fetch_from),
+        (1000, Some(key)),
+        "it fetches the part"
+    );
+}
+
+#[test]
+fn nodes_agree_on_a_home_for_a_prompt_that_no_one_keeps() {
+    let registry = registry(&["east", "east", "east", "west"]);
+    let homes: Vec<String> = (0..40)
+        .map(|part| id(&registry, choose(&registry, &input(&shared(part), false))))
+        .collect();
+    let same: Vec<String> = (0..40)
+        .map(|part| id(&registry, choose(&registry, &input(&shared(part), false))))
+        .collect();
+    assert_eq!(homes, same);
+    for upstream in ["i-0", "i-1", "i-2"] {
+        assert!(
+            homes.iter().filter(|home| *home == upstream).count() > 5,
+            "{homes:?}"
+        );
+    }
+    assert!(
+        !homes.contains(&"i-3".to_owned()),
+        "the other zone is left alone"
+    );
+}
+
+#[test]
+fn another_zone_takes_what_the_own_one_cannot() {
+    let mut registry = registry(&["east", "west"]);
+    let prompt = bulk(600);
+    assert_eq!(
+        id(&registry, choose(&registry, &input(&prompt, true))),
+        "i-0"
+    );
+    load(
+        &mut registry,
+        "i-0",
+        WorkItem {
+            unread_tokens: 40_000,
+            ..WorkItem::default()
+        },
+        1,
+    );
+    assert_eq!(
+        id(&registry, choose(&registry, &input(&prompt, true))),
+        "i-1"
+    );
+}
+
+#[test]
+fn a_full_pool_has_no_room_and_leaves_some_to_the_urgent() {
+    let mut registry = registry(&["east"]);
+    let prompt = bulk(600);
+    let mut low = input(&prompt, false);
+    low.tier = 2;
+    load(&mut registry, "i-0", WorkItem::default(), 7);
+    assert_eq!(id(&registry, choose(&registry, &low)), "none");
+    assert_eq!(
+        id(&registry, choose(&registry, &input(&prompt, true))),
+        "i-0"
+    );
+    load(&mut registry, "i-0", WorkItem::default(), 2);
+    assert_eq!(
+        id(&registry, choose(&registry, &input(&prompt, true))),
+        "none"
+    );
+}
+
+#[test]
+fn what_others_sent_counts_until_their_word_is_old() {
+    let mut registry = registry(&["east"]);
+    let key = registry.key("i-0").expect("known");
+    let count = WorkCount {
+        calls: 9,
+        ..WorkCount::default()
+    };
+    registry
+        .get_mut(key)
+        .expect("known")
+        .load
+        .heard("peer", count, NOW);
+    let prompt = bulk(600);
+    assert_eq!(
+        id(&registry, choose(&registry, &input(&prompt, true))),
+        "none"
+    );
+    let mut later = input(&prompt, true);
+    later.now = NOW + Duration::from_secs(2);
+    assert_eq!(id(&registry, choose(&registry, &later)), "i-0");
+}
+
+#[test]
+fn an_upstream_that_fell_silent_rests_unless_there_is_no_other() {
+    let mut registry = registry(&["east", "east"]);
+    let prompt = bulk(600);
+    for upstream in ["i-0", "i-1"] {
+        let key = registry.key(upstream).expect("known");
+        registry.get_mut(key).expect("known").health.silent(NOW);
+        let choice = choose(&registry, &input(&prompt, true));
+        assert!(choice.is_some());
+        if upstream == "i-0" {
+            assert_eq!(id(&registry, choice), "i-1");
+        }
+    }
+}
--- /dev/null
+++ b/kernel/tests/gateway/main.rs
@@ -0,0 +1,9 @@
+//! Decisions of the gateway, each with the failure it is meant for.
+
+mod budget;
+mod choice;
+mod fleet;
+mod outcome;
+mod registry;
+mod rules;
+mod waiting;
--- /dev/null
+++ b/kernel/tests/gateway/rules.rs
@@ -0,0 +1,105 @@
+//! Which rule a call falls under, and its rank.
+
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::rules::{
+    AnswerForm, CallClass, CallRule, CallSafety, CallerBounds, PoolShare, RuleTable, WorkspaceSpec,
+};
+
+pub fn rule(name: &str, prefix: &str, tier: u8, gap_ms: Option<u64>) -> CallRule {
+    CallRule {
+        name: name.into(),
+        host: "calls.example".into(),
+        path_prefix: prefix.into(),
+        class: CallClass {
+            safety: CallSafety::Idempotent,
+            form: AnswerForm::Whole,
+            tier,
+            timeout: Duration::from_secs(1),
+            target: Duration::from_millis(100),
+            max_attempts: 2,
+            gap: gap_ms.map(Duration::from_millis),
+            cached: false,
+        },
+        pools: [PoolShare {
+            pool: "model".into(),
+            weight: 1,
+        }]
+        .into(),
+        public: false,
+    }
+}
+
+pub fn table(rules: Vec<CallRule>) -> RuleTable {
+    let bounds = CallerBounds {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    RuleTable::new(1, bounds, rules, Vec::new())
+}
+
+/// Names a case: a host and a path, and the rule that matches first.
+macro_rules! matches {
+    ($($name:ident: $host:literal, $path:literal => $rule:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let table = table(vec![rule("short", "/a/", 0, None), rule("long", "/a/b/", 0, None)]);
+            let found: Option<&str> = table.find($host, $path).map(|rule| &*rule.name);
+            assert_eq!(found, $rule);
+        }
+    )*};
+}
+
+matches! {
+    the_longest_prefix_goes_first: "calls.example", "/a/b/c" => Some("long");
+    a_shorter_prefix_takes_the_rest: "calls.example", "/a/c" => Some("short");
+    a_prefix_ends_at_its_slash: "calls.example", "/a/bc" => Some("short");
+    no_prefix_no_rule: "calls.example", "/b/" => None;
+    another_host_has_other_rules: "other.example", "/a/" => None;
+}
+
+#[test]
+fn a_workspaces_rank_goes_before_the_rules() {
+    let table = table(vec![
+        rule("urgent", "/u/", 0, None),
+        rule("bulk", "/b/", 2, None),
+    ]);
+    let workspace = |tier| WorkspaceSpec {
+        name: "desk".into(),
+        tier,
+    };
+    let rank = |prefix: &str, tier| {
+        let rule = table.find("calls.example", prefix).expect("a rule");
+        table.tier(rule, Some(&workspace(tier)))
+    };
+    assert!(rank("/u/", Some(0)) < rank("/b/", Some(0)));
+    assert!(rank("/b/", Some(0)) < rank("/u/", Some(1)));
+    assert!(rank("/u/", Some(1)) < rank("/b/", Some(1)));
+    assert_eq!(rank("/b/", None), 2);
+}
+
+#[test]
+fn only_the_shortest_pauses_are_tight() {
+    let table = table(vec![
+        rule("chat", "/c/", 0, Some(250)),
+        rule("digest", "/d/", 2, Some(1000)),
+        rule("plain", "/p/", 1, None),
+    ]);
+    let tight = |path: &str| table.is_tight(table.find("calls.example", path).expect("a rule"));
+    assert!(tight("/c/") && !tight("/d/") && !tight("/p/"));
+}
+
+#[test]
+fn weights_divide_calls() {
+    let mut split = rule("split", "/s/", 0, None);
+    split.pools = [("old", 90), ("new", 10), ("none", 0)]
+        .map(|(pool, weight)| PoolShare {
+            pool: pool.into(),
+            weight,
+        })
+        .into();
+    let count = |pool: &str| (0..1000).filter(|draw| split.pool(*draw) == pool).count();
+    assert_eq!((count("old"), count("new"), count("none")), (900, 100, 0));
+}
