Send callers to the strongest few nodes of their zone

Cause: on the grown sites some thirty nodes of a zone shared its engines, each with a thirtieth of the calls and words that were up to 0.7 s old; nodes chose the same engine and read the same prompts. At least three nodes a zone, more as their calls need, are now named to callers; words go to these first.

--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -1,6 +1,5 @@
 //! Answers checks, lookups, operators and other nodes: small questions with small answers.
 
-use std::cmp::Reverse;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,13 +11,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use monsoonbank_kernel::gateway::fleet::{self, NodeWord};
 use monsoonbank_kernel::gateway::registry::UpstreamEntry;
 use monsoonbank_platform::{lookup, names};
 use serde_json::json;
 use tokio::net::TcpListener;
 
-use crate::gateway::Gateway;
 use crate::gateway::reply::{self, Reply};
+use crate::gateway::{Gateway, peers};
 
 /// How long callers may use a lookup's answer.
 pub const LOOKUP_LIFE: Duration = Duration::from_secs(2);
@@ -80,27 +80,26 @@
 
 /// Addresses of nodes that take calls: those of the caller's availability zone, if there are any.
 fn addresses(gateway: &Gateway, zone: Option<&str>) -> Reply {
-    let now = gateway.now();
     let fleet = gateway.fleet.borrow();
-    let settings = &gateway.settings;
-    let mut nodes: Vec<(&str, SocketAddr)> = fleet
-        .live(now)
-        .filter(|peer| peer.word.ready)
-        .map(|peer| (&*peer.word.zone, peer.word.callers))
+    let own = peers::own_word(gateway, Vec::new());
+    let words: Vec<&NodeWord> = fleet
+        .live(gateway.now())
+        .map(|peer| &peer.word)
+        .chain(std::iter::once(&own))
+        .filter(|word| word.ready)
         .collect();
-    if gateway.is_ready() {
-        nodes.push((&settings.zone, settings.listen.callers));
-    }
-    let is_near = |node: &(&str, SocketAddr)| Some(node.0) == zone;
-    if nodes.iter().any(is_near) {
-        nodes.retain(is_near);
+    let mut entries = fleet::entries(words.iter().copied(), zone.unwrap_or_default());
+    if entries.is_empty() {
+        entries = words;
     }
-    nodes.sort_by_key(|node| Reverse(is_near(node)));
-    nodes.truncate(lookup::MOST_ADDRESSES);
-    if nodes.is_empty() {
+    if entries.is_empty() {
         return reply::failure(StatusCode::SERVICE_UNAVAILABLE, "no node takes calls");
     }
-    let addresses: Vec<SocketAddr> = nodes.into_iter().map(|(_, address)| address).collect();
+    let addresses: Vec<SocketAddr> = entries
+        .iter()
+        .take(lookup::MOST_ADDRESSES)
+        .map(|word| word.callers)
+        .collect();
     json_reply(lookup::encode(&addresses, LOOKUP_LIFE))
 }
 
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use monsoonbank_kernel::gateway::fleet::NodeWord;
+use monsoonbank_kernel::gateway::fleet::{self, NodeWord};
 use monsoonbank_kernel::gateway::registry::id_hash;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -21,9 +21,9 @@
 const NEAR_PAUSE: Duration = Duration::from_millis(200);
 /// Near words for each word to nodes of other zones.
 const NEAR_WORDS: u64 = 2;
-/// Most near and far words in a round.
-const MOST_NEAR: usize = 8;
-const MOST_FAR: usize = 8;
+/// Words in a round to nodes that are not named to callers: enough that each of thirty is told
+/// within 1.5 s.
+const MOST_OTHERS: usize = 4;
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
 /// Largest datagram: one that networks do not split.
@@ -61,7 +61,11 @@
     Ok(())
 }
 
-fn own_word(gateway: &Gateway, parts: Vec<(u64, u64)>) -> NodeWord {
+/// Open calls that a core carries: at 25 to 60 of them a node spends 0.02 cores.
+const CALLS_PER_CORE: f64 = 1000.0;
+
+/// What this node says of itself.
+pub fn own_word(gateway: &Gateway, parts: Vec<(u64, u64)>) -> NodeWord {
     let settings = &gateway.settings;
     let registry = gateway.registry.borrow();
     let work = registry
@@ -76,6 +80,7 @@
         callers: settings.listen.callers,
         peers: settings.peer_address(),
         ready: gateway.is_ready(),
+        capacity: (settings.limits.cores * CALLS_PER_CORE) as u32,
         version: gateway.rules().map_or(0, |rules| rules.version),
         store_well: gateway.store.get().registry_known && !gateway.store_doubtful(),
         registry_digest: registry.digest(),
@@ -111,10 +116,11 @@
         gateway.decisions.flush();
         let parts = std::mem::take(&mut *gateway.sent_parts.borrow_mut());
         far_parts.extend(parts.iter().copied());
-        let (near, far) = targets(&gateway);
-        let word = PeerMessage::Word(own_word(&gateway, newest_parts(&parts)));
-        let most = if announced { usize::MAX } else { MOST_NEAR };
-        for to in next_targets(&near, &mut near_turn, most) {
+        let word = own_word(&gateway, newest_parts(&parts));
+        let near = PeerTargets::find(&gateway, &word, true);
+        let far = PeerTargets::find(&gateway, &word, false);
+        let word = PeerMessage::Word(word);
+        for to in near.next(&mut near_turn, announced) {
             send(&socket, to, &word).await;
         }
         round += 1;
@@ -123,37 +129,71 @@
         }
         let word = PeerMessage::Word(own_word(&gateway, newest_parts(&far_parts)));
         far_parts.clear();
-        let most = if announced { usize::MAX } else { MOST_FAR };
-        for to in next_targets(&far, &mut far_turn, most) {
+        for to in far.next(&mut far_turn, announced) {
             send(&socket, to, &word).await;
         }
-        let known = |seed: &SocketAddr| near.contains(seed) || far.contains(seed);
-        for seed in seeds.iter().filter(|seed| !known(seed)) {
+        for seed in seeds
+            .iter()
+            .filter(|seed| !near.holds(seed) && !far.holds(seed))
+        {
             send(&socket, *seed, &word).await;
         }
     }
 }
 
-/// Other nodes of this availability zone, and those of others.
-fn targets(gateway: &Gateway) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-    let fleet = gateway.fleet.borrow();
-    let zone = &gateway.settings.zone;
-    let (near, far): (Vec<_>, Vec<_>) = fleet
-        .iter()
-        .map(|peer| (peer.word.peers, peer.word.zone == *zone))
-        .partition(|(_, near)| *near);
-    let addresses = |list: Vec<(SocketAddr, bool)>| list.into_iter().map(|(to, _)| to).collect();
-    (addresses(near), addresses(far))
+/// Nodes that words go to: entries each time, all others in turn.
+struct PeerTargets {
+    entries: Vec<SocketAddr>,
+    others: Vec<SocketAddr>,
 }
 
-/// The next `most` targets in turn, so that what a round costs does not grow with the fleet.
-fn next_targets(all: &[SocketAddr], turn: &mut usize, most: usize) -> Vec<SocketAddr> {
-    let count = all.len().min(most);
-    let from = *turn;
-    *turn = turn.wrapping_add(count);
-    (0..count)
-        .map(|step| all[from.wrapping_add(step) % all.len()])
-        .collect()
+impl PeerTargets {
+    /// Nodes of this availability zone, or of all others.
+    fn find(gateway: &Gateway, own: &NodeWord, near: bool) -> Self {
+        let fleet = gateway.fleet.borrow();
+        let now = gateway.now();
+        let words = || {
+            fleet
+                .live(now)
+                .map(|peer| &peer.word)
+                .chain(std::iter::once(own))
+        };
+        let zones: BTreeSet<&str> = words()
+            .map(|word| &*word.zone)
+            .filter(|zone| (*zone == &*own.zone) == near)
+            .collect();
+        let entries: BTreeSet<SocketAddr> = zones
+            .iter()
+            .flat_map(|zone| fleet::entries(words(), zone))
+            .map(|word| word.peers)
+            .filter(|peers| *peers != own.peers)
+            .collect();
+        let others = fleet
+            .iter()
+            .filter(|peer| (peer.word.zone == own.zone) == near)
+            .map(|peer| peer.word.peers)
+            .filter(|peers| !entries.contains(peers))
+            .collect();
+        Self {
+            entries: entries.into_iter().collect(),
+            others,
+        }
+    }
+
+    /// Targets of one round: what it costs does not grow with the fleet, but for announcements.
+    fn next(&self, turn: &mut usize, announced: bool) -> Vec<SocketAddr> {
+        let most = if announced { usize::MAX } else { MOST_OTHERS };
+        let count = self.others.len().min(most);
+        let from = *turn;
+        *turn = turn.wrapping_add(count);
+        let others =
+            (0..count).map(|step| self.others[from.wrapping_add(step) % self.others.len()]);
+        self.entries.iter().copied().chain(others).collect()
+    }
+
+    fn holds(&self, address: &SocketAddr) -> bool {
+        self.entries.contains(address) || self.others.contains(address)
+    }
 }
 
 /// As many as a datagram holds; the rest costs a few prompts that are read twice.
--- a/daemon/src/gateway/settings.rs
+++ b/daemon/src/gateway/settings.rs
@@ -78,6 +78,8 @@
     pub memory_mb: f64,
     /// Open descriptors.
     pub descriptors: usize,
+    /// Processor time, in cores.
+    pub cores: f64,
 }
 
 /// Bounds in time.
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -23,6 +23,8 @@
     pub peers: SocketAddr,
     /// Whether it takes new calls.
     pub ready: bool,
+    /// Open calls that its host can carry.
+    pub capacity: u32,
     /// Version of the configuration that it has in force; 0 is none.
     pub version: u64,
     /// Whether the store answers it.
@@ -43,6 +45,40 @@
 /// Time after which a silent node is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
 
+impl NodeWord {
+    /// Calls that it has at upstreams.
+    pub fn open_calls(&self) -> u32 {
+        self.work.iter().map(|(_, count)| count.calls).sum()
+    }
+}
+
+/// Fewest nodes of an availability zone that are named to callers, so that the loss of one leaves
+/// callers two others.
+const FEWEST_ENTRIES: usize = 3;
+/// Part of their capacity that entries are filled to before one more is named.
+const ENTRY_PART: f64 = 0.5;
+
+/// The nodes among `words` that callers of an availability zone are sent to: those that can carry
+/// most, and no more than the zone's calls need, since few entries know each other's work well.
+pub fn entries<'a>(words: impl Iterator<Item = &'a NodeWord>, zone: &str) -> Vec<&'a NodeWord> {
+    let mut nodes: Vec<&NodeWord> = words
+        .filter(|word| word.ready && &*word.zone == zone)
+        .collect();
+    nodes.sort_by(|one, other| (other.capacity, &one.name).cmp(&(one.capacity, &other.name)));
+    let calls: u32 = nodes.iter().map(|word| word.open_calls()).sum();
+    let mut room = 0.0;
+    let mut count = 0;
+    for word in &nodes {
+        if count >= FEWEST_ENTRIES && room >= f64::from(calls) {
+            break;
+        }
+        room += ENTRY_PART * f64::from(word.capacity);
+        count += 1;
+    }
+    nodes.truncate(count);
+    nodes
+}
+
 /// Another node.
 #[derive(Clone, Debug)]
 pub struct FleetPeer {
--- a/kernel/tests/gateway/fleet.rs
+++ b/kernel/tests/gateway/fleet.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use monsoonbank_kernel::gateway::fleet::{FleetView, NodeWord};
+use monsoonbank_kernel::gateway::fleet::{FleetView, NodeWord, entries};
+use monsoonbank_kernel::gateway::load::WorkCount;
 
 fn word(name: &str, zone: &str, incarnation: u64, store_well: bool) -> NodeWord {
     NodeWord {
@@ -12,6 +13,7 @@
         callers: ([10, 0, 0, 1], 1).into(),
         peers: ([10, 0, 0, 1], 2).into(),
         ready: true,
+        capacity: 100,
         version: 1,
         store_well,
         registry_digest: 0,
@@ -66,3 +68,50 @@
     a_reader_that_the_store_turns_away_is_replaced: [word("a", "east", 1, false)], SECOND => true;
     a_silent_reader_is_replaced: [word("a", "east", 1, true)], SECOND * 3 => true;
 }
+
+/// Names a case: capacities of nodes `a`, `b`, ... of one zone, calls that each has, and who is
+/// named to callers.
+macro_rules! named {
+    ($($name:ident: $capacities:expr, $calls:literal => $named:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let words: Vec<NodeWord> = $capacities
+                .iter()
+                .zip("abcdefgh".chars())
+                .map(|(capacity, name)| {
+                    let mut word = word(&name.to_string(), "east", 1, true);
+                    word.capacity = *capacity;
+                    word.work.push((1, WorkCount { calls: $calls, ..WorkCount::default() }));
+                    word
+                })
+                .collect();
+            let names: Vec<&str> =
+                entries(words.iter(), "east").iter().map(|word| &*word.name).collect();
+            assert_eq!(names, $named);
+        }
+    )*};
+}
+
+named! {
+    a_small_zone_names_all: [100, 100], 0 => ["a", "b"];
+    three_are_enough_at_rest: [100, 100, 100, 100, 100], 10 => ["a", "b", "c"];
+    the_strongest_are_named_first: [100, 500, 100, 500, 100], 10 => ["b", "d", "a"];
+    load_adds_entries: [100, 100, 100, 100, 100], 40 => ["a", "b", "c", "d"];
+    no_more_are_named_than_there_are: [100, 100, 100, 100], 900 => ["a", "b", "c", "d"];
+}
+
+#[test]
+fn nodes_that_are_not_ready_or_of_other_zones_are_not_named() {
+    let mut leaving = word("a", "east", 1, true);
+    leaving.ready = false;
+    let words = [
+        leaving,
+        word("b", "west", 1, true),
+        word("c", "east", 1, true),
+    ];
+    let names: Vec<&str> = entries(words.iter(), "east")
+        .iter()
+        .map(|word| &*word.name)
+        .collect();
+    assert_eq!(names, ["c"]);
+}
