--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -24,6 +24,7 @@
 mod tally;
 mod traffic;
 mod verify;
+mod why;
 
 use clap::{ArgMatches, Command};
 
@@ -54,6 +55,7 @@
         .subcommand(order::command())
         .subcommand(state::command())
         .subcommand(drain::command())
+        .subcommand(why::command())
         .subcommand(load::command())
         .subcommand(bench_command())
         .subcommand(completions::command())
@@ -88,6 +90,7 @@
         Some(("demo", matches)) => demo::run(matches).await,
         Some(("check", matches)) => check::run(matches),
         Some(("explain", matches)) => explain::run(matches),
+        Some(("why", matches)) => why::run(matches),
         Some(("order", matches)) => order::run(matches).await,
         Some(("publish", matches)) => publish::run(matches).await,
         Some(("where", matches)) => addresses::run(matches).await,
--- /dev/null
+++ b/cli/src/why.rs
@@ -0,0 +1,294 @@
+//! `monsoon why`: the cause of a call's end, from the decision lines of nodes.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use derive_more::Display;
+use serde_json::{Value, json};
+
+use crate::error::CliError;
+use crate::exit_codes::ExitCode;
+
+const LONG_ABOUT: &str = "\
+Names the cause of a call's end from the decision lines that nodes wrote.
+
+With CALL it prints the call's lines of all nodes in order and one sentence on the cause. With \
+--summary it counts the causes of all calls that got no whole answer. It exits with 3 if the call \
+is in none of the files.
+
+Examples:
+  monsoon why 9c41d07be2a35f68 --logs node-1.log node-2.log
+  monsoon why --summary --logs node-*.log
+  monsoon why --format json 9c41d07be2a35f68 --logs node-1.log";
+
+/// The command's arguments.
+pub fn command() -> Command {
+    Command::new("why")
+        .about("Names the cause of a call's end from the lines of nodes")
+        .long_about(LONG_ABOUT)
+        .arg(
+            Arg::new("call")
+                .value_name("CALL")
+                .required_unless_present("summary")
+                .help("The id of the caller's attempt"),
+        )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("FILE")
+                .num_args(1..)
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Files with the lines of nodes"),
+        )
+        .arg(
+            Arg::new("summary")
+                .long("summary")
+                .action(ArgAction::SetTrue)
+                .help("Counts the causes of all calls that got no whole answer"),
+        )
+        .arg(
+            Arg::new("format")
+                .long("format")
+                .value_name("FORMAT")
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .help("How the result is printed"),
+        )
+}
+
+/// Why a call ended as it did.
+#[derive(Clone, Debug, Display, PartialEq)]
+enum CallCause {
+    #[display("it was answered whole by {upstream}")]
+    Answered { upstream: Box<str> },
+    #[display(
+        "it was refused with {status} before any upstream was chosen: {reason} (configuration {version})"
+    )]
+    Refused {
+        status: u64,
+        reason: Box<str>,
+        version: u64,
+    },
+    #[display(
+        "no upstream of {pool} had room for tier {tier} within {waited_ms} ms; it did not run"
+    )]
+    NoRoom {
+        pool: Box<str>,
+        tier: u64,
+        waited_ms: u64,
+    },
+    #[display("{upstream} did not take it ({end}: {reason}); it did not run")]
+    NotTaken {
+        upstream: Box<str>,
+        end: Box<str>,
+        reason: Box<str>,
+    },
+    #[display("the node took nothing new; it did not run")]
+    NotCarried,
+    #[display("{upstream} answered with a failure of its own: {reason}")]
+    Failed {
+        upstream: Box<str>,
+        reason: Box<str>,
+    },
+    #[display(
+        "the answer of {upstream} was lost ({reason}); it may have run, so it was not sent again"
+    )]
+    AnswerLost {
+        upstream: Box<str>,
+        reason: Box<str>,
+    },
+    #[display(
+        "the stream of {upstream} broke off after {events} events and could not go on elsewhere: {reason}"
+    )]
+    StreamCut {
+        upstream: Box<str>,
+        events: u64,
+        reason: Box<str>,
+    },
+    #[display("the caller left after {took_ms} ms and {events} events, while {place}")]
+    CallerLeft {
+        took_ms: u64,
+        events: u64,
+        place: Box<str>,
+    },
+    #[display(
+        "the lines end before the call did: the node was stopped or killed, or dropped lines"
+    )]
+    Unfinished,
+}
+
+impl CallCause {
+    /// A short name, for counts.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::Refused { .. } => "refused",
+            Self::NoRoom { .. } => "no room",
+            Self::NotTaken { .. } => "not taken",
+            Self::NotCarried => "node leaving",
+            Self::Failed { .. } => "upstream failed",
+            Self::AnswerLost { .. } => "answer lost",
+            Self::StreamCut { .. } => "stream cut",
+            Self::CallerLeft { .. } => "caller left",
+            Self::Unfinished => "unfinished",
+        }
+    }
+}
+
+fn text(line: &Value, field: &str) -> Box<str> {
+    line[field].as_str().unwrap_or("?").into()
+}
+
+fn number(line: &Value, field: &str) -> u64 {
+    line[field].as_u64().unwrap_or(0)
+}
+
+/// Names the cause from a call's lines, in the order in which they were written.
+fn cause(lines: &[Value]) -> CallCause {
+    let last = |event: &str| lines.iter().rev().find(|line| line["event"] == event);
+    if let Some(line) = last("refused") {
+        let (status, version) = (number(line, "status"), number(line, "version"));
+        return CallCause::Refused {
+            status,
+            reason: text(line, "reason"),
+            version,
+        };
+    }
+    let Some(ended) = last("ended") else {
+        return if last("sent").is_some() {
+            CallCause::Unfinished
+        } else {
+            CallCause::NotCarried
+        };
+    };
+    let upstream = last("sent").map_or_else(|| "?".into(), |line| text(line, "upstream"));
+    let attempt = last("attempt_ended");
+    let reason = attempt.map_or_else(|| "?".into(), |line| text(line, "reason"));
+    let events = number(ended, "events");
+    match ended["outcome"].as_str().unwrap_or_default() {
+        "answered" => CallCause::Answered { upstream },
+        "failed" => CallCause::Failed { upstream, reason },
+        "unknown" => CallCause::AnswerLost { upstream, reason },
+        "cut" => CallCause::StreamCut {
+            upstream,
+            events,
+            reason,
+        },
+        "not_run" => not_run(lines),
+        _ => CallCause::CallerLeft {
+            took_ms: number(ended, "took_ms"),
+            events,
+            place: place(last("sent").is_some(), &upstream),
+        },
+    }
+}
+
+fn place(sent: bool, upstream: &str) -> Box<str> {
+    if sent {
+        format!("it was at {upstream}").into()
+    } else {
+        "it waited for room".into()
+    }
+}
+
+fn not_run(lines: &[Value]) -> CallCause {
+    let last = |event: &str| lines.iter().rev().find(|line| line["event"] == event);
+    let waited = last("waited").filter(|line| line["found"] == false);
+    if let (Some(waited), Some(matched)) = (waited, last("matched")) {
+        return CallCause::NoRoom {
+            pool: text(matched, "pool"),
+            tier: number(matched, "tier"),
+            waited_ms: number(waited, "waited_ms"),
+        };
+    }
+    match last("attempt_ended") {
+        Some(line) => CallCause::NotTaken {
+            upstream: text(line, "upstream"),
+            end: text(line, "end"),
+            reason: text(line, "reason"),
+        },
+        None => CallCause::NotCarried,
+    }
+}
+
+/// Reads the lines of all calls, or of one. Lines that are not JSON are passed over.
+fn read_calls(
+    files: &[&PathBuf],
+    only: Option<&str>,
+) -> Result<BTreeMap<Box<str>, Vec<Value>>, CliError> {
+    let mut calls: BTreeMap<Box<str>, Vec<Value>> = BTreeMap::new();
+    for file in files {
+        let bytes = std::fs::read(file).map_err(|source| CliError::File {
+            file: file.display().to_string().into(),
+            source,
+        })?;
+        for line in String::from_utf8_lossy(&bytes).lines() {
+            // Other output may stand before a line, such as a time that a collector adds.
+            let Some(start) = line.find("{\"ms\"") else {
+                continue;
+            };
+            let Ok(value) = serde_json::from_str::<Value>(&line[start..]) else {
+                continue;
+            };
+            let Some(call) = value["call"].as_str() else {
+                continue;
+            };
+            if only.is_none_or(|only| only == call) {
+                calls.entry(call.into()).or_default().push(value);
+            }
+        }
+    }
+    Ok(calls)
+}
+
+/// Runs the command.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let files: Vec<&PathBuf> = matches.get_many("logs").into_iter().flatten().collect();
+    let json = matches
+        .get_one::<String>("format")
+        .is_some_and(|format| format == "json");
+    let call = matches.get_one::<String>("call").map(String::as_str);
+    let calls = read_calls(&files, call)?;
+    if matches.get_flag("summary") {
+        summarize(&calls, json);
+        return Ok(ExitCode::Success);
+    }
+    let Some((call, lines)) = calls.first_key_value() else {
+        eprintln!("monsoon: no line of this call in these files");
+        return Ok(ExitCode::Found);
+    };
+    let cause = cause(lines);
+    if json {
+        let label = cause.label();
+        println!(
+            "{}",
+            json!({ "call": call, "cause": label, "why": cause.to_string(), "lines": lines })
+        );
+    } else {
+        for line in lines {
+            println!("{line}");
+        }
+        println!("{call}: {cause}");
+    }
+    Ok(ExitCode::Success)
+}
+
+fn summarize(calls: &BTreeMap<Box<str>, Vec<Value>>, json: bool) {
+    let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
+    for lines in calls.values() {
+        let cause = cause(lines);
+        if !matches!(cause, CallCause::Answered { .. }) {
+            *counts.entry(cause.label()).or_default() += 1;
+        }
+    }
+    if json {
+        println!("{}", json!({ "calls": calls.len(), "causes": counts }));
+        return;
+    }
+    println!("{} calls", calls.len());
+    for (label, count) in counts {
+        println!("{count:>8} {label}");
+    }
+}
--- a/cli/tests/tool/main.rs
+++ b/cli/tests/tool/main.rs
@@ -19,6 +19,24 @@
 const BENGAL: &str = "examples/bengal/config.yaml";
 const BROKEN: &str = "cli/tests/tool/broken.yaml";
 
+const LINES: &str = "cli/tests/tool/decisions.log";
+
+golden!(why_no_room, "why", "c1", "--logs", LINES);
+golden!(why_answer_lost, "why", "c2", "--logs", LINES);
+golden!(why_stream_cut, "why", "c3", "--logs", LINES);
+golden!(
+    why_resumed,
+    "why",
+    "--format",
+    "json",
+    "c4",
+    "--logs",
+    LINES
+);
+golden!(why_unfinished, "why", "c5", "--logs", LINES);
+golden!(why_unknown_call, "why", "c9", "--logs", LINES);
+golden!(why_summary, "why", "--summary", "--logs", LINES);
+golden!(why_no_file, "why", "c1", "--logs", "nowhere.log");
 golden!(check_valid, "check", TAUHERE);
 golden!(check_broken, "check", BROKEN);
 golden!(check_broken_json, "check", "--format", "json", BROKEN);
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -141,7 +141,7 @@
     }
 }
 
-/// Nodes that words go to: entries each time, all others in turn.
+/// Nodes that words go to: between entries each time, else in turn.
 struct PeerTargets {
     entries: Vec<SocketAddr>,
     others: Vec<SocketAddr>,
@@ -168,6 +168,10 @@
             .map(|word| word.peers)
             .filter(|peers| *peers != own.peers)
             .collect();
+        let is_entry = fleet::entries(words(), &own.zone)
+            .iter()
+            .any(|word| word.name == own.name);
+        let entries = if is_entry { entries } else { BTreeSet::new() };
         let others = fleet
             .iter()
             .filter(|peer| (peer.word.zone == own.zone) == near)
