--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -319,7 +319,7 @@
         AttemptEnd::NotSent | AttemptEnd::Lost if now < call.deadline => {
             upstream.health.silent(now);
         }
-        AttemptEnd::Failed | AttemptEnd::Refused => upstream.health.answered(false),
+        AttemptEnd::Failed | AttemptEnd::Refused => upstream.health.failed(now),
         AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Moved => {}
     }
     let end = failed.end.to_string();
@@ -538,7 +538,7 @@
         });
     }
     if let Some(upstream) = gateway.registry.borrow_mut().get_mut(work.key) {
-        upstream.health.answered(true);
+        upstream.health.succeeded();
     }
     watch.set(CallOutcome::Answered);
     Ok(reply)
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -301,7 +301,7 @@
             .borrow_mut()
             .get_mut(source.attempt.work.key)
         {
-            upstream.health.answered(true);
+            upstream.health.succeeded();
         }
         self.gateway
             .channels
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod choice;
 mod fleet;
+mod health;
 mod outcome;
 mod registry;
 mod rules;
