--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -19,6 +19,8 @@
 pub mod settings;
 pub mod stream;
 pub mod waiting;
+pub mod watch;
+pub mod work;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
--- a/daemon/src/gateway/events.rs
+++ b/daemon/src/gateway/events.rs
@@ -39,11 +39,6 @@
     pub fn rest(&mut self) -> Bytes {
         self.held.split().freeze()
     }
-
-    /// Whether the stream stands between two events.
-    pub fn is_between(&self) -> bool {
-        self.held.is_empty()
-    }
 }
 
 /// Position after the first blank line.
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -9,9 +9,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
-use monsoonbank_kernel::gateway::load::WorkItem;
 use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
-use monsoonbank_kernel::gateway::registry::{self, UpstreamKey};
+use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_kernel::gateway::rules::{AnswerForm, CallSafety};
 use monsoonbank_platform::answer::{self, AnswerKind};
 use monsoonbank_platform::head::{self, UpstreamOrder};
@@ -21,6 +20,8 @@
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::intake::Call;
 use crate::gateway::reply::{self, Reply};
+use crate::gateway::watch::{CallOutcome, CallWatch};
+use crate::gateway::work::WorkShare;
 use crate::gateway::{stream, waiting};
 
 /// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
@@ -40,58 +41,6 @@
     connects: usize,
 }
 
-/// A call's work at an upstream, counted until this is dropped.
-pub struct WorkShare {
-    gateway: Rc<Gateway>,
-    /// The upstream.
-    pub key: UpstreamKey,
-    item: WorkItem,
-}
-
-impl WorkShare {
-    fn begin(gateway: &Rc<Gateway>, call: &Call, choice: &UpstreamChoice) -> Self {
-        let now = gateway.now();
-        let prompt = &call.head.prompt;
-        let item = WorkItem {
-            unread_tokens: choice.unread_tokens,
-            held_tokens: prompt.prompt_tokens + prompt.output_tokens,
-            tight: call.tight,
-        };
-        if let Some(upstream) = gateway.registry.borrow_mut().get_mut(choice.key) {
-            upstream.load.begin(item);
-            let hash = registry::id_hash(&upstream.entry.id);
-            let mut sent_parts = gateway.sent_parts.borrow_mut();
-            for part in prompt.shared_parts() {
-                upstream.load.part_used(part.id, now);
-                sent_parts.insert((part.id, hash));
-            }
-        }
-        Self {
-            gateway: gateway.clone(),
-            key: choice.key,
-            item,
-        }
-    }
-
-    /// The upstream has read the prompt.
-    pub fn prompt_read(&mut self) {
-        let unread = std::mem::take(&mut self.item.unread_tokens);
-        if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
-            upstream.load.prompt_read(unread);
-        }
-    }
-}
-
-impl Drop for WorkShare {
-    fn drop(&mut self) {
-        self.prompt_read();
-        if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
-            upstream.load.end(self.item);
-        }
-        self.gateway.room_notice.notify_waiters();
-    }
-}
-
 /// An attempt whose answer's head has come.
 pub struct OpenAttempt {
     /// The connection.
@@ -122,101 +71,6 @@
     }
 }
 
-/// How a call ended, for its log line and counters.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub enum CallOutcome {
-    /// The caller got the whole answer.
-    #[display("answered")]
-    Answered,
-    /// The caller got the upstream's failure.
-    #[display("failed")]
-    Failed,
-    /// It did not run, and the caller was told so.
-    #[display("not_run")]
-    NotRun,
-    /// It may have run, and the caller was told that nothing is known.
-    #[display("unknown")]
-    Unknown,
-    /// Its stream was cut off.
-    #[display("cut")]
-    Cut,
-    /// The caller left.
-    #[display("caller_left")]
-    CallerLeft,
-}
-
-/// Follows one call to its end, which it writes down.
-pub struct CallWatch {
-    gateway: Rc<Gateway>,
-    call: Rc<Call>,
-    outcome: CallOutcome,
-    /// Status of the answer.
-    pub status: u16,
-    /// When the first piece of the answer was there.
-    pub first_at: Option<Duration>,
-    /// Events that were passed on.
-    pub events: u64,
-}
-
-impl CallWatch {
-    /// Begins to follow a call.
-    pub fn new(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Self {
-        gateway.open_calls.set(gateway.open_calls.get() + 1);
-        gateway.metrics.open_calls.inc();
-        Self {
-            gateway: gateway.clone(),
-            call: call.clone(),
-            outcome: CallOutcome::CallerLeft,
-            status: 0,
-            first_at: None,
-            events: 0,
-        }
-    }
-
-    /// Notes how the call ends.
-    pub fn set(&mut self, outcome: CallOutcome) {
-        self.outcome = outcome;
-    }
-
-    /// Notes that the first piece of the answer is there.
-    pub fn first_piece(&mut self) {
-        if self.first_at.is_some() {
-            return;
-        }
-        let now = self.gateway.now();
-        self.first_at = Some(now);
-        self.gateway
-            .metrics
-            .observe_first(self.call.tier, now.saturating_sub(self.call.started));
-    }
-}
-
-impl Drop for CallWatch {
-    fn drop(&mut self) {
-        let gateway = &self.gateway;
-        gateway
-            .open_calls
-            .set(gateway.open_calls.get().saturating_sub(1));
-        gateway.metrics.open_calls.dec();
-        let outcome = self.outcome.to_string();
-        let tier = self.call.tier.to_string();
-        gateway
-            .metrics
-            .calls
-            .with_label_values(&[tier.as_str(), outcome.as_str()])
-            .inc();
-        let since = |at: Duration| millis(at.saturating_sub(self.call.started));
-        gateway.decisions.line(&Decision::Ended {
-            call: &self.call.head.id,
-            outcome: &outcome,
-            status: self.status,
-            took_ms: since(gateway.now()),
-            first_ms: self.first_at.map(since),
-            events: self.events,
-        });
-    }
-}
-
 /// Carries a call to its answer.
 pub async fn carry(gateway: Rc<Gateway>, call: Rc<Call>) -> Reply {
     let mut watch = CallWatch::new(&gateway, &call);
@@ -224,7 +78,7 @@
     loop {
         let attempt = match next_attempt(&gateway, &call, &mut trail, None).await {
             Ok(attempt) => attempt,
-            Err(failed) => return give_up(watch, &trail, failed),
+            Err(failed) => return give_up(&gateway, watch, &trail, failed),
         };
         let key = attempt.work.key;
         let answered = match call.class.form {
@@ -244,7 +98,7 @@
             Ok(reply) => return reply,
             Err(failed) => {
                 if !settle(&gateway, &call, &mut trail, key, &failed) {
-                    return give_up(watch, &trail, failed);
+                    return give_up(&gateway, watch, &trail, failed);
                 }
             }
         }
@@ -544,11 +398,16 @@
     Ok(reply)
 }
 
-fn give_up(mut watch: CallWatch, trail: &CallTrail, failed: FailedAttempt) -> Reply {
+fn give_up(
+    gateway: &Gateway,
+    mut watch: CallWatch,
+    trail: &CallTrail,
+    failed: FailedAttempt,
+) -> Reply {
     let (outcome, reply) = match failed.answer {
         Some(answer) => (CallOutcome::Failed, answer),
         None if trail.history.may_have_run => {
-            let late = watch.gateway.now() >= watch.call.deadline;
+            let late = gateway.now() >= watch.call().deadline;
             let status = if late {
                 StatusCode::GATEWAY_TIMEOUT
             } else {
--- a/daemon/src/gateway/settings.rs
+++ b/daemon/src/gateway/settings.rs
@@ -74,8 +74,6 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HostLimits {
-    /// Memory, in MB.
-    pub memory_mb: f64,
     /// Open descriptors.
     pub descriptors: usize,
     /// Processor time, in cores.
@@ -89,12 +87,6 @@
     /// How long the store must have been well before a missing entry counts.
     #[serde(rename = "trust_ms", deserialize_with = "millis")]
     pub trust: Duration,
-    /// Within which a new configuration is to be in force.
-    #[serde(rename = "apply_ms", deserialize_with = "millis")]
-    pub apply: Duration,
-    /// Within which an upstream that leaves gets nothing new.
-    #[serde(rename = "drain_ms", deserialize_with = "millis")]
-    pub drain: Duration,
     /// Between the signal to stop and the end of the process.
     #[serde(rename = "grace_ms", deserialize_with = "millis")]
     pub grace: Duration,
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use monsoonbank_kernel::gateway::outcome::AttemptEnd;
+use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_kernel::gateway::rules::AnswerForm;
 use monsoonbank_platform::answer;
 
@@ -16,8 +17,9 @@
 use crate::gateway::decisions::Decision;
 use crate::gateway::events::{EventSplitter, WholeEvent};
 use crate::gateway::intake::Call;
-use crate::gateway::relay::{self, CallOutcome, CallTrail, CallWatch, FailedAttempt, OpenAttempt};
+use crate::gateway::relay::{self, CallTrail, FailedAttempt, OpenAttempt};
 use crate::gateway::reply::{self, CutError, Reply};
+use crate::gateway::watch::{CallOutcome, CallWatch};
 
 /// The next piece of an upstream's stream.
 enum StreamPiece {
@@ -245,11 +247,7 @@
         }
     }
 
-    async fn resume(
-        &mut self,
-        key: monsoonbank_kernel::gateway::registry::UpstreamKey,
-        failed: FailedAttempt,
-    ) -> Result<(), CutError> {
+    async fn resume(&mut self, key: UpstreamKey, failed: FailedAttempt) -> Result<(), CutError> {
         let again = relay::settle(&self.gateway, &self.call, &mut self.trail, key, &failed);
         let resumable = self.call.class.form == AnswerForm::Events { resumable: true };
         if !again || !resumable {
--- /dev/null
+++ b/daemon/src/gateway/work.rs
@@ -0,0 +1,63 @@
+//! Counts what calls of this node are at work at upstreams.
+
+use std::rc::Rc;
+
+use monsoonbank_kernel::gateway::choice::UpstreamChoice;
+use monsoonbank_kernel::gateway::load::WorkItem;
+use monsoonbank_kernel::gateway::registry::{self, UpstreamKey};
+
+use crate::gateway::Gateway;
+use crate::gateway::intake::Call;
+
+/// A call's work at an upstream, counted until this is dropped.
+pub struct WorkShare {
+    gateway: Rc<Gateway>,
+    /// The upstream.
+    pub key: UpstreamKey,
+    item: WorkItem,
+}
+
+impl WorkShare {
+    /// Counts a call that is about to be sent.
+    pub fn begin(gateway: &Rc<Gateway>, call: &Call, choice: &UpstreamChoice) -> Self {
+        let now = gateway.now();
+        let prompt = &call.head.prompt;
+        let item = WorkItem {
+            unread_tokens: choice.unread_tokens,
+            held_tokens: prompt.prompt_tokens + prompt.output_tokens,
+            tight: call.tight,
+        };
+        if let Some(upstream) = gateway.registry.borrow_mut().get_mut(choice.key) {
+            upstream.load.begin(item);
+            let hash = registry::id_hash(&upstream.entry.id);
+            let mut sent_parts = gateway.sent_parts.borrow_mut();
+            for part in prompt.shared_parts() {
+                upstream.load.part_used(part.id, now);
+                sent_parts.insert((part.id, hash));
+            }
+        }
+        Self {
+            gateway: gateway.clone(),
+            key: choice.key,
+            item,
+        }
+    }
+
+    /// The upstream has read the prompt.
+    pub fn prompt_read(&mut self) {
+        let unread = std::mem::take(&mut self.item.unread_tokens);
+        if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
+            upstream.load.prompt_read(unread);
+        }
+    }
+}
+
+impl Drop for WorkShare {
+    fn drop(&mut self) {
+        self.prompt_read();
+        if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
+            upstream.load.end(self.item);
+        }
+        self.gateway.room_notice.notify_waiters();
+    }
+}
--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -55,8 +55,8 @@
              operators: '{host}:4003', metrics_port: 4004}}\n\
              peers: {{ip: {host}, ports: [4010, 4020], seeds: [{}]}}\n\
              store: {{address: '{store}'}}\n\
-             limits: {{memory_mb: 260, descriptors: 4096, cores: 0.25}}\n\
-             times: {{trust_ms: 3000, apply_ms: 2000, drain_ms: 2000, grace_ms: 8000}}\n\
+             limits: {{descriptors: 4096, cores: 0.25}}\n\
+             times: {{trust_ms: 3000, grace_ms: 8000}}\n\
              retries: {{ratio: 0.2, slack: 50, window_s: 10}}\n",
             seeds.join(", ")
         );
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -202,17 +202,6 @@
         }
     }
 
-    /// Drops upstreams that left and hold no work of this node.
-    pub fn forget_idle(&mut self) -> Vec<UpstreamKey> {
-        let idle: Vec<UpstreamKey> = self
-            .upstreams
-            .iter()
-            .filter(|(_, upstream)| upstream.left.is_some() && upstream.load.own().calls == 0)
-            .map(|(key, _)| *key)
-            .collect();
-        idle
-    }
-
     /// Upstreams of a pool that take new work.
     pub fn usable(&self, pool: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         let keys = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::gateway::prompt::PromptShape;
-
 /// Whether a call may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallSafety {
@@ -78,21 +76,15 @@
 pub struct PoolSpec {
     /// The pool's name.
     pub name: Box<str>,
-    /// Most connections that one upstream accepts from all nodes together.
-    pub max_connections: u32,
-    /// Calls that one upstream works on at a time, if it runs a model.
+    /// What is known of its engines, if it runs a model.
     pub engine: Option<EngineSpec>,
 }
 
 /// What is known of a pool's engines.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSpec {
-    /// Calls in one batch.
-    pub slots: u32,
     /// Tokens that the KV cache holds.
     pub cache_tokens: u64,
-    /// Bytes of KV cache for one token.
-    pub token_bytes: f64,
 }
 
 /// A workspace's entry in the configuration.
@@ -111,8 +103,6 @@
     pub head_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for a head to arrive.
-    pub head_timeout: Duration,
     /// Longest time that a connection may stay idle.
     pub idle_timeout: Duration,
 }
@@ -250,16 +240,3 @@
         &self.pools[0].pool
     }
 }
-
-/// A call as the kernel sees it.
-#[derive(Clone, Debug)]
-pub struct CallFacts {
-    /// The pool that takes it.
-    pub pool: Box<str>,
-    /// Rank; 0 is the most urgent.
-    pub tier: u8,
-    /// When it must have ended, on the node's steady clock.
-    pub deadline: Duration,
-    /// Sizes of its prompt, if it is a model call.
-    pub prompt: PromptShape,
-}
--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -49,7 +49,7 @@
     }
 }
 
-fn input<'a>(prompt: &'a PromptShape, tight: bool) -> ChoiceInput<'a> {
+fn input(prompt: &PromptShape, tight: bool) -> ChoiceInput<'_> {
     ChoiceInput {
         pool: "model",
         zone: "east",
--- a/kernel/tests/gateway/rules.rs
+++ b/kernel/tests/gateway/rules.rs
@@ -34,7 +34,6 @@
     let bounds = CallerBounds {
         head_bytes: 16_384,
         body_bytes: 1 << 20,
-        head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
     RuleTable::new(1, bounds, rules, Vec::new())
