--- a/daemon/tests/gateway/input.rs
+++ b/daemon/tests/gateway/input.rs
@@ -17,7 +17,8 @@
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
         async fn $name() {
             let world = World::start(&["east"], vec![good()]).await;
-            let answer = world.send("POST /safe/x HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n").await;
+            let text: String = $request;
+            let answer = world.send(&text).await;
             assert_eq!(answer.status, $status, "{}", answer.head);
             assert_eq!(world.arrivals(), 0);
             let after = world.send(&request("/safe/x", "after", "")).await;
