--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -26,6 +26,8 @@
 const MOST_OTHERS: usize = 4;
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
+/// Open calls that a core carries: at 25 to 60 of them a node spends 0.02 cores.
+const CALLS_PER_CORE: f64 = 1000.0;
 /// Largest datagram: one that networks do not split.
 const MOST_BYTES: usize = 1400;
 
@@ -61,9 +63,6 @@
     Ok(())
 }
 
-/// Open calls that a core carries: at 25 to 60 of them a node spends 0.02 cores.
-const CALLS_PER_CORE: f64 = 1000.0;
-
 /// What this node says of itself.
 pub fn own_word(gateway: &Gateway, parts: Vec<(u64, u64)>) -> NodeWord {
     let settings = &gateway.settings;
