Try a failing upstream with one call at a time, and tell other nodes of it

The decisions of all nodes show five engines that fail every call at once: each took 400 to 650 calls, as it looked idle; each node needed seven failures to learn it by itself, and after each rest all waiting calls went there before the first failure came back. Crashed engines drew about 100 connects each for the same reason, and a call was refused after three of them. Ruled out: the retry budget (calls that failed twice had met two such engines).

Change: three failures in a row are enough; after a rest one call tries the upstream and others keep away until its first piece; what was seen to fail or to refuse connections is told in the words between nodes, and heeded unless an answer came a second ago. A call that may run once avoids the unproven. Up to eight hosts may refuse a connection before a call is given up.

--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -62,6 +62,17 @@
         /// Whether its entry lapsed while the registry was away.
         lapsed: bool,
     },
+    /// An upstream is passed over for a while.
+    UpstreamRests {
+        /// The upstream's id.
+        upstream: &'a str,
+        /// Running share of calls that failed.
+        failures: f64,
+        /// Whether other nodes are told.
+        told: bool,
+        /// For how long, in ms.
+        rest_ms: u64,
+    },
     /// The store or its answers are lost.
     StoreLost {
         /// What for.
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -72,6 +72,12 @@
         .filter(|(_, upstream)| upstream.load.own().calls > 0)
         .map(|(_, upstream)| (id_hash(&upstream.entry.id), upstream.load.own()))
         .collect();
+    let now = gateway.now();
+    let failing = registry
+        .iter()
+        .filter(|(_, upstream)| upstream.health.warns(now))
+        .map(|(_, upstream)| id_hash(&upstream.entry.id))
+        .collect();
     NodeWord {
         name: settings.name.clone(),
         incarnation: gateway.incarnation,
@@ -84,6 +90,7 @@
         store_well: gateway.store.get().registry_known && !gateway.store_doubtful(),
         registry_digest: registry.digest(),
         work,
+        failing,
         parts,
     }
 }
@@ -278,6 +285,12 @@
             upstream.load.heard(&word.name, *count, now);
         }
     }
+    for hash in &word.failing {
+        let key = registry.by_hash(*hash);
+        if let Some(upstream) = key.and_then(|key| registry.get_mut(key)) {
+            upstream.health.warned(now);
+        }
+    }
     for (part, hash) in &word.parts {
         let key = registry.by_hash(*hash);
         if let Some(upstream) = key.and_then(|key| registry.get_mut(key)) {
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -1,5 +1,6 @@
 //! Sends a call to upstreams until one answers or it must be given up.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use monsoonbank_platform::head::{self, UpstreamOrder};
 
 use crate::gateway::Gateway;
-use crate::gateway::channels::{self, UpstreamChannel};
+use crate::gateway::channels::{self, ChannelError, UpstreamChannel};
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::intake::Call;
 use crate::gateway::reply::{self, Reply};
@@ -26,8 +27,9 @@
 
 /// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
-/// Hosts that may fail to accept a connection before a call is given up.
-const MOST_CONNECTS: usize = 3;
+/// Hosts that may fail to accept a connection before a call is given up: each takes a few ms, or the
+/// connection's time limit if it is dark.
+const MOST_CONNECTS: usize = 8;
 /// What a refused caller is told to wait: about the time in which a full engine frees slots.
 const BUSY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -142,6 +144,7 @@
         tier: call.tier,
         tiers: call.tiers,
         tight: call.tight,
+        repeatable: call.class.safety == CallSafety::Idempotent,
         cache_tokens: call.engine.map_or(0, |engine| engine.cache_tokens),
         tried: &trail.tried,
         now: gateway.now(),
@@ -169,13 +172,14 @@
     let Some(upstream) = registry.get_mut(key) else {
         return next == NextStep::Retry;
     };
-    match failed.end {
+    let rests = match failed.end {
+        AttemptEnd::Unreachable => upstream.health.unreachable(now),
         AttemptEnd::NotSent | AttemptEnd::Lost if now < call.deadline => {
-            upstream.health.silent(now);
+            upstream.health.silent(now)
         }
         AttemptEnd::Failed | AttemptEnd::Refused => upstream.health.failed(now),
-        AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Moved => {}
-    }
+        AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Moved => false,
+    };
     let end = failed.end.to_string();
     gateway
         .metrics
@@ -189,6 +193,14 @@
         next: &next.to_string(),
         reason: &failed.reason,
     });
+    if rests {
+        gateway.decisions.line(&Decision::UpstreamRests {
+            upstream: &upstream.entry.id,
+            failures: upstream.health.failures(),
+            told: upstream.health.warns(now),
+            rest_ms: millis(upstream.health.rest_left(now)),
+        });
+    }
     next == NextStep::Retry
 }
 
@@ -202,7 +214,7 @@
     if now >= call.deadline {
         return false;
     }
-    if end == AttemptEnd::NotSent {
+    if !end.was_sent() {
         trail.connects += 1;
         return trail.connects < MOST_CONNECTS;
     }
@@ -251,7 +263,7 @@
             .channels_opened
             .with_label_values(&[&*call.pool])
             .inc();
-        channel.map_err(|error| not_sent(&error))?
+        channel.map_err(|error| FailedAttempt::new(connect_end(&error), &error))?
     };
     let now = gateway.now();
     if now >= call.deadline {
@@ -309,6 +321,17 @@
     }
 }
 
+fn connect_end(error: &ChannelError) -> AttemptEnd {
+    match error {
+        ChannelError::Refused(source) if source.kind() == ErrorKind::ConnectionRefused => {
+            AttemptEnd::Unreachable
+        }
+        ChannelError::Refused(_) | ChannelError::TimedOut | ChannelError::Broken(_) => {
+            AttemptEnd::NotSent
+        }
+    }
+}
+
 fn address_of(gateway: &Gateway, key: UpstreamKey) -> Option<SocketAddr> {
     gateway
         .registry
@@ -392,7 +415,7 @@
         });
     }
     if let Some(upstream) = gateway.registry.borrow_mut().get_mut(work.key) {
-        upstream.health.succeeded();
+        upstream.health.succeeded(now);
     }
     watch.set(CallOutcome::Answered);
     Ok(reply)
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -122,6 +122,13 @@
     }
     let first = stream.next(gateway, call).await?;
     stream.attempt.work.prompt_read();
+    if let Some(upstream) = gateway
+        .registry
+        .borrow_mut()
+        .get_mut(stream.attempt.work.key)
+    {
+        upstream.health.answered(gateway.now());
+    }
     Ok(BegunStream { stream, first })
 }
 
@@ -299,7 +306,7 @@
             .borrow_mut()
             .get_mut(source.attempt.work.key)
         {
-            upstream.health.succeeded();
+            upstream.health.succeeded(now);
         }
         self.gateway
             .channels
--- a/daemon/tests/gateway/peers.rs
+++ b/daemon/tests/gateway/peers.rs
@@ -6,7 +6,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
-use crate::world::{NodeProcess, World, configuration, get, good, request, send, until};
+use monsoonbank_standin::scripted::ScriptStep;
+
+use crate::world::{NodeProcess, World, configuration, get, good, request, script, send, until};
 
 async fn addresses(node: &NodeProcess, zone: &str) -> Vec<String> {
     let path = format!("/lookup?name=calls.example&region=r&zone={zone}");
@@ -126,3 +128,28 @@
             .is_some_and(Vec::is_empty)
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_fails_at_one_node_is_passed_over_by_the_other() {
+    let failing = script(|request, _| {
+        let id = request.header("x-attempt-id");
+        let answer = format!(
+            "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+        );
+        vec![ScriptStep::Send(answer.into_bytes())]
+    });
+    let world = World::start(&["east", "east"], vec![failing]).await;
+    meet(&world).await;
+    for call in 0..3 {
+        let call = request("/once/x", &format!("f{call}"), "");
+        let answer = send(world.nodes[0].address(4000), call.as_bytes()).await;
+        assert_eq!(answer.status, 500);
+    }
+    until("the other node passes it over as well", async || {
+        let state = world.nodes[1].state().await;
+        state["upstreams"][0]["resting"] == true
+    })
+    .await;
+    let told = |line: &Value| line["event"] == "upstream_rests" && line["told"] == true;
+    assert!(world.nodes[0].lines().iter().any(told));
+}
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -56,6 +56,8 @@
     pub tiers: u8,
     /// Whether its pauses have to be the shortest of its pool.
     pub tight: bool,
+    /// Whether it may be sent again if its answer is lost.
+    pub repeatable: bool,
     /// Tokens that an engine of the pool keeps; 0 if the pool runs no engines.
     pub cache_tokens: u64,
     /// Upstreams that it was sent to already.
@@ -167,6 +169,9 @@
     );
     cost += stall_cost(input, total, f64::from(unread));
     cost += FAILURE_COST * upstream.health.failures();
+    if upstream.health.unproven() && !input.repeatable {
+        cost += FAILURE_COST;
+    }
     if &*upstream.entry.zone != input.zone {
         cost += ZONE_COST;
     }
--- a/kernel/src/gateway/outcome.rs
+++ b/kernel/src/gateway/outcome.rs
@@ -8,6 +8,9 @@
     /// Nothing was sent: no connection came about.
     #[display("not_sent")]
     NotSent,
+    /// Nothing was sent: nothing listens at the upstream's address.
+    #[display("unreachable")]
+    Unreachable,
     /// The upstream says that it did not run the call.
     #[display("refused")]
     Refused,
@@ -56,7 +59,7 @@
 
     /// Whether anything reached the upstream.
     pub fn was_sent(self) -> bool {
-        self != Self::NotSent
+        !matches!(self, Self::NotSent | Self::Unreachable)
     }
 }
 
--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -58,6 +58,7 @@
         tier: 0,
         tiers: 3,
         tight,
+        repeatable: true,
         cache_tokens: 500_000,
         tried: &[],
         now: NOW,
--- a/kernel/tests/gateway/fleet.rs
+++ b/kernel/tests/gateway/fleet.rs
@@ -18,6 +18,7 @@
         store_well,
         registry_digest: 0,
         work: Vec::new(),
+        failing: Vec::new(),
         parts: Vec::new(),
     }
 }
