Keep engines for tight streams, and take what is free in an order

Choosing by the load of the moment cannot see the prompts that come after a stream has begun. Streams so stretched hold their slots two to five times as long, which made the overload that they suffered from. Ruled out: the engines' memory alone (preempted also where it was half free); waiting first tokens.

Change: in each zone as many engines as the tight streams half fill are kept for them; prompts above one chunk stay away from a kept engine that has some. An order of nodes that differs from engine to engine says who takes the last slots and the last memory; nodes lean to engines where they are first.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
 use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
-use monsoonbank_kernel::gateway::registry::UpstreamKey;
+use monsoonbank_kernel::gateway::registry::{self, UpstreamKey};
 use monsoonbank_kernel::gateway::rules::{AnswerForm, CallSafety};
 use monsoonbank_platform::answer::{self, AnswerKind};
 use monsoonbank_platform::head::{self, UpstreamOrder};
@@ -136,9 +136,12 @@
 
 /// The upstream for a call, if one has room.
 pub fn choose(gateway: &Gateway, call: &Call, trail: &CallTrail) -> Option<UpstreamChoice> {
+    let rivals = gateway.fleet.borrow().busy(gateway.now());
     let input = ChoiceInput {
         pool: &call.pool,
         zone: &gateway.settings.zone,
+        node: registry::id_hash(&gateway.settings.name),
+        rivals: &rivals,
         prompt: &call.head.prompt,
         target: call.class.target,
         tier: call.tier,
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod load;
 pub mod outcome;
+pub mod partition;
 pub mod prompt;
 pub mod registry;
 pub mod rules;
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -3,11 +3,13 @@
 //! Costs are in thousandths of the call's own target: a cost of 1,000 is a wait as long as the
 //! target.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::load::WorkCount;
+use crate::gateway::partition::{self, UpstreamOption};
 use crate::gateway::prompt::PromptShape;
 use crate::gateway::registry::{Upstream, UpstreamKey, UpstreamRegistry};
 
@@ -21,6 +23,14 @@
 const STALL_TOKENS: f64 = 12_000.0;
 /// What a tight stream loses by such a pause.
 const STALL_COST: f64 = 100.0;
+/// What a tight stream loses where engines are not kept for such: prompts that come after it.
+const COMING_COST: f64 = 400.0;
+/// Tight streams that a kept engine is taken to have when it has fewer: those that come.
+const COMING_STREAMS: f64 = 8.0;
+/// Prompt tokens that an engine reads in one step.
+const CHUNK_TOKENS: u32 = 2048;
+/// Part of a kept engine's slots with tight streams above which it takes no longer prompt.
+const UNDISTURBED_PART: f64 = 0.125;
 /// What bytes between availability zones cost, against the worth of an answer in time.
 const ZONE_COST: f64 = 150.0;
 /// What a call that is sent in vain costs.
@@ -30,6 +40,9 @@
 /// Part of an engine's slots that are given out. The rest is for what other nodes have sent and not
 /// told yet.
 const SLOT_PART: f64 = 0.82;
+/// Part of an engine's slots, at most, that a node leaves to those that go before it there. Without
+/// an order all nodes take the slot that falls free, since each learns of it by the same word.
+const UNSEEN_PART: f64 = 0.15;
 /// Part of slots and cache that the least urgent calls leave to others.
 const RESERVED_PART: f64 = 0.2;
 /// Calls for each slot of a plain service, which queues a few and ends each in some ms.
@@ -39,6 +52,10 @@
 /// What speaks for the upstream on which all nodes agree when none is known to keep the prompt.
 const HOME_COST: f64 = 40.0;
 
+/// What speaks against the upstream to which a node leans least. Nodes lean to different ones, so
+/// that they do not all find the same cheapest one between two words.
+const LEAN_COST: f64 = 100.0;
+
 /// Where a call comes from and what it needs.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceInput<'a> {
@@ -46,6 +63,10 @@
     pub pool: &'a str,
     /// This node's availability zone.
     pub zone: &'a str,
+    /// Tells this node from others.
+    pub node: u64,
+    /// The other nodes that send calls.
+    pub rivals: &'a [u64],
     /// The call's prompt.
     pub prompt: &'a PromptShape,
     /// Time within which the first piece of its answer is wanted.
@@ -88,76 +109,127 @@
 
 /// The cheapest upstream that takes new work, if there is any.
 pub fn choose(registry: &UpstreamRegistry, input: &ChoiceInput) -> Option<UpstreamChoice> {
-    let all: Vec<(UpstreamKey, &Upstream)> = registry.usable(input.pool).collect();
+    let all: Vec<UpstreamOption> = registry
+        .usable(input.pool)
+        .map(|(key, upstream)| UpstreamOption {
+            key,
+            upstream,
+            total: upstream.load.total(input.now),
+            resting: upstream.health.resting(input.now),
+        })
+        .collect();
+    let kept = if input.cache_tokens > 0 {
+        partition::kept_for_tight(&all)
+    } else {
+        BTreeSet::new()
+    };
     let keeper = prompt_keeper(&all, input);
     let home = if keeper.is_none() {
-        anchor_home(&all, input)
+        anchor_home(&all, &kept, input)
     } else {
         None
     };
-    let fresh = |key: &UpstreamKey| !input.tried.contains(key);
-    let rested = |upstream: &Upstream| !upstream.health.resting(input.now);
-    let any_rested = all
-        .iter()
-        .any(|(key, upstream)| fresh(key) && rested(upstream));
+    let fresh = |option: &&UpstreamOption| !input.tried.contains(&option.key);
+    let any_rested = all.iter().filter(fresh).any(|option| !option.resting);
     all.iter()
-        .filter(|(key, upstream)| fresh(key) && (!any_rested || rested(upstream)))
-        .filter(|(_, upstream)| has_room(upstream, input))
-        .map(|(key, upstream)| weigh(*key, upstream, input, keeper, home))
+        .filter(fresh)
+        .filter(|option| !any_rested || !option.resting)
+        .map(|option| {
+            let place = UpstreamPlace {
+                option,
+                kept: kept.contains(&option.key),
+                home: home == Some(option.key),
+                rank: own_rank(option.upstream, input),
+            };
+            (place, weigh(place, input, keeper))
+        })
+        .filter(|(place, choice)| has_room(*place, choice.unread_tokens, input))
+        .map(|(_, choice)| choice)
         .min_by(|one, other| one.cost.total_cmp(&other.cost))
 }
 
+/// An upstream and what it is to its pool.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamPlace<'a> {
+    option: &'a UpstreamOption<'a>,
+    /// Whether it is kept for tight streams.
+    kept: bool,
+    /// Whether all nodes agree on it for the call's prompt.
+    home: bool,
+    /// How many busy nodes go before this one there.
+    rank: usize,
+}
+
 /// Whether an upstream can take the call without making others wait or be preempted. The less
 /// urgent a call is, the more room it leaves for others.
-fn has_room(upstream: &Upstream, input: &ChoiceInput) -> bool {
-    let total = upstream.load.total(input.now);
-    let slots = f64::from(upstream.entry.slots);
+fn has_room(place: UpstreamPlace, unread: u32, input: &ChoiceInput) -> bool {
+    let total = place.option.total;
+    let slots = f64::from(place.option.upstream.entry.slots);
     if input.cache_tokens == 0 {
         return f64::from(total.calls) < slots * PLAIN_QUEUE;
     }
+    let crowds =
+        unread > CHUNK_TOKENS && f64::from(total.tight_streams) >= slots * UNDISTURBED_PART;
+    if place.kept && !input.tight && crowds {
+        return false;
+    }
     let reserved = RESERVED_PART * f64::from(input.tier) / f64::from(input.tiers.max(1));
     let most_held = (CACHE_PART - reserved) * input.cache_tokens as f64;
-    let held = f64::from(total.held_tokens) + f64::from(input.prompt.prompt_tokens);
+    let unseen = (place.rank as f64).min(slots * UNSEEN_PART);
+    let held =
+        f64::from(total.held_tokens) + (1.0 + unseen) * f64::from(input.prompt.prompt_tokens);
     let alone = total.calls == 0;
-    f64::from(total.calls) < slots * (SLOT_PART - reserved) && (alone || held < most_held)
+    f64::from(total.calls) + unseen < slots * (SLOT_PART - reserved) && (alone || held < most_held)
 }
 
-fn prompt_keeper(all: &[(UpstreamKey, &Upstream)], input: &ChoiceInput) -> Option<PromptKeeper> {
-    let near = |upstream: &Upstream| &*upstream.entry.zone == input.zone;
-    let (key, _, tokens) = all
+fn prompt_keeper(all: &[UpstreamOption], input: &ChoiceInput) -> Option<PromptKeeper> {
+    let (option, tokens) = all
         .iter()
-        .filter(|(_, upstream)| !upstream.health.resting(input.now))
-        .map(|(key, upstream)| {
-            (
-                *key,
-                *upstream,
-                upstream.load.kept_tokens(input.prompt, input.now),
-            )
+        .filter(|option| !option.resting)
+        .map(|option| {
+            let load = &option.upstream.load;
+            (option, load.kept_tokens(input.prompt, input.now))
         })
-        .max_by_key(|(_, upstream, tokens)| (*tokens, near(upstream)))?;
+        .max_by_key(|(option, tokens)| (*tokens, is_near(option, input)))?;
+    let key = option.key;
     (tokens > 0).then_some(PromptKeeper { key, tokens })
 }
 
-/// The upstream that all nodes of a zone agree on for the call's last shared part: the highest
-/// hash wins.
-fn anchor_home(all: &[(UpstreamKey, &Upstream)], input: &ChoiceInput) -> Option<UpstreamKey> {
+fn is_near(option: &UpstreamOption, input: &ChoiceInput) -> bool {
+    &*option.upstream.entry.zone == input.zone
+}
+
+/// The upstream that all nodes of a zone agree on for the call's last shared part, of those that are
+/// for calls of its kind: the highest hash wins.
+fn anchor_home(
+    all: &[UpstreamOption],
+    kept: &BTreeSet<UpstreamKey>,
+    input: &ChoiceInput,
+) -> Option<UpstreamKey> {
     let anchor = input.prompt.shared_parts().last()?;
-    let near = |upstream: &Upstream| &*upstream.entry.zone == input.zone;
-    let any_near = all.iter().any(|(_, upstream)| near(upstream));
+    let fits = |option: &&UpstreamOption| kept.contains(&option.key) == input.tight;
+    let any_near = all.iter().filter(fits).any(|option| is_near(option, input));
     all.iter()
-        .filter(|(_, upstream)| !any_near || near(upstream))
-        .max_by_key(|(_, upstream)| xxh3_64_with_seed(upstream.entry.id.as_bytes(), anchor.id))
-        .map(|(key, _)| *key)
+        .filter(fits)
+        .filter(|option| !any_near || is_near(option, input))
+        .max_by_key(|option| {
+            let id = option.upstream.entry.id.as_bytes();
+            xxh3_64_with_seed(id, anchor.id)
+        })
+        .map(|option| option.key)
 }
 
 fn weigh(
-    key: UpstreamKey,
-    upstream: &Upstream,
+    place: UpstreamPlace,
     input: &ChoiceInput,
     keeper: Option<PromptKeeper>,
-    home: Option<UpstreamKey>,
 ) -> UpstreamChoice {
-    let total = upstream.load.total(input.now);
+    let UpstreamOption {
+        key,
+        upstream,
+        total,
+        ..
+    } = *place.option;
     let kept = upstream.load.kept_tokens(input.prompt, input.now);
     let keeper = keeper.filter(|keeper| keeper.key != key && keeper.tokens > kept);
     let fetched = keeper.map_or(0, |keeper| keeper.tokens - kept);
@@ -167,17 +239,18 @@
         total,
         f64::from(unread) + FETCH_PART * f64::from(fetched),
     );
-    cost += stall_cost(input, total, f64::from(unread));
+    cost += stall_cost(place, input, f64::from(unread));
     cost += FAILURE_COST * upstream.health.failures();
     if upstream.health.unproven() && !input.repeatable {
         cost += FAILURE_COST;
     }
-    if &*upstream.entry.zone != input.zone {
+    if !is_near(place.option, input) {
         cost += ZONE_COST;
     }
-    if home == Some(key) {
+    if place.home {
         cost -= HOME_COST;
     }
+    cost += LEAN_COST * place.rank as f64 / (input.rivals.len() + 1) as f64;
     UpstreamChoice {
         key,
         cost,
@@ -186,6 +259,15 @@
     }
 }
 
+/// How many busy nodes go before this one at an upstream: in an order that all nodes find and that
+/// differs from upstream to upstream.
+fn own_rank(upstream: &Upstream, input: &ChoiceInput) -> usize {
+    let id = upstream.entry.id.as_bytes();
+    let own = xxh3_64_with_seed(id, input.node);
+    let before = |rival: &&u64| xxh3_64_with_seed(id, **rival) < own;
+    input.rivals.iter().filter(before).count()
+}
+
 /// What the call itself waits.
 fn wait_cost(input: &ChoiceInput, total: WorkCount, unread: f64) -> f64 {
     let wait_ms = (f64::from(total.prompt_tokens) + unread) / TOKENS_PER_MS
@@ -193,13 +275,21 @@
     wait_ms / input.target.as_secs_f64().max(0.001)
 }
 
-/// What tight streams lose by prompts that are read beside them.
-fn stall_cost(input: &ChoiceInput, total: WorkCount, unread: f64) -> f64 {
+/// What tight streams lose by prompts that are read beside them, now and in the time to come.
+fn stall_cost(place: UpstreamPlace, input: &ChoiceInput, unread: f64) -> f64 {
+    let total = place.option.total;
     let pending = (f64::from(total.prompt_tokens) + unread) / STALL_TOKENS;
+    let to_come = if input.tight && !place.kept {
+        COMING_COST
+    } else {
+        0.0
+    };
     let streams = if input.tight {
         3.0
+    } else if place.kept {
+        f64::from(total.tight_streams).max(COMING_STREAMS)
     } else {
         f64::from(total.tight_streams)
     };
-    streams * STALL_COST * pending * pending
+    streams * STALL_COST * pending * pending + to_come
 }
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::load::WorkCount;
+use crate::gateway::registry::id_hash;
 
 /// What a node says of itself, several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -137,6 +138,12 @@
             .filter(move |peer| peer.heard_at + SILENT_AFTER > now)
     }
 
+    /// The nodes that send calls, as numbers that tell them apart.
+    pub fn busy(&self, now: Duration) -> Vec<u64> {
+        let busy = self.live(now).filter(|peer| !peer.word.work.is_empty());
+        busy.map(|peer| id_hash(&peer.word.name)).collect()
+    }
+
     /// Every node that is known, live or not.
     pub fn iter(&self) -> impl Iterator<Item = &FleetPeer> {
         self.peers.values()
--- /dev/null
+++ b/kernel/src/gateway/partition.rs
@@ -0,0 +1,60 @@
+//! Which engines are kept for streams with tight pauses.
+//!
+//! A prompt that is read stretches every step of its batch from some 5 ms to 40, so streams beside
+//! a steady flow of long prompts are late however idle the engine looked when they were sent. The
+//! part that is kept follows the streams that there are, zone by zone, and all nodes find the same
+//! engines for the same knowledge.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::gateway::load::WorkCount;
+use crate::gateway::registry::{Upstream, UpstreamKey};
+
+/// Part of a kept engine's slots that tight streams fill before one more engine is kept: room for
+/// a burst until the next words of other nodes, and for short calls beside them.
+const TIGHT_FILL: f64 = 0.5;
+
+/// An upstream that a call may go to, with all its work.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamOption<'a> {
+    /// Its key.
+    pub key: UpstreamKey,
+    /// What is known of it.
+    pub upstream: &'a Upstream,
+    /// Work of all nodes there.
+    pub total: WorkCount,
+    /// Whether it is passed over for now.
+    pub resting: bool,
+}
+
+/// The engines that are kept for tight streams: in each availability zone with two or more, as
+/// many as its streams fill, at least one and never all.
+pub fn kept_for_tight(options: &[UpstreamOption]) -> BTreeSet<UpstreamKey> {
+    let mut zones: BTreeMap<&str, Vec<&UpstreamOption>> = BTreeMap::new();
+    for option in options.iter().filter(|option| !option.resting) {
+        let zone = &*option.upstream.entry.zone;
+        zones.entry(zone).or_default().push(option);
+    }
+    zones.into_values().flat_map(kept_in_zone).collect()
+}
+
+fn kept_in_zone(mut options: Vec<&UpstreamOption>) -> Vec<UpstreamKey> {
+    if options.len() < 2 {
+        return Vec::new();
+    }
+    let streams: u32 = options
+        .iter()
+        .map(|option| option.total.tight_streams)
+        .sum();
+    let slots: u32 = options
+        .iter()
+        .map(|option| option.upstream.entry.slots)
+        .sum();
+    let share = f64::from(streams) / (TIGHT_FILL * f64::from(slots)).max(1.0);
+    let wanted = (share * options.len() as f64).ceil() as usize;
+    options.sort_by_key(|option| xxh3_64(option.upstream.entry.id.as_bytes()));
+    options.truncate(wanted.clamp(1, options.len() - 1));
+    options.iter().map(|option| option.key).collect()
+}
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod health;
 mod outcome;
+mod partition;
 mod registry;
 mod rules;
 mod waiting;
--- /dev/null
+++ b/kernel/tests/gateway/partition.rs
@@ -0,0 +1,175 @@
+//! Engines that are kept for tight streams, and the order in which nodes take what is free.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::choice::{ChoiceInput, choose};
+use monsoonbank_kernel::gateway::load::WorkItem;
+use monsoonbank_kernel::gateway::partition::{UpstreamOption, kept_for_tight};
+use monsoonbank_kernel::gateway::prompt::PromptShape;
+use monsoonbank_kernel::gateway::registry::{
+    RegistryChange, UpstreamEntry, UpstreamKey, UpstreamRegistry,
+};
+
+const NOW: Duration = Duration::from_secs(10);
+
+/// Engines `0..count` of 20 slots in one availability zone.
+fn registry(count: u16) -> UpstreamRegistry {
+    let mut registry = UpstreamRegistry::default();
+    for index in 0..count {
+        let entry = UpstreamEntry {
+            id: format!("i-{index}").into(),
+            pool: "model".into(),
+            address: ([127, 0, 0, 1], 1000 + index).into(),
+            zone: "east".into(),
+            slots: 20,
+            leaving: false,
+        };
+        registry.apply(RegistryChange::Put(entry), true, NOW);
+    }
+    registry
+}
+
+fn kept(registry: &UpstreamRegistry) -> BTreeSet<UpstreamKey> {
+    let options: Vec<UpstreamOption> = registry
+        .usable("model")
+        .map(|(key, upstream)| UpstreamOption {
+            key,
+            upstream,
+            total: upstream.load.total(NOW),
+            resting: upstream.health.resting(NOW),
+        })
+        .collect();
+    kept_for_tight(&options)
+}
+
+fn load(registry: &mut UpstreamRegistry, key: UpstreamKey, item: WorkItem, times: usize) {
+    for _ in 0..times {
+        registry.get_mut(key).expect("known").load.begin(item);
+    }
+}
+
+fn streams(registry: &mut UpstreamRegistry, count: usize) {
+    let key = registry.key("i-0").expect("known");
+    let item = WorkItem {
+        tight: true,
+        ..WorkItem::default()
+    };
+    load(registry, key, item, count);
+}
+
+fn prompt(tokens: u32) -> PromptShape {
+    PromptShape {
+        prompt_tokens: tokens,
+        output_tokens: 100,
+        parts: Box::default(),
+    }
+}
+
+fn input<'a>(
+    prompt: &'a PromptShape,
+    tight: bool,
+    node: u64,
+    rivals: &'a [u64],
+) -> ChoiceInput<'a> {
+    ChoiceInput {
+        pool: "model",
+        zone: "east",
+        node,
+        rivals,
+        prompt,
+        target: Duration::from_millis(if tight { 300 } else { 2000 }),
+        tier: 0,
+        tiers: 3,
+        tight,
+        repeatable: true,
+        cache_tokens: 500_000,
+        tried: &[],
+        now: NOW,
+    }
+}
+
+macro_rules! kept_cases {
+    ($($name:ident: $engines:expr, $streams:expr => $kept:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let mut registry = registry($engines);
+            streams(&mut registry, $streams);
+            assert_eq!(kept(&registry).len(), $kept);
+        })*
+    };
+}
+
+kept_cases! {
+    a_single_engine_is_for_all: 1, 5 => 0;
+    one_is_kept_before_any_stream_comes: 4, 0 => 1;
+    as_many_are_kept_as_streams_half_fill: 4, 25 => 3;
+    one_always_stays_for_the_rest: 4, 500 => 3;
+}
+
+#[test]
+fn an_engine_that_rests_is_not_counted_on() {
+    let mut registry = registry(4);
+    let key = *kept(&registry).first().expect("one");
+    registry.get_mut(key).expect("known").health.silent(NOW);
+    let now_kept = kept(&registry);
+    assert_eq!(now_kept.len(), 1);
+    assert!(!now_kept.contains(&key));
+}
+
+#[test]
+fn tight_streams_go_to_the_kept_and_long_prompts_elsewhere() {
+    let registry = registry(4);
+    let kept = kept(&registry);
+    let (short, long) = (prompt(600), prompt(6000));
+    let tight = choose(&registry, &input(&short, true, 1, &[])).expect("a choice");
+    let loose = choose(&registry, &input(&long, false, 1, &[])).expect("a choice");
+    assert!(kept.contains(&tight.key) && !kept.contains(&loose.key));
+}
+
+#[test]
+fn a_long_prompt_waits_rather_than_stretch_the_kept_streams() {
+    let mut registry = registry(2);
+    let kept_key = *kept(&registry).first().expect("one");
+    let keys: Vec<UpstreamKey> = registry.usable("model").map(|(key, _)| key).collect();
+    for key in keys {
+        let tight = key == kept_key;
+        let item = WorkItem {
+            tight,
+            ..WorkItem::default()
+        };
+        load(&mut registry, key, item, if tight { 5 } else { 20 });
+    }
+    let (short, long) = (prompt(1000), prompt(6000));
+    assert!(choose(&registry, &input(&long, false, 1, &[])).is_none());
+    assert!(choose(&registry, &input(&short, false, 1, &[])).is_some());
+}
+
+#[test]
+fn the_last_free_slot_is_for_one_node() {
+    let mut registry = registry(1);
+    let key = registry.key("i-0").expect("known");
+    // 16.4 of 20 slots are given out.
+    load(&mut registry, key, WorkItem::default(), 16);
+    let nodes: Vec<u64> = (0..12).collect();
+    let prompt = prompt(600);
+    let takers = nodes.iter().filter(|node| {
+        let rivals: Vec<u64> = nodes
+            .iter()
+            .copied()
+            .filter(|other| other != *node)
+            .collect();
+        choose(&registry, &input(&prompt, false, **node, &rivals)).is_some()
+    });
+    assert_eq!(takers.count(), 1);
+}
+
+#[test]
+fn an_empty_engine_is_for_all_nodes() {
+    let registry = registry(1);
+    let nodes: Vec<u64> = (0..12).collect();
+    let prompt = prompt(600);
+    for node in 0..12 {
+        assert!(choose(&registry, &input(&prompt, false, node, &nodes)).is_some());
+    }
+}
