Take no more of an engine at once than a node's share of what is free

What is too much queues, is refused, or puts running calls back. Ruled out: the order of nodes for the last slots alone, which leaves at most 15% of the slots.

Change: a node takes it that others have sent as many as it has itself sent since the last words.

--- a/daemon/src/gateway/work.rs
+++ b/daemon/src/gateway/work.rs
@@ -29,6 +29,7 @@
         };
         if let Some(upstream) = gateway.registry.borrow_mut().get_mut(choice.key) {
             upstream.load.begin(item);
+            upstream.load.sent(now);
             upstream.health.tried(now);
             let hash = registry::id_hash(&upstream.entry.id);
             let mut sent_parts = gateway.sent_parts.borrow_mut();
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -175,13 +175,24 @@
     }
     let reserved = RESERVED_PART * f64::from(input.tier) / f64::from(input.tiers.max(1));
     let most_held = (CACHE_PART - reserved) * input.cache_tokens as f64;
-    let unseen = (place.rank as f64).min(slots * UNSEEN_PART);
+    let unseen = unseen_calls(place, input);
     let held =
         f64::from(total.held_tokens) + (1.0 + unseen) * f64::from(input.prompt.prompt_tokens);
     let alone = total.calls == 0;
     f64::from(total.calls) + unseen < slots * (SLOT_PART - reserved) && (alone || held < most_held)
 }
 
+/// Calls that others may have sent and not told yet: as many as this node has sent each, and one
+/// from each node that goes before it.
+fn unseen_calls(place: UpstreamPlace, input: &ChoiceInput) -> f64 {
+    let upstream = place.option.upstream;
+    let slots = f64::from(upstream.entry.slots);
+    let unheard = upstream.load.unheard(input.now) * input.rivals.len();
+    (place.rank as f64)
+        .min(slots * UNSEEN_PART)
+        .max(unheard as f64)
+}
+
 fn prompt_keeper(all: &[UpstreamOption], input: &ChoiceInput) -> Option<PromptKeeper> {
     let (option, tokens) = all
         .iter()
--- a/kernel/src/gateway/load.rs
+++ b/kernel/src/gateway/load.rs
@@ -1,6 +1,6 @@
 //! Work that is at an upstream, as far as this node knows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use derive_more::{Add, AddAssign};
@@ -35,6 +35,9 @@
 /// Time after which another node's word no longer counts: three of its longest pauses.
 const WORD_AGE: Duration = Duration::from_millis(1500);
 
+/// Time within which all other nodes that send calls hear of one: the longest pause between words.
+const UNHEARD_TIME: Duration = Duration::from_millis(400);
+
 /// Time for which an upstream is taken to keep a part of a prompt after its last use. Caches hold
 /// some hundred prompts and drop what was used least lately; few parts rest this long.
 const CACHE_AGE: Duration = Duration::from_secs(20);
@@ -48,6 +51,7 @@
     own: WorkCount,
     others: BTreeMap<Box<str>, (Duration, WorkCount)>,
     parts: BTreeMap<u64, Duration>,
+    sent_at: VecDeque<Duration>,
 }
 
 impl UpstreamLoad {
@@ -61,6 +65,24 @@
         };
     }
 
+    /// Notes when a call was sent.
+    pub fn sent(&mut self, now: Duration) {
+        while self
+            .sent_at
+            .front()
+            .is_some_and(|at| *at + UNHEARD_TIME <= now)
+        {
+            self.sent_at.pop_front();
+        }
+        self.sent_at.push_back(now);
+    }
+
+    /// Calls that this node sent and of which others may not have heard yet.
+    pub fn unheard(&self, now: Duration) -> usize {
+        let fresh = |at: &&Duration| **at + UNHEARD_TIME > now;
+        self.sent_at.iter().rev().take_while(fresh).count()
+    }
+
     /// The first part of its answer came: its prompt has been read.
     pub fn prompt_read(&mut self, tokens: u32) {
         self.own.prompt_tokens = self.own.prompt_tokens.saturating_sub(tokens);
--- a/kernel/tests/gateway/partition.rs
+++ b/kernel/tests/gateway/partition.rs
@@ -173,3 +173,26 @@
         assert!(choose(&registry, &input(&prompt, false, node, &nodes)).is_some());
     }
 }
+
+#[test]
+fn nodes_that_find_an_empty_engine_at_once_do_not_overfill_it() {
+    let nodes: Vec<u64> = (0..12).collect();
+    let prompt = prompt(600);
+    let mut sent = 0;
+    for node in &nodes {
+        let rivals: Vec<u64> = nodes
+            .iter()
+            .copied()
+            .filter(|other| other != node)
+            .collect();
+        let mut registry = registry(1);
+        let key = registry.key("i-0").expect("known");
+        while choose(&registry, &input(&prompt, false, *node, &rivals)).is_some() {
+            let load = &mut registry.get_mut(key).expect("known").load;
+            load.begin(WorkItem::default());
+            load.sent(NOW);
+            sent += 1;
+        }
+    }
+    assert!((12..=24).contains(&sent), "{sent} calls for 20 slots");
+}
