Count on silent nodes still sending as much as this one

Ruled out: a leak of our own counts (a killed node's end lines are missing; those calls were left out).

Change: a node that sent calls when it was last heard stays a rival until it is forgotten (30 s), and while it is silent it is taken to have as much work everywhere as this node.

After a kill that is not mended, the rest uses its own share for up to 30 s.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -136,12 +136,14 @@
 
 /// The upstream for a call, if one has room.
 pub fn choose(gateway: &Gateway, call: &Call, trail: &CallTrail) -> Option<UpstreamChoice> {
-    let rivals = gateway.fleet.borrow().busy(gateway.now());
+    let rivals = gateway.fleet.borrow().rivals();
+    let silent = gateway.fleet.borrow().silent_rivals(gateway.now());
     let input = ChoiceInput {
         pool: &call.pool,
         zone: &gateway.settings.zone,
         node: registry::id_hash(&gateway.settings.name),
         rivals: &rivals,
+        silent,
         prompt: &call.head.prompt,
         target: call.class.target,
         tier: call.tier,
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -67,6 +67,8 @@
     pub node: u64,
     /// The other nodes that send calls.
     pub rivals: &'a [u64],
+    /// How many of them are silent: each is taken to have as much work everywhere as this node.
+    pub silent: u32,
     /// The call's prompt.
     pub prompt: &'a PromptShape,
     /// Time within which the first piece of its answer is wanted.
@@ -114,7 +116,7 @@
         .map(|(key, upstream)| UpstreamOption {
             key,
             upstream,
-            total: upstream.load.total(input.now),
+            total: upstream.load.total(input.now) + upstream.load.own() * input.silent,
             resting: upstream.health.resting(input.now),
         })
         .collect();
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -138,10 +138,22 @@
             .filter(move |peer| peer.heard_at + SILENT_AFTER > now)
     }
 
-    /// The nodes that send calls, as numbers that tell them apart.
-    pub fn busy(&self, now: Duration) -> Vec<u64> {
-        let busy = self.live(now).filter(|peer| !peer.word.work.is_empty());
-        busy.map(|peer| id_hash(&peer.word.name)).collect()
+    /// The nodes that send calls, as numbers that tell them apart. One that has gone silent is among
+    /// them until it is forgotten: it may be cut off from here and send all the same.
+    pub fn rivals(&self) -> Vec<u64> {
+        let busy = |peer: &&FleetPeer| !peer.word.work.is_empty();
+        let peers = self.peers.values().filter(busy);
+        peers.map(|peer| id_hash(&peer.word.name)).collect()
+    }
+
+    /// How many of them are silent.
+    pub fn silent_rivals(&self, now: Duration) -> u32 {
+        let silent = |peer: &&FleetPeer| peer.heard_at + SILENT_AFTER <= now;
+        let busy = self
+            .peers
+            .values()
+            .filter(|peer| !peer.word.work.is_empty());
+        busy.filter(silent).count() as u32
     }
 
     /// Every node that is known, live or not.
--- a/kernel/src/gateway/load.rs
+++ b/kernel/src/gateway/load.rs
@@ -3,13 +3,15 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use derive_more::{Add, AddAssign};
+use derive_more::{Add, AddAssign, Mul};
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::prompt::{PromptPart, PromptShape};
 
 /// Work of one node at one upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Mul, Serialize, Deserialize,
+)]
 pub struct WorkCount {
     /// Calls that were sent and have not ended.
     pub calls: u32,
--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -55,6 +55,7 @@
         zone: "east",
         node: 1,
         rivals: &[],
+        silent: 0,
         prompt,
         target: Duration::from_millis(if tight { 300 } else { 2000 }),
         tier: 0,
--- a/kernel/tests/gateway/fleet.rs
+++ b/kernel/tests/gateway/fleet.rs
@@ -116,3 +116,18 @@
         .collect();
     assert_eq!(names, ["c"]);
 }
+
+#[test]
+fn a_silent_node_that_sent_calls_stays_a_rival_until_it_is_forgotten() {
+    let mut fleet = FleetView::default();
+    fleet.heard(word("idle", "east", 1, true), SECOND);
+    let busy = NodeWord {
+        work: vec![(7, WorkCount::default())],
+        ..word("busy", "east", 1, true)
+    };
+    fleet.heard(busy, SECOND);
+    assert_eq!((fleet.rivals().len(), fleet.silent_rivals(SECOND)), (1, 0));
+    assert_eq!(fleet.silent_rivals(SECOND * 5), 1);
+    fleet.forget(SECOND * 60);
+    assert!(fleet.rivals().is_empty());
+}
--- a/kernel/tests/gateway/partition.rs
+++ b/kernel/tests/gateway/partition.rs
@@ -77,6 +77,7 @@
         zone: "east",
         node,
         rivals,
+        silent: 0,
         prompt,
         target: Duration::from_millis(if tight { 300 } else { 2000 }),
         tier: 0,
@@ -196,3 +197,20 @@
     }
     assert!((12..=24).contains(&sent), "{sent} calls for 20 slots");
 }
+
+#[test]
+fn a_node_that_is_cut_off_leaves_the_others_their_share() {
+    let mut registry = registry(1);
+    let key = registry.key("i-0").expect("known");
+    let prompt = prompt(600);
+    let cut_off = ChoiceInput {
+        silent: 3,
+        ..input(&prompt, false, 1, &[])
+    };
+    let mut sent = 0;
+    while choose(&registry, &cut_off).is_some() {
+        load(&mut registry, key, WorkItem::default(), 1);
+        sent += 1;
+    }
+    assert_eq!(sent, 5, "of 16.4 slots for four nodes");
+}
