Tell departures in words, spread fetches, read the store when others cannot give a version

Ruled out: the store (it answered those who asked it), a version that was not announced.

Change: upstreams that leave are named in the words themselves (five bytes each) and need no fetch; fetches are spread over 250 ms and over all nodes that have the same; a node that has been told of a version for 700 ms without getting it reads the store.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -108,6 +108,8 @@
     pub announcement: tokio::sync::Notify,
     /// Whether something is being fetched from another node.
     pub fetching: Cell<bool>,
+    /// The newest version that any node told, and when it was told first.
+    pub newest_told: Cell<(u64, Duration)>,
 }
 
 impl Gateway {
@@ -131,6 +133,13 @@
             .is_reader(&settings.name, &settings.zone, self.now())
     }
 
+    /// Whether a newer version has been told for so long that fetching it from others has failed.
+    pub fn lags_behind(&self) -> bool {
+        let (version, since) = self.newest_told.get();
+        let own_version = self.rules().map_or(0, |rules| rules.version);
+        version > own_version && self.now() > since + LAG_TIME
+    }
+
     /// Whether a call to the store failed lately, so that a read that is kept waiting may have
     /// been lost without a sign.
     pub fn store_doubtful(&self) -> bool {
@@ -162,6 +171,9 @@
     }
 }
 
+/// Time that a node has to fetch a new version from others before it reads the store: two tries. A
+/// version has to be in force within 2 s.
+const LAG_TIME: Duration = Duration::from_millis(700);
 /// Time for which a node that leaves goes on taking calls. Callers that keep its address for longer
 /// find its port closed; a call that is taken later may not end within the grace period.
 const LINGER: Duration = Duration::from_millis(2500);
@@ -199,6 +211,7 @@
         configuration_nudge: tokio::sync::Notify::new(),
         announcement: tokio::sync::Notify::new(),
         fetching: Cell::new(false),
+        newest_told: Cell::new((0, Duration::ZERO)),
         settings,
     });
     gateway.decisions.line(&Decision::Started {
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -9,18 +9,22 @@
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use monsoonbank_kernel::gateway::fleet::NodeWord;
+use monsoonbank_kernel::gateway::fleet::{FleetPeer, NodeWord};
 use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry};
 use thiserror::Error;
 use tokio::net::TcpStream;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::gateway::decisions::Decision;
+use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::{Gateway, desk, follow};
 
 /// Time for a node to answer. Zones are a few ms apart; a configuration has some 100 kB.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Least time between two fetches: what a node that lags costs others.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
+/// Time over which fetches are spread that one word sets off: a node with 10 Mbit/s sends 25 kB, a
+/// usual configuration, in 20 ms, and those who have it become sources.
+const FETCH_SPREAD: Duration = Duration::from_millis(250);
 /// Largest answer that is taken.
 const MOST_BYTES: usize = 16 << 20;
 
@@ -50,31 +54,71 @@
 /// Fetches what `word` shows that its node has and this one lacks. One fetch at a time: the next
 /// word tells again.
 pub fn catch_up(gateway: &Rc<Gateway>, word: &NodeWord) {
-    let own_version = gateway.rules().map_or(0, |rules| rules.version);
-    let view = gateway.store.get();
-    let lacks_rules = word.version > own_version;
-    let reads_itself = gateway.is_reader() && !gateway.store_doubtful();
-    let differs = word.registry_digest != gateway.registry.borrow().digest();
-    let lacks_entries = differs && word.store_well && !reads_itself;
-    let wanted = lacks_rules || lacks_entries || !view.registry_known && word.registry_digest != 0;
-    if !wanted || gateway.fetching.replace(true) {
+    let (told, _) = gateway.newest_told.get();
+    if word.version > told {
+        gateway.newest_told.set((word.version, gateway.now()));
+    }
+    if !lacks(gateway, word).any() || gateway.fetching.replace(true) {
         return;
     }
-    let (gateway, peer, address) = (gateway.clone(), word.name.clone(), word.peers);
+    let (gateway, word) = (gateway.clone(), word.clone());
     tokio::task::spawn_local(async move {
-        let fetched = fetch_all(&gateway, &peer, address, lacks_rules).await;
-        if let Err(error) = fetched {
-            let reason = error.to_string();
-            gateway.decisions.line(&Decision::FetchFailed {
-                peer: &peer,
-                reason: &reason,
-            });
+        let turn = xxh3_64_with_seed(gateway.settings.name.as_bytes(), millis(gateway.now()));
+        tokio::time::sleep(FETCH_SPREAD.mul_f64(turn as f64 / u64::MAX as f64)).await;
+        let lacking = lacks(&gateway, &word);
+        if lacking.any() {
+            let (peer, address) = source(&gateway, &word, turn);
+            let fetched = fetch_all(&gateway, &peer, address, lacking.rules).await;
+            if let Err(error) = fetched {
+                let reason = error.to_string();
+                gateway.decisions.line(&Decision::FetchFailed {
+                    peer: &peer,
+                    reason: &reason,
+                });
+            }
+            tokio::time::sleep(FETCH_PAUSE).await;
         }
-        tokio::time::sleep(FETCH_PAUSE).await;
         gateway.fetching.set(false);
     });
 }
 
+/// What another node has and this one lacks.
+#[derive(Clone, Copy, Debug)]
+struct LackingPart {
+    rules: bool,
+    entries: bool,
+}
+
+impl LackingPart {
+    fn any(self) -> bool {
+        self.rules || self.entries
+    }
+}
+
+fn lacks(gateway: &Gateway, word: &NodeWord) -> LackingPart {
+    let own_version = gateway.rules().map_or(0, |rules| rules.version);
+    let reads_itself = gateway.is_reader() && !gateway.store_doubtful();
+    let differs = word.registry_digest != gateway.registry.borrow().digest();
+    let unknown = !gateway.store.get().registry_known && word.registry_digest != 0;
+    LackingPart {
+        rules: word.version > own_version,
+        entries: differs && word.store_well && !reads_itself || unknown,
+    }
+}
+
+/// One of the nodes that have what `word` shows: the fetches of many nodes that heard the same word
+/// spread over all of them.
+fn source(gateway: &Gateway, word: &NodeWord, turn: u64) -> (Box<str>, SocketAddr) {
+    let fleet = gateway.fleet.borrow();
+    let has_same = |peer: &&FleetPeer| {
+        peer.word.version >= word.version && peer.word.registry_digest == word.registry_digest
+    };
+    let peers: Vec<&FleetPeer> = fleet.live(gateway.now()).filter(has_same).collect();
+    let chosen = turn as usize % peers.len().max(1);
+    let word = peers.get(chosen).map_or(word, |peer| &peer.word);
+    (word.name.clone(), word.peers)
+}
+
 async fn fetch_all(
     gateway: &Gateway,
     peer: &str,
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -123,9 +123,10 @@
     }
 }
 
-/// Waits until it is this node's turn to read the store for its availability zone.
-async fn readers_turn(gateway: &Gateway) {
-    while !gateway.is_reader() {
+/// Waits until it is this node's turn to read the store for its availability zone, or until `needed`
+/// says that it must read all the same.
+async fn readers_turn(gateway: &Gateway, needed: impl Fn() -> bool) {
+    while !gateway.is_reader() && !needed() {
         tokio::time::sleep(TURN_PAUSE).await;
     }
 }
@@ -134,7 +135,8 @@
     let mut position = None;
     loop {
         if position.is_some() {
-            readers_turn(&reader.gateway).await;
+            let gateway = &reader.gateway;
+            readers_turn(gateway, || gateway.lags_behind()).await;
         }
         let outcome = match position {
             None => newest_configuration(&mut reader).await,
@@ -162,7 +164,7 @@
 
 async fn more_configuration(reader: &mut StoreReader, from: u64) -> Result<u64, StoreError> {
     let gateway = reader.gateway.clone();
-    let wait = if gateway.store_doubtful() {
+    let wait = if gateway.store_doubtful() || !gateway.is_reader() {
         Duration::ZERO
     } else {
         CONFIGURATION_WAIT
@@ -241,7 +243,7 @@
     let mut position = None;
     loop {
         if position.is_some() {
-            readers_turn(&reader.gateway).await;
+            readers_turn(&reader.gateway, || false).await;
         }
         let outcome = match position {
             None => newest_registry(&mut reader).await,
@@ -334,7 +336,8 @@
     }
 }
 
-fn upstream_changed(gateway: &Gateway, key: UpstreamKey) {
+/// Writes down what is believed of an upstream now, and closes what is kept to one that leaves.
+pub fn upstream_changed(gateway: &Gateway, key: UpstreamKey) {
     let registry = gateway.registry.borrow();
     let Some(upstream) = registry.get(key) else {
         return;
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -15,7 +15,7 @@
 
 use crate::error::NodeError;
 use crate::gateway::decisions::Decision;
-use crate::gateway::{Gateway, exchange};
+use crate::gateway::{Gateway, exchange, follow};
 
 /// Time between two words to nodes of the same availability zone, which share its upstreams.
 const NEAR_PAUSE: Duration = Duration::from_millis(200);
@@ -91,6 +91,7 @@
         registry_digest: registry.digest(),
         work,
         failing,
+        departures: registry.departures(now),
         parts,
     }
 }
@@ -249,6 +250,7 @@
         return;
     }
     let now = gateway.now();
+    take_departures(gateway, &word, now);
     take_work(gateway, &word, now);
     exchange::catch_up(gateway, &word);
     gateway.room_notice.notify_waiters();
@@ -277,6 +279,15 @@
     send(socket, from, &PeerMessage::Known(known)).await;
 }
 
+fn take_departures(gateway: &Gateway, word: &NodeWord, now: Duration) {
+    for hash in &word.departures {
+        let departed = gateway.registry.borrow_mut().departed(*hash, now);
+        if let Some(key) = departed {
+            follow::upstream_changed(gateway, key);
+        }
+    }
+}
+
 fn take_work(gateway: &Gateway, word: &NodeWord, now: Duration) {
     let mut registry = gateway.registry.borrow_mut();
     for (hash, count) in &word.work {
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -36,6 +36,8 @@
     pub work: Vec<(u64, WorkCount)>,
     /// Hashes of the ids of upstreams that it found failing or unreachable and passes over.
     pub failing: Vec<u64>,
+    /// Hashes of the ids of upstreams that began to leave a moment ago.
+    pub departures: Vec<u64>,
     /// Parts of prompts that it sent lately, with the hash of the upstream's id.
     pub parts: Vec<(u64, u64)>,
 }
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -1,6 +1,6 @@
 //! Upstreams as the platform's registry tells them, by incarnation.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -76,6 +76,12 @@
 /// registry's return. The platform promises about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which other nodes are told that an upstream leaves: two of the longest pauses between
+/// words, so that a lost word does not matter.
+const DEPARTURE_AGE: Duration = Duration::from_millis(1500);
+/// Departures that are told at once, five bytes each. More are learnt with the whole registry.
+const MOST_DEPARTURES: usize = 24;
+
 /// Stands for an upstream's id in words between nodes: 32 bits, five bytes on the wire. Two of
 /// 10,000 upstreams share one with a chance of one in a hundred, which costs a worse choice.
 pub fn id_hash(id: &str) -> u64 {
@@ -89,6 +95,7 @@
     keys: BTreeMap<Box<str>, UpstreamKey>,
     hashes: BTreeMap<u64, UpstreamKey>,
     pools: BTreeMap<Box<str>, Vec<UpstreamKey>>,
+    departures: VecDeque<(Duration, u64)>,
     next_key: u32,
 }
 
@@ -101,9 +108,50 @@
         trusted: bool,
         now: Duration,
     ) -> Option<UpstreamKey> {
-        match change {
+        let changed = match change {
             RegistryChange::Put(entry) => self.put(entry),
             RegistryChange::Removed(id) => self.remove(&id, trusted, now),
+        }?;
+        self.note_departure(changed, now);
+        Some(changed)
+    }
+
+    /// Takes another node's word that an upstream leaves. Gives the upstream if that is news.
+    pub fn departed(&mut self, hash: u64, now: Duration) -> Option<UpstreamKey> {
+        let key = self.by_hash(hash)?;
+        let upstream = self.upstreams.get_mut(&key)?;
+        if upstream.left.is_some() {
+            return None;
+        }
+        upstream.left = Some(LeavingCause::Removed);
+        self.note_departure(key, now);
+        Some(key)
+    }
+
+    /// Hashes of the ids of upstreams that began to leave a moment ago, the newest first.
+    pub fn departures(&self, now: Duration) -> Vec<u64> {
+        let fresh = |(at, _): &&(Duration, u64)| *at + DEPARTURE_AGE > now;
+        let newest = self.departures.iter().rev().take_while(fresh);
+        newest
+            .map(|(_, hash)| *hash)
+            .take(MOST_DEPARTURES)
+            .collect()
+    }
+
+    fn note_departure(&mut self, key: UpstreamKey, now: Duration) {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return;
+        };
+        // An entry that only lapsed may come back.
+        if matches!(
+            upstream.left,
+            Some(LeavingCause::Draining | LeavingCause::Removed)
+        ) {
+            self.departures
+                .push_back((now, id_hash(&upstream.entry.id)));
+            if self.departures.len() > MOST_DEPARTURES {
+                self.departures.pop_front();
+            }
         }
     }
 
--- a/kernel/tests/gateway/fleet.rs
+++ b/kernel/tests/gateway/fleet.rs
@@ -19,6 +19,7 @@
         registry_digest: 0,
         work: Vec::new(),
         failing: Vec::new(),
+        departures: Vec::new(),
         parts: Vec::new(),
     }
 }
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -18,6 +18,7 @@
 }
 
 const START: Duration = Duration::ZERO;
+const SECOND: Duration = Duration::from_secs(1);
 
 fn usable(registry: &UpstreamRegistry) -> Vec<&str> {
     registry
@@ -101,3 +102,29 @@
     put(&mut other, "b", 2, true);
     assert_eq!(one.digest(), other.digest());
 }
+
+#[test]
+fn a_departure_is_told_for_a_while_and_taken_from_others() {
+    let mut teller = UpstreamRegistry::default();
+    let mut hearer = UpstreamRegistry::default();
+    for registry in [&mut teller, &mut hearer] {
+        registry.apply(RegistryChange::Put(entry("i-1", 1, false)), true, SECOND);
+    }
+    assert!(teller.departures(SECOND).is_empty());
+    teller.apply(RegistryChange::Put(entry("i-1", 1, true)), true, SECOND * 2);
+    let told = teller.departures(SECOND * 2);
+    assert_eq!(told.len(), 1);
+    assert!(teller.departures(SECOND * 4).is_empty());
+    assert!(hearer.departed(told[0], SECOND * 2).is_some());
+    assert!(hearer.departed(told[0], SECOND * 2).is_none(), "no news");
+    assert_eq!(hearer.usable("model").count(), 0);
+    assert_eq!(hearer.digest(), teller.digest());
+}
+
+#[test]
+fn an_entry_that_may_come_back_is_no_departure() {
+    let mut registry = UpstreamRegistry::default();
+    registry.apply(RegistryChange::Put(entry("i-1", 1, false)), true, SECOND);
+    registry.apply(RegistryChange::Removed("i-1".into()), false, SECOND);
+    assert!(registry.departures(SECOND).is_empty());
+}
