Fetch only what is read, weigh what is read again, tell parts the longest first

A part counted as kept from the moment its first call was sent, so calls of the same session that came while it was queued or being read (up to 3 s to the first piece there) fetched nothing and read it again. Ruled out: caches that drop parts (memory is 0.85 full at most, parts come back within seconds).

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -76,8 +76,9 @@
     pub fleet: RefCell<FleetView>,
     /// Budgets for repeats, by pool.
     pub budgets: RefCell<BTreeMap<Box<str>, RetryBudget>>,
-    /// Parts of prompts that were sent since the last word to other nodes.
-    pub sent_parts: RefCell<BTreeSet<(u64, u64)>>,
+    /// Parts of prompts that were sent since the last word to other nodes: tokens, part, and hash of
+    /// the upstream's id.
+    pub sent_parts: RefCell<BTreeSet<(u32, u64, u64)>>,
     /// Calls that wait for room.
     pub waiting: RefCell<WaitList>,
     /// Tells waiting calls that there may be room.
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -123,7 +123,7 @@
         gateway.decisions.flush();
         let parts = std::mem::take(&mut *gateway.sent_parts.borrow_mut());
         far_parts.extend(parts.iter().copied());
-        let word = own_word(&gateway, newest_parts(&parts));
+        let word = own_word(&gateway, longest_parts(&parts));
         let near = PeerTargets::find(&gateway, &word, true);
         let far = PeerTargets::find(&gateway, &word, false);
         let word = PeerMessage::Word(word);
@@ -134,7 +134,7 @@
         if !announced && round % NEAR_WORDS != 0 {
             continue;
         }
-        let word = PeerMessage::Word(own_word(&gateway, newest_parts(&far_parts)));
+        let word = PeerMessage::Word(own_word(&gateway, longest_parts(&far_parts)));
         far_parts.clear();
         for to in far.next(&mut far_turn, announced) {
             send(&socket, to, &word).await;
@@ -207,9 +207,10 @@
     }
 }
 
-/// As many as a datagram holds; the rest costs a few prompts that are read twice.
-fn newest_parts(parts: &BTreeSet<(u64, u64)>) -> Vec<(u64, u64)> {
-    parts.iter().copied().take(MOST_PARTS).collect()
+/// As many as a datagram holds, the longest first; the rest costs a few prompts that are read twice.
+fn longest_parts(parts: &BTreeSet<(u32, u64, u64)>) -> Vec<(u64, u64)> {
+    let longest = parts.iter().rev().take(MOST_PARTS);
+    longest.map(|(_, part, hash)| (*part, *hash)).collect()
 }
 
 async fn listen(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
--- a/daemon/src/gateway/work.rs
+++ b/daemon/src/gateway/work.rs
@@ -15,11 +15,12 @@
     /// The upstream.
     pub key: UpstreamKey,
     item: WorkItem,
+    call: Rc<Call>,
 }
 
 impl WorkShare {
     /// Counts a call that is about to be sent.
-    pub fn begin(gateway: &Rc<Gateway>, call: &Call, choice: &UpstreamChoice) -> Self {
+    pub fn begin(gateway: &Rc<Gateway>, call: &Rc<Call>, choice: &UpstreamChoice) -> Self {
         let now = gateway.now();
         let prompt = &call.head.prompt;
         let item = WorkItem {
@@ -33,20 +34,35 @@
             upstream.health.tried(now);
             let hash = registry::id_hash(&upstream.entry.id);
             let mut sent_parts = gateway.sent_parts.borrow_mut();
-            for part in prompt.shared_parts() {
-                upstream.load.part_used(part.id, now);
-                sent_parts.insert((part.id, hash));
+            let shared = prompt.shared_parts();
+            for (index, part) in shared.iter().enumerate() {
+                let is_news = upstream.load.part_used(part.id, now);
+                // What comes after a part tells of it too.
+                if is_news || index + 1 == shared.len() {
+                    sent_parts.insert((part.tokens, part.id, hash));
+                }
             }
         }
         Self {
             gateway: gateway.clone(),
             key: choice.key,
             item,
+            call: call.clone(),
         }
     }
 
     /// The upstream has read the prompt.
     pub fn prompt_read(&mut self) {
+        let now = self.gateway.now();
+        if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
+            for part in self.call.head.prompt.shared_parts() {
+                upstream.load.part_read(part.id, now);
+            }
+        }
+        self.reading_ended();
+    }
+
+    fn reading_ended(&mut self) {
         let unread = std::mem::take(&mut self.item.unread_tokens);
         if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
             upstream.load.prompt_read(unread);
@@ -56,7 +72,7 @@
 
 impl Drop for WorkShare {
     fn drop(&mut self) {
-        self.prompt_read();
+        self.reading_ended();
         if let Some(upstream) = self.gateway.registry.borrow_mut().get_mut(self.key) {
             upstream.load.end(self.item);
         }
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -8,13 +8,11 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::gateway::load::WorkCount;
+use crate::gateway::load::{TOKENS_PER_MS, WorkCount};
 use crate::gateway::partition::{self, UpstreamOption};
 use crate::gateway::prompt::PromptShape;
 use crate::gateway::registry::{Upstream, UpstreamKey, UpstreamRegistry};
 
-/// Prompt tokens that an engine reads in a ms. Only a scale: engines in use read about 50.
-const TOKENS_PER_MS: f64 = 50.0;
 /// What one more call in a batch costs each other, in ms: it lengthens each of some hundred steps
 /// by a few hundredths of a ms.
 const CALL_MS: f64 = 4.0;
@@ -49,8 +47,14 @@
 const PLAIN_QUEUE: f64 = 3.0;
 /// What a token that is fetched costs, against one that is read.
 const FETCH_PART: f64 = 0.07;
-/// What speaks for the upstream on which all nodes agree when none is known to keep the prompt.
-const HOME_COST: f64 = 40.0;
+/// What a thousand tokens cost that some engine has read and another reads again. A prompt's shared
+/// part of 4,900 is worth as much as the call; being late by one target costs half of that.
+const REREAD_COST: f64 = 250.0;
+/// What a thousand tokens cost that are fetched: a tenth of that.
+const FETCH_COST: f64 = 25.0;
+/// What speaks for the upstream on which all nodes agree when none is known to keep the prompt, for
+/// each thousand shared tokens: without it nodes that get calls at once read them several times.
+const HOME_COST: f64 = 50.0;
 
 /// What speaks against the upstream to which a node leans least. Nodes lean to different ones, so
 /// that they do not all find the same cheapest one between two words.
@@ -102,7 +106,7 @@
     pub fetch_from: Option<UpstreamKey>,
 }
 
-/// The upstream that keeps most of a call's prompt.
+/// The upstream that has read most of a call's prompt.
 #[derive(Clone, Copy, Debug)]
 struct PromptKeeper {
     key: UpstreamKey,
@@ -126,7 +130,12 @@
         BTreeSet::new()
     };
     let keeper = prompt_keeper(&all, input);
-    let home = if keeper.is_none() {
+    let known_tokens = all
+        .iter()
+        .map(|option| option.upstream.load.kept_tokens(input.prompt, input.now))
+        .max();
+    let known_tokens = known_tokens.unwrap_or(0);
+    let home = if known_tokens == 0 {
         anchor_home(&all, &kept, input)
     } else {
         None
@@ -143,7 +152,7 @@
                 home: home == Some(option.key),
                 rank: own_rank(option.upstream, input),
             };
-            (place, weigh(place, input, keeper))
+            (place, weigh(place, input, keeper, known_tokens))
         })
         .filter(|(place, choice)| has_room(*place, choice.unread_tokens, input))
         .map(|(_, choice)| choice)
@@ -201,7 +210,7 @@
         .filter(|option| !option.resting)
         .map(|option| {
             let load = &option.upstream.load;
-            (option, load.kept_tokens(input.prompt, input.now))
+            (option, load.read_tokens(input.prompt, input.now))
         })
         .max_by_key(|(option, tokens)| (*tokens, is_near(option, input)))?;
     let key = option.key;
@@ -236,6 +245,7 @@
     place: UpstreamPlace,
     input: &ChoiceInput,
     keeper: Option<PromptKeeper>,
+    known_tokens: u32,
 ) -> UpstreamChoice {
     let UpstreamOption {
         key,
@@ -252,6 +262,8 @@
         total,
         f64::from(unread) + FETCH_PART * f64::from(fetched),
     );
+    let read_again = known_tokens.saturating_sub(kept + fetched);
+    cost += (REREAD_COST * f64::from(read_again) + FETCH_COST * f64::from(fetched)) / 1000.0;
     cost += stall_cost(place, input, f64::from(unread));
     cost += FAILURE_COST * upstream.health.failures();
     if upstream.health.unproven() && !input.repeatable {
@@ -261,7 +273,13 @@
         cost += ZONE_COST;
     }
     if place.home {
-        cost -= HOME_COST;
+        let shared: u32 = input
+            .prompt
+            .shared_parts()
+            .iter()
+            .map(|part| part.tokens)
+            .sum();
+        cost -= HOME_COST * f64::from(shared) / 1000.0;
     }
     cost += LEAN_COST * place.rank as f64 / (input.rivals.len() + 1) as f64;
     UpstreamChoice {
--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -135,7 +135,7 @@
 fn a_kept_prompt_draws_calls_until_its_keeper_is_busy() {
     let mut registry = registry(&["east", "east"]);
     let key = registry.key("i-1").expect("known");
-    registry.get_mut(key).expect("known").load.part_used(7, NOW);
+    registry.get_mut(key).expect("known").load.part_read(7, NOW);
     let prompt = shared(7);
     let choice = choose(&registry, &input(&prompt, false)).expect("a choice");
     assert_eq!(
@@ -267,3 +267,48 @@
         }
     }
 }
+
+#[test]
+fn a_part_that_is_being_read_is_not_fetched_until_it_is_read() {
+    let mut registry = registry(&["east", "east"]);
+    let key = registry.key("i-0").expect("known");
+    let load = &mut registry.get_mut(key).expect("known").load;
+    load.part_used(7, NOW);
+    for _ in 0..10 {
+        load.begin(WorkItem::default());
+    }
+    let prompt = shared(7);
+    let early = choose(&registry, &input(&prompt, false)).expect("a choice");
+    assert_eq!(
+        (
+            id(&registry, Some(early)),
+            early.fetch_from,
+            early.unread_tokens
+        ),
+        ("i-1".to_owned(), None, 6000)
+    );
+    let later = ChoiceInput {
+        now: NOW + Duration::from_secs(1),
+        ..input(&prompt, false)
+    };
+    let later = choose(&registry, &later).expect("a choice");
+    assert_eq!((later.fetch_from, later.unread_tokens), (Some(key), 1000));
+}
+
+#[test]
+fn a_call_goes_where_its_part_is_being_read_though_others_are_idle() {
+    let mut registry = registry(&["east", "east", "east", "east"]);
+    let idle = registry.clone();
+    let prompt = shared(7);
+    let first = choose(&idle, &input(&prompt, false)).expect("a choice");
+    let load = &mut registry.get_mut(first.key).expect("known").load;
+    load.part_used(7, NOW);
+    let item = WorkItem {
+        unread_tokens: 6000,
+        ..WorkItem::default()
+    };
+    load.begin(item);
+    load.begin(item);
+    let second = choose(&registry, &input(&prompt, false)).expect("a choice");
+    assert_eq!(second.key, first.key);
+}
