Among waiting calls of a tier, serve those first that can still be in time

Ruled out: giving up earlier, which refuses calls that still earn what a late answer earns.

Change: a call is hopeful until half of its target is spent, its caller's earlier time counted; the hopeful of a tier go first, the others after them as before.

--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -18,6 +18,10 @@
 /// unseen until their next word.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
+/// Part of a call's target that its way through an upstream takes when it is busy: a call that has
+/// waited for the rest of it is late whatever is done.
+const SERVING_PART: f64 = 0.5;
+
 /// A place in the list of waiting calls, given up when this is dropped.
 struct WaitPlace<'a> {
     gateway: &'a Gateway,
@@ -35,6 +39,15 @@
     }
 }
 
+/// Until when a call is likely to be in time if it is sent. What its caller has spent on it before
+/// shows in the time that is left of the longest that it may take.
+fn hopeful_until(call: &Call) -> Duration {
+    let timeout = call.class.timeout;
+    let spent = timeout.saturating_sub(call.head.time_left.unwrap_or(timeout));
+    let target = call.class.target.mul_f64(1.0 - SERVING_PART);
+    (call.started + target).saturating_sub(spent)
+}
+
 /// The upstream for a call, once one has room and it is the call's turn. None if there is no
 /// upstream at all, or none with room in time.
 pub async fn wait_for_room(
@@ -43,7 +56,7 @@
     trail: &CallTrail,
 ) -> Option<UpstreamChoice> {
     let blocked = |rank: Option<WaitRank>| {
-        let first = gateway.waiting.borrow().first(&call.pool);
+        let first = gateway.waiting.borrow().first(&call.pool, gateway.now());
         first.is_some_and(|first| match rank {
             Some(rank) => first != rank,
             None => first.tier <= call.tier,
@@ -56,10 +69,12 @@
     }
     let since = gateway.now();
     let until = since + call.deadline.saturating_sub(since).mul_f64(PATIENCE_PART);
-    let rank = gateway
-        .waiting
-        .borrow_mut()
-        .join(&call.pool, call.tier, call.deadline);
+    let rank = gateway.waiting.borrow_mut().join(
+        &call.pool,
+        call.tier,
+        hopeful_until(call),
+        call.deadline,
+    );
     let place = WaitPlace {
         gateway,
         pool: &call.pool,
--- a/kernel/src/gateway/waiting.rs
+++ b/kernel/src/gateway/waiting.rs
@@ -1,13 +1,19 @@
-//! Calls that wait for room at an upstream, the most urgent first.
+//! Calls that wait for room at an upstream: the most urgent first, and among equals those that can
+//! still be answered in time.
+//!
+//! When more calls come than fit, an order by deadline alone makes every call wait until it is late.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// A waiting call's place: by tier, then by deadline, then by arrival.
+/// A waiting call's place: by tier, then by the end of its chance to be in time, then by deadline,
+/// then by arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitRank {
     /// Rank among classes; 0 is the most urgent.
     pub tier: u8,
+    /// Until when it is likely to be in time if it is sent.
+    pub hopeful_until: Duration,
     /// When the call must have ended.
     pub deadline: Duration,
     /// Grows with each call that waits.
@@ -23,9 +29,16 @@
 
 impl WaitList {
     /// Adds a call.
-    pub fn join(&mut self, pool: &str, tier: u8, deadline: Duration) -> WaitRank {
+    pub fn join(
+        &mut self,
+        pool: &str,
+        tier: u8,
+        hopeful_until: Duration,
+        deadline: Duration,
+    ) -> WaitRank {
         let rank = WaitRank {
             tier,
+            hopeful_until,
             deadline,
             number: self.next_number,
         };
@@ -39,10 +52,23 @@
         self.waiting.remove(&(pool.into(), rank));
     }
 
-    /// The call whose turn it is.
-    pub fn first(&self, pool: &str) -> Option<WaitRank> {
+    /// The call whose turn it is: of the most urgent tier that waits, the first that can still be in
+    /// time, or if none can, the first of all.
+    pub fn first(&self, pool: &str, now: Duration) -> Option<WaitRank> {
+        let first = self.first_from(pool, 0, Duration::ZERO)?;
+        if first.hopeful_until > now {
+            return Some(first);
+        }
+        let hopeful = self.first_from(pool, first.tier, now);
+        hopeful
+            .filter(|rank| rank.tier == first.tier)
+            .or(Some(first))
+    }
+
+    fn first_from(&self, pool: &str, tier: u8, hopeful_until: Duration) -> Option<WaitRank> {
         let from = WaitRank {
-            tier: 0,
+            tier,
+            hopeful_until,
             deadline: Duration::ZERO,
             number: 0,
         };
