Ask a silent upstream's host for a connection, and go on elsewhere if it is dark

Ruled out: shorter keep-alives of the system, which ask whole seconds apart; ending on silence alone, which would end calls at engines that are slow.

Change: silence.rs waits for heads, bodies and events; for calls that can go on elsewhere it opens a connection after the longer of their pause bound and half a second, and gives the attempt up after two that fail. The stand-in can go dark. Two of the four new tests were red before.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod relay;
 pub mod reply;
 pub mod settings;
+pub mod silence;
 pub mod stream;
 pub mod waiting;
 pub mod watch;
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -23,7 +23,7 @@
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::watch::{CallOutcome, CallWatch};
 use crate::gateway::work::WorkShare;
-use crate::gateway::{stream, waiting};
+use crate::gateway::{silence, stream, waiting};
 
 /// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
@@ -293,20 +293,11 @@
         fetches: choice.fetch_from.is_some(),
         left_ms: millis(call.deadline.checked_sub(now).unwrap()),
     });
-    let answer = tokio::time::timeout(
-        call.deadline.checked_sub(now).unwrap(),
-        channel.sender.try_send_request(request),
-    );
-    let response = match answer.await {
-        Err(_) => {
-            return Err(FailedAttempt::new(
-                AttemptEnd::Lost,
-                &"the deadline has passed",
-            ));
-        }
-        Ok(Err(error)) if error.message().is_some() => return Err(not_sent(error.error())),
-        Ok(Err(error)) => return Err(FailedAttempt::new(AttemptEnd::Lost, &error.error())),
-        Ok(Ok(response)) => response,
+    let answer = channel.sender.try_send_request(request);
+    let response = match silence::hear(gateway, call, choice.key, answer).await? {
+        Err(error) if error.message().is_some() => return Err(not_sent(error.error())),
+        Err(error) => return Err(FailedAttempt::new(AttemptEnd::Lost, &error.error())),
+        Ok(response) => response,
     };
     match answer::classify(response.status(), response.headers(), &call.head.id) {
         AnswerKind::Success | AnswerKind::Failure => Ok(OpenAttempt {
@@ -391,17 +382,10 @@
         response,
     } = attempt;
     let (parts, body) = response.into_parts();
-    let left = call.deadline.saturating_sub(gateway.now());
     let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
-    let body = match tokio::time::timeout(left, reading).await {
-        Err(_) => {
-            return Err(FailedAttempt::new(
-                AttemptEnd::Lost,
-                &"the deadline has passed",
-            ));
-        }
-        Ok(Err(error)) => return Err(FailedAttempt::new(AttemptEnd::Lost, &error)),
-        Ok(Ok(body)) => body.to_bytes(),
+    let body = match silence::hear(gateway, call, work.key, reading).await? {
+        Err(error) => return Err(FailedAttempt::new(AttemptEnd::Lost, &error)),
+        Ok(body) => body.to_bytes(),
     };
     let now = gateway.now();
     gateway
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -19,6 +19,7 @@
 use crate::gateway::intake::Call;
 use crate::gateway::relay::{self, CallTrail, FailedAttempt, OpenAttempt};
 use crate::gateway::reply::{self, CutError, Reply};
+use crate::gateway::silence;
 use crate::gateway::watch::{CallOutcome, CallWatch};
 
 /// The next piece of an upstream's stream.
@@ -76,9 +77,9 @@
             reason: reason.to_string().into(),
             answer: None,
         };
-        let left = call.deadline.saturating_sub(gateway.now());
-        let frame = tokio::time::timeout(left, self.attempt.response.body_mut().frame()).await;
-        match frame.map_err(|_| lost(&"the deadline has passed"))? {
+        let key = self.attempt.work.key;
+        let frame = self.attempt.response.body_mut().frame();
+        match silence::hear(gateway, call, key, frame).await? {
             None => self.ended = true,
             Some(Err(error)) => return Err(lost(&error)),
             Some(Ok(frame)) => {
--- a/daemon/tests/gateway/streams.rs
+++ b/daemon/tests/gateway/streams.rs
@@ -4,7 +4,7 @@
 
 use monsoonbank_standin::scripted::ScriptStep::{Close, Hang, Reset, Send, Wait};
 
-use crate::world::{World, chunk, event, events, request, script, stream_head};
+use crate::world::{RawAnswer, World, chunk, event, events, request, script, stream_head, until};
 
 fn all_events(first: u64, last: u64) -> String {
     (first..=last).map(event).collect()
@@ -123,3 +123,72 @@
         started.elapsed()
     );
 }
+
+/// A stream that falls silent after `events` events, and an upstream that goes on. Gives the answer
+/// and the calls that the second upstream had.
+async fn falls_silent(path: &str, silent_after: u64, dark: bool) -> (RawAnswer, usize) {
+    let silent = script(move |request, _| {
+        let mut steps = Vec::new();
+        if silent_after > 0 {
+            steps.push(Send(stream_head(request)));
+            steps.push(Send(events(1, silent_after)));
+        }
+        steps.push(Hang);
+        steps
+    });
+    let whole = script(|request, _| {
+        let from = request.header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
+        vec![
+            Send(stream_head(request)),
+            Send(events(from, 6)),
+            Send(b"0\r\n\r\n".to_vec()),
+        ]
+    });
+    let world = World::start(&["east"], vec![silent, whole]).await;
+    world.deregister(1);
+    until("one upstream is left", async || {
+        let state = world.nodes[0].state().await;
+        let upstreams = state["upstreams"].as_array().cloned().unwrap_or_default();
+        upstreams
+            .iter()
+            .filter(|upstream| upstream["left"].is_null())
+            .count()
+            == 1
+    })
+    .await;
+    let text = request(path, "a1", "");
+    let sending = world.send(&text);
+    let changing = async {
+        until("the call is at the upstream", async || {
+            !world.upstreams[0].calls().is_empty()
+        })
+        .await;
+        if dark {
+            world.upstreams[0].go_dark();
+        }
+        world.register_as(1, "i-later", "ready");
+    };
+    let (answer, ()) = tokio::join!(sending, changing);
+    (answer, world.upstreams[1].calls().len())
+}
+
+macro_rules! silent_streams {
+    ($($name:ident: $path:expr, $events:expr, $dark:expr => $complete:expr, $elsewhere:expr;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let (answer, elsewhere) = falls_silent($path, $events, $dark).await;
+            assert_eq!((answer.complete && answer.status == 200, elsewhere), ($complete, $elsewhere),
+                "{} {}", answer.head, answer.text());
+            if $complete {
+                assert_eq!(answer.text(), all_events(1, 6));
+            }
+        }
+    )*};
+}
+
+silent_streams! {
+    goes_on_elsewhere_when_its_host_is_dark: "/resume/x", 3, true => true, 1;
+    starts_elsewhere_when_its_host_is_dark: "/resume/x", 0, true => true, 1;
+    stays_when_its_host_still_accepts: "/resume/x", 3, false => false, 0;
+    stays_when_it_may_run_once: "/stream/x", 0, true => false, 0;
+}
--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -203,14 +203,16 @@
 
     /// Writes an upstream's entry.
     pub fn register(&self, index: usize, state: &str) {
+        self.register_as(index, &upstream_id(index), state);
+    }
+
+    /// Writes an upstream's entry under another id, as after a new start.
+    pub fn register_as(&self, index: usize, id: &str, state: &str) {
         let address = self.upstreams[index].address();
         let entry = json!({ "service": "model", "address": address.to_string(), "zone": "east",
             "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "sequence": 1 });
-        self.store.put(
-            "keyed.servers",
-            &upstream_id(index),
-            entry.to_string().as_bytes(),
-        );
+        self.store
+            .put("keyed.servers", id, entry.to_string().as_bytes());
     }
 
     /// Removes an upstream's entry.
--- a/standin/src/scripted.rs
+++ b/standin/src/scripted.rs
@@ -7,6 +7,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
@@ -47,6 +48,7 @@
     address: SocketAddr,
     calls: Arc<Mutex<Vec<ScriptedCall>>>,
     connections: Arc<Mutex<usize>>,
+    closing: Arc<Notify>,
     _tasks: JoinSet<()>,
 }
 
@@ -59,17 +61,28 @@
         let connections = Arc::new(Mutex::new(0));
         let mut tasks = JoinSet::new();
         let (seen, opened) = (calls.clone(), connections.clone());
+        let closing = Arc::new(Notify::new());
+        let closed = closing.clone();
         tasks.spawn(async move {
             let mut served = JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                *lock(&opened) += 1;
-                served.spawn(serve(stream, seen.clone(), script.clone()));
+            loop {
+                tokio::select! {
+                    () = closed.notified() => break,
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { break };
+                        *lock(&opened) += 1;
+                        served.spawn(serve(stream, seen.clone(), script.clone()));
+                    }
+                }
             }
+            drop(listener);
+            while served.join_next().await.is_some() {}
         });
         Ok(Self {
             address,
             calls,
             connections,
+            closing,
             _tasks: tasks,
         })
     }
@@ -84,6 +97,11 @@
         lock(&self.calls).clone()
     }
 
+    /// Takes no more connections, as a host that went dark; those that are open stay open.
+    pub fn go_dark(&self) {
+        self.closing.notify_one();
+    }
+
     /// Connections that were opened.
     pub fn connections(&self) -> usize {
         *lock(&self.connections)
