--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -274,15 +274,10 @@
     if now >= call.deadline {
         return Err(not_sent(&"the deadline has passed"));
     }
+    let time_left = call.deadline.saturating_sub(now);
     let keeper = choice.fetch_from;
     let fetch_from = keeper.and_then(|keeper| address_of(gateway, keeper));
-    let request = request(
-        call,
-        &id,
-        fetch_from,
-        call.deadline.checked_sub(now).unwrap(),
-        after,
-    );
+    let request = request(call, &id, fetch_from, time_left, after);
     count_send(gateway, call, trail);
     gateway.decisions.line(&Decision::Sent {
         call: &call.head.id,
@@ -291,7 +286,7 @@
         cost: choice.cost as i64,
         unread: choice.unread_tokens,
         fetches: choice.fetch_from.is_some(),
-        left_ms: millis(call.deadline.checked_sub(now).unwrap()),
+        left_ms: millis(time_left),
     });
     let answer = channel.sender.try_send_request(request);
     let response = match silence::hear(gateway, call, choice.key, answer).await? {
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -12,5 +12,6 @@
 pub mod partition;
 pub mod prompt;
 pub mod registry;
+pub mod room;
 pub mod rules;
 pub mod waiting;
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -12,6 +12,7 @@
 use crate::gateway::partition::{self, UpstreamOption};
 use crate::gateway::prompt::PromptShape;
 use crate::gateway::registry::{Upstream, UpstreamKey, UpstreamRegistry};
+use crate::gateway::room;
 
 /// What one more call in a batch costs each other, in ms: it lengthens each of some hundred steps
 /// by a few hundredths of a ms.
@@ -25,26 +26,10 @@
 const COMING_COST: f64 = 400.0;
 /// Tight streams that a kept engine is taken to have when it has fewer: those that come.
 const COMING_STREAMS: f64 = 8.0;
-/// Prompt tokens that an engine reads in one step.
-const CHUNK_TOKENS: u32 = 2048;
-/// Part of a kept engine's slots with tight streams above which it takes no longer prompt.
-const UNDISTURBED_PART: f64 = 0.125;
 /// What bytes between availability zones cost, against the worth of an answer in time.
 const ZONE_COST: f64 = 150.0;
 /// What a call that is sent in vain costs.
 const FAILURE_COST: f64 = 1500.0;
-/// Part of the cache that calls may hold. The rest is for what is cached between calls.
-const CACHE_PART: f64 = 0.85;
-/// Part of an engine's slots that are given out. The rest is for what other nodes have sent and not
-/// told yet.
-const SLOT_PART: f64 = 0.82;
-/// Part of an engine's slots, at most, that a node leaves to those that go before it there. Without
-/// an order all nodes take the slot that falls free, since each learns of it by the same word.
-const UNSEEN_PART: f64 = 0.15;
-/// Part of slots and cache that the least urgent calls leave to others.
-const RESERVED_PART: f64 = 0.2;
-/// Calls for each slot of a plain service, which queues a few and ends each in some ms.
-const PLAIN_QUEUE: f64 = 3.0;
 /// What a token that is fetched costs, against one that is read.
 const FETCH_PART: f64 = 0.07;
 /// What a thousand tokens cost that some engine has read and another reads again. A prompt's shared
@@ -55,7 +40,6 @@
 /// What speaks for the upstream on which all nodes agree when none is known to keep the prompt, for
 /// each thousand shared tokens: without it nodes that get calls at once read them several times.
 const HOME_COST: f64 = 50.0;
-
 /// What speaks against the upstream to which a node leans least. Nodes lean to different ones, so
 /// that they do not all find the same cheapest one between two words.
 const LEAN_COST: f64 = 100.0;
@@ -130,11 +114,7 @@
         BTreeSet::new()
     };
     let keeper = prompt_keeper(&all, input);
-    let known_tokens = all
-        .iter()
-        .map(|option| option.upstream.load.kept_tokens(input.prompt, input.now))
-        .max();
-    let known_tokens = known_tokens.unwrap_or(0);
+    let known_tokens = known_tokens(&all, input);
     let home = if known_tokens == 0 {
         anchor_home(&all, &kept, input)
     } else {
@@ -154,54 +134,29 @@
             };
             (place, weigh(place, input, keeper, known_tokens))
         })
-        .filter(|(place, choice)| has_room(*place, choice.unread_tokens, input))
+        .filter(|(place, choice)| room::has_room(*place, choice.unread_tokens, input))
         .map(|(_, choice)| choice)
         .min_by(|one, other| one.cost.total_cmp(&other.cost))
 }
 
 /// An upstream and what it is to its pool.
 #[derive(Clone, Copy, Debug)]
-struct UpstreamPlace<'a> {
-    option: &'a UpstreamOption<'a>,
+pub struct UpstreamPlace<'a> {
+    /// The upstream.
+    pub option: &'a UpstreamOption<'a>,
     /// Whether it is kept for tight streams.
-    kept: bool,
+    pub kept: bool,
     /// Whether all nodes agree on it for the call's prompt.
-    home: bool,
+    pub home: bool,
     /// How many busy nodes go before this one there.
-    rank: usize,
-}
-
-/// Whether an upstream can take the call without making others wait or be preempted. The less
-/// urgent a call is, the more room it leaves for others.
-fn has_room(place: UpstreamPlace, unread: u32, input: &ChoiceInput) -> bool {
-    let total = place.option.total;
-    let slots = f64::from(place.option.upstream.entry.slots);
-    if input.cache_tokens == 0 {
-        return f64::from(total.calls) < slots * PLAIN_QUEUE;
-    }
-    let crowds =
-        unread > CHUNK_TOKENS && f64::from(total.tight_streams) >= slots * UNDISTURBED_PART;
-    if place.kept && !input.tight && crowds {
-        return false;
-    }
-    let reserved = RESERVED_PART * f64::from(input.tier) / f64::from(input.tiers.max(1));
-    let most_held = (CACHE_PART - reserved) * input.cache_tokens as f64;
-    let unseen = unseen_calls(place, input);
-    let held =
-        f64::from(total.held_tokens) + (1.0 + unseen) * f64::from(input.prompt.prompt_tokens);
-    let alone = total.calls == 0;
-    f64::from(total.calls) + unseen < slots * (SLOT_PART - reserved) && (alone || held < most_held)
+    pub rank: usize,
 }
 
-/// Calls that others may have sent and not told yet: as many as this node has sent each, and one
-/// from each node that goes before it.
-fn unseen_calls(place: UpstreamPlace, input: &ChoiceInput) -> f64 {
-    let upstream = place.option.upstream;
-    let slots = f64::from(upstream.entry.slots);
-    let unheard = upstream.load.unheard(input.now) * input.rivals.len();
-    (place.rank as f64)
-        .min(slots * UNSEEN_PART)
-        .max(unheard as f64)
+/// Tokens of the prompt's shared parts that some upstream keeps or is about to read.
+fn known_tokens(all: &[UpstreamOption], input: &ChoiceInput) -> u32 {
+    let loads = all.iter().map(|option| &option.upstream.load);
+    let tokens = loads.map(|load| load.kept_tokens(input.prompt, input.now));
+    tokens.max().unwrap_or(0)
 }
 
 fn prompt_keeper(all: &[UpstreamOption], input: &ChoiceInput) -> Option<PromptKeeper> {
