--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -5,34 +5,9 @@
 use monsoonbank_kernel::gateway::choice::{ChoiceInput, UpstreamChoice, choose};
 use monsoonbank_kernel::gateway::load::{WorkCount, WorkItem};
 use monsoonbank_kernel::gateway::prompt::{PromptPart, PromptShape};
-use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry, UpstreamRegistry};
+use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
 
-const NOW: Duration = Duration::from_secs(10);
-
-fn registry(zones: &[&str]) -> UpstreamRegistry {
-    let mut registry = UpstreamRegistry::default();
-    for (index, zone) in zones.iter().enumerate() {
-        let port = 1000 + u16::try_from(index).expect("few");
-        let entry = UpstreamEntry {
-            id: format!("i-{index}").into(),
-            pool: "model".into(),
-            address: ([127, 0, 0, 1], port).into(),
-            zone: (*zone).into(),
-            slots: 10,
-            leaving: false,
-        };
-        registry.apply(RegistryChange::Put(entry), true, NOW);
-    }
-    registry
-}
-
-fn bulk(tokens: u32) -> PromptShape {
-    PromptShape {
-        prompt_tokens: tokens,
-        output_tokens: 100,
-        parts: Box::default(),
-    }
-}
+use crate::engines::{NOW, bulk, input, registry};
 
 fn shared(id: u64) -> PromptShape {
     let parts = [
@@ -49,25 +24,6 @@
     }
 }
 
-fn input(prompt: &PromptShape, tight: bool) -> ChoiceInput<'_> {
-    ChoiceInput {
-        pool: "model",
-        zone: "east",
-        node: 1,
-        rivals: &[],
-        silent: 0,
-        prompt,
-        target: Duration::from_millis(if tight { 300 } else { 2000 }),
-        tier: 0,
-        tiers: 3,
-        tight,
-        repeatable: true,
-        cache_tokens: 500_000,
-        tried: &[],
-        now: NOW,
-    }
-}
-
 fn id(registry: &UpstreamRegistry, choice: Option<UpstreamChoice>) -> String {
     let upstream = choice.and_then(|choice| registry.get(choice.key));
     upstream.map_or_else(
@@ -85,7 +41,7 @@
 
 #[test]
 fn urgent_streams_stay_away_from_long_prompts() {
-    let mut registry = registry(&["east", "east"]);
+    let mut registry = registry(&["east", "east"], 10);
     load(
         &mut registry,
         "i-0",
@@ -105,7 +61,7 @@
 
 #[test]
 fn long_prompts_stay_away_from_urgent_streams() {
-    let mut registry = registry(&["east", "east"]);
+    let mut registry = registry(&["east", "east"], 10);
     load(
         &mut registry,
         "i-0",
@@ -133,7 +89,7 @@
 
 #[test]
 fn a_kept_prompt_draws_calls_until_its_keeper_is_busy() {
-    let mut registry = registry(&["east", "east"]);
+    let mut registry = registry(&["east", "east"], 10);
     let key = registry.key("i-1").expect("known");
     registry.get_mut(key).expect("known").load.part_read(7, NOW);
     let prompt = shared(7);
@@ -162,7 +118,7 @@
 
 #[test]
 fn nodes_agree_on_a_home_for_a_prompt_that_no_one_keeps() {
-    let registry = registry(&["east", "east", "east", "east", "west"]);
+    let registry = registry(&["east", "east", "east", "east", "west"], 10);
     let homes: Vec<String> = (0..40)
         .map(|part| id(&registry, choose(&registry, &input(&shared(part), false))))
         .collect();
@@ -190,7 +146,7 @@
 
 #[test]
 fn another_zone_takes_what_the_own_one_cannot() {
-    let mut registry = registry(&["east", "west"]);
+    let mut registry = registry(&["east", "west"], 10);
     let prompt = bulk(600);
     assert_eq!(
         id(&registry, choose(&registry, &input(&prompt, true))),
@@ -213,7 +169,7 @@
 
 #[test]
 fn a_full_pool_has_no_room_and_leaves_some_to_the_urgent() {
-    let mut registry = registry(&["east"]);
+    let mut registry = registry(&["east"], 10);
     let prompt = bulk(600);
     let mut low = input(&prompt, false);
     low.tier = 2;
@@ -232,7 +188,7 @@
 
 #[test]
 fn what_others_sent_counts_until_their_word_is_old() {
-    let mut registry = registry(&["east"]);
+    let mut registry = registry(&["east"], 10);
     let key = registry.key("i-0").expect("known");
     let count = WorkCount {
         calls: 9,
@@ -255,7 +211,7 @@
 
 #[test]
 fn an_upstream_that_fell_silent_rests_unless_there_is_no_other() {
-    let mut registry = registry(&["east", "east"]);
+    let mut registry = registry(&["east", "east"], 10);
     let prompt = bulk(600);
     for upstream in ["i-0", "i-1"] {
         let key = registry.key(upstream).expect("known");
@@ -270,7 +226,7 @@
 
 #[test]
 fn a_part_that_is_being_read_is_not_fetched_until_it_is_read() {
-    let mut registry = registry(&["east", "east"]);
+    let mut registry = registry(&["east", "east"], 10);
     let key = registry.key("i-0").expect("known");
     let load = &mut registry.get_mut(key).expect("known").load;
     load.part_used(7, NOW);
@@ -297,7 +253,7 @@
 
 #[test]
 fn a_call_goes_where_its_part_is_being_read_though_others_are_idle() {
-    let mut registry = registry(&["east", "east", "east", "east"]);
+    let mut registry = registry(&["east", "east", "east", "east"], 10);
     let idle = registry.clone();
     let prompt = shared(7);
     let first = choose(&idle, &input(&prompt, false)).expect("a choice");
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod choice;
+mod engines;
 mod fleet;
 mod health;
 mod outcome;
--- a/kernel/tests/gateway/partition.rs
+++ b/kernel/tests/gateway/partition.rs
@@ -1,33 +1,18 @@
 //! Engines that are kept for tight streams, and the order in which nodes take what is free.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use monsoonbank_kernel::gateway::choice::{ChoiceInput, choose};
 use monsoonbank_kernel::gateway::load::WorkItem;
 use monsoonbank_kernel::gateway::partition::{UpstreamOption, kept_for_tight};
 use monsoonbank_kernel::gateway::prompt::PromptShape;
-use monsoonbank_kernel::gateway::registry::{
-    RegistryChange, UpstreamEntry, UpstreamKey, UpstreamRegistry,
-};
-
-const NOW: Duration = Duration::from_secs(10);
-
-/// Engines `0..count` of 20 slots in one availability zone.
-fn registry(count: u16) -> UpstreamRegistry {
-    let mut registry = UpstreamRegistry::default();
-    for index in 0..count {
-        let entry = UpstreamEntry {
-            id: format!("i-{index}").into(),
-            pool: "model".into(),
-            address: ([127, 0, 0, 1], 1000 + index).into(),
-            zone: "east".into(),
-            slots: 20,
-            leaving: false,
-        };
-        registry.apply(RegistryChange::Put(entry), true, NOW);
-    }
-    registry
+use monsoonbank_kernel::gateway::registry::{UpstreamKey, UpstreamRegistry};
+
+use crate::engines::{NOW, bulk, input, registry};
+
+/// Engines of 20 slots in one availability zone.
+fn engines(count: usize) -> UpstreamRegistry {
+    registry(&vec!["east"; count], 20)
 }
 
 fn kept(registry: &UpstreamRegistry) -> BTreeSet<UpstreamKey> {
@@ -58,35 +43,12 @@
     load(registry, key, item, count);
 }
 
-fn prompt(tokens: u32) -> PromptShape {
-    PromptShape {
-        prompt_tokens: tokens,
-        output_tokens: 100,
-        parts: Box::default(),
-    }
-}
-
-fn input<'a>(
-    prompt: &'a PromptShape,
-    tight: bool,
-    node: u64,
-    rivals: &'a [u64],
-) -> ChoiceInput<'a> {
+/// A call of a node that knows others.
+fn among<'a>(prompt: &'a PromptShape, node: u64, rivals: &'a [u64]) -> ChoiceInput<'a> {
     ChoiceInput {
-        pool: "model",
-        zone: "east",
         node,
         rivals,
-        silent: 0,
-        prompt,
-        target: Duration::from_millis(if tight { 300 } else { 2000 }),
-        tier: 0,
-        tiers: 3,
-        tight,
-        repeatable: true,
-        cache_tokens: 500_000,
-        tried: &[],
-        now: NOW,
+        ..input(prompt, false)
     }
 }
 
@@ -94,7 +56,7 @@
     ($($name:ident: $engines:expr, $streams:expr => $kept:expr;)*) => {
         $(#[test]
         fn $name() {
-            let mut registry = registry($engines);
+            let mut registry = engines($engines);
             streams(&mut registry, $streams);
             assert_eq!(kept(&registry).len(), $kept);
         })*
@@ -110,7 +72,7 @@
 
 #[test]
 fn an_engine_that_rests_is_not_counted_on() {
-    let mut registry = registry(4);
+    let mut registry = engines(4);
     let key = *kept(&registry).first().expect("one");
     registry.get_mut(key).expect("known").health.silent(NOW);
     let now_kept = kept(&registry);
@@ -120,17 +82,17 @@
 
 #[test]
 fn tight_streams_go_to_the_kept_and_long_prompts_elsewhere() {
-    let registry = registry(4);
+    let registry = engines(4);
     let kept = kept(&registry);
-    let (short, long) = (prompt(600), prompt(6000));
-    let tight = choose(&registry, &input(&short, true, 1, &[])).expect("a choice");
-    let loose = choose(&registry, &input(&long, false, 1, &[])).expect("a choice");
+    let (short, long) = (bulk(600), bulk(6000));
+    let tight = choose(&registry, &input(&short, true)).expect("a choice");
+    let loose = choose(&registry, &input(&long, false)).expect("a choice");
     assert!(kept.contains(&tight.key) && !kept.contains(&loose.key));
 }
 
 #[test]
 fn a_long_prompt_waits_rather_than_stretch_the_kept_streams() {
-    let mut registry = registry(2);
+    let mut registry = engines(2);
     let kept_key = *kept(&registry).first().expect("one");
     let keys: Vec<UpstreamKey> = registry.usable("model").map(|(key, _)| key).collect();
     for key in keys {
@@ -141,44 +103,44 @@
         };
         load(&mut registry, key, item, if tight { 5 } else { 20 });
     }
-    let (short, long) = (prompt(1000), prompt(6000));
-    assert!(choose(&registry, &input(&long, false, 1, &[])).is_none());
-    assert!(choose(&registry, &input(&short, false, 1, &[])).is_some());
+    let (short, long) = (bulk(1000), bulk(6000));
+    assert!(choose(&registry, &input(&long, false)).is_none());
+    assert!(choose(&registry, &input(&short, false)).is_some());
 }
 
 #[test]
 fn the_last_free_slot_is_for_one_node() {
-    let mut registry = registry(1);
+    let mut registry = engines(1);
     let key = registry.key("i-0").expect("known");
     // 16.4 of 20 slots are given out.
     load(&mut registry, key, WorkItem::default(), 16);
     let nodes: Vec<u64> = (0..12).collect();
-    let prompt = prompt(600);
+    let prompt = bulk(600);
     let takers = nodes.iter().filter(|node| {
         let rivals: Vec<u64> = nodes
             .iter()
             .copied()
             .filter(|other| other != *node)
             .collect();
-        choose(&registry, &input(&prompt, false, **node, &rivals)).is_some()
+        choose(&registry, &among(&prompt, **node, &rivals)).is_some()
     });
     assert_eq!(takers.count(), 1);
 }
 
 #[test]
 fn an_empty_engine_is_for_all_nodes() {
-    let registry = registry(1);
+    let registry = engines(1);
     let nodes: Vec<u64> = (0..12).collect();
-    let prompt = prompt(600);
+    let prompt = bulk(600);
     for node in 0..12 {
-        assert!(choose(&registry, &input(&prompt, false, node, &nodes)).is_some());
+        assert!(choose(&registry, &among(&prompt, node, &nodes)).is_some());
     }
 }
 
 #[test]
 fn nodes_that_find_an_empty_engine_at_once_do_not_overfill_it() {
     let nodes: Vec<u64> = (0..12).collect();
-    let prompt = prompt(600);
+    let prompt = bulk(600);
     let mut sent = 0;
     for node in &nodes {
         let rivals: Vec<u64> = nodes
@@ -186,9 +148,9 @@
             .copied()
             .filter(|other| other != node)
             .collect();
-        let mut registry = registry(1);
+        let mut registry = engines(1);
         let key = registry.key("i-0").expect("known");
-        while choose(&registry, &input(&prompt, false, *node, &rivals)).is_some() {
+        while choose(&registry, &among(&prompt, *node, &rivals)).is_some() {
             let load = &mut registry.get_mut(key).expect("known").load;
             load.begin(WorkItem::default());
             load.sent(NOW);
@@ -200,12 +162,12 @@
 
 #[test]
 fn a_node_that_is_cut_off_leaves_the_others_their_share() {
-    let mut registry = registry(1);
+    let mut registry = engines(1);
     let key = registry.key("i-0").expect("known");
-    let prompt = prompt(600);
+    let prompt = bulk(600);
     let cut_off = ChoiceInput {
         silent: 3,
-        ..input(&prompt, false, 1, &[])
+        ..input(&prompt, false)
     };
     let mut sent = 0;
     while choose(&registry, &cut_off).is_some() {
