Take the store's paths in the stand-in from platform/

Cause: the stand-in of the platform's store spelled three paths itself, names of the wire outside platform/. What is sent is unchanged.

--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use base64::Engine as _;
+use monsoonbank_platform::names;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -175,9 +176,9 @@
 async fn answer(request: &RawRequest, share: &StoreShare) -> StoreAnswer {
     let path = request.target.split('?').next().unwrap_or_default();
     match path {
-        "/log-newest" => newest(request, share),
-        "/log-read" => read(request, share).await,
-        "/log-append" => append(request, share),
+        names::NEWEST_PATH => newest(request, share),
+        names::READ_PATH => read(request, share).await,
+        names::APPEND_PATH => append(request, share),
         _ => ("404 Not Found", Vec::new()),
     }
 }
