Tell runs of an upstream apart that have the same id; pass over entries of other writers

Cause: an upstream may start again under its id. Its entry then looked unchanged, so the node went on counting on prompts that the new run had never read, left it resting, or kept it out for good if the run before had drained; the word of a departure would have ended the new run too.

Change: a run is an id and its birth; a later birth is a new run, an earlier one is old news. Words between nodes name runs. Only an entry of the same pool ends another at its address.

Ruled out: dropping entries whose service the configuration does not name; a service that is added would then wait for the next heartbeat.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -78,7 +78,7 @@
     /// Budgets for repeats, by pool.
     pub budgets: RefCell<BTreeMap<Box<str>, RetryBudget>>,
     /// Parts of prompts that were sent since the last word to other nodes: tokens, part, and hash of
-    /// the upstream's id.
+    /// the upstream's run.
     pub sent_parts: RefCell<BTreeSet<(u32, u64, u64)>>,
     /// Calls that wait for room.
     pub waiting: RefCell<WaitList>,
--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -113,8 +113,8 @@
 fn registry(gateway: &Gateway) -> Reply {
     let registry = gateway.registry.borrow();
     let entries: Vec<(UpstreamEntry, bool)> = registry
-        .iter()
-        .map(|(_, upstream)| (upstream.entry.clone(), upstream.left.is_some()))
+        .newest()
+        .map(|upstream| (upstream.entry.clone(), upstream.left.is_some()))
         .collect();
     let mut body = Vec::new();
     match ciborium::into_writer(&entries, &mut body) {
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -328,11 +328,11 @@
         .registry
         .borrow_mut()
         .apply(change, trusted, gateway.now());
-    if let Some(key) = changed {
+    if !changed.is_empty() && gateway.is_reader() {
+        gateway.announcement.notify_one();
+    }
+    for key in changed {
         upstream_changed(gateway, key);
-        if gateway.is_reader() {
-            gateway.announcement.notify_one();
-        }
     }
 }
 
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::fleet::{self, NodeWord};
-use monsoonbank_kernel::gateway::registry::id_hash;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -70,13 +69,13 @@
     let work = registry
         .iter()
         .filter(|(_, upstream)| upstream.load.own().calls > 0)
-        .map(|(_, upstream)| (id_hash(&upstream.entry.id), upstream.load.own()))
+        .map(|(_, upstream)| (upstream.entry.run_hash(), upstream.load.own()))
         .collect();
     let now = gateway.now();
     let failing = registry
         .iter()
         .filter(|(_, upstream)| upstream.health.warns(now))
-        .map(|(_, upstream)| id_hash(&upstream.entry.id))
+        .map(|(_, upstream)| upstream.entry.run_hash())
         .collect();
     NodeWord {
         name: settings.name.clone(),
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -10,8 +10,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
+use monsoonbank_kernel::gateway::fleet;
 use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
-use monsoonbank_kernel::gateway::registry::{self, UpstreamKey};
+use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_kernel::gateway::rules::{AnswerForm, CallSafety};
 use monsoonbank_platform::answer::{self, AnswerKind};
 use monsoonbank_platform::head::{self, UpstreamOrder};
@@ -141,7 +142,7 @@
     let input = ChoiceInput {
         pool: &call.pool,
         zone: &gateway.settings.zone,
-        node: registry::id_hash(&gateway.settings.name),
+        node: fleet::node_hash(&gateway.settings.name),
         rivals: &rivals,
         silent,
         prompt: &call.head.prompt,
--- a/daemon/src/gateway/work.rs
+++ b/daemon/src/gateway/work.rs
@@ -4,7 +4,7 @@
 
 use monsoonbank_kernel::gateway::choice::UpstreamChoice;
 use monsoonbank_kernel::gateway::load::WorkItem;
-use monsoonbank_kernel::gateway::registry::{self, UpstreamKey};
+use monsoonbank_kernel::gateway::registry::UpstreamKey;
 
 use crate::gateway::Gateway;
 use crate::gateway::intake::Call;
@@ -32,7 +32,7 @@
             upstream.load.begin(item);
             upstream.load.sent(now);
             upstream.health.tried(now);
-            let hash = registry::id_hash(&upstream.entry.id);
+            let hash = upstream.entry.run_hash();
             let mut sent_parts = gateway.sent_parts.borrow_mut();
             let shared = prompt.shared_parts();
             for (index, part) in shared.iter().enumerate() {
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -5,9 +5,14 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::load::WorkCount;
-use crate::gateway::registry::id_hash;
+
+/// Tells a node from others in what is drawn by hashing.
+pub fn node_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
 
 /// What a node says of itself, several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,13 +37,13 @@
     pub store_well: bool,
     /// Digest of the upstreams that it knows and of those that left.
     pub registry_digest: u64,
-    /// Its work at upstreams, by the hash of their ids.
+    /// Its work at upstreams, by the hash of their runs.
     pub work: Vec<(u64, WorkCount)>,
-    /// Hashes of the ids of upstreams that it found failing or unreachable and passes over.
+    /// Hashes of the runs of upstreams that it found failing or unreachable and passes over.
     pub failing: Vec<u64>,
-    /// Hashes of the ids of upstreams that began to leave a moment ago.
+    /// Hashes of the runs of upstreams that began to leave a moment ago.
     pub departures: Vec<u64>,
-    /// Parts of prompts that it sent lately, with the hash of the upstream's id.
+    /// Parts of prompts that it sent lately, with the hash of the upstream's run.
     pub parts: Vec<(u64, u64)>,
 }
 
@@ -145,7 +150,7 @@
     pub fn rivals(&self) -> Vec<u64> {
         let busy = |peer: &&FleetPeer| !peer.word.work.is_empty();
         let peers = self.peers.values().filter(busy);
-        peers.map(|peer| id_hash(&peer.word.name)).collect()
+        peers.map(|peer| node_hash(&peer.word.name)).collect()
     }
 
     /// How many of them are silent.
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -1,11 +1,12 @@
 //! Upstreams as the platform's registry tells them, by incarnation.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
@@ -17,8 +18,10 @@
 /// What an upstream says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
-    /// Names this run of the upstream; another run has another id.
+    /// Names the upstream. Another run of it may have another id or the same.
     pub id: Box<str>,
+    /// When this run began, in Unix ms; none if the platform does not tell.
+    pub born: Option<u64>,
     /// The pool it serves.
     pub pool: Box<str>,
     /// Where it listens.
@@ -31,6 +34,15 @@
     pub leaving: bool,
 }
 
+impl UpstreamEntry {
+    /// Stands for this run of the upstream in words between nodes: 32 bits, five bytes on the wire.
+    /// Two of 10,000 upstreams share one with a chance of one in a hundred, which costs a worse
+    /// choice.
+    pub fn run_hash(&self) -> u64 {
+        xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0)) >> 32
+    }
+}
+
 /// A change of the registry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -82,13 +94,8 @@
 /// Departures that are told at once, five bytes each. More are learnt with the whole registry.
 const MOST_DEPARTURES: usize = 24;
 
-/// Stands for an upstream's id in words between nodes: 32 bits, five bytes on the wire. Two of
-/// 10,000 upstreams share one with a chance of one in a hundred, which costs a worse choice.
-pub fn id_hash(id: &str) -> u64 {
-    xxh3_64(id.as_bytes()) >> 32
-}
-
-/// Every upstream that this process has heard of.
+/// Every upstream that this process has heard of. `keys` and `hashes` lead to the newest run of each
+/// id; calls at an older one still end there.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     upstreams: BTreeMap<UpstreamKey, Upstream>,
@@ -101,19 +108,21 @@
 
 impl UpstreamRegistry {
     /// Takes a change in. `trusted` says that the registry has been well for long enough that a
-    /// missing entry means that its upstream leaves. Gives the upstream whose state changed.
+    /// missing entry means that its upstream leaves. Gives the upstreams whose state changed.
     pub fn apply(
         &mut self,
         change: RegistryChange,
         trusted: bool,
         now: Duration,
-    ) -> Option<UpstreamKey> {
+    ) -> Vec<UpstreamKey> {
         let changed = match change {
             RegistryChange::Put(entry) => self.put(entry),
-            RegistryChange::Removed(id) => self.remove(&id, trusted, now),
-        }?;
-        self.note_departure(changed, now);
-        Some(changed)
+            RegistryChange::Removed(id) => self.remove(&id, trusted, now).into_iter().collect(),
+        };
+        for key in &changed {
+            self.note_departure(*key, now);
+        }
+        changed
     }
 
     /// Takes another node's word that an upstream leaves. Gives the upstream if that is news.
@@ -147,45 +156,67 @@
             upstream.left,
             Some(LeavingCause::Draining | LeavingCause::Removed)
         ) {
-            self.departures
-                .push_back((now, id_hash(&upstream.entry.id)));
+            self.departures.push_back((now, upstream.entry.run_hash()));
             if self.departures.len() > MOST_DEPARTURES {
                 self.departures.pop_front();
             }
         }
     }
 
-    fn put(&mut self, entry: UpstreamEntry) -> Option<UpstreamKey> {
-        let Some(key) = self.keys.get(&entry.id).copied() else {
-            return Some(self.add(entry));
+    fn put(&mut self, entry: UpstreamEntry) -> Vec<UpstreamKey> {
+        let known = self.keys.get(&entry.id).copied();
+        let Some((key, upstream)) =
+            known.and_then(|key| Some((key, self.upstreams.get_mut(&key)?)))
+        else {
+            return self.add(entry);
         };
-        let upstream = self.upstreams.get_mut(&key)?;
+        match entry.born.cmp(&upstream.entry.born) {
+            // A late heartbeat of an older run, or another writer's.
+            Ordering::Less => return Vec::new(),
+            Ordering::Greater => return self.add(entry),
+            Ordering::Equal => {}
+        }
+        // A run stays where it began: what says otherwise is not the upstream's own entry.
+        if (&entry.pool, entry.address) != (&upstream.entry.pool, upstream.entry.address) {
+            return Vec::new();
+        }
         upstream.lapsed_at = None;
         if upstream.left == Some(LeavingCause::Lapsed) && !entry.leaving {
             upstream.left = None;
             upstream.entry = entry;
-            return Some(key);
+            return vec![key];
         }
         if entry.leaving && upstream.left.is_none() {
             upstream.left = Some(LeavingCause::Draining);
             upstream.entry = entry;
-            return Some(key);
+            return vec![key];
         }
         let changed = upstream.entry != entry;
         upstream.entry = entry;
-        changed.then_some(key)
+        if changed { vec![key] } else { Vec::new() }
     }
 
-    fn add(&mut self, entry: UpstreamEntry) -> UpstreamKey {
+    /// Adds a run, which knows nothing of calls or prompts before it. Gives it and the runs that it
+    /// takes the place of: of its own id, and of its pool at its address. What another pool says of
+    /// the address proves nothing: an entry may be false, and a call for another upstream than the
+    /// one that has the address is refused there.
+    fn add(&mut self, entry: UpstreamEntry) -> Vec<UpstreamKey> {
         let key = UpstreamKey(self.next_key);
         self.next_key += 1;
-        for other in self.upstreams.values_mut() {
-            if other.entry.address == entry.address && other.left.is_none() {
+        let mut changed = vec![key];
+        for (other_key, other) in &mut self.upstreams {
+            let same_place = other.entry.address == entry.address && other.entry.pool == entry.pool;
+            if other.left.is_none() && (other.entry.id == entry.id || same_place) {
                 other.left = Some(LeavingCause::Replaced);
+                changed.push(*other_key);
             }
         }
-        self.keys.insert(entry.id.clone(), key);
-        self.hashes.insert(id_hash(&entry.id), key);
+        if let Some(older) = self.keys.insert(entry.id.clone(), key)
+            && let Some(older) = self.upstreams.get(&older)
+        {
+            self.hashes.remove(&older.entry.run_hash());
+        }
+        self.hashes.insert(entry.run_hash(), key);
         self.pools.entry(entry.pool.clone()).or_default().push(key);
         let upstream = Upstream {
             left: entry.leaving.then_some(LeavingCause::Draining),
@@ -195,7 +226,7 @@
             health: UpstreamHealth::default(),
         };
         self.upstreams.insert(key, upstream);
-        key
+        changed
     }
 
     fn remove(&mut self, id: &str, trusted: bool, now: Duration) -> Option<UpstreamKey> {
@@ -273,24 +304,28 @@
         self.keys.get(id).copied()
     }
 
-    /// The upstream whose id has this hash.
+    /// The upstream whose newest run has this hash.
     pub fn by_hash(&self, hash: u64) -> Option<UpstreamKey> {
         self.hashes.get(&hash).copied()
     }
 
-    /// Stands for the ids of all upstreams and whether each has left; the same on nodes that know
-    /// the same.
+    /// Stands for the newest run of each upstream and whether it has left; the same on nodes that
+    /// know the same.
     pub fn digest(&self) -> u64 {
         let mark = |upstream: &Upstream| {
-            let left = u64::from(upstream.left.is_some());
-            xxh3_64_with_seed(upstream.entry.id.as_bytes(), left) >> 32
+            let left = [u8::from(upstream.left.is_some())];
+            xxh3_64_with_seed(&left, upstream.entry.run_hash()) >> 32
         };
-        self.upstreams
-            .values()
+        self.newest()
             .fold(0, |digest, upstream| digest ^ mark(upstream))
     }
 
-    /// All upstreams.
+    /// The newest run of each upstream.
+    pub fn newest(&self) -> impl Iterator<Item = &Upstream> {
+        self.keys.values().filter_map(|key| self.upstreams.get(key))
+    }
+
+    /// All upstreams, with older runs.
     pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         self.upstreams
             .iter()
--- a/kernel/tests/gateway/engines.rs
+++ b/kernel/tests/gateway/engines.rs
@@ -16,6 +16,7 @@
         let port = 1000 + u16::try_from(index).expect("few");
         let entry = UpstreamEntry {
             id: format!("i-{index}").into(),
+            born: None,
             pool: "model".into(),
             address: ([127, 0, 0, 1], port).into(),
             zone: (*zone).into(),
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use monsoonbank_kernel::gateway::prompt::{PromptPart, PromptShape};
 use monsoonbank_kernel::gateway::registry::{
     LeavingCause, RegistryChange, UpstreamEntry, UpstreamRegistry,
 };
@@ -9,6 +10,7 @@
 pub fn entry(id: &str, port: u16, leaving: bool) -> UpstreamEntry {
     UpstreamEntry {
         id: id.into(),
+        born: None,
         pool: "model".into(),
         address: ([127, 0, 0, 1], port).into(),
         zone: "east".into(),
@@ -91,6 +93,87 @@
     );
 }
 
+/// A run of upstream `a` at port 1.
+fn born(at: u64, leaving: bool) -> RegistryChange {
+    RegistryChange::Put(UpstreamEntry {
+        born: Some(at),
+        ..entry("a", 1, leaving)
+    })
+}
+
+#[test]
+fn a_new_run_under_the_same_id_knows_nothing_of_before() {
+    let mut registry = UpstreamRegistry::default();
+    registry.apply(born(100, false), true, START);
+    let old = registry.key("a").expect("known");
+    let upstream = registry.get_mut(old).expect("known");
+    upstream.load.part_read(7, START);
+    upstream.health.unreachable(START);
+    registry.apply(born(200, false), true, SECOND);
+    let new = registry.key("a").expect("known");
+    assert_ne!(old, new);
+    let left = registry.get(old).and_then(|upstream| upstream.left);
+    assert_eq!(left, Some(LeavingCause::Replaced));
+    let upstream = registry.get(new).expect("known");
+    let prompt = PromptShape {
+        prompt_tokens: 100,
+        output_tokens: 1,
+        parts: [
+            PromptPart { id: 7, tokens: 90 },
+            PromptPart { id: 8, tokens: 10 },
+        ]
+        .into(),
+    };
+    assert_eq!(upstream.load.kept_tokens(&prompt, SECOND), 0);
+    assert!(!upstream.health.unproven());
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+#[test]
+fn a_new_run_under_the_id_of_one_that_drained_takes_work() {
+    let mut registry = UpstreamRegistry::default();
+    registry.apply(born(100, true), true, START);
+    assert!(usable(&registry).is_empty());
+    registry.apply(born(200, false), true, SECOND);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+#[test]
+fn a_late_entry_of_the_older_run_changes_nothing() {
+    let mut registry = UpstreamRegistry::default();
+    registry.apply(born(200, false), true, START);
+    assert!(registry.apply(born(100, true), true, SECOND).is_empty());
+    put(&mut registry, "a", 1, true);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+#[test]
+fn a_departure_of_the_older_run_does_not_end_the_newer() {
+    let (mut teller, mut hearer) = (UpstreamRegistry::default(), UpstreamRegistry::default());
+    teller.apply(born(100, true), true, SECOND);
+    hearer.apply(born(100, false), true, SECOND);
+    hearer.apply(born(200, false), true, SECOND);
+    for hash in teller.departures(SECOND) {
+        assert!(hearer.departed(hash, SECOND).is_none());
+    }
+    assert_eq!(usable(&hearer), ["a"]);
+    assert_ne!(teller.digest(), hearer.digest());
+    teller.apply(born(200, false), true, SECOND);
+    assert_eq!(teller.digest(), hearer.digest());
+}
+
+#[test]
+fn an_entry_of_another_pool_does_not_end_an_upstream_at_its_address() {
+    let mut registry = UpstreamRegistry::default();
+    put(&mut registry, "a", 1, false);
+    let other = UpstreamEntry {
+        pool: "nobody's".into(),
+        ..entry("b", 1, false)
+    };
+    registry.apply(RegistryChange::Put(other), true, SECOND);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
 #[test]
 fn digests_agree_for_the_same_knowledge_in_any_order() {
     let (mut one, mut other) = (UpstreamRegistry::default(), UpstreamRegistry::default());
