Name as few entries as can carry a zone's calls when each gets an even share

Cause: on the new deployment grown, 47 of 85 nodes took calls within the first second of a surge. Callers choose evenly among the named, and the third of a zone was a node with a quarter of the cores and a twentieth of the link of the first two; naming a fourth, fifth and so on relieved it little. Each entry then reckoned with 46 others' unheard calls and held back: engines ran 6 of 24 calls.

Change: the smallest number is named for which the weakest can carry an even share at 0.8 of its capacity; two suffice if the third is less than half as strong.

--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -65,30 +65,46 @@
 /// Fewest nodes of an availability zone that are named to callers, so that the loss of one leaves
 /// callers two others.
 const FEWEST_ENTRIES: usize = 3;
-/// Part of their capacity that entries are filled to before one more is named.
-const ENTRY_PART: f64 = 0.5;
-
-/// The nodes among `words` that callers of an availability zone are sent to: those that can carry
-/// most, and no more than the zone's calls need, since few entries know each other's work well.
+/// Fewest if the next node is much weaker than those that are named: the loss of one leaves one.
+const FEWEST_STRONG: usize = 2;
+/// Capacity against the strongest node's below which a node is much weaker. Callers choose evenly, so
+/// such a node is full while the others are idle.
+const WEAK_PART: f64 = 0.5;
+/// Part of their capacity that entries are filled to before more are named.
+const ENTRY_PART: f64 = 0.8;
+
+/// The nodes among `words` that callers of an availability zone are sent to: as few as can carry the
+/// zone's calls when each gets the same share, since few entries know each other's work well; the
+/// strongest first.
 pub fn entries<'a>(words: impl Iterator<Item = &'a NodeWord>, zone: &str) -> Vec<&'a NodeWord> {
     let mut nodes: Vec<&NodeWord> = words
         .filter(|word| word.ready && &*word.zone == zone)
         .collect();
     nodes.sort_by(|one, other| (other.capacity, &one.name).cmp(&(one.capacity, &other.name)));
     let calls: u32 = nodes.iter().map(|word| word.open_calls()).sum();
-    let mut room = 0.0;
-    let mut count = 0;
-    for word in &nodes {
-        if count >= FEWEST_ENTRIES && room >= f64::from(calls) {
-            break;
-        }
-        room += ENTRY_PART * f64::from(word.capacity);
-        count += 1;
-    }
+    let room = |count: usize| {
+        let weakest = nodes.get(count.wrapping_sub(1));
+        weakest.map_or(0.0, |word| {
+            ENTRY_PART * f64::from(word.capacity) * count as f64
+        })
+    };
+    let fewest = fewest_entries(&nodes);
+    let count = (fewest..=nodes.len())
+        .find(|count| room(*count) >= f64::from(calls))
+        .or_else(|| (fewest..=nodes.len()).max_by(|one, other| room(*one).total_cmp(&room(*other))))
+        .unwrap_or(nodes.len());
     nodes.truncate(count);
     nodes
 }
 
+/// Fewest of `nodes`, which stand in order of their capacity, that are named.
+fn fewest_entries(nodes: &[&NodeWord]) -> usize {
+    let strongest = nodes.first().map_or(0, |word| word.capacity);
+    let strong = |word: &&&NodeWord| f64::from(word.capacity) >= WEAK_PART * f64::from(strongest);
+    let strong_count = nodes.iter().filter(strong).count();
+    strong_count.clamp(FEWEST_STRONG, FEWEST_ENTRIES)
+}
+
 /// Another node.
 #[derive(Clone, Debug)]
 pub struct FleetPeer {
