Count on a kept prompt until its engine has taken in what its cache has room for

Cause: parts of prompts were counted on for 20 s after their last use. Engines of the new deployment grown hold 513,495 tokens, running calls nearly half of that, and each engine takes in 30,000 to 40,000 a second in a surge: what is idle goes within 9 s. Calls were sent where their prompt was gone, or told to fetch it from there: 13 to 20 million of 93 million tokens were read again.

Change: each word says how many prompt tokens the node's calls made each upstream take in; a part is counted on until 0.9 of the room beside running calls has been taken in since its last use, and for a minute at most. What is known of a cache is a module of its own.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use monsoonbank_kernel::gateway::fleet::{self, NodeWord};
+use monsoonbank_kernel::gateway::fleet::{self, NodeWord, WorkWord};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -85,7 +85,11 @@
     let work = registry
         .iter()
         .filter(|(_, upstream)| upstream.load.own().calls > 0)
-        .map(|(_, upstream)| (upstream.entry.run_hash(), upstream.load.own()))
+        .map(|(_, upstream)| WorkWord {
+            run: upstream.entry.run_hash(),
+            count: upstream.load.own(),
+            taken_tokens: upstream.load.cache.own_taken(),
+        })
         .collect();
     let now = gateway.now();
     let failing = registry
@@ -315,10 +319,11 @@
 
 fn take_work(gateway: &Gateway, word: &NodeWord, now: Duration) {
     let mut registry = gateway.registry.borrow_mut();
-    for (hash, count) in &word.work {
-        let key = registry.by_hash(*hash);
+    for work in &word.work {
+        let key = registry.by_hash(work.run);
         if let Some(upstream) = key.and_then(|key| registry.get_mut(key)) {
-            upstream.load.heard(&word.name, *count, now);
+            upstream.load.heard(&word.name, work.count, now);
+            upstream.load.cache.heard(&word.name, work.taken_tokens);
         }
     }
     for hash in &word.failing {
--- a/daemon/src/gateway/work.rs
+++ b/daemon/src/gateway/work.rs
@@ -31,6 +31,10 @@
         if let Some(upstream) = gateway.registry.borrow_mut().get_mut(choice.key) {
             upstream.load.begin(item);
             upstream.load.sent(now);
+            if let Some(engine) = call.engine {
+                let cache = &mut upstream.load.cache;
+                cache.take(choice.taken_tokens, engine.cache_tokens);
+            }
             upstream.health.tried(now);
             let hash = upstream.entry.run_hash();
             let mut sent_parts = gateway.sent_parts.borrow_mut();
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -4,6 +4,7 @@
 //! Every part is a plain value that is told the time; the daemon's gateway owns the sockets.
 
 pub mod budget;
+pub mod cache;
 pub mod choice;
 pub mod fleet;
 pub mod health;
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -8,6 +8,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::gateway::cache::CacheMoment;
 use crate::gateway::load::{TOKENS_PER_MS, WorkCount};
 use crate::gateway::partition::{self, UpstreamOption};
 use crate::gateway::prompt::PromptShape;
@@ -86,6 +87,8 @@
     pub cost: f64,
     /// Prompt tokens that it has to read.
     pub unread_tokens: u32,
+    /// Prompt tokens that its cache has to take in: what it reads and what it fetches.
+    pub taken_tokens: u32,
     /// The upstream that keeps more of the prompt.
     pub fetch_from: Option<UpstreamKey>,
 }
@@ -154,18 +157,30 @@
 
 /// Tokens of the prompt's shared parts that some upstream keeps or is about to read.
 fn known_tokens(all: &[UpstreamOption], input: &ChoiceInput) -> u32 {
-    let loads = all.iter().map(|option| &option.upstream.load);
-    let tokens = loads.map(|load| load.kept_tokens(input.prompt, input.now));
+    let tokens = all.iter().map(|option| kept_tokens(option, input));
     tokens.max().unwrap_or(0)
 }
 
+fn kept_tokens(option: &UpstreamOption, input: &ChoiceInput) -> u32 {
+    let moment = cache_moment(option, input);
+    option.upstream.load.cache.kept_tokens(input.prompt, moment)
+}
+
+fn cache_moment(option: &UpstreamOption, input: &ChoiceInput) -> CacheMoment {
+    CacheMoment {
+        now: input.now,
+        held_tokens: option.total.held_tokens,
+    }
+}
+
 fn prompt_keeper(all: &[UpstreamOption], input: &ChoiceInput) -> Option<PromptKeeper> {
     let (option, tokens) = all
         .iter()
         .filter(|option| !option.resting)
         .map(|option| {
-            let load = &option.upstream.load;
-            (option, load.read_tokens(input.prompt, input.now))
+            let cache = &option.upstream.load.cache;
+            let moment = cache_moment(option, input);
+            (option, cache.read_tokens(input.prompt, moment))
         })
         .max_by_key(|(option, tokens)| (*tokens, is_near(option, input)))?;
     let key = option.key;
@@ -208,7 +223,7 @@
         total,
         ..
     } = *place.option;
-    let kept = upstream.load.kept_tokens(input.prompt, input.now);
+    let kept = kept_tokens(place.option, input);
     let keeper = keeper.filter(|keeper| keeper.key != key && keeper.tokens > kept);
     let fetched = keeper.map_or(0, |keeper| keeper.tokens - kept);
     let unread = input.prompt.prompt_tokens.saturating_sub(kept + fetched);
@@ -241,6 +256,7 @@
         key,
         cost,
         unread_tokens: unread,
+        taken_tokens: unread + fetched,
         fetch_from: keeper.map(|keeper| keeper.key),
     }
 }
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use derive_more::{From, Into};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -14,6 +15,18 @@
     xxh3_64(name.as_bytes())
 }
 
+/// What a node says of its work at an upstream. Three bare values, as names would double a word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, From, Into, Serialize, Deserialize)]
+#[serde(from = "(u64, WorkCount, u64)", into = "(u64, WorkCount, u64)")]
+pub struct WorkWord {
+    /// Hash of the upstream's run.
+    pub run: u64,
+    /// Calls that are there.
+    pub count: WorkCount,
+    /// Prompt tokens that its calls made the upstream's cache take in since the node started.
+    pub taken_tokens: u64,
+}
+
 /// What a node says of itself, several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeWord {
@@ -37,8 +50,8 @@
     pub store_well: bool,
     /// Digest of the upstreams that it knows and of those that left.
     pub registry_digest: u64,
-    /// Its work at upstreams, by the hash of their runs.
-    pub work: Vec<(u64, WorkCount)>,
+    /// Its work at upstreams.
+    pub work: Vec<WorkWord>,
     /// Hashes of the runs of upstreams that it found failing or unreachable and passes over.
     pub failing: Vec<u64>,
     /// Hashes of the runs of upstreams that began to leave a moment ago.
@@ -58,7 +71,7 @@
 impl NodeWord {
     /// Calls that it has at upstreams.
     pub fn open_calls(&self) -> u32 {
-        self.work.iter().map(|(_, count)| count.calls).sum()
+        self.work.iter().map(|work| work.count.calls).sum()
     }
 }
 
--- a/kernel/src/gateway/load.rs
+++ b/kernel/src/gateway/load.rs
@@ -6,7 +6,7 @@
 use derive_more::{Add, AddAssign, From, Into, Mul};
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::prompt::PromptShape;
+use crate::gateway::cache::{CacheMoment, PromptCache};
 
 /// Work of one node at one upstream. In a word it is four bare numbers: with names, those of sixty
 /// upstreams fill three datagrams instead of one.
@@ -59,20 +59,14 @@
 /// Time from a call's way to an engine to the end of its prompt, beside what the engine reads before
 /// it: its own prompt and some steps.
 const FIRST_STEPS: Duration = Duration::from_millis(200);
-/// Time for which an upstream is taken to keep a part of a prompt after its last use. Caches hold
-/// some hundred prompts and drop what was used least lately; few parts rest this long.
-const CACHE_AGE: Duration = Duration::from_secs(20);
-
-/// Parts that are remembered before old ones are dropped: bounds memory to some 100 kB an upstream.
-const MOST_PARTS: usize = 4096;
-
 /// All work at an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamLoad {
     own: WorkCount,
     others: BTreeMap<Box<str>, (Duration, WorkCount)>,
-    parts: BTreeMap<u64, PartUse>,
     sent_at: VecDeque<Duration>,
+    /// What it keeps of prompts.
+    pub cache: PromptCache,
 }
 
 impl UpstreamLoad {
@@ -136,68 +130,26 @@
     /// A call with this part of a prompt was sent here: the part is read once the prompts before it
     /// are. Gives whether it was not known to be kept.
     pub fn part_used(&mut self, part: u64, now: Duration) -> bool {
-        let read_at = now + self.reading_time(now);
-        self.note_part(part, PartUse { at: now, read_at })
+        let total = self.total(now);
+        let read_at = now + reading_time(total);
+        self.cache.note(part, read_at, moment(total, now))
     }
 
     /// This part of a prompt has been read here.
     pub fn part_read(&mut self, part: u64, now: Duration) {
-        self.note_part(
-            part,
-            PartUse {
-                at: now,
-                read_at: now,
-            },
-        );
-    }
-
-    fn note_part(&mut self, part: u64, new: PartUse) -> bool {
-        let kept = self.parts.get(&part).filter(|old| old.keeps(new.at));
-        let is_news = kept.is_none();
-        let read_at = kept.map_or(new.read_at, |old| old.read_at.min(new.read_at));
-        self.parts.insert(part, PartUse { read_at, ..new });
-        if self.parts.len() > MOST_PARTS {
-            self.parts.retain(|_, old| old.keeps(new.at));
-        }
-        is_news
-    }
-
-    fn reading_time(&self, now: Duration) -> Duration {
-        let tokens = self.total(now).prompt_tokens;
-        FIRST_STEPS + Duration::from_secs_f64(f64::from(tokens) / TOKENS_PER_MS / 1000.0)
-    }
-
-    /// Tokens of the prompt's shared parts that the upstream keeps or will have read before it comes
-    /// to a call that is sent now: a part is kept together with all before it.
-    pub fn kept_tokens(&self, prompt: &PromptShape, now: Duration) -> u32 {
-        self.tokens_up_to(prompt, |part| part.keeps(now))
-    }
-
-    /// Tokens of them that are read already, so that others can fetch them.
-    pub fn read_tokens(&self, prompt: &PromptShape, now: Duration) -> u32 {
-        self.tokens_up_to(prompt, |part| part.keeps(now) && part.read_at <= now)
-    }
-
-    fn tokens_up_to(&self, prompt: &PromptShape, counts: impl Fn(&PartUse) -> bool) -> u32 {
-        let shared = prompt.shared_parts();
-        let last = shared
-            .iter()
-            .rposition(|part| self.parts.get(&part.id).is_some_and(&counts));
-        last.map_or(0, |last| {
-            shared[..=last].iter().map(|part| part.tokens).sum()
-        })
+        let moment = moment(self.total(now), now);
+        self.cache.note(part, now, moment);
     }
 }
 
-/// When a part of a prompt was used last, and from when on it is read.
-#[derive(Clone, Copy, Debug)]
-struct PartUse {
-    at: Duration,
-    read_at: Duration,
+fn moment(total: WorkCount, now: Duration) -> CacheMoment {
+    CacheMoment {
+        now,
+        held_tokens: total.held_tokens,
+    }
 }
 
-impl PartUse {
-    fn keeps(&self, now: Duration) -> bool {
-        self.at + CACHE_AGE > now
-    }
+fn reading_time(total: WorkCount) -> Duration {
+    let tokens = f64::from(total.prompt_tokens);
+    FIRST_STEPS + Duration::from_secs_f64(tokens / TOKENS_PER_MS / 1000.0)
 }
--- a/kernel/tests/gateway/fleet.rs
+++ b/kernel/tests/gateway/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use monsoonbank_kernel::gateway::fleet::{FleetView, NodeWord, entries};
+use monsoonbank_kernel::gateway::fleet::{FleetView, NodeWord, WorkWord, entries};
 use monsoonbank_kernel::gateway::load::WorkCount;
 
 fn word(name: &str, zone: &str, incarnation: u64, store_well: bool) -> NodeWord {
@@ -71,6 +71,18 @@
     a_silent_reader_is_replaced: [word("a", "east", 1, true)], SECOND * 3 => true;
 }
 
+/// Calls at one upstream.
+fn work(calls: u32) -> WorkWord {
+    WorkWord {
+        run: 7,
+        count: WorkCount {
+            calls,
+            ..WorkCount::default()
+        },
+        taken_tokens: 0,
+    }
+}
+
 /// Names a case: capacities of nodes `a`, `b`, ... of one zone, calls that each has, and who is
 /// named to callers.
 macro_rules! named {
@@ -83,7 +95,7 @@
                 .map(|(capacity, name)| {
                     let mut word = word(&name.to_string(), "east", 1, true);
                     word.capacity = *capacity;
-                    word.work.push((1, WorkCount { calls: $calls, ..WorkCount::default() }));
+                    word.work.push(work($calls));
                     word
                 })
                 .collect();
@@ -126,7 +138,7 @@
     let mut fleet = FleetView::default();
     fleet.heard(word("idle", "east", 1, true), SECOND);
     let busy = NodeWord {
-        work: vec![(7, WorkCount::default())],
+        work: vec![work(0)],
         ..word("busy", "east", 1, true)
     };
     fleet.heard(busy, SECOND);
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of the gateway, each with the failure it is meant for.
 
 mod budget;
+mod cache;
 mod choice;
 mod engines;
 mod fleet;
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use monsoonbank_kernel::gateway::cache::CacheMoment;
 use monsoonbank_kernel::gateway::prompt::{PromptPart, PromptShape};
 use monsoonbank_kernel::gateway::registry::{
     LeavingCause, RegistryChange, UpstreamEntry, UpstreamRegistry,
@@ -124,7 +125,11 @@
         ]
         .into(),
     };
-    assert_eq!(upstream.load.kept_tokens(&prompt, SECOND), 0);
+    let moment = CacheMoment {
+        now: SECOND,
+        held_tokens: 0,
+    };
+    assert_eq!(upstream.load.cache.kept_tokens(&prompt, moment), 0);
     assert!(!upstream.health.unproven());
     assert_eq!(usable(&registry), ["a"]);
 }
