--- a/kernel/src/gateway/cache.rs
+++ b/kernel/src/gateway/cache.rs
@@ -11,7 +11,7 @@
 
 /// Time after which a part is no longer counted on, whatever else the engine took in: its use by
 /// nodes whose words were lost is not known.
-const LONGEST_KEPT: Duration = Duration::from_secs(60);
+const LONGEST_KEPT: Duration = Duration::from_mins(1);
 /// Part of the room in the cache that is counted on. What calls generate and what lost words told
 /// of takes room too.
 const COUNTED_PART: f64 = 0.9;
