Refuse late calls that cannot end in their time, and wait no longer than callers do

Cause: in a surge half of the calls come back after a refusal with 2 to 3 s left. Others waited for room longer than their callers wait for a first event.

Change: a node keeps a running mean of its streams' time to the first event and between two, by pool and by whether their pauses are tight. A call that can no longer be in time, and whose expected events take longer than it has left, is refused at once. No call waits past the time at which its first event would come after the caller has left.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -32,6 +32,7 @@
 use monsoonbank_kernel::clock::{Clock, MonotonicClock};
 use monsoonbank_kernel::gateway::budget::RetryBudget;
 use monsoonbank_kernel::gateway::fleet::FleetView;
+use monsoonbank_kernel::gateway::pace::StreamPace;
 use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
 use monsoonbank_kernel::gateway::rules::RuleTable;
 use monsoonbank_kernel::gateway::waiting::WaitList;
@@ -40,6 +41,7 @@
 use crate::error::NodeError;
 use crate::gateway::channels::ChannelPool;
 use crate::gateway::decisions::{Decision, DecisionLog};
+use crate::gateway::intake::Call;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::settings::GatewaySettings;
 
@@ -80,6 +82,8 @@
     /// Parts of prompts that were sent since the last word to other nodes: tokens, part, and hash of
     /// the upstream's run.
     pub sent_parts: RefCell<BTreeSet<(u32, u64, u64)>>,
+    /// How fast streams go, by pool and by whether their pauses have to be the shortest.
+    pub paces: RefCell<BTreeMap<(Box<str>, bool), StreamPace>>,
     /// Calls that wait for room.
     pub waiting: RefCell<WaitList>,
     /// Tells waiting calls that there may be room.
@@ -167,6 +171,12 @@
             .is_none_or(|since| self.now() < since + LINGER)
     }
 
+    /// How fast streams like a call's go.
+    pub fn pace(&self, call: &Call) -> StreamPace {
+        let kind = (call.pool.clone(), call.tight);
+        self.paces.borrow().get(&kind).copied().unwrap_or_default()
+    }
+
     /// Nodes that share budgets, this one included.
     pub fn node_count(&self) -> usize {
         1 + self.fleet.borrow().iter().count()
@@ -201,6 +211,7 @@
         fleet: RefCell::default(),
         budgets: RefCell::default(),
         sent_parts: RefCell::default(),
+        paces: RefCell::default(),
         waiting: RefCell::default(),
         room_notice: tokio::sync::Notify::new(),
         store: Cell::default(),
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -1,6 +1,7 @@
 //! Passes a stream on whole event by whole event, and lets another upstream go on where one breaks.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -293,6 +294,19 @@
         }
     }
 
+    /// Takes in how fast a stream went that one upstream gave whole.
+    fn note_pace(&self, attempt: &OpenAttempt, now: Duration) {
+        let (Some(first_at), 1) = (self.watch.first_at, self.trail.history.sends) else {
+            return;
+        };
+        let first = first_at.saturating_sub(attempt.work.since);
+        let rest = now.saturating_sub(first_at);
+        let mut paces = self.gateway.paces.borrow_mut();
+        let kind = (self.call.pool.clone(), self.call.tight);
+        let pace = paces.entry(kind).or_default();
+        pace.ended(first, rest, self.watch.events.saturating_sub(1));
+    }
+
     /// Keeps the connection for other calls.
     fn complete(&mut self) {
         self.watch.set(CallOutcome::Answered);
@@ -300,6 +314,7 @@
             return;
         };
         let now = self.gateway.now();
+        self.note_pace(&source.attempt, now);
         let announced = answer::keep_alive(&source.parts.headers);
         if let Some(upstream) = self
             .gateway
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::choice::UpstreamChoice;
+use monsoonbank_kernel::gateway::rules::AnswerForm;
 use monsoonbank_kernel::gateway::waiting::WaitRank;
 
 use crate::gateway::Gateway;
@@ -48,6 +49,28 @@
     (call.started + target).saturating_sub(spent)
 }
 
+/// Whether a call that is sent now can be expected to end in its time. One that cannot would take an
+/// engine's time from others and be cut. Refusing such calls once they are late halved the calls that
+/// failed in a surge.
+fn can_end(gateway: &Gateway, call: &Call) -> bool {
+    let (Some(engine), AnswerForm::Events { .. }) = (call.engine, call.class.form) else {
+        return true;
+    };
+    let events = call.head.prompt.expected_events(engine.event_tokens);
+    let left = call.deadline.saturating_sub(gateway.now());
+    gateway.pace(call).can_end(events, left)
+}
+
+/// How long a call that comes to wait now may do so: for its part of the time that is left, and no
+/// longer than its caller waits for an event that is then sent.
+fn waits_until(gateway: &Gateway, call: &Call) -> Duration {
+    let now = gateway.now();
+    let part = call.deadline.saturating_sub(now).mul_f64(PATIENCE_PART);
+    let patience = call.class.patience.unwrap_or(part);
+    let first = gateway.pace(call).time_to_first();
+    now + part.min(patience.saturating_sub(first))
+}
+
 /// The upstream for a call, once one has room and it is the call's turn. None if there is no
 /// upstream at all, or none with room in time.
 pub async fn wait_for_room(
@@ -55,6 +78,11 @@
     call: &Call,
     trail: &CallTrail,
 ) -> Option<UpstreamChoice> {
+    let hopeful_until = hopeful_until(call);
+    let in_vain = || {
+        let late = hopeful_until <= gateway.now() && trail.history.sends == 0;
+        late && !can_end(gateway, call)
+    };
     let blocked = |rank: Option<WaitRank>| {
         let first = gateway.waiting.borrow().first(&call.pool, gateway.now());
         first.is_some_and(|first| match rank {
@@ -62,26 +90,28 @@
             None => first.tier <= call.tier,
         })
     };
+    if in_vain() {
+        return None;
+    }
     if !blocked(None)
         && let Some(choice) = relay::choose(gateway, call, trail)
     {
         return Some(choice);
     }
     let since = gateway.now();
-    let until = since + call.deadline.saturating_sub(since).mul_f64(PATIENCE_PART);
-    let rank = gateway.waiting.borrow_mut().join(
-        &call.pool,
-        call.tier,
-        hopeful_until(call),
-        call.deadline,
-    );
+    let rank =
+        gateway
+            .waiting
+            .borrow_mut()
+            .join(&call.pool, call.tier, hopeful_until, call.deadline);
     let place = WaitPlace {
         gateway,
         pool: &call.pool,
         rank,
     };
     let mut choice = None;
-    while choice.is_none() && gateway.now() < until {
+    let until = waits_until(gateway, call);
+    while choice.is_none() && gateway.now() < until && !in_vain() {
         let notice = gateway.room_notice.notified();
         let _ = tokio::time::timeout(LOOK_PAUSE, notice).await;
         if !blocked(Some(rank)) {
--- a/daemon/src/gateway/work.rs
+++ b/daemon/src/gateway/work.rs
@@ -1,6 +1,7 @@
 //! Counts what calls of this node are at work at upstreams.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use monsoonbank_kernel::gateway::choice::UpstreamChoice;
 use monsoonbank_kernel::gateway::load::WorkItem;
@@ -14,6 +15,8 @@
     gateway: Rc<Gateway>,
     /// The upstream.
     pub key: UpstreamKey,
+    /// When the call was sent.
+    pub since: Duration,
     item: WorkItem,
     call: Rc<Call>,
 }
@@ -50,6 +53,7 @@
         Self {
             gateway: gateway.clone(),
             key: choice.key,
+            since: now,
             item,
             call: call.clone(),
         }
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod load;
 pub mod outcome;
+pub mod pace;
 pub mod partition;
 pub mod prompt;
 pub mod registry;
--- /dev/null
+++ b/kernel/src/gateway/pace.rs
@@ -0,0 +1,51 @@
+//! How fast a pool's streams go, from those that this node passed on.
+//!
+//! A stream beside prompts that are read takes a chunk of a prompt for each of its tokens, some 37 ms
+//! instead of 6, so whether a call can still end in its time depends on the load.
+
+use std::time::Duration;
+
+/// Weight of the newest stream in the running means: about the last twenty count, which a busy node
+/// passes on in a second.
+const NEWEST_WEIGHT: f64 = 0.05;
+
+/// Running means over a pool's streams.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StreamPace {
+    first: Option<f64>,
+    event: Option<f64>,
+}
+
+impl StreamPace {
+    /// A stream ended whole: its first event came `first` after it was sent, the `events` after that
+    /// took `rest`.
+    pub fn ended(&mut self, first: Duration, rest: Duration, events: u64) {
+        take_in(&mut self.first, first.as_secs_f64());
+        if events > 0 {
+            take_in(&mut self.event, rest.as_secs_f64() / events as f64);
+        }
+    }
+
+    /// Whether a stream of so many events that begins now can be expected to end in the time that is
+    /// left.
+    pub fn can_end(&self, events: f64, left: Duration) -> bool {
+        self.time_for(events) <= left
+    }
+
+    /// How long a stream of so many events takes; nothing before one was seen.
+    fn time_for(&self, events: f64) -> Duration {
+        let first = self.first.unwrap_or_default();
+        let event = self.event.unwrap_or_default();
+        Duration::from_secs_f64(first + event * (events - 1.0).max(0.0))
+    }
+
+    /// How long the first event of a stream takes.
+    pub fn time_to_first(&self) -> Duration {
+        self.time_for(1.0)
+    }
+}
+
+fn take_in(mean: &mut Option<f64>, newest: f64) {
+    let before = mean.unwrap_or(newest);
+    *mean = Some(before + NEWEST_WEIGHT * (newest - before));
+}
--- a/kernel/src/gateway/prompt.rs
+++ b/kernel/src/gateway/prompt.rs
@@ -16,11 +16,19 @@
     pub prompt_tokens: u32,
     /// Most tokens that may be generated.
     pub output_tokens: u32,
+    /// Tokens that the caller expects; often far off.
+    pub expected_tokens: Option<u32>,
     /// The prompt's parts in order; the last belongs to the call or its session alone.
     pub parts: Box<[PromptPart]>,
 }
 
 impl PromptShape {
+    /// Events of the answer's stream that are to be expected, of `event_tokens` tokens each.
+    pub fn expected_events(&self, event_tokens: u32) -> f64 {
+        let tokens = self.expected_tokens.unwrap_or(self.output_tokens);
+        f64::from(tokens) / f64::from(event_tokens.max(1))
+    }
+
     /// The parts that other calls may share: all but the last.
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -37,6 +37,8 @@
     pub timeout: Duration,
     /// Time within which the answer, or the first event of a stream, is wanted.
     pub target: Duration,
+    /// How long callers wait for the first or the next event of a stream before they leave.
+    pub patience: Option<Duration>,
     /// Most upstreams that one call may be sent to.
     pub max_attempts: u32,
     /// Longest pause between two pieces of a stream that is still in time.
@@ -85,6 +87,8 @@
 pub struct EngineSpec {
     /// Tokens that the KV cache holds.
     pub cache_tokens: u64,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u32,
 }
 
 /// A workspace's entry in the configuration.
--- a/kernel/tests/gateway/cache.rs
+++ b/kernel/tests/gateway/cache.rs
@@ -19,6 +19,7 @@
     PromptShape {
         prompt_tokens: 7000,
         output_tokens: 100,
+        expected_tokens: None,
         parts: [
             PromptPart {
                 id: 7,
--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -20,6 +20,7 @@
     PromptShape {
         prompt_tokens: 6000,
         output_tokens: 100,
+        expected_tokens: None,
         parts: parts.into(),
     }
 }
--- a/kernel/tests/gateway/engines.rs
+++ b/kernel/tests/gateway/engines.rs
@@ -33,6 +33,7 @@
     PromptShape {
         prompt_tokens: tokens,
         output_tokens: 100,
+        expected_tokens: None,
         parts: Box::default(),
     }
 }
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod health;
 mod outcome;
+mod pace;
 mod partition;
 mod registry;
 mod rules;
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -119,6 +119,7 @@
     let prompt = PromptShape {
         prompt_tokens: 100,
         output_tokens: 1,
+        expected_tokens: None,
         parts: [
             PromptPart { id: 7, tokens: 90 },
             PromptPart { id: 8, tokens: 10 },
