Play a surge over six nodes and nine engines without a network

Two patterns: answers of some length, where slots bind, and long prompts with short answers, where reading binds.

--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -11,4 +11,5 @@
 mod partition;
 mod registry;
 mod rules;
+mod surge;
 mod waiting;
