Say in the lines why a late call was not sent

Cause: a call that cannot end in its time was refused with the words for a lack of room, and one that was refused as it came had no line between matched and ended.

Change: the line too_late has the expected events, what they need and what is left; the answer says the same in words; monsoon why names it.

--- a/cli/src/why.rs
+++ b/cli/src/why.rs
@@ -79,6 +79,14 @@
         tier: u64,
         waited_ms: u64,
     },
+    #[display(
+        "its stream of about {events} events needed {needs_ms} ms and it had {left_ms} ms left; it did not run"
+    )]
+    TooLate {
+        events: u64,
+        needs_ms: u64,
+        left_ms: u64,
+    },
     #[display("{upstream} did not take it ({end}: {reason}); it did not run")]
     NotTaken {
         upstream: Box<str>,
@@ -126,6 +134,7 @@
             Self::Answered { .. } => "answered",
             Self::Refused { .. } => "refused",
             Self::NoRoom { .. } => "no room",
+            Self::TooLate { .. } => "too late",
             Self::NotTaken { .. } => "not taken",
             Self::NotCarried => "node leaving",
             Self::Failed { .. } => "upstream failed",
@@ -195,6 +204,13 @@
 
 fn not_run(lines: &[Value]) -> CallCause {
     let last = |event: &str| lines.iter().rev().find(|line| line["event"] == event);
+    if let Some(line) = last("too_late") {
+        return CallCause::TooLate {
+            events: number(line, "expected_events"),
+            needs_ms: number(line, "needs_ms"),
+            left_ms: number(line, "left_ms"),
+        };
+    }
     let waited = last("waited").filter(|line| line["found"] == false);
     if let (Some(waited), Some(matched)) = (waited, last("matched")) {
         return CallCause::NoRoom {
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -136,6 +136,17 @@
         /// Whether an upstream had room in the end.
         found: bool,
     },
+    /// A call that is late is not sent, since its stream would not end in its time.
+    TooLate {
+        /// The call.
+        call: &'a str,
+        /// Events that its stream is expected to have.
+        expected_events: u64,
+        /// How long they take at the pace of streams now, in ms.
+        needs_ms: u64,
+        /// What is left of its time, in ms.
+        left_ms: u64,
+    },
     /// An attempt begins.
     Sent {
         /// The call.
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -117,12 +117,9 @@
     after: Option<u64>,
 ) -> Result<OpenAttempt, FailedAttempt> {
     loop {
-        let Some(choice) = waiting::wait_for_room(gateway, call, trail).await else {
-            return Err(FailedAttempt::new(
-                AttemptEnd::NotSent,
-                &"no upstream has room",
-            ));
-        };
+        let choice = waiting::wait_for_room(gateway, call, trail)
+            .await
+            .map_err(|end| FailedAttempt::new(AttemptEnd::NotSent, &end))?;
         trail.tried.push(choice.key);
         match attempt(gateway, call, trail, &choice, after).await {
             Ok(attempt) => return Ok(attempt),
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -49,16 +49,41 @@
     (call.started + target).saturating_sub(spent)
 }
 
-/// Whether a call that is sent now can be expected to end in its time. One that cannot would take an
-/// engine's time from others and be cut. Refusing such calls once they are late halved the calls that
-/// failed in a surge.
-fn can_end(gateway: &Gateway, call: &Call) -> bool {
+/// Why a call gets no upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum WaitEnd {
+    /// There is no upstream at all, or none with room in time.
+    #[display("no upstream has room")]
+    NoRoom,
+    /// Its stream would not end in the time that is left.
+    #[display("its stream would not end in time")]
+    TooLate,
+}
+
+/// Whether a call is late already and cannot be expected to end in its time either. Such a call
+/// would take an engine's time from others and be cut; refusing it at once halved the calls that
+/// failed in a surge. One that was sent before goes on.
+fn is_in_vain(gateway: &Gateway, call: &Call, trail: &CallTrail, hopeful_until: Duration) -> bool {
+    let now = gateway.now();
+    if hopeful_until > now || trail.history.sends > 0 {
+        return false;
+    }
     let (Some(engine), AnswerForm::Events { .. }) = (call.engine, call.class.form) else {
-        return true;
+        return false;
     };
     let events = call.head.prompt.expected_events(engine.event_tokens);
-    let left = call.deadline.saturating_sub(gateway.now());
-    gateway.pace(call).can_end(events, left)
+    let left = call.deadline.saturating_sub(now);
+    let pace = gateway.pace(call);
+    if pace.can_end(events, left) {
+        return false;
+    }
+    gateway.decisions.line(&Decision::TooLate {
+        call: &call.head.id,
+        expected_events: events as u64,
+        needs_ms: millis(pace.time_for(events)),
+        left_ms: millis(left),
+    });
+    true
 }
 
 /// How long a call that comes to wait now may do so: for its part of the time that is left, and no
@@ -71,18 +96,20 @@
     now + part.min(patience.saturating_sub(first))
 }
 
-/// The upstream for a call, once one has room and it is the call's turn. None if there is no
-/// upstream at all, or none with room in time.
+/// The upstream for a call, once one has room and it is the call's turn.
+///
+/// # Errors
+///
+/// If there is none, or the call is not worth sending any more.
 pub async fn wait_for_room(
     gateway: &Rc<Gateway>,
     call: &Call,
     trail: &CallTrail,
-) -> Option<UpstreamChoice> {
+) -> Result<UpstreamChoice, WaitEnd> {
     let hopeful_until = hopeful_until(call);
-    let in_vain = || {
-        let late = hopeful_until <= gateway.now() && trail.history.sends == 0;
-        late && !can_end(gateway, call)
-    };
+    if is_in_vain(gateway, call, trail, hopeful_until) {
+        return Err(WaitEnd::TooLate);
+    }
     let blocked = |rank: Option<WaitRank>| {
         let first = gateway.waiting.borrow().first(&call.pool, gateway.now());
         first.is_some_and(|first| match rank {
@@ -90,15 +117,13 @@
             None => first.tier <= call.tier,
         })
     };
-    if in_vain() {
-        return None;
-    }
     if !blocked(None)
         && let Some(choice) = relay::choose(gateway, call, trail)
     {
-        return Some(choice);
+        return Ok(choice);
     }
     let since = gateway.now();
+    let until = waits_until(gateway, call);
     let rank =
         gateway
             .waiting
@@ -109,20 +134,23 @@
         pool: &call.pool,
         rank,
     };
-    let mut choice = None;
-    let until = waits_until(gateway, call);
-    while choice.is_none() && gateway.now() < until && !in_vain() {
+    let mut found = Err(WaitEnd::NoRoom);
+    while found.is_err() && gateway.now() < until {
+        if is_in_vain(gateway, call, trail, hopeful_until) {
+            found = Err(WaitEnd::TooLate);
+            break;
+        }
         let notice = gateway.room_notice.notified();
         let _ = tokio::time::timeout(LOOK_PAUSE, notice).await;
         if !blocked(Some(rank)) {
-            choice = relay::choose(gateway, call, trail);
+            found = relay::choose(gateway, call, trail).ok_or(WaitEnd::NoRoom);
         }
     }
     drop(place);
     gateway.decisions.line(&Decision::Waited {
         call: &call.head.id,
         waited_ms: millis(gateway.now().saturating_sub(since)),
-        found: choice.is_some(),
+        found: found.is_ok(),
     });
-    choice
+    found
 }
--- a/kernel/src/gateway/pace.rs
+++ b/kernel/src/gateway/pace.rs
@@ -37,7 +37,7 @@
     }
 
     /// How long a stream of so many events takes; nothing before one was seen.
-    fn time_for(&self, events: f64) -> Duration {
+    pub fn time_for(&self, events: f64) -> Duration {
         let first = self.first.unwrap_or_default();
         let event = self.event.unwrap_or_default();
         Duration::from_secs_f64(first + event * (events - 1.0).max(0.0))
