--- a/daemon/tests/gateway/streams.rs
+++ b/daemon/tests/gateway/streams.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use monsoonbank_standin::scripted::ScriptStep::{Close, Hang, Reset, Send, Wait};
+use serde_json::json;
 
-use crate::world::{RawAnswer, World, chunk, event, events, request, script, stream_head, until};
+use crate::world::{
+    RawAnswer, World, chunk, configuration, event, events, request, script, stream_head, until,
+};
 
 fn all_events(first: u64, last: u64) -> String {
     (first..=last).map(event).collect()
@@ -192,3 +195,50 @@
     stays_when_its_host_still_accepts: "/resume/x", 3, false => false, 0;
     stays_when_it_may_run_once: "/stream/x", 0, true => false, 0;
 }
+
+/// A request for a stream of engines, with its time left and its answer's expected tokens.
+fn engine_request(id: &str, left_ms: u64, expected: u32) -> String {
+    let more = format!("X-Token-Counts: 100,400\r\nX-Length-Hint: {expected}\r\n");
+    request("/stream/x", id, &more)
+        .replace("X-Deadline-Ms: 2500", &format!("X-Deadline-Ms: {left_ms}"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_call_is_sent_only_if_it_can_end_at_the_pace_of_streams() {
+    // Three events, 100 ms apart.
+    let slow = script(|request, _| {
+        let pause = Wait(Duration::from_millis(100));
+        let mut steps = vec![Send(stream_head(request))];
+        for id in 1..=3 {
+            steps.extend([Send(events(id, id)), pause.clone()]);
+        }
+        steps.push(Send(b"0\r\n\r\n".to_vec()));
+        steps
+    });
+    let world = World::start(&["east"], vec![slow]).await;
+    let mut with_engines = configuration(2);
+    with_engines["services"][0]["engine"] = json!({ "kvCapacity": 100_000, "stride": 1 });
+    world.publish(&with_engines);
+    let in_force = |line: &serde_json::Value| line["version"] == 2;
+    until("the version is in force", async || {
+        world.nodes[0].lines().iter().any(in_force)
+    })
+    .await;
+    // Callers have 3 s in all, so that one with 1 s left is late.
+    let fresh = world.send(&engine_request("a1", 3000, 100)).await;
+    assert!(
+        fresh.complete,
+        "one that is not late is sent whatever it needs"
+    );
+    let long = world.send(&engine_request("a2", 1000, 100)).await;
+    assert_eq!(long.status, 503, "{}", long.head);
+    assert!(long.has("retry-after"), "{}", long.head);
+    assert_eq!(world.arrivals(), 1);
+    let short = world.send(&engine_request("a3", 1000, 4)).await;
+    assert!(short.complete && short.status == 200, "{}", short.head);
+    let said = |line: &serde_json::Value| line["event"] == "too_late" && line["call"] == "a2";
+    until("it is written down", async || {
+        world.nodes[0].lines().iter().any(said)
+    })
+    .await;
+}
