Tell quick words to entries alone, also from busy nodes that are none

Cause: a node with calls told four further nodes of its zone every 50 ms, which seldom send calls; a node whose callers keep an old address was told as no entry and reached others in turn only.

Change: other nodes get a word every 200 ms, a node with calls tells the entries.

Kept for what it saves.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -19,22 +19,27 @@
 /// How often a node speaks.
 #[derive(Clone, Copy, Debug)]
 struct WordPace {
-    /// Time between two words to nodes of the same availability zone, which share its upstreams.
+    /// Time between two words to the entries of the same availability zone, which share its
+    /// upstreams.
     near: Duration,
-    /// Near words for each word to nodes of other zones.
-    near_words: u64,
+    /// Words to them for each round to the zone's other nodes.
+    other_words: u64,
+    /// Words to them for each round to nodes of other zones.
+    far_words: u64,
 }
 
 /// Of a node without calls at upstreams: what it tells changes seldom.
 const IDLE_PACE: WordPace = WordPace {
     near: Duration::from_millis(200),
-    near_words: 2,
+    other_words: 1,
+    far_words: 2,
 };
 /// Of a node with calls: an engine takes and ends one in some 50 ms. With words every 200 ms, a tenth
 /// to a third more calls of a surge were refused while engines had room.
 const BUSY_PACE: WordPace = WordPace {
     near: Duration::from_millis(50),
-    near_words: 4,
+    other_words: 4,
+    far_words: 4,
 };
 /// Words in a round to nodes that are not named to callers: enough that each of thirty is told
 /// within 1.5 s.
@@ -155,16 +160,18 @@
         let near = PeerTargets::find(&gateway, &word, true);
         let far = PeerTargets::find(&gateway, &word, false);
         let word = PeerMessage::Word(word);
-        for to in near.next(&mut near_turn, announced) {
+        round += 1;
+        let is_due = |words: u64| announced || round % words == 0;
+        let others = is_due(pace.other_words).then_some(&mut near_turn);
+        for to in near.next(others, announced) {
             send(&socket, to, &word).await;
         }
-        round += 1;
-        if !announced && round % pace.near_words != 0 {
+        if !is_due(pace.far_words) {
             continue;
         }
         let word = PeerMessage::Word(own_word(&gateway, longest_parts(&far_parts)));
         far_parts.clear();
-        for to in far.next(&mut far_turn, announced) {
+        for to in far.next(Some(&mut far_turn), announced) {
             send(&socket, to, &word).await;
         }
         for seed in seeds
@@ -206,7 +213,13 @@
         let is_entry = fleet::entries(words(), &own.zone)
             .iter()
             .any(|word| word.name == own.name);
-        let entries = if is_entry { entries } else { BTreeSet::new() };
+        // Callers that keep an old address go on at a node that is no entry any more.
+        let tells_entries = is_entry || !own.work.is_empty();
+        let entries = if tells_entries {
+            entries
+        } else {
+            BTreeSet::new()
+        };
         let others = fleet
             .iter()
             .filter(|peer| (peer.word.zone == own.zone) == near)
@@ -219,8 +232,12 @@
         }
     }
 
-    /// Targets of one round: what it costs does not grow with the fleet, but for announcements.
-    fn next(&self, turn: &mut usize, announced: bool) -> Vec<SocketAddr> {
+    /// Targets of one round: the entries, and the next of the other nodes if it is their turn. What
+    /// it costs does not grow with the fleet, but for announcements.
+    fn next(&self, turn: Option<&mut usize>, announced: bool) -> Vec<SocketAddr> {
+        let Some(turn) = turn else {
+            return self.entries.clone();
+        };
         let most = if announced { usize::MAX } else { MOST_OTHERS };
         let count = self.others.len().min(most);
         let from = *turn;
