--- a/daemon/src/gateway/intake.rs
+++ b/daemon/src/gateway/intake.rs
@@ -45,8 +45,6 @@
     pub engine: Option<EngineSpec>,
     /// Whether its pauses have to be the shortest of its pool.
     pub tight: bool,
-    /// The shortest target that it has to leave within reach of others.
-    pub protected_target: Duration,
     /// Its rank; 0 is the most urgent.
     pub tier: u8,
     /// Number of ranks.
@@ -118,7 +116,6 @@
     let call = Call {
         engine: rules.pool(&pool).and_then(|pool| pool.engine),
         tight: rules.is_tight(rule),
-        protected_target: rules.protected_target(rule),
         tiers: rules.tiers(),
         class: rule.class.clone(),
         tier,
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -144,7 +144,6 @@
         silent,
         prompt: &call.head.prompt,
         target: call.class.target,
-        protected_target: call.protected_target,
         tier: call.tier,
         tiers: call.tiers,
         tight: call.tight,
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -62,8 +62,6 @@
     pub prompt: &'a PromptShape,
     /// Time within which the first piece of its answer is wanted.
     pub target: Duration,
-    /// The shortest such time of calls that are as urgent or more: it has to stay within reach.
-    pub protected_target: Duration,
     /// Its rank; 0 is the most urgent.
     pub tier: u8,
     /// Number of ranks.
--- a/kernel/src/gateway/room.rs
+++ b/kernel/src/gateway/room.rs
@@ -15,10 +15,8 @@
 /// Part of an engine's slots, at most, that a node leaves to those that go before it there. Without
 /// an order all nodes take the slot that falls free, since each learns of it by the same word.
 const UNSEEN_PART: f64 = 0.05;
-/// Part of a target that the prompts before a call may take to be read. Slots alone let prompts pile
-/// up until every first token is late; this keeps engines reading and their calls in time. It is the
-/// shortest target of calls as urgent as this one or more: with its own, patient calls found room
-/// where more urgent ones were refused.
+/// Part of a call's target that the prompts before it may take to be read. Slots alone let prompts
+/// pile up until every first token is late; this keeps engines reading and their calls in time.
 const READING_PART: f64 = 0.5;
 /// Prompt tokens that an engine reads in one step.
 const CHUNK_TOKENS: u32 = 2048;
@@ -41,7 +39,7 @@
         return false;
     }
     let alone = total.calls == 0;
-    if !alone && reading_time(place) > input.protected_target.mul_f64(READING_PART) {
+    if !alone && reading_time(place) > input.target.mul_f64(READING_PART) {
         return false;
     }
     let reserved = RESERVED_PART * f64::from(input.tier) / f64::from(input.tiers.max(1));
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -209,32 +209,15 @@
 
     /// Whether no other class of the rule's pools wants shorter pauses.
     pub fn is_tight(&self, rule: &CallRule) -> bool {
-        let gaps = self.sharing_pools(rule);
+        let shares_pool = |other: &&CallRule| {
+            let shared = |share: &PoolShare| rule.pools.iter().any(|own| own.pool == share.pool);
+            other.pools.iter().any(shared)
+        };
+        let gaps = self.rules.values().flatten().filter(shares_pool);
         let shortest = gaps.filter_map(|other| other.class.gap).min();
         rule.class.gap.is_some_and(|gap| shortest == Some(gap))
     }
 
-    /// The shortest target that a rule's calls have to leave within reach at their upstreams: of the
-    /// classes of its pools that are as urgent or more. Tight streams have engines kept for them.
-    pub fn protected_target(&self, rule: &CallRule) -> Duration {
-        let urgent = |other: &&CallRule| other.class.tier <= rule.class.tier;
-        let others = self.sharing_pools(rule).filter(urgent);
-        let targets = others
-            .filter(|other| !self.is_tight(other))
-            .map(|other| other.class.target);
-        targets
-            .min()
-            .unwrap_or(rule.class.target)
-            .min(rule.class.target)
-    }
-
-    /// Rules that share a pool with this one, itself included.
-    fn sharing_pools<'a>(&'a self, rule: &'a CallRule) -> impl Iterator<Item = &'a CallRule> {
-        let is_shared = |share: &PoolShare| rule.pools.iter().any(|own| own.pool == share.pool);
-        let rules = self.rules.values().flatten();
-        rules.filter(move |other| other.pools.iter().any(is_shared))
-    }
-
     /// A pool by name.
     pub fn pool(&self, name: &str) -> Option<&PoolSpec> {
         self.pools.get(name)
