--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -269,3 +269,35 @@
     let second = choose(&registry, &input(&prompt, false)).expect("a choice");
     assert_eq!(second.key, first.key);
 }
+
+/// The room that engines' KV caches have, once calls hold most of it. A surge fills all engines up to
+/// what the least urgent may take; what is left above that has to fit a prompt of the next rank, or
+/// those are refused while long patient ones are sent by whichever node sees room first.
+#[test]
+fn what_the_least_urgent_leave_fits_a_prompt_of_the_next_rank() {
+    let prompt = bulk(6000);
+    let most_held = |tier: u8| {
+        let room_at = |held_tokens: u32| {
+            let mut registry = registry(&["east"], 48);
+            let item = WorkItem {
+                held_tokens,
+                ..WorkItem::default()
+            };
+            load(&mut registry, "i-0", item, 1);
+            let call = ChoiceInput {
+                tier,
+                tiers: 6,
+                ..input(&prompt, false)
+            };
+            choose(&registry, &call).is_some()
+        };
+        (0..500_000)
+            .step_by(1000)
+            .rev()
+            .find(|held| room_at(*held))
+            .expect("room")
+    };
+    for tier in 0..5 {
+        assert!(most_held(tier) >= most_held(tier + 1) + 2 * 6000, "{tier}");
+    }
+}
