--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -43,6 +43,12 @@
         rules: usize,
         /// `store` or the node that it came from.
         source: &'a str,
+        /// Its size, in bytes.
+        bytes: usize,
+        /// Time that reading its text took, in us: no call goes on meanwhile.
+        decode_us: u64,
+        /// Time since another node first told of it or a newer one, in ms; none if none did.
+        lag_ms: Option<u64>,
     },
     /// A configuration was not taken; the older stays in force.
     ConfigurationRejected {
@@ -94,10 +100,16 @@
         /// Its availability zone.
         zone: &'a str,
     },
-    /// Nothing was fetched from another node.
+    /// Something was not fetched from another node.
     FetchFailed {
         /// The node.
         peer: &'a str,
+        /// What: `configuration` or `registry`.
+        part: &'a str,
+        /// Bytes of it that came.
+        received: usize,
+        /// How long it was tried, in ms.
+        took_ms: u64,
         /// Why.
         reason: &'a str,
     },
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use derive_more::Display;
+use http_body_util::Empty;
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use monsoonbank_kernel::gateway::fleet::{FleetPeer, NodeWord};
 use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry};
+use monsoonbank_platform::body::{self, BodyError};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -25,8 +27,6 @@
 /// Time over which fetches are spread that one word sets off: a node with 10 Mbit/s sends 25 kB, a
 /// usual configuration, in 20 ms, and those who have it become sources.
 const FETCH_SPREAD: Duration = Duration::from_millis(250);
-/// Largest answer that is taken.
-const MOST_BYTES: usize = 16 << 20;
 
 /// Why nothing was fetched.
 #[derive(Debug, Error)]
@@ -39,16 +39,13 @@
     Http(#[from] hyper::Error),
     /// The answer is too large or broke off.
     #[error("{0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] BodyError),
     /// No answer came in time.
     #[error("no answer in time")]
     TimedOut,
     /// The node has nothing to give.
     #[error("the node has nothing to give")]
     Nothing,
-    /// The answer is not in the expected form.
-    #[error("{0}")]
-    Malformed(#[from] ciborium::de::Error<std::io::Error>),
 }
 
 /// Fetches what `word` shows that its node has and this one lacks. One fetch at a time: the next
@@ -68,14 +65,7 @@
         let lacking = lacks(&gateway, &word);
         if lacking.any() {
             let (peer, address) = source(&gateway, &word, turn);
-            let fetched = fetch_all(&gateway, &peer, address, lacking.rules).await;
-            if let Err(error) = fetched {
-                let reason = error.to_string();
-                gateway.decisions.line(&Decision::FetchFailed {
-                    peer: &peer,
-                    reason: &reason,
-                });
-            }
+            fetch_all(&gateway, &peer, address, lacking.rules).await;
             tokio::time::sleep(FETCH_PAUSE).await;
         }
         gateway.fetching.set(false);
@@ -119,20 +109,39 @@
     (word.name.clone(), word.peers)
 }
 
-async fn fetch_all(
-    gateway: &Gateway,
-    peer: &str,
-    address: SocketAddr,
-    rules: bool,
-) -> Result<(), FetchError> {
+/// What can be fetched from a node.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum FetchPart {
+    #[display("configuration")]
+    Configuration,
+    #[display("registry")]
+    Registry,
+}
+
+impl FetchPart {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Configuration => desk::CONFIGURATION_PATH,
+            Self::Registry => desk::REGISTRY_PATH,
+        }
+    }
+}
+
+/// Fetches the configuration if it is lacking, and the registry; what fails is written down.
+async fn fetch_all(gateway: &Gateway, peer: &str, address: SocketAddr, rules: bool) {
     if rules {
-        let bytes = fetch(address, desk::CONFIGURATION_PATH).await?;
+        let Some(bytes) = fetch(gateway, peer, address, FetchPart::Configuration).await else {
+            return;
+        };
         follow::take_configuration(gateway, &bytes, peer);
     }
-    let bytes = fetch(address, desk::REGISTRY_PATH).await?;
-    let entries: Vec<(UpstreamEntry, bool)> = ciborium::from_reader(&bytes[..])?;
-    take_entries(gateway, entries);
-    Ok(())
+    let Some(bytes) = fetch(gateway, peer, address, FetchPart::Registry).await else {
+        return;
+    };
+    match ciborium::from_reader::<Vec<(UpstreamEntry, bool)>, _>(&bytes[..]) {
+        Ok(entries) => take_entries(gateway, entries),
+        Err(error) => log::warn!("the registry of {peer} is malformed: {error}"),
+    }
 }
 
 /// Takes another node's entries in: an upstream that left there has left.
@@ -161,12 +170,41 @@
     gateway.store.set(view);
 }
 
-async fn fetch(address: SocketAddr, path: &str) -> Result<Bytes, FetchError> {
-    let fetching = tokio::time::timeout(FETCH_TIMEOUT, exchange(address, path));
-    fetching.await.unwrap_or(Err(FetchError::TimedOut))
+/// None if it failed, which is written down.
+async fn fetch(
+    gateway: &Gateway,
+    peer: &str,
+    address: SocketAddr,
+    part: FetchPart,
+) -> Option<Bytes> {
+    let started = gateway.now();
+    let mut received = 0;
+    let exchanging = exchange(address, part.path(), &mut received);
+    let fetched = tokio::time::timeout(FETCH_TIMEOUT, exchanging)
+        .await
+        .unwrap_or(Err(FetchError::TimedOut));
+    let outcome = if fetched.is_ok() { "used" } else { "wasted" };
+    gateway.metrics.count_learnt("nodes", outcome, received);
+    match fetched {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            gateway.decisions.line(&Decision::FetchFailed {
+                peer,
+                part: &part.to_string(),
+                received,
+                took_ms: millis(gateway.now().saturating_sub(started)),
+                reason: &error.to_string(),
+            });
+            None
+        }
+    }
 }
 
-async fn exchange(address: SocketAddr, path: &str) -> Result<Bytes, FetchError> {
+async fn exchange(
+    address: SocketAddr,
+    path: &str,
+    received: &mut usize,
+) -> Result<Bytes, FetchError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -183,9 +221,7 @@
         task.abort();
         return Err(FetchError::Nothing);
     }
-    let body = Limited::new(response.into_body(), MOST_BYTES)
-        .collect()
-        .await;
+    let body = body::read_whole(response.into_body(), received).await;
     task.abort();
-    Ok(body.map_err(FetchError::Body)?.to_bytes())
+    Ok(body?)
 }
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -55,6 +55,7 @@
     random: Pcg64Mcg,
     failures: u32,
     lost_since: Option<Duration>,
+    counted_bytes: usize,
 }
 
 impl StoreReader {
@@ -66,11 +67,12 @@
             random,
             failures: 0,
             lost_since: None,
+            counted_bytes: 0,
         }
     }
 
     fn succeeded(&mut self) {
-        self.count("answered");
+        self.count("answered", "used");
         self.failures = 0;
         let Some(since) = self.lost_since.take() else {
             return;
@@ -88,7 +90,7 @@
     }
 
     async fn failed(&mut self, error: &StoreError) {
-        self.count("failed");
+        self.count("failed", "wasted");
         let now = self.gateway.now();
         let mut view = self.gateway.store.get();
         view.failed_at = Some(now);
@@ -109,12 +111,15 @@
         tokio::time::sleep(pause).await;
     }
 
-    fn count(&self, outcome: &str) {
-        self.gateway
-            .metrics
+    fn count(&mut self, outcome: &str, bytes_outcome: &str) {
+        let metrics = &self.gateway.metrics;
+        metrics
             .store_calls
             .with_label_values(&[self.name, outcome])
             .inc();
+        let received = self.client.received();
+        metrics.count_learnt("store", bytes_outcome, received - self.counted_bytes);
+        self.counted_bytes = received;
     }
 
     /// Whether the store has been well for long enough to trust that a missing entry means leaving.
@@ -203,6 +208,7 @@
 
 /// Puts a configuration in force if it is newer than the one in force.
 pub fn take_configuration(gateway: &Gateway, bytes: &Bytes, source: &str) {
+    let started = gateway.now();
     let rules = match configuration::decode(bytes) {
         Ok(rules) => rules,
         Err(error) => {
@@ -220,10 +226,16 @@
     {
         return;
     }
+    let decoded = gateway.now();
+    let (told, since) = gateway.newest_told.get();
+    let lag = (told >= rules.version).then(|| decoded.saturating_sub(since));
     gateway.decisions.line(&Decision::ConfigurationApplied {
         version: rules.version,
         rules: rules.rule_count(),
         source,
+        bytes: bytes.len(),
+        decode_us: u64::try_from(decoded.saturating_sub(started).as_micros()).unwrap_or(u64::MAX),
+        lag_ms: lag.map(millis),
     });
     gateway
         .metrics
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -23,6 +23,8 @@
     pub first_piece: HistogramVec,
     /// Calls to the store, by reader and outcome.
     pub store_calls: IntCounterVec,
+    /// Bytes of configurations and registries received, by source and whether they were of use.
+    pub learnt_bytes: IntCounterVec,
     /// Connections to upstreams that were opened, by pool.
     pub channels_opened: IntCounterVec,
     /// Version of the configuration in force.
@@ -75,6 +77,11 @@
                 "Calls to the platform's store",
                 &["reader", "outcome"],
             ),
+            learnt_bytes: counter(
+                "monsoonbank_learnt_bytes_total",
+                "Bytes of configurations and registries received",
+                &["source", "outcome"],
+            ),
             channels_opened: counter(
                 "monsoonbank_upstream_connections_total",
                 "Connections to upstreams that were opened",
@@ -86,6 +93,13 @@
         }
     }
 
+    /// Counts bytes that were received of `source`: the store, or other nodes.
+    pub fn count_learnt(&self, source: &str, outcome: &str, bytes: usize) {
+        self.learnt_bytes
+            .with_label_values(&[source, outcome])
+            .inc_by(bytes as u64);
+    }
+
     /// Counts a first piece.
     pub fn observe_first(&self, tier: u8, took: Duration) {
         let tier = tier.to_string();
