Bound answers by their pace, not by a time for the whole

Cause: a fetch between nodes had 0.5 s and a read of the store 0.8 s from the first byte sent to the last byte read. Over 10 Mbit/s no configuration above 0.6 and 1 MB can pass, each try began anew, and the tries took the link from each other. As every node that lagged read the store, it sent more than its 80 MB a second and then answered none.

A read of the store does not join a fetch that goes on, for 2 s at most; reads that may be large double their patience after time-outs, to 3.2 s, so that a busy store is not asked again for what it is about to send. A fetch asks for the registry only if that differs, and first.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -32,6 +32,7 @@
 use monsoonbank_kernel::clock::{Clock, MonotonicClock};
 use monsoonbank_kernel::gateway::budget::RetryBudget;
 use monsoonbank_kernel::gateway::fleet::FleetView;
+use monsoonbank_kernel::gateway::lag::VersionLag;
 use monsoonbank_kernel::gateway::pace::{StreamKind, StreamPace};
 use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
 use monsoonbank_kernel::gateway::rules::RuleTable;
@@ -114,8 +115,8 @@
     pub announcement: tokio::sync::Notify,
     /// Whether something is being fetched from another node.
     pub fetching: Cell<bool>,
-    /// The newest version that any node told, and when it was told first.
-    pub newest_told: Cell<(u64, Duration)>,
+    /// The newest version that any node told, and how fetching it goes.
+    pub lag: Cell<VersionLag>,
 }
 
 impl Gateway {
@@ -139,11 +140,21 @@
             .is_reader(&settings.name, &settings.zone, self.now())
     }
 
-    /// Whether a newer version has been told for so long that fetching it from others has failed.
+    /// Version of the configuration in force; 0 is none.
+    pub fn version(&self) -> u64 {
+        self.rules().map_or(0, |rules| rules.version)
+    }
+
+    /// Whether a newer version has been told for so long that this node has to read the store for it.
     pub fn lags_behind(&self) -> bool {
-        let (version, since) = self.newest_told.get();
-        let own_version = self.rules().map_or(0, |rules| rules.version);
-        version > own_version && self.now() > since + LAG_TIME
+        self.lag.get().is_behind(self.version(), self.now())
+    }
+
+    /// Takes in that a piece of something fetched from another node came.
+    pub fn piece_came(&self) {
+        let mut lag = self.lag.get();
+        lag.piece_came(self.now());
+        self.lag.set(lag);
     }
 
     /// Whether a call to the store failed lately, so that a read that is kept waiting may have
@@ -183,9 +194,6 @@
     }
 }
 
-/// Time that a node has to fetch a new version from others before it reads the store: two tries. A
-/// version has to be in force within 2 s.
-const LAG_TIME: Duration = Duration::from_millis(700);
 /// Time for which a node that leaves goes on taking calls. Callers that keep its address for longer
 /// find its port closed; a call that is taken later may not end within the grace period.
 const LINGER: Duration = Duration::from_millis(2500);
@@ -224,7 +232,7 @@
         configuration_nudge: tokio::sync::Notify::new(),
         announcement: tokio::sync::Notify::new(),
         fetching: Cell::new(false),
-        newest_told: Cell::new((0, Duration::ZERO)),
+        lag: Cell::default(),
         settings,
     });
     gateway.decisions.line(&Decision::Started {
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -7,21 +7,24 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http_body_util::Empty;
-use hyper::Request;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use monsoonbank_kernel::gateway::fleet::{FleetPeer, NodeWord};
 use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry};
 use monsoonbank_platform::body::{self, BodyError};
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::{Gateway, desk, follow};
 
-/// Time for a node to answer. Zones are a few ms apart; a configuration has some 100 kB.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time in which a node has to begin its answer, and longest pause within it. Zones are a few ms apart,
+/// and a node is busy for 0.1 s at most while it takes in a large configuration.
+const FETCH_SILENCE: Duration = Duration::from_millis(500);
 /// Least time between two fetches: what a node that lags costs others.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
 /// Time over which fetches are spread that one word sets off: a node with 10 Mbit/s sends 25 kB, a
@@ -51,10 +54,9 @@
 /// Fetches what `word` shows that its node has and this one lacks. One fetch at a time: the next
 /// word tells again.
 pub fn catch_up(gateway: &Rc<Gateway>, word: &NodeWord) {
-    let (told, _) = gateway.newest_told.get();
-    if word.version > told {
-        gateway.newest_told.set((word.version, gateway.now()));
-    }
+    let mut lag = gateway.lag.get();
+    lag.told(word.version, gateway.now());
+    gateway.lag.set(lag);
     if !lacks(gateway, word).any() || gateway.fetching.replace(true) {
         return;
     }
@@ -65,7 +67,7 @@
         let lacking = lacks(&gateway, &word);
         if lacking.any() {
             let (peer, address) = source(&gateway, &word, turn);
-            fetch_all(&gateway, &peer, address, lacking.rules).await;
+            fetch_all(&gateway, &peer, address, lacking).await;
             tokio::time::sleep(FETCH_PAUSE).await;
         }
         gateway.fetching.set(false);
@@ -86,12 +88,11 @@
 }
 
 fn lacks(gateway: &Gateway, word: &NodeWord) -> LackingPart {
-    let own_version = gateway.rules().map_or(0, |rules| rules.version);
     let reads_itself = gateway.is_reader() && !gateway.store_doubtful();
     let differs = word.registry_digest != gateway.registry.borrow().digest();
     let unknown = !gateway.store.get().registry_known && word.registry_digest != 0;
     LackingPart {
-        rules: word.version > own_version,
+        rules: word.version > gateway.version(),
         entries: differs && word.store_well && !reads_itself || unknown,
     }
 }
@@ -127,21 +128,23 @@
     }
 }
 
-/// Fetches the configuration if it is lacking, and the registry; what fails is written down.
-async fn fetch_all(gateway: &Gateway, peer: &str, address: SocketAddr, rules: bool) {
-    if rules {
+/// Fetches what is lacking, the registry first, as it is smaller; what fails is written down.
+async fn fetch_all(gateway: &Gateway, peer: &str, address: SocketAddr, lacking: LackingPart) {
+    if lacking.entries {
+        let Some(bytes) = fetch(gateway, peer, address, FetchPart::Registry).await else {
+            return;
+        };
+        match ciborium::from_reader::<Vec<(UpstreamEntry, bool)>, _>(&bytes[..]) {
+            Ok(entries) => take_entries(gateway, entries),
+            Err(error) => log::warn!("the registry of {peer} is malformed: {error}"),
+        }
+    }
+    if lacking.rules {
         let Some(bytes) = fetch(gateway, peer, address, FetchPart::Configuration).await else {
             return;
         };
         follow::take_configuration(gateway, &bytes, peer);
     }
-    let Some(bytes) = fetch(gateway, peer, address, FetchPart::Registry).await else {
-        return;
-    };
-    match ciborium::from_reader::<Vec<(UpstreamEntry, bool)>, _>(&bytes[..]) {
-        Ok(entries) => take_entries(gateway, entries),
-        Err(error) => log::warn!("the registry of {peer} is malformed: {error}"),
-    }
 }
 
 /// Takes another node's entries in: an upstream that left there has left.
@@ -179,10 +182,11 @@
 ) -> Option<Bytes> {
     let started = gateway.now();
     let mut received = 0;
-    let exchanging = exchange(address, part.path(), &mut received);
-    let fetched = tokio::time::timeout(FETCH_TIMEOUT, exchanging)
-        .await
-        .unwrap_or(Err(FetchError::TimedOut));
+    let on_piece = |bytes| {
+        received += bytes;
+        gateway.piece_came();
+    };
+    let fetched = exchange(address, part.path(), on_piece).await;
     let outcome = if fetched.is_ok() { "used" } else { "wasted" };
     gateway.metrics.count_learnt("nodes", outcome, received);
     match fetched {
@@ -203,8 +207,22 @@
 async fn exchange(
     address: SocketAddr,
     path: &str,
-    received: &mut usize,
+    on_piece: impl FnMut(usize),
 ) -> Result<Bytes, FetchError> {
+    let beginning = tokio::time::timeout(FETCH_SILENCE, begin(address, path)).await;
+    let (response, _connection) = beginning.map_err(|_| FetchError::TimedOut)??;
+    if !response.status().is_success() {
+        return Err(FetchError::Nothing);
+    }
+    Ok(body::read_whole(response.into_body(), FETCH_SILENCE, on_piece).await?)
+}
+
+/// Sends a request on a connection of its own, which ends when what is given with the answer is
+/// dropped.
+async fn begin(
+    address: SocketAddr,
+    path: &str,
+) -> Result<(Response<Incoming>, AbortOnDropHandle<()>), FetchError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -212,16 +230,11 @@
         // What ends the connection is told to the request.
         let _ = connection.await;
     });
+    let connection = AbortOnDropHandle::new(task);
     let mut request = Request::new(Empty::<Bytes>::new());
     if let Ok(target) = path.parse() {
         *request.uri_mut() = target;
     }
     let response = sender.send_request(request).await?;
-    if !response.status().is_success() {
-        task.abort();
-        return Err(FetchError::Nothing);
-    }
-    let body = body::read_whole(response.into_body(), received).await;
-    task.abort();
-    Ok(body?)
+    Ok((response, connection))
 }
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -20,8 +20,12 @@
 /// Time between two reads of the registry: an upstream that leaves has to be known well within
 /// two seconds, and each read is one call.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
-/// Time beyond the wait that the store gets to answer. It takes 4 ms when it is well.
+/// Time beyond the wait that the store gets to begin its answer. It takes 4 ms when it is well.
 const PATIENCE: Duration = Duration::from_millis(800);
+/// How often `PATIENCE` is doubled at most for an answer that may be large: many nodes that read 2 MB
+/// each keep a store that sends 80 MB a second busy for seconds, and who gives up and asks again only
+/// adds to that.
+const MOST_DOUBLINGS: u32 = 2;
 /// Time between two looks of a node that does not read at whether it should.
 const TURN_PAUSE: Duration = Duration::from_millis(250);
 /// First pause after a failed call; doubles up to `LONGEST_PAUSE`.
@@ -54,6 +58,7 @@
     name: &'static str,
     random: Pcg64Mcg,
     failures: u32,
+    timeouts: u32,
     lost_since: Option<Duration>,
     counted_bytes: usize,
 }
@@ -66,6 +71,7 @@
             name,
             random,
             failures: 0,
+            timeouts: 0,
             lost_since: None,
             counted_bytes: 0,
         }
@@ -74,6 +80,7 @@
     fn succeeded(&mut self) {
         self.count("answered", "used");
         self.failures = 0;
+        self.timeouts = 0;
         let Some(since) = self.lost_since.take() else {
             return;
         };
@@ -105,6 +112,9 @@
         }
         let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(4));
         self.failures += 1;
+        if matches!(error, StoreError::TimedOut | StoreError::Body(_)) {
+            self.timeouts += 1;
+        }
         let pause = pause
             .min(LONGEST_PAUSE)
             .mul_f64(self.random.random_range(0.5..1.0));
@@ -122,6 +132,11 @@
         self.counted_bytes = received;
     }
 
+    /// Time for an answer that may be large to begin.
+    fn patience(&self) -> Duration {
+        PATIENCE * 2_u32.pow(self.timeouts.min(MOST_DOUBLINGS))
+    }
+
     /// Whether the store has been well for long enough to trust that a missing entry means leaving.
     fn trusted(&self) -> bool {
         !self.gateway.store_doubtful()
@@ -159,9 +174,10 @@
 }
 
 async fn newest_configuration(reader: &mut StoreReader) -> Result<u64, StoreError> {
+    let patience = reader.patience();
     let snapshot = reader
         .client
-        .newest(names::OPERATOR_TOPIC, PATIENCE)
+        .newest(names::OPERATOR_TOPIC, patience)
         .await?;
     take_configurations(&reader.gateway, &snapshot.records);
     Ok(snapshot.end)
@@ -174,14 +190,15 @@
     } else {
         CONFIGURATION_WAIT
     };
+    let patience = reader.patience();
     let reading = reader
         .client
-        .read(names::OPERATOR_TOPIC, from, wait, PATIENCE);
+        .read(names::OPERATOR_TOPIC, from, wait, patience);
     let batch = tokio::select! {
         batch = reading => batch?,
         () = gateway.configuration_nudge.notified() => {
             reader.client.reconnect();
-            let again = reader.client.read(names::OPERATOR_TOPIC, from, Duration::ZERO, PATIENCE);
+            let again = reader.client.read(names::OPERATOR_TOPIC, from, Duration::ZERO, patience);
             again.await?
         }
     };
@@ -227,8 +244,7 @@
         return;
     }
     let decoded = gateway.now();
-    let (told, since) = gateway.newest_told.get();
-    let lag = (told >= rules.version).then(|| decoded.saturating_sub(since));
+    let lag = gateway.lag.get().since(rules.version, decoded);
     gateway.decisions.line(&Decision::ConfigurationApplied {
         version: rules.version,
         rules: rules.rule_count(),
@@ -284,9 +300,10 @@
 }
 
 async fn newest_registry(reader: &mut StoreReader) -> Result<u64, StoreError> {
+    let patience = reader.patience();
     let snapshot = reader
         .client
-        .newest(names::UPSTREAM_TOPIC, PATIENCE)
+        .newest(names::UPSTREAM_TOPIC, patience)
         .await?;
     let trusted = reader.trusted();
     let gateway = &reader.gateway;
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -110,7 +110,7 @@
         peers: settings.peer_address(),
         ready: gateway.is_ready(),
         capacity: (settings.limits.cores * CALLS_PER_CORE) as u32,
-        version: gateway.rules().map_or(0, |rules| rules.version),
+        version: gateway.version(),
         store_well: gateway.store.get().registry_known && !gateway.store_doubtful(),
         registry_digest: registry.digest(),
         work,
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod fleet;
 pub mod health;
+pub mod lag;
 pub mod load;
 pub mod outcome;
 pub mod pace;
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod fleet;
 mod health;
+mod lag;
 mod outcome;
 mod pace;
 mod partition;
