Bound the product's own reads of the log and the host list by their pace as well

The same cause in the other router: an answer of the log had 8 s in all, 5 s of waiting for news included, one of the host list 3 s, an append 5 s with its upload. All three are bounded by silence and 125 kB a second now, by the one rule in kernel/src/transfer.rs that the gateway's reads follow too.

--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -6,19 +6,23 @@
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::membership::HostEntry;
 use monsoonbank_kernel::record::{AppendResult, AppendTicket, LogRecord, Record};
+use monsoonbank_kernel::transfer::{self, TransferPace};
 use reqwest::StatusCode;
+use reqwest::header::CONTENT_TYPE;
 use serde::Deserialize;
 use serde_json::Value;
+use thiserror::Error;
+use tokio::time::timeout;
 
 use crate::shared::NodeShared;
 
 /// How long the log may hold a read back until there is something new.
 const READ_WAIT: Duration = Duration::from_secs(5);
-/// Longest wait for an answer to a read, its own wait included.
-const READ_TIMEOUT: Duration = Duration::from_secs(8);
-/// Longest wait for an answer to an append.
+/// Time beyond that in which the log or the host list has to begin its answer, and longest pause within
+/// it: thousands of times what they take when they are well, and short beside their outages.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Longest wait for an answer to an append, beyond the time that the record needs at the least pace.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
-const HOSTS_TIMEOUT: Duration = Duration::from_secs(3);
 /// Most records in one read.
 const READ_LIMIT: usize = 1_000;
 
@@ -56,16 +60,57 @@
     });
 }
 
-async fn read(shared: &NodeShared, from: u64) -> Result<Event, reqwest::Error> {
+/// Why a question to the platform has no answer.
+#[derive(Debug, Error)]
+enum PlatformError {
+    #[error("{0}")]
+    Http(#[from] reqwest::Error),
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("the answer stalled, {received} bytes came")]
+    Stalled { received: usize },
+    #[error("refused with {0}")]
+    Refused(StatusCode),
+    #[error("the answer is malformed: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
+/// Asks and reads the answer whole; it may be held back for `wait`.
+async fn ask(
+    shared: &NodeShared,
+    url: &str,
+    wait: Duration,
+) -> Result<(StatusCode, Vec<u8>), PlatformError> {
+    let beginning = timeout(wait + PATIENCE, shared.client.get(url).send()).await;
+    let mut response = beginning.map_err(|_| PlatformError::TimedOut)??;
+    let mut pace = TransferPace::new(PATIENCE, shared.now());
+    let mut body = Vec::new();
+    loop {
+        let Ok(piece) = timeout(pace.time_left(shared.now()), response.chunk()).await else {
+            let received = pace.received();
+            return Err(PlatformError::Stalled { received });
+        };
+        let Some(piece) = piece? else {
+            return Ok((response.status(), body));
+        };
+        pace.piece_came(piece.len());
+        body.extend_from_slice(&piece);
+    }
+}
+
+async fn read(shared: &NodeShared, from: u64) -> Result<Event, PlatformError> {
     let base = &shared.settings.platform.log;
     let wait = READ_WAIT.as_millis();
     let url = format!("{base}/records?from={from}&wait_ms={wait}&limit={READ_LIMIT}");
-    let response = shared.client.get(url).timeout(READ_TIMEOUT).send().await?;
-    if response.status() == StatusCode::GONE {
-        let start: LogStart = response.json().await?;
+    let (status, body) = ask(shared, &url, READ_WAIT).await?;
+    if status == StatusCode::GONE {
+        let start: LogStart = serde_json::from_slice(&body)?;
         return Ok(Event::LogTruncated { first: start.first });
     }
-    let page: LogPage = response.error_for_status()?.json().await?;
+    if !status.is_success() {
+        return Err(PlatformError::Refused(status));
+    }
+    let page: LogPage = serde_json::from_slice(&body)?;
     let records = page.records.into_iter().map(known_record).collect();
     Ok(Event::LogRead {
         records,
@@ -91,11 +136,19 @@
 
 async fn try_append(shared: &NodeShared, record: &Record) -> AppendResult {
     let url = format!("{}/append", shared.settings.platform.log);
+    let body = match serde_json::to_vec(record) {
+        Ok(body) => body,
+        Err(error) => {
+            log::warn!("event=record_unwritable reason=\"{error}\"");
+            return AppendResult::Refused;
+        }
+    };
     let sent = shared
         .client
         .post(url)
-        .timeout(APPEND_TIMEOUT)
-        .json(record)
+        .timeout(APPEND_TIMEOUT + transfer::longest_time(body.len()))
+        .header(CONTENT_TYPE, "application/json")
+        .body(body)
         .send()
         .await;
     let response = match sent {
@@ -126,7 +179,10 @@
     }
 }
 
-async fn hosts(shared: &NodeShared, url: &str) -> Result<Vec<HostEntry>, reqwest::Error> {
-    let response = shared.client.get(url).timeout(HOSTS_TIMEOUT).send().await?;
-    response.error_for_status()?.json().await
+async fn hosts(shared: &NodeShared, url: &str) -> Result<Vec<HostEntry>, PlatformError> {
+    let (status, body) = ask(shared, url, Duration::ZERO).await?;
+    if !status.is_success() {
+        return Err(PlatformError::Refused(status));
+    }
+    Ok(serde_json::from_slice(&body)?)
 }
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -133,13 +133,19 @@
     /// Starts one more node and lists it.
     pub async fn add_node(&mut self, name: &str, zone: &str) {
         let settings = settings(name, zone, &self.log, &self.hosts);
+        self.add_node_with(settings).await;
+    }
+
+    /// Starts one more node with these settings and lists it.
+    pub async fn add_node_with(&mut self, settings: Settings) {
+        let (name, zone) = (settings.name.clone(), settings.zone.clone());
         let listeners = NodeListeners::bind(&settings).await.expect("listeners");
         let [callers, peers, _] = listeners.addresses().expect("addresses");
         let mut rows = self.hosts.rows();
-        rows.retain(|row| &*row.name != name);
+        rows.retain(|row| row.name != name);
         rows.push(HostRow {
-            name: name.into(),
-            zone: zone.into(),
+            name,
+            zone,
             role: HostRole::Node,
             peer_address: peers.to_string().into(),
             caller_address: callers.to_string().into(),
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -2,10 +2,10 @@
 
 mod input;
 mod leaving;
-mod link;
 mod peers;
 mod store;
 mod streams;
 mod thin;
 mod upstreams;
+mod words;
 mod world;
--- a/daemon/tests/gateway/peers.rs
+++ b/daemon/tests/gateway/peers.rs
@@ -11,7 +11,7 @@
 
 use monsoonbank_standin::scripted::ScriptStep;
 
-use crate::link::pretend_reader;
+use crate::words::pretend_reader;
 use crate::world::{NodeProcess, World, configuration, get, good, request, script, send, until};
 
 async fn addresses(node: &NodeProcess, zone: &str) -> Vec<String> {
--- a/daemon/tests/gateway/thin.rs
+++ b/daemon/tests/gateway/thin.rs
@@ -13,10 +13,11 @@
 use std::time::Duration;
 
 use monsoonbank_standin::keyed::StoreMood;
+use monsoonbank_standin::link::ThinLink;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use crate::link::{ThinLink, pretend_reader};
+use crate::words::pretend_reader;
 use crate::world::{NodeProcess, World, configuration, good, until};
 
 /// The thinnest link of a host that is served.
@@ -59,9 +60,10 @@
         let link = ThinLink::new(MEGABITS);
         world.publish(first);
         let told = Arc::new(AtomicU64::new(1));
-        let store = link.relay(world.store.address()).await;
+        let store = link.relay(world.store.address()).await.expect("a port");
         let thin = World::lonely_node(store);
         let source = link.relay(world.nodes[0].address(4010)).await;
+        let source = source.expect("a port");
         tokio::spawn(pretend_reader(thin.address(4010), source, told.clone()));
         let thin_world = Self {
             world,
@@ -116,7 +118,7 @@
 async fn a_large_version_reaches_a_thin_host_from_a_store_that_was_away() {
     let world = World::start(&[], Vec::new()).await;
     let link = ThinLink::new(MEGABITS);
-    let store = link.relay(world.store.address()).await;
+    let store = link.relay(world.store.address()).await.expect("a port");
     let thin = World::lonely_node(store);
     thin.ready().await;
     world.store.set_mood(StoreMood::Busy);
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod plugin;
 pub mod record;
 pub mod routing;
+pub mod transfer;
 pub mod wire;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod faults;
 pub mod hosts;
 pub mod keyed;
+pub mod link;
 pub mod log;
 pub mod raw;
 mod reply;
--- a/daemon/tests/gateway/link.rs
+++ b/standin/src/link.rs
@@ -1,20 +1,22 @@
-//! A host's thin link, and a node whose words come over it.
+//! A host's thin link.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use monsoonbank_kernel::gateway::fleet::NodeWord;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep_until};
+
+use crate::server::lock;
 
 /// Bytes that take their turn on a link at once; two connections share it evenly.
 const PIECE_BYTES: usize = 8 << 10;
 
 /// A link: all that comes to its host shares its bytes a second.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct ThinLink {
     bytes_per_second: f64,
     free_at: Arc<Mutex<Instant>>,
@@ -36,10 +38,11 @@
         self.carried.load(Ordering::Relaxed)
     }
 
-    /// Gives an address at which the host reaches `to` over this link.
-    pub async fn relay(&self, to: SocketAddr) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
+    /// Gives an address at which the host reaches `to` over this link, for as long as the runtime
+    /// lives.
+    pub async fn relay(&self, to: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
         let link = self.clone();
         tokio::spawn(async move {
             while let Ok((host, _)) = listener.accept().await {
@@ -52,7 +55,7 @@
                 });
             }
         });
-        address
+        Ok(address)
     }
 
     async fn pass(&self, mut host: TcpStream, mut target: TcpStream) {
@@ -81,7 +84,7 @@
     async fn take_turn(&self, count: usize) {
         let time = Duration::from_secs_f64(count as f64 / self.bytes_per_second);
         let arrives = {
-            let mut free_at = self.free_at.lock().expect("no test holds it");
+            let mut free_at = lock(&self.free_at);
             *free_at = (*free_at).max(Instant::now()) + time;
             *free_at
         };
@@ -89,37 +92,3 @@
         self.carried.fetch_add(count as u64, Ordering::Relaxed);
     }
 }
-
-/// What nodes send to each other, as far as tests need it.
-#[derive(serde::Serialize)]
-enum PeerMessage {
-    Word(NodeWord),
-}
-
-/// Says five times a second that a node reads the store well, has the version in `told` in force and
-/// can be asked for it at `peers`.
-pub async fn pretend_reader(to: SocketAddr, peers: SocketAddr, told: Arc<AtomicU64>) {
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
-    loop {
-        let word = NodeWord {
-            name: "a-reader".into(),
-            incarnation: 1,
-            zone: "east".into(),
-            callers: peers,
-            peers,
-            ready: true,
-            capacity: 100,
-            version: told.load(Ordering::Relaxed),
-            store_well: true,
-            registry_digest: 0,
-            work: Vec::new(),
-            failing: Vec::new(),
-            departures: Vec::new(),
-            parts: Vec::new(),
-        };
-        let mut bytes = Vec::new();
-        ciborium::into_writer(&PeerMessage::Word(word), &mut bytes).expect("written");
-        socket.send_to(&bytes, to).await.expect("sent");
-        sleep(Duration::from_millis(200)).await;
-    }
-}
