Look a gateway's rule up by an index, not through all rules

Each call searched all rules of its host for its path and all rules of all hosts for the shortest pause of its pool: work that grows with the configuration. A random test compares the index with the search through all rules, also for paths that end without a slash.

--- a/kernel/benches/rules.rs
+++ b/kernel/benches/rules.rs
@@ -1,8 +1,10 @@
-//! Classifying a request by 1,000 rules and 5,400 workspaces, and folding changes of them.
+//! Classifying a request by 1,000 rules and 5,400 workspaces, and folding changes of them; a gateway's
+//! lookup by 50 and by 8,000.
 //!
 //! Run with `cargo bench -p monsoonbank-kernel --bench rules`.
 
 use std::hint::black_box;
+use std::time::Duration;
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use monsoonbank_kernel::config::rules::first_match;
@@ -10,6 +12,9 @@
     Config, ConfigFile, Document, RequestFacts, RuleMatch, RuleSpec, RuleTarget, WorkspaceSpec,
 };
 use monsoonbank_kernel::configuration::fold::ConfigFold;
+use monsoonbank_kernel::gateway::rules::{
+    AnswerForm, CallClass, CallRule, CallSafety, CallerBounds, PoolShare, RuleTable,
+};
 use monsoonbank_kernel::record::{ChangeRecord, DocumentChange, LogRecord, Record};
 
 const WORKSPACES: usize = 5_400;
@@ -127,6 +132,53 @@
     group.finish();
 }
 
+/// A gateway's rule of its own path, as an operator adds them by the thousand.
+fn path_rule(index: usize) -> CallRule {
+    CallRule {
+        name: named("rule", index),
+        host: "calls.example".into(),
+        path_prefix: format!("/{:x}/", index.wrapping_mul(0x9E37_79B9) % (1 << 31)).into(),
+        class: CallClass {
+            safety: CallSafety::Idempotent,
+            form: AnswerForm::Whole,
+            tier: 0,
+            timeout: Duration::from_secs(1),
+            target: Duration::from_millis(100),
+            patience: None,
+            max_attempts: 2,
+            gap: Some(Duration::from_millis(250)),
+            cached: false,
+        },
+        pools: [PoolShare {
+            pool: named("model", index % 4),
+            weight: 1,
+        }]
+        .into(),
+        public: false,
+    }
+}
+
+/// What a gateway looks up for each call, by the number of rules.
+fn gateway(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("gateway");
+    let bounds = CallerBounds {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        idle_timeout: Duration::from_secs(15),
+    };
+    for rules in [50, 8_000] {
+        let table = RuleTable::new(1, bounds, (0..rules).map(path_rule).collect(), Vec::new());
+        let path = format!("{}x", path_rule(rules / 2).path_prefix);
+        group.bench_function(format!("{rules} rules"), |bencher| {
+            bencher.iter(|| {
+                let rule = table.find("calls.example", black_box(&path));
+                rule.map(|rule| table.is_tight(rule))
+            });
+        });
+    }
+    group.finish();
+}
+
 fn entry(offset: u64, change: ChangeRecord) -> LogRecord {
     LogRecord {
         offset,
@@ -190,6 +242,6 @@
 criterion_group! {
     name = benches;
     config = Criterion::default().sample_size(20);
-    targets = classify, fold
+    targets = classify, gateway, fold
 }
 criterion_main!(benches);
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -1,6 +1,7 @@
 //! The ordered rules that decide a call's class and pool, and who may call.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// Whether a call may run more than once.
@@ -111,7 +112,11 @@
     pub idle_timeout: Duration,
 }
 
-/// One version of the configuration, ready for lookups.
+/// The rules of a host by the beginning of their paths.
+type HostRules = BTreeMap<Box<str>, CallRule>;
+
+/// One version of the configuration, ready for lookups. Each call looks up its rule and whether that is
+/// tight: neither grows with the number of rules but by its logarithm.
 #[derive(Clone, Debug)]
 pub struct RuleTable {
     /// Grows with each version.
@@ -119,14 +124,16 @@
     /// Bounds on callers.
     pub bounds: CallerBounds,
     tier_count: u8,
-    rules: BTreeMap<Box<str>, Vec<CallRule>>,
+    rules: BTreeMap<Box<str>, HostRules>,
+    shortest_gaps: BTreeMap<Box<str>, Duration>,
     pools: BTreeMap<Box<str>, PoolSpec>,
     workspaces: Vec<WorkspaceSpec>,
     keys: BTreeMap<Box<str>, usize>,
 }
 
 impl RuleTable {
-    /// Puts rules in the order in which they are tried: the longest path first within a host.
+    /// Puts rules in the order in which they are tried: the longest path first within a host, and of
+    /// two with the same path the one that stands first.
     pub fn new(
         version: u64,
         bounds: CallerBounds,
@@ -134,18 +141,18 @@
         pools: Vec<PoolSpec>,
     ) -> Self {
         let highest = rules.iter().map(|rule| rule.class.tier).max().unwrap_or(0);
-        let mut by_host: BTreeMap<Box<str>, Vec<CallRule>> = BTreeMap::new();
+        let shortest_gaps = shortest_gaps(&rules);
+        let mut by_host: BTreeMap<Box<str>, HostRules> = BTreeMap::new();
         for rule in rules {
-            by_host.entry(rule.host.clone()).or_default().push(rule);
-        }
-        for list in by_host.values_mut() {
-            list.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
+            let host = by_host.entry(rule.host.clone()).or_default();
+            host.entry(rule.path_prefix.clone()).or_insert(rule);
         }
         Self {
             version,
             bounds,
             tier_count: highest.saturating_add(1),
             rules: by_host,
+            shortest_gaps,
             pools: pools
                 .into_iter()
                 .map(|pool| (pool.name.clone(), pool))
@@ -169,9 +176,16 @@
     /// The first rule that matches.
     pub fn find(&self, host: &str, path: &str) -> Option<&CallRule> {
         let rules = self.rules.get(host)?;
-        rules
-            .iter()
-            .find(|rule| path.starts_with(&*rule.path_prefix))
+        let mut longest = path;
+        loop {
+            let bounds = (Bound::Unbounded, Bound::Included(longest));
+            let (prefix, rule) = rules.range::<str, _>(bounds).next_back()?;
+            if path.starts_with(&**prefix) {
+                return Some(rule);
+            }
+            // Every prefix of the path that stands before this one is a prefix of both.
+            longest = common_prefix(path, prefix);
+        }
     }
 
     /// Whether callers must show a key at all.
@@ -209,13 +223,9 @@
 
     /// Whether no other class of the rule's pools wants shorter pauses.
     pub fn is_tight(&self, rule: &CallRule) -> bool {
-        let shares_pool = |other: &&CallRule| {
-            let shared = |share: &PoolShare| rule.pools.iter().any(|own| own.pool == share.pool);
-            other.pools.iter().any(shared)
-        };
-        let gaps = self.rules.values().flatten().filter(shares_pool);
-        let shortest = gaps.filter_map(|other| other.class.gap).min();
-        rule.class.gap.is_some_and(|gap| shortest == Some(gap))
+        let pools = rule.pools.iter();
+        let gaps = pools.filter_map(|share| self.shortest_gaps.get(&share.pool));
+        rule.class.gap.is_some_and(|gap| gaps.min() == Some(&gap))
     }
 
     /// A pool by name.
@@ -225,10 +235,33 @@
 
     /// Number of rules.
     pub fn rule_count(&self) -> usize {
-        self.rules.values().map(Vec::len).sum()
+        self.rules.values().map(BTreeMap::len).sum()
     }
 }
 
+/// The shortest pause that a rule of each pool wants.
+fn shortest_gaps(rules: &[CallRule]) -> BTreeMap<Box<str>, Duration> {
+    let mut shortest: BTreeMap<Box<str>, Duration> = BTreeMap::new();
+    for rule in rules {
+        let Some(gap) = rule.class.gap else {
+            continue;
+        };
+        for share in &rule.pools {
+            let least = shortest.entry(share.pool.clone()).or_insert(gap);
+            *least = gap.min(*least);
+        }
+    }
+    shortest
+}
+
+/// The longest beginning that two texts share.
+fn common_prefix<'a>(one: &'a str, other: &str) -> &'a str {
+    let pairs = one.char_indices().zip(other.chars());
+    let differs = pairs.map(|((at, own), character)| (at, own == character));
+    let end = differs.filter(|(_, same)| !same).map(|(at, _)| at).next();
+    &one[..end.unwrap_or(one.len().min(other.len()))]
+}
+
 impl CallRule {
     /// The pool for a call, by weight; `draw` is uniform over all of `u64`.
     pub fn pool(&self, draw: u64) -> &str {
--- a/kernel/tests/gateway/rules.rs
+++ b/kernel/tests/gateway/rules.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use proptest::prelude::*;
+
 use monsoonbank_kernel::gateway::rules::{
     AnswerForm, CallClass, CallRule, CallSafety, CallerBounds, PoolShare, RuleTable, WorkspaceSpec,
 };
@@ -60,6 +62,27 @@
     another_host_has_other_rules: "other.example", "/a/" => None;
 }
 
+proptest! {
+    #[test]
+    fn the_index_finds_what_a_search_through_all_rules_does(
+        prefixes in prop::collection::vec("/([a-cß]{0,2}/){0,3}[a-c]{0,1}", 0..30),
+        path in "/([a-cß]{0,2}/){0,4}[a-c]{0,2}",
+    ) {
+        let rules: Vec<CallRule> = prefixes
+            .iter()
+            .enumerate()
+            .map(|(index, prefix)| rule(&index.to_string(), prefix, 0, None))
+            .collect();
+        let mut longest_first = rules.clone();
+        longest_first.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
+        let expected = longest_first
+            .iter()
+            .find(|rule| path.starts_with(&*rule.path_prefix));
+        let table = table(rules);
+        prop_assert_eq!(table.find("calls.example", &path), expected);
+    }
+}
+
 #[test]
 fn a_workspaces_rank_goes_before_the_rules() {
     let table = table(vec![
