Tell a node that starts of all others in datagrams that are not split

Found while looking for other exchanges that grow with the fleet: the list of known nodes went out as one datagram, 4,224 bytes for 300 nodes and 14 kB for 980, which is lost with any of its ten parts. It goes out in datagrams of 90 addresses now (a test, red before: 4,224 bytes, 1,400 wanted).

Not changed: every node that hears of the newcomer sends the list, 13.5 MB in all at 980 nodes. Sending it to nodes only that were not told yet was tried and taken back: a node whose first lists are all lost would not learn of the others by the later ones any more.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -50,6 +50,8 @@
 const CALLS_PER_CORE: f64 = 1000.0;
 /// Largest datagram: one that networks do not split.
 const MOST_BYTES: usize = 1400;
+/// Addresses of nodes in one datagram, 14 bytes each.
+const MOST_KNOWN: usize = 90;
 
 /// What one node tells another.
 #[derive(Debug, Serialize, Deserialize)]
@@ -310,7 +312,7 @@
         peer: &name,
         zone: &zone,
     });
-    let known = gateway
+    let known: Vec<SocketAddr> = gateway
         .fleet
         .borrow()
         .iter()
@@ -322,7 +324,9 @@
         &PeerMessage::Word(own_word(gateway, Vec::new())),
     )
     .await;
-    send(socket, from, &PeerMessage::Known(known)).await;
+    for part in known.chunks(MOST_KNOWN) {
+        send(socket, from, &PeerMessage::Known(part.to_vec())).await;
+    }
 }
 
 fn take_departures(gateway: &Gateway, word: &NodeWord, now: Duration) {
--- a/daemon/tests/gateway/peers.rs
+++ b/daemon/tests/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! Several nodes: who is named to callers, and what one learns from another.
 
-use std::net::TcpListener;
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 
 use monsoonbank_standin::scripted::ScriptStep;
 
-use crate::words::pretend_reader;
+use crate::words::{PeerMessage, heard, pretend_reader, word};
 use crate::world::{NodeProcess, World, configuration, get, good, request, script, send, until};
 
 async fn addresses(node: &NodeProcess, zone: &str) -> Vec<String> {
@@ -186,3 +187,39 @@
         accepted.elapsed()
     );
 }
+
+/// A datagram that is split on its way is lost with any of its parts; a list of 980 nodes is 14 kB.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_starts_is_told_of_all_others_in_datagrams_that_are_not_split() {
+    const PEERS: u16 = 300;
+    let world = World::start(&["east"], vec![good()]).await;
+    let node = &world.nodes[0];
+    let peers = node.address(4010);
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    for index in 0..PEERS {
+        let address = SocketAddr::from(([127, 0, 0, 2], 20_000 + index));
+        let bytes = PeerMessage::Word(word(&format!("peer-{index}"), address)).encode();
+        socket.send_to(&bytes, peers).await.expect("sent");
+        sleep(Duration::from_millis(1)).await;
+    }
+    until("the node knows them", async || {
+        let state = node.state().await;
+        state["peers"].as_array().map_or(0, Vec::len) == usize::from(PEERS)
+    })
+    .await;
+    let own = socket.local_addr().expect("an address");
+    let bytes = PeerMessage::Word(word("new", own)).encode();
+    socket.send_to(&bytes, peers).await.expect("sent");
+    let datagrams = heard(&socket).await;
+    let known: BTreeSet<SocketAddr> = datagrams
+        .iter()
+        .filter_map(|bytes| match ciborium::from_reader(&bytes[..]) {
+            Ok(PeerMessage::Known(addresses)) => Some(addresses),
+            _ => None,
+        })
+        .flatten()
+        .collect();
+    assert!(known.len() >= usize::from(PEERS), "{}", known.len());
+    let largest = datagrams.iter().map(Vec::len).max();
+    assert!(largest <= Some(1400), "{largest:?} bytes");
+}
