--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -26,7 +26,7 @@
 use crate::gateway::{Gateway, desk, follow};
 
 /// Time in which a node has to begin its answer, and longest pause within it. Zones are a few ms apart,
-/// and a node is busy for 0.1 s at most while it takes in a large configuration.
+/// and a node of 0.12 cores that takes in 8,000 rules was seen to do nothing else for up to 0.34 s.
 const FETCH_SILENCE: Duration = Duration::from_millis(500);
 /// Least time between two fetches: what a node that lags costs others.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
