--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -32,10 +32,12 @@
 use monsoonbank_kernel::clock::{Clock, MonotonicClock};
 use monsoonbank_kernel::gateway::budget::RetryBudget;
 use monsoonbank_kernel::gateway::fleet::FleetView;
+use monsoonbank_kernel::gateway::heartbeat::NodeState;
 use monsoonbank_kernel::gateway::lag::VersionLag;
 use monsoonbank_kernel::gateway::pace::{StreamKind, StreamPace};
 use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
 use monsoonbank_kernel::gateway::rules::RuleTable;
+use monsoonbank_kernel::gateway::spread::SpreadNews;
 use monsoonbank_kernel::gateway::waiting::WaitList;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -97,16 +99,16 @@
     pub decisions: DecisionLog,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
-    /// Names this run of the process.
-    pub incarnation: u64,
     /// Tells idle connections of callers that the node leaves.
     pub leave_notice: tokio::sync::Notify,
     /// Wakes the reader of the registry before its next turn.
     pub store_nudge: tokio::sync::Notify,
     /// Makes the reader of the configuration ask anew.
     pub configuration_nudge: tokio::sync::Notify,
-    /// Tells all nodes at once that something changed.
-    pub announcement: tokio::sync::Notify,
+    /// What other nodes have not been told and should know at once.
+    pub news: Cell<SpreadNews>,
+    /// Wakes what tells other nodes.
+    pub speak_notice: tokio::sync::Notify,
     /// Whether something is being fetched from another node.
     pub fetching: Cell<bool>,
     /// The newest version that any node told, and how fetching it goes.
@@ -126,12 +128,31 @@
             && self.store.get().registry_known
     }
 
+    /// How far the process is.
+    pub fn state(&self) -> NodeState {
+        if self.leaving_since.get().is_some() {
+            NodeState::Leaving
+        } else if self.is_ready() {
+            NodeState::Ready
+        } else {
+            NodeState::Starting
+        }
+    }
+
+    /// Has news told to other nodes at once.
+    pub fn tell(&self, news: SpreadNews) {
+        self.news.set(self.news.get().max(news));
+        self.speak_notice.notify_one();
+    }
+
+    /// Whether this node is a hub of its availability zone.
+    pub fn is_hub(&self) -> bool {
+        self.fleet.borrow().is_hub(self.now())
+    }
+
     /// Whether this node reads the store for its availability zone.
     pub fn is_reader(&self) -> bool {
-        let settings = &self.settings;
-        self.fleet
-            .borrow()
-            .is_reader(&settings.name, &settings.zone, self.now())
+        self.fleet.borrow().reads_store(self.now())
     }
 
     /// Version of the configuration in force; 0 is none.
@@ -181,7 +202,7 @@
 
     /// Nodes that share budgets, this one included.
     pub fn node_count(&self) -> usize {
-        1 + self.fleet.borrow().iter().count()
+        self.fleet.borrow().size(self.now()) as usize
     }
 }
 
@@ -200,6 +221,8 @@
     let mut random = [0; 8];
     getrandom::fill(&mut random)?;
     let clock = MonotonicClock::new();
+    let incarnation = follow::start_time();
+    let own = peers::own_card(&settings, incarnation);
     let gateway = Rc::new(Gateway {
         decisions: DecisionLog::start(clock, settings.name.clone()),
         metrics: GatewayMetrics::new(),
@@ -208,7 +231,7 @@
         table: RefCell::default(),
         texts: RefCell::default(),
         registry: RefCell::default(),
-        fleet: RefCell::default(),
+        fleet: RefCell::new(FleetView::new(own, clock.now())),
         budgets: RefCell::default(),
         sent_parts: RefCell::default(),
         paces: RefCell::default(),
@@ -218,11 +241,11 @@
         leaving_since: Cell::new(None),
         open_calls: Cell::new(0),
         open_connections: Cell::new(0),
-        incarnation: follow::start_time(),
         leave_notice: tokio::sync::Notify::new(),
         store_nudge: tokio::sync::Notify::new(),
         configuration_nudge: tokio::sync::Notify::new(),
-        announcement: tokio::sync::Notify::new(),
+        news: Cell::default(),
+        speak_notice: tokio::sync::Notify::new(),
         fetching: Cell::new(false),
         lag: Cell::default(),
         settings,
@@ -258,6 +281,7 @@
     let since = gateway.now();
     gateway.leaving_since.set(Some(since));
     gateway.leave_notice.notify_waiters();
+    gateway.tell(SpreadNews::All);
     gateway.decisions.line(&Decision::Leaving {
         open_calls: gateway.open_calls.get(),
     });
--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -11,13 +11,13 @@
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use monsoonbank_kernel::gateway::fleet::{self, NodeWord};
 use monsoonbank_kernel::gateway::registry::UpstreamEntry;
 use monsoonbank_platform::{lookup, names};
 use serde::Serialize;
 use serde_json::json;
 use tokio::net::TcpListener;
 
+use crate::gateway::decisions::millis;
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::{Gateway, peers};
 
@@ -88,26 +88,14 @@
 
 /// Addresses of nodes that take calls: those of the caller's availability zone, if there are any.
 fn addresses(gateway: &Gateway, zone: Option<&str>) -> Reply {
+    let own = peers::own_heartbeat(gateway);
     let fleet = gateway.fleet.borrow();
-    let own = peers::own_word(gateway, Vec::new());
-    let words: Vec<&NodeWord> = fleet
-        .live(gateway.now())
-        .map(|peer| &peer.word)
-        .chain(std::iter::once(&own))
-        .filter(|word| word.ready)
-        .collect();
-    let mut entries = fleet::entries(words.iter().copied(), zone.unwrap_or_default());
-    if entries.is_empty() {
-        entries = words;
-    }
-    if entries.is_empty() {
+    let zone = zone.unwrap_or_default();
+    let mut addresses: Vec<SocketAddr> = fleet.callers_nodes(&own, zone, gateway.now());
+    if addresses.is_empty() {
         return reply::failure(StatusCode::SERVICE_UNAVAILABLE, "no node takes calls");
     }
-    let addresses: Vec<SocketAddr> = entries
-        .iter()
-        .take(lookup::MOST_ADDRESSES)
-        .map(|word| word.callers)
-        .collect();
+    addresses.truncate(lookup::MOST_ADDRESSES);
     json_reply(lookup::encode(&addresses, LOOKUP_LIFE))
 }
 
@@ -187,12 +175,14 @@
     let peers: Vec<serde_json::Value> = fleet
         .iter()
         .map(|peer| {
+            let card = &peer.heartbeat.card;
+            let age = peer.heard_at.map(|at| now.saturating_sub(at));
             json!({
-                "name": peer.word.name,
-                "zone": peer.word.zone,
-                "ready": peer.word.ready,
-                "version": peer.word.version,
-                "age_ms": now.saturating_sub(peer.heard_at).as_millis() as u64,
+                "name": card.name,
+                "zone": card.zone,
+                "ready": card.is_ready(),
+                "version": peer.heartbeat.version,
+                "age_ms": age.map(millis),
             })
         })
         .collect();
@@ -201,6 +191,8 @@
         "ready": gateway.is_ready(),
         "version": gateway.rules().map(|rules| rules.version),
         "reader": gateway.is_reader(),
+        "hub": gateway.is_hub(),
+        "fleet_size": gateway.node_count(),
         "open_calls": gateway.open_calls.get(),
         "upstreams": upstreams,
         "peers": peers,
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -12,7 +12,8 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use monsoonbank_kernel::gateway::fleet::{FleetPeer, NodeWord};
+use monsoonbank_kernel::gateway::fleet::FleetPeer;
+use monsoonbank_kernel::gateway::heartbeat::NodeHeartbeat;
 use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry};
 use monsoonbank_platform::body::{self, BodyError};
 use serde::de::DeserializeOwned;
@@ -57,22 +58,22 @@
     Malformed(#[from] ciborium::de::Error<io::Error>),
 }
 
-/// Fetches what `word` shows that its node has and this one lacks. One fetch at a time: the next
-/// word tells again.
-pub fn catch_up(gateway: &Rc<Gateway>, word: &NodeWord) {
+/// Fetches what a heartbeat shows that its node has and this one lacks. One fetch at a time: the next
+/// heartbeat tells again.
+pub fn catch_up(gateway: &Rc<Gateway>, heartbeat: &NodeHeartbeat) {
     let mut lag = gateway.lag.get();
-    lag.told(word.version, gateway.now());
+    lag.told(heartbeat.version, gateway.now());
     gateway.lag.set(lag);
-    if !lacks(gateway, word).any() || gateway.fetching.replace(true) {
+    if !lacks(gateway, heartbeat).any() || gateway.fetching.replace(true) {
         return;
     }
-    let (gateway, word) = (gateway.clone(), word.clone());
+    let (gateway, heartbeat) = (gateway.clone(), heartbeat.clone());
     tokio::task::spawn_local(async move {
         let turn = xxh3_64_with_seed(gateway.settings.name.as_bytes(), millis(gateway.now()));
         tokio::time::sleep(FETCH_SPREAD.mul_f64(turn as f64 / u64::MAX as f64)).await;
-        let lacking = lacks(&gateway, &word);
+        let lacking = lacks(&gateway, &heartbeat);
         if lacking.any() {
-            let (peer, address) = source(&gateway, &word, turn);
+            let (peer, address) = source(&gateway, &heartbeat, turn);
             fetch_all(&gateway, &peer, address, lacking).await;
             tokio::time::sleep(FETCH_PAUSE).await;
         }
@@ -93,27 +94,46 @@
     }
 }
 
-fn lacks(gateway: &Gateway, word: &NodeWord) -> LackingPart {
+fn lacks(gateway: &Gateway, heartbeat: &NodeHeartbeat) -> LackingPart {
     let reads_itself = gateway.is_reader() && !gateway.store_doubtful();
-    let differs = word.registry_digest != gateway.registry.borrow().digest();
-    let unknown = !gateway.store.get().registry_known && word.registry_digest != 0;
+    let differs = heartbeat.registry_digest != gateway.registry.borrow().digest();
+    let unknown = !gateway.store.get().registry_known && heartbeat.registry_digest != 0;
+    let trusted = heartbeat.store_well && learns_from(gateway, heartbeat);
     LackingPart {
-        rules: word.version > gateway.version(),
-        entries: differs && word.store_well && !reads_itself || unknown,
+        rules: heartbeat.version > gateway.version(),
+        entries: differs && trusted && !reads_itself || unknown,
     }
 }
 
-/// One of the nodes that have what `word` shows: the fetches of many nodes that heard the same word
-/// spread over all of them.
-fn source(gateway: &Gateway, word: &NodeWord, turn: u64) -> (Box<str>, SocketAddr) {
+/// Whether differences of the registry are taken from this node: from one of the same availability
+/// zone if any there hears the store. Zones read the store at different moments, so between them
+/// digests differ for a while at each change.
+fn learns_from(gateway: &Gateway, heartbeat: &NodeHeartbeat) -> bool {
+    let zone = &gateway.settings.zone;
+    if heartbeat.card.zone == *zone {
+        return true;
+    }
+    let fleet = gateway.fleet.borrow();
+    let mut live = fleet.live(gateway.now()).map(|peer| &peer.heartbeat);
+    !live.any(|near| near.card.zone == *zone && near.store_well)
+}
+
+/// One of the nodes that have what `heartbeat` shows, of this availability zone if there are any: the
+/// fetches of many nodes that heard the same spread over all of them.
+fn source(gateway: &Gateway, heartbeat: &NodeHeartbeat, turn: u64) -> (Box<str>, SocketAddr) {
     let fleet = gateway.fleet.borrow();
     let has_same = |peer: &&FleetPeer| {
-        peer.word.version >= word.version && peer.word.registry_digest == word.registry_digest
+        peer.heartbeat.version >= heartbeat.version
+            && peer.heartbeat.registry_digest == heartbeat.registry_digest
     };
-    let peers: Vec<&FleetPeer> = fleet.live(gateway.now()).filter(has_same).collect();
+    let mut peers: Vec<&FleetPeer> = fleet.live(gateway.now()).filter(has_same).collect();
+    let is_near = |peer: &&FleetPeer| peer.heartbeat.card.zone == gateway.settings.zone;
+    if peers.iter().any(is_near) {
+        peers.retain(is_near);
+    }
     let chosen = turn as usize % peers.len().max(1);
-    let word = peers.get(chosen).map_or(word, |peer| &peer.word);
-    (word.name.clone(), word.peers)
+    let chosen = peers.get(chosen).map_or(heartbeat, |peer| &peer.heartbeat);
+    (chosen.card.name.clone(), chosen.card.peers)
 }
 
 /// What can be fetched from a node.
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use monsoonbank_kernel::clock::Clock;
 use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamKey};
+use monsoonbank_kernel::gateway::spread::SpreadNews;
 use monsoonbank_platform::store::{KeyedRecord, StoreClient, StoreError};
 use monsoonbank_platform::{configuration, entry, names};
 use rand::{RngExt, SeedableRng};
@@ -28,6 +29,13 @@
 const MOST_DOUBLINGS: u32 = 2;
 /// Time between two looks of a node that does not read at whether it should.
 const TURN_PAUSE: Duration = Duration::from_millis(250);
+/// Time that a starting node leaves to the seeds, which read the store at once: they and the hubs then
+/// pass on what all others need. Up to as much again is waited at random.
+const SEEDS_TIME: Duration = Duration::from_millis(150);
+/// Time after which a starting node that still lacks something reads the store, whoever else does.
+const LONGEST_START: Duration = Duration::from_secs(4);
+/// Time between two looks of a starting node at whether others gave it what it lacks.
+const START_PAUSE: Duration = Duration::from_millis(20);
 /// First pause after a failed call; doubles up to `LONGEST_PAUSE`.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call: the store's return shows within this.
@@ -79,12 +87,13 @@
 
     fn succeeded(&mut self) {
         self.count("answered", "used");
+        let now = self.gateway.now();
+        self.gateway.fleet.borrow_mut().store_answered(now);
         self.failures = 0;
         self.timeouts = 0;
         let Some(since) = self.lost_since.take() else {
             return;
         };
-        let now = self.gateway.now();
         let mut view = self.gateway.store.get();
         view.returned_at = now;
         self.gateway.store.set(view);
@@ -151,12 +160,33 @@
     }
 }
 
+/// Waits until others have given a starting node what it lacks, or until it has to read the store for
+/// it. When all nodes start at once, a few read for all.
+async fn start_turn(reader: &mut StoreReader, has: impl Fn(&Gateway) -> bool) {
+    let gateway = reader.gateway.clone();
+    let own = gateway.settings.peers.ip;
+    let mut seeds = gateway.settings.peers.seeds.iter();
+    if seeds.any(|seed| seed.ip() == own) {
+        return;
+    }
+    let started = gateway.now();
+    let first = started + SEEDS_TIME.mul_f64(reader.random.random_range(1.0..2.0));
+    while !has(&gateway) {
+        let now = gateway.now();
+        if now >= first && gateway.is_reader() || now >= started + LONGEST_START {
+            return;
+        }
+        tokio::time::sleep(START_PAUSE).await;
+    }
+}
+
 async fn follow_configuration(mut reader: StoreReader) {
     let mut position = None;
+    start_turn(&mut reader, |gateway| gateway.version() > 0).await;
     loop {
-        if position.is_some() {
-            let gateway = &reader.gateway;
-            readers_turn(gateway, || gateway.lags_behind()).await;
+        let gateway = reader.gateway.clone();
+        if gateway.version() > 0 {
+            readers_turn(&gateway, || gateway.lags_behind()).await;
         }
         let outcome = match position {
             None => newest_configuration(&mut reader).await,
@@ -259,15 +289,16 @@
         .set(i64::try_from(rules.version).unwrap_or(i64::MAX));
     *gateway.table.borrow_mut() = Some(Rc::new(rules));
     gateway.texts.borrow_mut().put(bytes.clone());
-    if source == STORE_SOURCE {
-        gateway.announcement.notify_one();
+    if source == STORE_SOURCE || gateway.is_hub() {
+        gateway.tell(SpreadNews::All);
     }
 }
 
 async fn follow_registry(mut reader: StoreReader) {
     let mut position = None;
+    start_turn(&mut reader, |gateway| gateway.store.get().registry_known).await;
     loop {
-        if position.is_some() {
+        if reader.gateway.store.get().registry_known {
             readers_turn(&reader.gateway, || false).await;
         }
         let outcome = match position {
@@ -355,7 +386,7 @@
         .borrow_mut()
         .apply(change, trusted, gateway.now());
     if !changed.is_empty() && gateway.is_reader() {
-        gateway.announcement.notify_one();
+        gateway.tell(SpreadNews::All);
     }
     for key in changed {
         upstream_changed(gateway, key);
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper ends of the latency buckets, in seconds: around the targets in use, 0.1 to 2.5 s.
@@ -25,6 +26,8 @@
     pub store_calls: IntCounterVec,
     /// Bytes of configurations and registries received, by source and whether they were of use.
     pub learnt_bytes: IntCounterVec,
+    /// Bytes of heartbeats that were sent to other nodes.
+    pub heartbeat_bytes: IntCounter,
     /// Connections to upstreams that were opened, by pool.
     pub channels_opened: IntCounterVec,
     /// Version of the configuration in force.
@@ -51,6 +54,14 @@
                 .expect("a new name");
             gauge
         };
+        let heartbeat_bytes = IntCounter::new(
+            "monsoonbank_heartbeat_bytes_total",
+            "Bytes of heartbeats that were sent to other nodes",
+        )
+        .expect("a valid name");
+        registry
+            .register(Box::new(heartbeat_bytes.clone()))
+            .expect("a new name");
         let options = HistogramOpts::new(
             "monsoonbank_first_piece_seconds",
             "Time to the first piece of an answer",
@@ -72,6 +83,7 @@
                 &["pool", "end"],
             ),
             first_piece,
+            heartbeat_bytes,
             store_calls: counter(
                 "monsoonbank_store_calls_total",
                 "Calls to the platform's store",
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -1,66 +1,26 @@
-//! Words between nodes: who is there, what each has in force and how much work it has where.
-//!
-//! Words are datagrams: each replaces the one before, so a lost one costs a fraction of a second.
-//! What is too large for a datagram is fetched from the node that named it.
+//! Heartbeats between nodes, as datagrams: who is there, what each has in force and how much work it
+//! has where. What is too large for a datagram is fetched from the node that named it.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use monsoonbank_kernel::gateway::fleet::{self, NodeWord, WorkWord};
-use serde::{Deserialize, Serialize};
+use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
+use monsoonbank_kernel::gateway::spread::{self, HeartbeatSpread, SpreadNews, SpreadRound};
 use tokio::net::UdpSocket;
 
 use crate::error::NodeError;
-use crate::gateway::decisions::Decision;
+use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::settings::GatewaySettings;
 use crate::gateway::{Gateway, exchange, follow};
 
-/// How often a node speaks.
-#[derive(Clone, Copy, Debug)]
-struct WordPace {
-    /// Time between two words to the entries of the same availability zone, which share its
-    /// upstreams.
-    near: Duration,
-    /// Words to them for each round to the zone's other nodes.
-    other_words: u64,
-    /// Words to them for each round to nodes of other zones.
-    far_words: u64,
-}
-
-/// Of a node without calls at upstreams: what it tells changes seldom.
-const IDLE_PACE: WordPace = WordPace {
-    near: Duration::from_millis(200),
-    other_words: 1,
-    far_words: 2,
-};
-/// Of a node with calls: an engine under load takes and ends one in some 50 ms. Against words every
-/// 200 ms near and 400 ms far, 0.014 more of what loaded days owe is earned (mean of five days).
-const BUSY_PACE: WordPace = WordPace {
-    near: Duration::from_millis(50),
-    other_words: 4,
-    far_words: 4,
-};
-/// Words in a round to nodes that are not named to callers: enough that each of thirty is told
-/// within 1.5 s.
-const MOST_OTHERS: usize = 4;
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
 /// Open calls that a core carries: at 25 to 60 of them a node spends 0.02 cores.
 const CALLS_PER_CORE: f64 = 1000.0;
 /// Largest datagram: one that networks do not split.
 const MOST_BYTES: usize = 1400;
-/// Addresses of nodes in one datagram, 14 bytes each.
-const MOST_KNOWN: usize = 90;
-
-/// What one node tells another.
-#[derive(Debug, Serialize, Deserialize)]
-enum PeerMessage {
-    /// What it says of itself.
-    Word(NodeWord),
-    /// Nodes that it knows, for one that it had not heard.
-    Known(Vec<SocketAddr>),
-}
 
 /// Starts to speak and to listen.
 pub async fn start(gateway: &Rc<Gateway>) -> Result<(), NodeError> {
@@ -81,176 +41,163 @@
         .map(|seed| SocketAddr::new(seed.ip(), port));
     let seeds: BTreeSet<SocketAddr> = seeds.filter(|seed| *seed != address).collect();
     tokio::task::spawn_local(listen(gateway.clone(), socket.clone()));
-    tokio::task::spawn_local(speak(gateway.clone(), socket, seeds));
+    tokio::task::spawn_local(speak(HeartbeatSpeaker::new(gateway, socket, seeds)));
     Ok(())
 }
 
+/// Who the node of these settings is, before it has anything in force.
+pub fn own_card(settings: &GatewaySettings, incarnation: u64) -> NodeCard {
+    NodeCard {
+        name: settings.name.clone(),
+        incarnation,
+        zone: settings.zone.clone(),
+        callers: settings.listen.callers,
+        peers: settings.peer_address(),
+        capacity: (settings.limits.cores * CALLS_PER_CORE) as u32,
+        state: NodeState::Starting,
+    }
+}
+
 /// What this node says of itself.
-pub fn own_word(gateway: &Gateway, parts: Vec<(u64, u64)>) -> NodeWord {
-    let settings = &gateway.settings;
+pub fn own_heartbeat(gateway: &Gateway) -> NodeHeartbeat {
+    let now = gateway.now();
     let registry = gateway.registry.borrow();
     let work = registry
         .iter()
         .filter(|(_, upstream)| upstream.load.own().calls > 0)
-        .map(|(_, upstream)| WorkWord {
+        .map(|(_, upstream)| WorkReport {
             run: upstream.entry.run_hash(),
             count: upstream.load.own(),
             taken_tokens: upstream.load.cache.own_taken(),
         })
         .collect();
-    let now = gateway.now();
     let failing = registry
         .iter()
         .filter(|(_, upstream)| upstream.health.warns(now))
         .map(|(_, upstream)| upstream.entry.run_hash())
         .collect();
-    NodeWord {
-        name: settings.name.clone(),
-        incarnation: gateway.incarnation,
-        zone: settings.zone.clone(),
-        callers: settings.listen.callers,
-        peers: settings.peer_address(),
-        ready: gateway.is_ready(),
-        capacity: (settings.limits.cores * CALLS_PER_CORE) as u32,
+    gateway.fleet.borrow_mut().set_state(gateway.state());
+    let fleet = gateway.fleet.borrow();
+    let answered_at = fleet.store_answered_at();
+    let mut heartbeat = NodeHeartbeat {
         version: gateway.version(),
         store_well: gateway.store.get().registry_known && !gateway.store_doubtful(),
+        store_age_ms: answered_at.map(|at| millis(now.saturating_sub(at))),
         registry_digest: registry.digest(),
-        work,
+        seeking: spread::is_seeking(&fleet, now),
+        fleet_size: fleet.size(now),
+        zone_size: if fleet.is_hub(now) {
+            fleet.zone_size(now)
+        } else {
+            0
+        },
+        work: Some(work),
         failing,
         departures: registry.departures(now),
-        parts,
-    }
+        ..NodeHeartbeat::new(fleet.own().clone())
+    };
+    heartbeat.entries = fleet.entry_hashes(&heartbeat, now);
+    heartbeat
 }
 
-async fn send(socket: &UdpSocket, to: SocketAddr, message: &PeerMessage) {
+async fn send(gateway: &Gateway, socket: &UdpSocket, to: SocketAddr, heartbeat: &NodeHeartbeat) {
     let mut bytes = Vec::with_capacity(256);
-    if let Err(error) = ciborium::into_writer(message, &mut bytes) {
-        log::warn!("a word cannot be written: {error}");
+    if let Err(error) = ciborium::into_writer(heartbeat, &mut bytes) {
+        log::warn!("a heartbeat cannot be written: {error}");
         return;
     }
     if bytes.len() > MOST_BYTES {
-        log::debug!("a word of {} bytes may be split on its way", bytes.len());
+        log::debug!(
+            "a heartbeat of {} bytes may be split on its way",
+            bytes.len()
+        );
     }
+    gateway.metrics.heartbeat_bytes.inc_by(bytes.len() as u64);
     if let Err(error) = socket.send_to(&bytes, to).await {
-        log::debug!("a word to {to} was not sent: {error}");
+        log::debug!("a heartbeat to {to} was not sent: {error}");
     }
 }
 
-fn pace(gateway: &Gateway) -> WordPace {
-    if gateway.open_calls.get() > 0 {
-        BUSY_PACE
-    } else {
-        IDLE_PACE
-    }
+/// What a node needs to tell others.
+struct HeartbeatSpeaker {
+    gateway: Rc<Gateway>,
+    socket: Rc<UdpSocket>,
+    seeds: BTreeSet<SocketAddr>,
+    spread: HeartbeatSpread,
+    /// Parts of prompts that nodes of other zones have not heard of.
+    far_parts: BTreeSet<(u32, u64, u64)>,
 }
 
-async fn speak(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, seeds: BTreeSet<SocketAddr>) {
-    let mut round = 0;
-    let mut near_turn = 0;
-    let mut far_turn = 0;
-    let mut far_parts = BTreeSet::new();
-    loop {
-        let pace = pace(&gateway);
-        let announced = tokio::time::timeout(pace.near, gateway.announcement.notified())
-            .await
-            .is_ok();
-        gateway.fleet.borrow_mut().forget(gateway.now());
-        gateway.decisions.flush();
-        let parts = std::mem::take(&mut *gateway.sent_parts.borrow_mut());
-        far_parts.extend(parts.iter().copied());
-        let word = own_word(&gateway, longest_parts(&parts));
-        let near = PeerTargets::find(&gateway, &word, true);
-        let far = PeerTargets::find(&gateway, &word, false);
-        let word = PeerMessage::Word(word);
-        round += 1;
-        let is_due = |words: u64| announced || round % words == 0;
-        let others = is_due(pace.other_words).then_some(&mut near_turn);
-        for to in near.next(others, announced) {
-            send(&socket, to, &word).await;
-        }
-        if !is_due(pace.far_words) {
-            continue;
-        }
-        let word = PeerMessage::Word(own_word(&gateway, longest_parts(&far_parts)));
-        far_parts.clear();
-        for to in far.next(Some(&mut far_turn), announced) {
-            send(&socket, to, &word).await;
-        }
-        for seed in seeds
-            .iter()
-            .filter(|seed| !near.holds(seed) && !far.holds(seed))
-        {
-            send(&socket, *seed, &word).await;
+impl HeartbeatSpeaker {
+    fn new(gateway: &Rc<Gateway>, socket: Rc<UdpSocket>, seeds: BTreeSet<SocketAddr>) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            socket,
+            seeds,
+            spread: HeartbeatSpread::default(),
+            far_parts: BTreeSet::new(),
         }
     }
-}
 
-/// Nodes that words go to: between entries each time, else in turn.
-struct PeerTargets {
-    entries: Vec<SocketAddr>,
-    others: Vec<SocketAddr>,
-}
+    async fn tell(&self, to: &[SocketAddr], heartbeat: &NodeHeartbeat) {
+        for to in to {
+            send(&self.gateway, &self.socket, *to, heartbeat).await;
+        }
+    }
 
-impl PeerTargets {
-    /// Nodes of this availability zone, or of all others.
-    fn find(gateway: &Gateway, own: &NodeWord, near: bool) -> Self {
-        let fleet = gateway.fleet.borrow();
+    async fn round(&mut self) {
+        let gateway = self.gateway.clone();
         let now = gateway.now();
-        let words = || {
-            fleet
-                .live(now)
-                .map(|peer| &peer.word)
-                .chain(std::iter::once(own))
+        gateway.fleet.borrow_mut().forget(now);
+        let mut own = own_heartbeat(&gateway);
+        let round = SpreadRound {
+            busy: gateway.open_calls.get() > 0,
+            news: gateway.news.take(),
+            now,
         };
-        let zones: BTreeSet<&str> = words()
-            .map(|word| &*word.zone)
-            .filter(|zone| (*zone == &*own.zone) == near)
-            .collect();
-        let entries: BTreeSet<SocketAddr> = zones
-            .iter()
-            .flat_map(|zone| fleet::entries(words(), zone))
-            .map(|word| word.peers)
-            .filter(|peers| *peers != own.peers)
-            .collect();
-        let is_entry = fleet::entries(words(), &own.zone)
-            .iter()
-            .any(|word| word.name == own.name);
-        // Callers that keep an old address go on at a node that is no entry any more.
-        let tells_entries = is_entry || !own.work.is_empty();
-        let entries = if tells_entries {
-            entries
-        } else {
-            BTreeSet::new()
-        };
-        let others = fleet
-            .iter()
-            .filter(|peer| (peer.word.zone == own.zone) == near)
-            .map(|peer| peer.word.peers)
-            .filter(|peers| !entries.contains(peers))
-            .collect();
-        Self {
-            entries: entries.into_iter().collect(),
-            others,
+        let plan = self
+            .spread
+            .plan(&mut gateway.fleet.borrow_mut(), &own, round);
+        if !plan.zone.is_empty() {
+            let idle = NodeHeartbeat {
+                work: None,
+                failing: Vec::new(),
+                cards: plan.zone_cards,
+                ..own.clone()
+            };
+            self.tell(&plan.zone, &idle).await;
+        }
+        own.cards = plan.hub_cards;
+        if !plan.near.is_empty() {
+            let parts = std::mem::take(&mut *gateway.sent_parts.borrow_mut());
+            own.parts = longest_parts(&parts);
+            self.far_parts.extend(parts);
+            self.tell(&plan.near, &own).await;
+        }
+        if !plan.far.is_empty() {
+            own.parts = longest_parts(&std::mem::take(&mut self.far_parts));
+            self.tell(&plan.far, &own).await;
+        }
+        if plan.seeds {
+            own.parts = Vec::new();
+            let seeds: Vec<SocketAddr> = self.seeds.iter().copied().collect();
+            self.tell(&seeds, &own).await;
         }
     }
+}
 
-    /// Targets of one round: the entries, and the next of the other nodes if it is their turn. What
-    /// it costs does not grow with the fleet, but for announcements.
-    fn next(&self, turn: Option<&mut usize>, announced: bool) -> Vec<SocketAddr> {
-        let Some(turn) = turn else {
-            return self.entries.clone();
+async fn speak(mut speaker: HeartbeatSpeaker) {
+    let gateway = speaker.gateway.clone();
+    loop {
+        let tick = if gateway.open_calls.get() > 0 {
+            spread::BUSY_TICK
+        } else {
+            spread::IDLE_TICK
         };
-        let most = if announced { usize::MAX } else { MOST_OTHERS };
-        let count = self.others.len().min(most);
-        let from = *turn;
-        *turn = turn.wrapping_add(count);
-        let others =
-            (0..count).map(|step| self.others[from.wrapping_add(step) % self.others.len()]);
-        self.entries.iter().copied().chain(others).collect()
-    }
-
-    fn holds(&self, address: &SocketAddr) -> bool {
-        self.entries.contains(address) || self.others.contains(address)
+        gateway.decisions.flush();
+        speaker.round().await;
+        // A tick that passes and a notice both begin a round.
+        let _ = tokio::time::timeout(tick, gateway.speak_notice.notified()).await;
     }
 }
 
@@ -266,94 +213,82 @@
         let length = match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => length,
             Err(error) => {
-                log::debug!("a word was not received: {error}");
+                log::debug!("a heartbeat was not received: {error}");
                 continue;
             }
         };
         match ciborium::from_reader(&buffer[..length]) {
-            Ok(PeerMessage::Word(word)) => hear(&gateway, &socket, word).await,
-            Ok(PeerMessage::Known(addresses)) => {
-                let own = gateway.settings.peer_address();
-                let known: BTreeSet<SocketAddr> = gateway
-                    .fleet
-                    .borrow()
-                    .iter()
-                    .map(|peer| peer.word.peers)
-                    .collect();
-                let message = PeerMessage::Word(own_word(&gateway, Vec::new()));
-                for to in addresses
-                    .iter()
-                    .filter(|to| **to != own && !known.contains(to))
-                {
-                    send(&socket, *to, &message).await;
-                }
-            }
-            Err(error) => log::warn!("a word is malformed: {error}"),
+            Ok(heartbeat) => hear(&gateway, &socket, heartbeat).await,
+            Err(error) => log::warn!("a heartbeat is malformed: {error}"),
         }
     }
 }
 
-async fn hear(gateway: &Rc<Gateway>, socket: &UdpSocket, word: NodeWord) {
-    if word.name == gateway.settings.name {
+async fn hear(gateway: &Rc<Gateway>, socket: &UdpSocket, heartbeat: NodeHeartbeat) {
+    if heartbeat.card.name == gateway.settings.name {
         return;
     }
     let now = gateway.now();
-    take_departures(gateway, &word, now);
-    take_work(gateway, &word, now);
-    exchange::catch_up(gateway, &word);
+    take_departures(gateway, &heartbeat, now);
+    take_work(gateway, &heartbeat, now);
+    exchange::catch_up(gateway, &heartbeat);
     gateway.room_notice.notify_waiters();
-    let from = word.peers;
-    let (name, zone) = (word.name.clone(), word.zone.clone());
-    let fresh = gateway.fleet.borrow_mut().heard(word, now);
-    if !fresh {
+    let news = gateway.fleet.borrow_mut().heard(heartbeat.clone(), now);
+    if news.left && gateway.is_hub() {
+        gateway.tell(SpreadNews::All);
+    }
+    if news.fresh {
+        gateway.speak_notice.notify_one();
+        gateway.decisions.line(&Decision::PeerHeard {
+            peer: &heartbeat.card.name,
+            zone: &heartbeat.card.zone,
+        });
+    }
+    if heartbeat.answers {
         return;
     }
-    gateway.decisions.line(&Decision::PeerHeard {
-        peer: &name,
-        zone: &zone,
-    });
-    let known: Vec<SocketAddr> = gateway
-        .fleet
-        .borrow()
-        .iter()
-        .map(|peer| peer.word.peers)
-        .collect();
-    send(
-        socket,
-        from,
-        &PeerMessage::Word(own_word(gateway, Vec::new())),
-    )
-    .await;
-    for part in known.chunks(MOST_KNOWN) {
-        send(socket, from, &PeerMessage::Known(part.to_vec())).await;
+    let lists = spread::answer(&gateway.fleet.borrow(), &heartbeat, news.fresh, now);
+    for cards in lists {
+        let answer = NodeHeartbeat {
+            answers: true,
+            cards,
+            work: None,
+            ..own_heartbeat(gateway)
+        };
+        send(gateway, socket, heartbeat.card.peers, &answer).await;
     }
 }
 
-fn take_departures(gateway: &Gateway, word: &NodeWord, now: Duration) {
-    for hash in &word.departures {
+fn take_departures(gateway: &Gateway, heartbeat: &NodeHeartbeat, now: Duration) {
+    for hash in &heartbeat.departures {
         let departed = gateway.registry.borrow_mut().departed(*hash, now);
-        if let Some(key) = departed {
-            follow::upstream_changed(gateway, key);
+        let Some(key) = departed else {
+            continue;
+        };
+        follow::upstream_changed(gateway, key);
+        if gateway.is_hub() {
+            gateway.tell(SpreadNews::All);
         }
     }
 }
 
-fn take_work(gateway: &Gateway, word: &NodeWord, now: Duration) {
+fn take_work(gateway: &Gateway, heartbeat: &NodeHeartbeat, now: Duration) {
+    let node = &heartbeat.card.name;
     let mut registry = gateway.registry.borrow_mut();
-    for work in &word.work {
+    for work in heartbeat.work.iter().flatten() {
         let key = registry.by_hash(work.run);
         if let Some(upstream) = key.and_then(|key| registry.get_mut(key)) {
-            upstream.load.heard(&word.name, work.count, now);
-            upstream.load.cache.heard(&word.name, work.taken_tokens);
+            upstream.load.heard(node, work.count, now);
+            upstream.load.cache.heard(node, work.taken_tokens);
         }
     }
-    for hash in &word.failing {
+    for hash in &heartbeat.failing {
         let key = registry.by_hash(*hash);
         if let Some(upstream) = key.and_then(|key| registry.get_mut(key)) {
             upstream.health.warned(now);
         }
     }
-    for (part, hash) in &word.parts {
+    for (part, hash) in &heartbeat.parts {
         let key = registry.by_hash(*hash);
         if let Some(upstream) = key.and_then(|key| registry.get_mut(key)) {
             upstream.load.part_used(*part, now);
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -10,10 +10,11 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
-use monsoonbank_kernel::gateway::fleet;
+use monsoonbank_kernel::gateway::heartbeat;
 use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_kernel::gateway::rules::{AnswerForm, CallSafety};
+use monsoonbank_kernel::gateway::spread::SpreadNews;
 use monsoonbank_platform::answer::{self, AnswerKind};
 use monsoonbank_platform::head::{self, UpstreamOrder};
 
@@ -139,7 +140,7 @@
     let input = ChoiceInput {
         pool: &call.pool,
         zone: &gateway.settings.zone,
-        node: fleet::node_hash(&gateway.settings.name),
+        node: heartbeat::node_hash(&gateway.settings.name),
         rivals: &rivals,
         silent,
         prompt: &call.head.prompt,
@@ -197,6 +198,7 @@
         reason: &failed.reason,
     });
     if rests {
+        gateway.tell(SpreadNews::Calls);
         gateway.decisions.line(&Decision::UpstreamRests {
             upstream: &upstream.entry.id,
             failures: upstream.health.failures(),
--- a/daemon/tests/gateway/thin.rs
+++ b/daemon/tests/gateway/thin.rs
@@ -17,7 +17,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use crate::words::pretend_reader;
+use crate::heartbeats::pretend_reader;
 use crate::world::{NodeProcess, World, configuration, good, until};
 
 /// The thinnest link of a host that is served.
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -6,8 +6,10 @@
 pub mod budget;
 pub mod cache;
 pub mod choice;
+pub mod entries;
 pub mod fleet;
 pub mod health;
+pub mod heartbeat;
 pub mod lag;
 pub mod load;
 pub mod outcome;
@@ -17,4 +19,5 @@
 pub mod registry;
 pub mod room;
 pub mod rules;
+pub mod spread;
 pub mod waiting;
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -1,198 +1,437 @@
-//! The other nodes, as their own words tell them.
+//! The nodes of the fleet, as their own heartbeats and those of others tell them.
+//!
+//! In each availability zone the few strongest nodes are its *hubs*: every node of the zone sends its
+//! heartbeats to them, they tell all nodes of the zone, and hubs of different zones tell each other.
+//! Hubs are not elected: each node ranks the nodes that it knows, and passes over those that it
+//! expects to hear and does not. Nodes that disagree for a while tell a few nodes too many.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use derive_more::{From, Into};
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use crate::gateway::entries;
+use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash, short_hash};
 
-use crate::gateway::load::WorkCount;
+/// Hubs of an availability zone: the loss of two at once leaves one.
+pub const HUBS: usize = 3;
 
-/// Tells a node from others in what is drawn by hashing.
-pub fn node_hash(name: &str) -> u64 {
-    xxh3_64(name.as_bytes())
-}
+/// Time after which a silent node is no longer named to callers: one heartbeat of a node that has no
+/// calls may be lost.
+pub const SILENT_AFTER: Duration = Duration::from_secs(2);
+/// Time after which a silent hub is passed over by those who tell it: two of its heartbeats may be lost.
+const HUB_SILENT_AFTER: Duration = Duration::from_millis(2500);
+/// The same for hubs of other zones, which tell each other in turn if there are many. A node counts as
+/// part of the fleet for as long.
+pub const FAR_SILENT_AFTER: Duration = Duration::from_secs(15);
+/// Time after which a silent hub no longer reads the store for others: one heartbeat may be lost.
+const READER_SILENT_AFTER: Duration = Duration::from_millis(1800);
+/// Time after which a node of which nothing is heard, also not of others, is forgotten. Hubs name all
+/// nodes of a zone of some hundred to each other node in less.
+const FORGOTTEN_AFTER: Duration = Duration::from_mins(1);
+/// Time for which a node that has gone silent is taken to send calls still.
+const RIVAL_AGE: Duration = Duration::from_secs(30);
+/// Time without an answer of the store to any node after which the first node that is no hub tries.
+/// Readers ask every 0.7 s, and their news takes a second to reach all.
+const STORE_PATIENCE: Duration = Duration::from_secs(3);
+/// Time after which one more does: enough that a whole outage costs few calls, and a store that turns
+/// all hubs away is read again within seconds.
+const STORE_STEP: Duration = Duration::from_millis(500);
 
-/// What a node says of its work at an upstream. Three bare values, as names would double a word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, From, Into, Serialize, Deserialize)]
-#[serde(from = "(u64, WorkCount, u64)", into = "(u64, WorkCount, u64)")]
-pub struct WorkWord {
-    /// Hash of the upstream's run.
-    pub run: u64,
-    /// Calls that are there.
-    pub count: WorkCount,
-    /// Prompt tokens that its calls made the upstream's cache take in since the node started.
-    pub taken_tokens: u64,
+/// Another node.
+#[derive(Clone, Debug)]
+pub struct FleetPeer {
+    /// Its newest heartbeat; only who it is if none came yet.
+    pub heartbeat: NodeHeartbeat,
+    /// When that came.
+    pub heard_at: Option<Duration>,
+    /// When its own or another node's heartbeat named it last.
+    named_at: Duration,
+    /// Since when this node has told it and expects to hear it.
+    expected_since: Option<Duration>,
 }
 
-/// What a node says of itself, several times a second.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NodeWord {
-    /// Its name.
-    pub name: Box<str>,
-    /// Grows with each start of the node's process.
-    pub incarnation: u64,
-    /// Its availability zone.
-    pub zone: Box<str>,
-    /// Where callers reach it.
-    pub callers: SocketAddr,
-    /// Where other nodes reach it.
-    pub peers: SocketAddr,
-    /// Whether it takes new calls.
-    pub ready: bool,
-    /// Open calls that its host can carry.
-    pub capacity: u32,
-    /// Version of the configuration that it has in force; 0 is none.
-    pub version: u64,
-    /// Whether the store answers it.
-    pub store_well: bool,
-    /// Digest of the upstreams that it knows and of those that left.
-    pub registry_digest: u64,
-    /// Its work at upstreams.
-    pub work: Vec<WorkWord>,
-    /// Hashes of the runs of upstreams that it found failing or unreachable and passes over.
-    pub failing: Vec<u64>,
-    /// Hashes of the runs of upstreams that began to leave a moment ago.
-    pub departures: Vec<u64>,
-    /// Parts of prompts that it sent lately, with the hash of the upstream's run.
-    pub parts: Vec<(u64, u64)>,
-}
+impl FleetPeer {
+    fn heard_within(&self, age: Duration, now: Duration) -> bool {
+        self.heard_at.is_some_and(|at| at + age > now)
+    }
 
-/// Time after which a silent node is no longer named to callers: four of the longest pauses
-/// between two words of a node.
-pub const SILENT_AFTER: Duration = Duration::from_secs(2);
-/// Time after which a silent node no longer reads for others. A word comes every 0.2 to 0.8 s.
-const READER_SILENT_AFTER: Duration = Duration::from_millis(1500);
-/// Time after which a silent node is forgotten.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+    /// Whether it was expected to speak and did not.
+    fn is_silent(&self, age: Duration, now: Duration) -> bool {
+        let last = self.expected_since.max(self.heard_at);
+        self.expected_since.is_some() && last.is_some_and(|last| last + age <= now)
+    }
 
-impl NodeWord {
-    /// Calls that it has at upstreams.
-    pub fn open_calls(&self) -> u32 {
-        self.work.iter().map(|work| work.count.calls).sum()
+    /// Whether a card is that of an earlier run. One that speaks while the later run is silent is not:
+    /// its host's time of day was set back.
+    fn outlasts(&self, card: &NodeCard, now: Duration) -> bool {
+        self.heartbeat.card.incarnation > card.incarnation && self.heard_within(SILENT_AFTER, now)
     }
-}
 
-/// Fewest nodes of an availability zone that are named to callers, so that the loss of one leaves
-/// callers two others.
-const FEWEST_ENTRIES: usize = 3;
-/// Fewest if the next node is much weaker than those that are named: the loss of one leaves one.
-const FEWEST_STRONG: usize = 2;
-/// Capacity against the strongest node's below which a node is much weaker. Callers choose evenly, so
-/// such a node is full while the others are idle.
-const WEAK_PART: f64 = 0.5;
-/// Part of their capacity that entries are filled to before more are named.
-const ENTRY_PART: f64 = 0.8;
-
-/// The nodes among `words` that callers of an availability zone are sent to: as few as can carry the
-/// zone's calls when each gets the same share, since few entries know each other's work well; the
-/// strongest first.
-pub fn entries<'a>(words: impl Iterator<Item = &'a NodeWord>, zone: &str) -> Vec<&'a NodeWord> {
-    let mut nodes: Vec<&NodeWord> = words
-        .filter(|word| word.ready && &*word.zone == zone)
-        .collect();
-    nodes.sort_by(|one, other| (other.capacity, &one.name).cmp(&(one.capacity, &other.name)));
-    let calls: u32 = nodes.iter().map(|word| word.open_calls()).sum();
-    let room = |count: usize| {
-        let weakest = nodes.get(count.wrapping_sub(1));
-        weakest.map_or(0.0, |word| {
-            ENTRY_PART * f64::from(word.capacity) * count as f64
-        })
-    };
-    let fewest = fewest_entries(&nodes);
-    let count = (fewest..=nodes.len())
-        .find(|count| room(*count) >= f64::from(calls))
-        .or_else(|| (fewest..=nodes.len()).max_by(|one, other| room(*one).total_cmp(&room(*other))))
-        .unwrap_or(nodes.len());
-    nodes.truncate(count);
-    nodes
+    fn sends_calls(&self) -> bool {
+        self.heartbeat.sends_calls()
+    }
 }
 
-/// Fewest of `nodes`, which stand in order of their capacity, that are named.
-fn fewest_entries(nodes: &[&NodeWord]) -> usize {
-    let strongest = nodes.first().map_or(0, |word| word.capacity);
-    let strong = |word: &&&NodeWord| f64::from(word.capacity) >= WEAK_PART * f64::from(strongest);
-    let strong_count = nodes.iter().filter(strong).count();
-    strong_count.clamp(FEWEST_STRONG, FEWEST_ENTRIES)
+/// What a heartbeat changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerNews {
+    /// The node is new or started again.
+    pub fresh: bool,
+    /// It began to leave.
+    pub left: bool,
 }
 
-/// Another node.
+/// This node and all others that it knows.
 #[derive(Clone, Debug)]
-pub struct FleetPeer {
-    /// Its newest word.
-    pub word: NodeWord,
-    /// When that came.
-    pub heard_at: Duration,
-}
-
-/// All other nodes that were heard.
-#[derive(Clone, Debug, Default)]
 pub struct FleetView {
+    own: NodeCard,
+    started_at: Duration,
     peers: BTreeMap<Box<str>, FleetPeer>,
+    store_answered_at: Option<Duration>,
 }
 
 impl FleetView {
-    /// Takes a word in. Gives whether the node is new or started again.
-    pub fn heard(&mut self, word: NodeWord, now: Duration) -> bool {
-        let known = self.peers.get(&word.name).map(|peer| peer.word.incarnation);
-        if known.is_some_and(|incarnation| incarnation > word.incarnation) {
-            return false;
-        }
-        let fresh = known != Some(word.incarnation);
-        self.peers.insert(
-            word.name.clone(),
-            FleetPeer {
-                word,
-                heard_at: now,
-            },
-        );
-        fresh
+    /// The view of a node that starts now and knows no other.
+    pub fn new(own: NodeCard, now: Duration) -> Self {
+        Self {
+            own,
+            started_at: now,
+            peers: BTreeMap::new(),
+            store_answered_at: None,
+        }
+    }
+
+    /// Who this node is.
+    pub fn own(&self) -> &NodeCard {
+        &self.own
+    }
+
+    /// Notes how far this node's process is.
+    pub fn set_state(&mut self, state: NodeState) {
+        self.own.state = state;
+    }
+
+    /// Notes that the store answered this node.
+    pub fn store_answered(&mut self, now: Duration) {
+        self.store_answered_at = self.store_answered_at.max(Some(now));
+    }
+
+    /// When the store answered any node that this one heard of.
+    pub fn store_answered_at(&self) -> Option<Duration> {
+        self.store_answered_at
+    }
+
+    /// Takes a heartbeat in, with all that it says of other nodes.
+    pub fn heard(&mut self, mut heartbeat: NodeHeartbeat, now: Duration) -> PeerNews {
+        if heartbeat.card.name == self.own.name {
+            return PeerNews::default();
+        }
+        for card in std::mem::take(&mut heartbeat.cards) {
+            self.named(card, now);
+        }
+        heartbeat.parts = Vec::new();
+        if let Some(age) = heartbeat.store_age() {
+            let answered_at = now.saturating_sub(age);
+            self.store_answered_at = self.store_answered_at.max(Some(answered_at));
+        }
+        let known = self.peers.get(&heartbeat.card.name);
+        let incarnation = known.map(|peer| peer.heartbeat.card.incarnation);
+        if known.is_some_and(|peer| peer.outlasts(&heartbeat.card, now)) {
+            return PeerNews::default();
+        }
+        let same_run = known.filter(|_| incarnation == Some(heartbeat.card.incarnation));
+        let state = same_run.map_or(NodeState::Starting, |peer| peer.heartbeat.card.state);
+        heartbeat.card.state = heartbeat.card.state.max(state);
+        let news = PeerNews {
+            fresh: same_run.is_none_or(|peer| peer.heard_at.is_none()),
+            left: heartbeat.card.state == NodeState::Leaving && state != NodeState::Leaving,
+        };
+        if heartbeat.work.is_none() {
+            heartbeat.work = same_run.and_then(|peer| peer.heartbeat.work.clone());
+        }
+        let expected_since = known.and_then(|peer| peer.expected_since);
+        let peer = FleetPeer {
+            heard_at: Some(now),
+            named_at: now,
+            expected_since,
+            heartbeat,
+        };
+        self.peers.insert(peer.heartbeat.card.name.clone(), peer);
+        news
+    }
+
+    /// Takes in what another node says of one.
+    fn named(&mut self, card: NodeCard, now: Duration) {
+        if card.name == self.own.name {
+            return;
+        }
+        match self.peers.get_mut(&card.name) {
+            Some(peer) if peer.outlasts(&card, now) => {}
+            Some(peer) if peer.heartbeat.card.incarnation == card.incarnation => {
+                peer.named_at = now;
+                let state = &mut peer.heartbeat.card.state;
+                *state = card.state.max(*state);
+            }
+            _ => {
+                let peer = FleetPeer {
+                    heard_at: None,
+                    named_at: now,
+                    expected_since: None,
+                    heartbeat: NodeHeartbeat::new(card),
+                };
+                self.peers.insert(peer.heartbeat.card.name.clone(), peer);
+            }
+        }
+    }
+
+    /// Notes that the nodes at these addresses are told and should be heard.
+    pub fn expect(&mut self, told: &[SocketAddr], now: Duration) {
+        let told: BTreeSet<&SocketAddr> = told.iter().collect();
+        for peer in self.peers.values_mut() {
+            if told.contains(&peer.heartbeat.card.peers) {
+                peer.expected_since.get_or_insert(now);
+            }
+        }
     }
 
-    /// Forgets nodes that have long been silent.
+    /// Forgets nodes of which nothing was heard for long.
     pub fn forget(&mut self, now: Duration) {
         self.peers
-            .retain(|_, peer| peer.heard_at + FORGOTTEN_AFTER > now);
+            .retain(|_, peer| peer.named_at + FORGOTTEN_AFTER > now);
+        for peer in self.peers.values_mut() {
+            if !peer.heard_within(RIVAL_AGE, now) {
+                peer.heartbeat.work = None;
+            }
+        }
+    }
+
+    /// The hubs of an availability zone: the strongest of its nodes that are not known to be leaving or
+    /// silent.
+    pub fn hubs(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
+        let mut ranked = self.ranked(zone, now);
+        ranked.truncate(HUBS);
+        ranked
     }
 
-    /// Whether this node reads the store for its availability zone: the first by name that is there
-    /// and that the store answers. All others learn from it.
-    pub fn is_reader(&self, name: &str, zone: &str, now: Duration) -> bool {
-        let before_me = |peer: &&FleetPeer| {
-            let fresh = peer.heard_at + READER_SILENT_AFTER > now;
-            fresh && peer.word.store_well && &*peer.word.zone == zone && &*peer.word.name < name
+    /// Whether this node is a hub of its zone.
+    pub fn is_hub(&self, now: Duration) -> bool {
+        self.rank(now).is_some_and(|rank| rank < HUBS)
+    }
+
+    fn ranked(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
+        let is_own = zone == &*self.own.zone;
+        let age = if is_own {
+            HUB_SILENT_AFTER
+        } else {
+            FAR_SILENT_AFTER
         };
-        !self.peers.values().any(|peer| before_me(&peer))
+        let peers = self.peers.values();
+        let peers = peers
+            .filter(|peer| !peer.is_silent(age, now))
+            .map(|peer| &peer.heartbeat.card);
+        let own = is_own.then_some(&self.own);
+        let mut nodes: Vec<&NodeCard> = peers
+            .chain(own)
+            .filter(|card| &*card.zone == zone && card.state != NodeState::Leaving)
+            .collect();
+        nodes.sort_by(|one, other| (other.capacity, &one.name).cmp(&(one.capacity, &other.name)));
+        nodes
     }
 
-    /// Nodes that are there.
+    /// This node's place among those of its zone; none if it leaves.
+    fn rank(&self, now: Duration) -> Option<usize> {
+        let ranked = self.ranked(&self.own.zone, now);
+        ranked.iter().position(|card| card.name == self.own.name)
+    }
+
+    /// Whether this node reads the store: the first hub of each zone that the store answers does so for
+    /// all. If the store seems to answer no node at all, hubs try, and then one node more after the
+    /// other, since the store may turn just the hubs away.
+    pub fn reads_store(&self, now: Duration) -> bool {
+        let ranked = self.ranked(&self.own.zone, now);
+        let rank = ranked.iter().position(|card| card.name == self.own.name);
+        let rank = rank.unwrap_or(ranked.len());
+        if rank < HUBS {
+            let reads = |card: &&NodeCard| {
+                let peer = self.peers.get(&card.name);
+                peer.is_some_and(|peer| {
+                    peer.heartbeat.store_well && peer.heard_within(READER_SILENT_AFTER, now)
+                })
+            };
+            return !ranked[..rank].iter().any(reads);
+        }
+        let quiet_since = self.store_answered_at.unwrap_or(self.started_at);
+        let steps = u32::try_from(rank - HUBS).unwrap_or(u32::MAX);
+        now > quiet_since + STORE_PATIENCE + STORE_STEP.saturating_mul(steps)
+    }
+
+    /// Nodes that were heard a moment ago.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &FleetPeer> {
-        self.peers
+        let peers = self.peers.values();
+        peers.filter(move |peer| peer.heard_within(SILENT_AFTER, now))
+    }
+
+    /// Nodes of this node's zone, or of all others, that send calls or are sent calls, with the hubs.
+    pub fn call_nodes(&self, near: bool, entries: &[u64], now: Duration) -> Vec<SocketAddr> {
+        let in_reach = |zone: &str| (zone == &*self.own.zone) == near;
+        let zones: BTreeSet<&str> = self
+            .peers
             .values()
-            .filter(move |peer| peer.heard_at + SILENT_AFTER > now)
+            .map(|peer| &*peer.heartbeat.card.zone)
+            .filter(|zone| in_reach(zone))
+            .collect();
+        let mut told: BTreeSet<SocketAddr> = zones
+            .iter()
+            .flat_map(|zone| self.hubs(zone, now))
+            .map(|card| card.peers)
+            .collect();
+        let mut entries: BTreeSet<u64> = entries.iter().copied().filter(|_| near).collect();
+        for peer in self.live(now) {
+            if in_reach(&peer.heartbeat.card.zone) {
+                entries.extend(&peer.heartbeat.entries);
+            }
+        }
+        let calls = |peer: &&FleetPeer| {
+            let card = &peer.heartbeat.card;
+            let busy = peer.sends_calls() && peer.heard_within(FAR_SILENT_AFTER, now);
+            busy || entries.contains(&short_hash(&card.name))
+        };
+        let peers = self.peers.values().filter(calls);
+        let cards = peers.map(|peer| &peer.heartbeat.card);
+        told.extend(
+            cards
+                .filter(|card| in_reach(&card.zone))
+                .map(|card| card.peers),
+        );
+        told.remove(&self.own.peers);
+        told.into_iter().collect()
+    }
+
+    /// All other nodes of this node's zone.
+    pub fn zone_peers(&self) -> impl Iterator<Item = &FleetPeer> {
+        let peers = self.peers.values();
+        peers.filter(|peer| peer.heartbeat.card.zone == self.own.zone)
+    }
+
+    /// Nodes that this one heard itself and may name to others: a node that is gone is not passed
+    /// round for ever.
+    pub fn namable(&self, now: Duration) -> Vec<&NodeCard> {
+        let heard = |peer: &&FleetPeer| {
+            let near = peer.heartbeat.card.zone == self.own.zone;
+            let age = if near { SILENT_AFTER } else { FAR_SILENT_AFTER };
+            peer.heard_within(age, now) && peer.heartbeat.card.state != NodeState::Leaving
+        };
+        let peers = self.peers.values().filter(heard);
+        peers.map(|peer| &peer.heartbeat.card).collect()
+    }
+
+    /// Short hashes of the nodes that callers of this zone are sent to, if this node is a hub, which
+    /// hears all of them.
+    pub fn entry_hashes(&self, own: &NodeHeartbeat, now: Duration) -> Vec<u64> {
+        if !self.is_hub(now) {
+            return Vec::new();
+        }
+        let entries = self.known_entries(own, &self.own.zone, now);
+        let names = entries.iter().map(|entry| &entry.card.name);
+        names.map(|name| short_hash(name)).collect()
+    }
+
+    fn known_entries<'a>(
+        &'a self,
+        own: &'a NodeHeartbeat,
+        zone: &str,
+        now: Duration,
+    ) -> Vec<&'a NodeHeartbeat> {
+        let live = self.live(now).map(|peer| &peer.heartbeat);
+        entries::entries(live.chain(std::iter::once(own)), zone)
+    }
+
+    /// The nodes that callers of a zone are sent to: as the zone's first hub says, or as this node
+    /// knows if it is a hub itself or hears none. If there are none, all that take calls.
+    pub fn callers_nodes(&self, own: &NodeHeartbeat, zone: &str, now: Duration) -> Vec<SocketAddr> {
+        let is_own_hub = zone == &*self.own.zone && self.is_hub(now);
+        let told = (!is_own_hub).then(|| self.told_entries(zone, now));
+        let mut cards = told.unwrap_or_default();
+        if cards.is_empty() {
+            let known = self.known_entries(own, zone, now);
+            cards = known.iter().map(|entry| &entry.card).collect();
+        }
+        if cards.is_empty() {
+            let live = self.live(now).map(|peer| &peer.heartbeat.card);
+            cards = live
+                .chain(std::iter::once(&self.own))
+                .filter(|card| card.is_ready())
+                .collect();
+        }
+        cards.iter().map(|card| card.callers).collect()
+    }
+
+    fn told_entries(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
+        let hubs = self.hubs(zone, now);
+        let mut lists = hubs
+            .iter()
+            .filter_map(|card| self.peers.get(&card.name))
+            .filter(|peer| peer.heard_within(SILENT_AFTER, now))
+            .map(|peer| &peer.heartbeat.entries);
+        let Some(entries) = lists.find(|entries| !entries.is_empty()) else {
+            return Vec::new();
+        };
+        let peers = self.peers.values().map(|peer| &peer.heartbeat.card);
+        peers
+            .chain(std::iter::once(&self.own))
+            .filter(|card| card.state != NodeState::Leaving)
+            .filter(|card| entries.contains(&short_hash(&card.name)))
+            .collect()
+    }
+
+    /// Nodes of this node's zone that it hears, and itself.
+    pub fn zone_size(&self, now: Duration) -> u32 {
+        let live = self.zone_peers();
+        let live = live.filter(|peer| peer.heard_within(FAR_SILENT_AFTER, now));
+        1 + live.count() as u32
+    }
+
+    /// Nodes of the fleet, as the hubs count them; no fewer than this node knows.
+    pub fn size(&self, now: Duration) -> u32 {
+        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut told = 0;
+        let heard = |peer: &&FleetPeer| peer.heard_within(FAR_SILENT_AFTER, now);
+        for peer in self.peers.values().filter(heard) {
+            let heartbeat = &peer.heartbeat;
+            let zone = zones.entry(&heartbeat.card.zone).or_default();
+            *zone = heartbeat.zone_size.max(*zone);
+            if heartbeat.card.zone == self.own.zone {
+                told = heartbeat.fleet_size.max(told);
+            }
+        }
+        let own_zone = zones.entry(&self.own.zone).or_default();
+        *own_zone = self.zone_size(now).max(*own_zone);
+        let counted: u32 = zones.values().sum();
+        let known = 1 + self.peers.len() as u32;
+        if self.is_hub(now) {
+            counted.max(known)
+        } else {
+            told.max(known)
+        }
     }
 
     /// The nodes that send calls, as numbers that tell them apart. One that has gone silent is among
-    /// them until it is forgotten: it may be cut off from here and send all the same.
+    /// them for a while: it may be cut off from here and send all the same.
     pub fn rivals(&self) -> Vec<u64> {
-        let busy = |peer: &&FleetPeer| !peer.word.work.is_empty();
-        let peers = self.peers.values().filter(busy);
-        peers.map(|peer| node_hash(&peer.word.name)).collect()
+        let peers = self.peers.values().filter(|peer| peer.sends_calls());
+        peers
+            .map(|peer| node_hash(&peer.heartbeat.card.name))
+            .collect()
     }
 
     /// How many of them are silent.
     pub fn silent_rivals(&self, now: Duration) -> u32 {
-        let silent = |peer: &&FleetPeer| peer.heard_at + SILENT_AFTER <= now;
-        let busy = self
-            .peers
-            .values()
-            .filter(|peer| !peer.word.work.is_empty());
-        busy.filter(silent).count() as u32
+        let peers = self.peers.values().filter(|peer| peer.sends_calls());
+        let silent = peers.filter(|peer| !peer.heard_within(SILENT_AFTER, now));
+        silent.count() as u32
     }
 
-    /// Every node that is known, live or not.
+    /// Every other node that is known, live or not.
     pub fn iter(&self) -> impl Iterator<Item = &FleetPeer> {
         self.peers.values()
     }
--- /dev/null
+++ b/kernel/src/gateway/spread.rs
@@ -0,0 +1,331 @@
+//! Whom a node sends its heartbeats to, and when.
+//!
+//! The work of a node does not grow with the fleet, that of a hub with its availability zone: a node
+//! tells the hubs of its zone, a hub tells all nodes of its zone in turn and the hubs of other zones.
+//! Nodes that send calls tell each other more often, since they share upstreams.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::gateway::fleet::FleetView;
+use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash};
+
+/// Time between two looks at what is due, of a node without calls.
+pub const IDLE_TICK: Duration = Duration::from_millis(200);
+/// Of a node with calls: an engine under load takes and ends one in some 50 ms.
+pub const BUSY_TICK: Duration = Duration::from_millis(50);
+/// What timers may be late without a heartbeat being put off to the next look.
+const TICK_SLACK: Duration = Duration::from_millis(20);
+
+/// Time between two heartbeats of a hub without calls to the other hubs of its zone.
+const HUB_PAUSE: Duration = Duration::from_millis(800);
+/// Time between two heartbeats to hubs of a node that is none and has no calls: what hubs know of it
+/// changes seldom.
+const MEMBER_PAUSE: Duration = Duration::from_millis(800);
+/// Time in which a hub tells each node of its zone. With three hubs a node hears one every 0.3 s.
+const ZONE_CYCLE: Duration = Duration::from_millis(800);
+/// Time between two heartbeats to nodes of other zones that send calls, while there are calls.
+const FAR_BUSY_PAUSE: Duration = Duration::from_millis(200);
+/// The same at rest, when only news matters, which is told at once.
+const FAR_IDLE_PAUSE: Duration = Duration::from_millis(400);
+/// Rounds at rest in which each of them is told.
+const FAR_IDLE_ROUNDS: usize = 12;
+/// Nodes of other zones that are told at once, in turn, while there are calls: bounds what zones cost.
+const MOST_FAR: usize = 12;
+/// Time between two heartbeats of a hub to the seeds, which lead new nodes to the hubs.
+const SEED_PAUSE: Duration = Duration::from_secs(4);
+/// Nodes that a heartbeat to the zone names, in turn.
+const NAMED_CARDS: u64 = 1;
+/// Time for which new hubs are named in each heartbeat to the zone.
+const HUBS_NEW_FOR: Duration = Duration::from_secs(3);
+/// Nodes in one datagram that answers a new node, some 75 bytes each.
+const MOST_CARDS: usize = 14;
+
+/// What others should know at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SpreadNews {
+    /// Nothing.
+    #[default]
+    None,
+    /// Something that matters to nodes that send calls.
+    Calls,
+    /// Something that matters to all nodes.
+    All,
+}
+
+/// What a node has to say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpreadRound {
+    /// Whether it has calls.
+    pub busy: bool,
+    /// What others should know at once.
+    pub news: SpreadNews,
+    /// Now.
+    pub now: Duration,
+}
+
+/// Whom it tells now.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SpreadPlan {
+    /// Nodes of its zone that hear of its work.
+    pub near: Vec<SocketAddr>,
+    /// Nodes of its zone that hear what is in force.
+    pub zone: Vec<SocketAddr>,
+    /// Nodes of other zones that hear of its work.
+    pub far: Vec<SocketAddr>,
+    /// Whether the seeds are told too.
+    pub seeds: bool,
+    /// Nodes that the heartbeats to the zone name.
+    pub zone_cards: Vec<NodeCard>,
+    /// Hubs that all other heartbeats name.
+    pub hub_cards: Vec<NodeCard>,
+}
+
+/// When a node told whom last.
+#[derive(Clone, Debug, Default)]
+pub struct HeartbeatSpread {
+    near_at: Option<Duration>,
+    zone_at: Option<Duration>,
+    far_at: Option<Duration>,
+    seeds_at: Option<Duration>,
+    zone_turn: usize,
+    far_turn: usize,
+    hubs: Vec<Box<str>>,
+    hubs_changed_at: Option<Duration>,
+}
+
+impl HeartbeatSpread {
+    /// Whom to tell now. `own` is what the node says of itself.
+    pub fn plan(
+        &mut self,
+        fleet: &mut FleetView,
+        own: &NodeHeartbeat,
+        round: SpreadRound,
+    ) -> SpreadPlan {
+        let now = round.now;
+        // A hub that leaves says so to all that it told.
+        let is_hub = fleet.is_hub(now) || fleet.own().state == NodeState::Leaving;
+        let tells_calls = is_hub || round.busy || own.sends_calls();
+        let mut plan = SpreadPlan::default();
+        if self.note_hubs(fleet, now) {
+            self.near_at = None;
+        }
+        if round.news >= SpreadNews::Calls {
+            self.near_at = None;
+            self.far_at = None;
+        }
+        let near_pause = match (round.busy, is_hub) {
+            (true, _) => BUSY_TICK,
+            (false, true) => HUB_PAUSE,
+            (false, false) => MEMBER_PAUSE,
+        };
+        if is_due(&mut self.near_at, near_pause, now) {
+            plan.near = near_nodes(fleet, own, tells_calls, now);
+        }
+        if is_hub && (is_due(&mut self.zone_at, IDLE_TICK, now) || round.news == SpreadNews::All) {
+            plan.zone = self.zone_nodes(fleet, round);
+            plan.zone_cards = self.zone_cards(fleet, now);
+        }
+        let far_pause = if round.busy {
+            FAR_BUSY_PAUSE
+        } else {
+            FAR_IDLE_PAUSE
+        };
+        if tells_calls && is_due(&mut self.far_at, far_pause, now) {
+            plan.far = self.far_nodes(fleet, round);
+        }
+        let is_seeking = is_seeking(fleet, now);
+        let seed_pause = if is_seeking { IDLE_TICK } else { SEED_PAUSE };
+        plan.seeds = (is_hub || is_seeking) && is_due(&mut self.seeds_at, seed_pause, now);
+        if is_hub {
+            plan.hub_cards = hub_cards(fleet, now);
+        }
+        fleet.expect(&plan.near, now);
+        fleet.expect(&plan.far, now);
+        plan
+    }
+
+    /// Notes who the hubs of the node's zone are. Gives whether that changed.
+    fn note_hubs(&mut self, fleet: &FleetView, now: Duration) -> bool {
+        let hubs = fleet.hubs(&fleet.own().zone, now);
+        let names: Vec<Box<str>> = hubs.iter().map(|card| card.name.clone()).collect();
+        if names == self.hubs {
+            return false;
+        }
+        self.hubs = names;
+        self.hubs_changed_at = Some(now);
+        true
+    }
+
+    /// The next nodes of the zone that are no hubs, or all of them.
+    fn zone_nodes(&mut self, fleet: &FleetView, round: SpreadRound) -> Vec<SocketAddr> {
+        let hubs = fleet.hubs(&fleet.own().zone, round.now);
+        let hubs: Vec<SocketAddr> = hubs.iter().map(|card| card.peers).collect();
+        let peers = fleet.zone_peers().map(|peer| peer.heartbeat.card.peers);
+        let others: Vec<SocketAddr> = peers.filter(|peer| !hubs.contains(peer)).collect();
+        let rounds = (ZONE_CYCLE.as_millis() / IDLE_TICK.as_millis()) as usize;
+        let share = others.len().div_ceil(rounds);
+        take_turn(
+            &others,
+            &mut self.zone_turn,
+            share,
+            round.news == SpreadNews::All,
+        )
+    }
+
+    fn far_nodes(&mut self, fleet: &FleetView, round: SpreadRound) -> Vec<SocketAddr> {
+        let far = fleet.call_nodes(false, &[], round.now);
+        let share = if round.busy {
+            MOST_FAR
+        } else {
+            far.len().div_ceil(FAR_IDLE_ROUNDS)
+        };
+        take_turn(
+            &far,
+            &mut self.far_turn,
+            share,
+            round.news >= SpreadNews::Calls,
+        )
+    }
+
+    fn zone_cards(&self, fleet: &FleetView, now: Duration) -> Vec<NodeCard> {
+        let namable = fleet.namable(now);
+        let cycle = (now.as_millis() / ZONE_CYCLE.as_millis()) as u64;
+        let turns = (0..NAMED_CARDS.min(namable.len() as u64)).map(|step| {
+            let turn = cycle * NAMED_CARDS + step;
+            namable[(turn % namable.len() as u64) as usize].clone()
+        });
+        let new_hubs = self
+            .hubs_changed_at
+            .is_some_and(|at| at + HUBS_NEW_FOR > now);
+        let hubs = fleet.hubs(&fleet.own().zone, now);
+        let hubs = hubs.into_iter().filter(|_| new_hubs).cloned();
+        turns.chain(hubs).collect()
+    }
+}
+
+/// The next of the hubs of all zones that this node heard: hubs have to know each other.
+fn hub_cards(fleet: &FleetView, now: Duration) -> Vec<NodeCard> {
+    let hubs = heard_hubs(fleet, now);
+    // Drawn, since a turn that is in step with the rounds would name the same hubs to the same nodes.
+    let round = (now.as_millis() / FAR_IDLE_PAUSE.as_millis()) as u64;
+    let turn = xxh3_64_with_seed(fleet.own().name.as_bytes(), round) as usize;
+    let next = hubs.get(turn % hubs.len().max(1));
+    next.map(|card| (*card).clone()).into_iter().collect()
+}
+
+/// Hubs of all zones that this node heard.
+fn heard_hubs(fleet: &FleetView, now: Duration) -> Vec<&NodeCard> {
+    let heard = fleet.namable(now);
+    let zones: BTreeSet<&str> = heard.iter().map(|card| &*card.zone).collect();
+    let hubs: BTreeSet<&str> = zones
+        .iter()
+        .flat_map(|zone| fleet.hubs(zone, now))
+        .map(|card| &*card.name)
+        .collect();
+    let is_hub = |card: &&NodeCard| hubs.contains(&*card.name);
+    heard.into_iter().filter(is_hub).collect()
+}
+
+/// Whether a node knows no other that lives: it asks the seeds for some.
+pub fn is_seeking(fleet: &FleetView, now: Duration) -> bool {
+    fleet.live(now).next().is_none()
+}
+
+/// Lists of nodes to answer a heartbeat with, one for each datagram: a new node is led to the hubs of
+/// its zone, and told of all nodes by the first of them.
+pub fn answer(
+    fleet: &FleetView,
+    from: &NodeHeartbeat,
+    fresh: bool,
+    now: Duration,
+) -> Vec<Vec<NodeCard>> {
+    let card = &from.card;
+    let hubs = fleet.hubs(&card.zone, now);
+    let is_hub = hubs.iter().any(|hub| hub.name == card.name);
+    let others: Vec<NodeCard> = hubs
+        .into_iter()
+        .filter(|hub| hub.name != card.name)
+        .cloned()
+        .collect();
+    let is_near = card.zone == fleet.own().zone;
+    if is_near && fleet.is_hub(now) {
+        if !fresh {
+            return Vec::new();
+        }
+        let is_first = others
+            .first()
+            .is_some_and(|hub| hub.name == fleet.own().name);
+        if !is_first {
+            return vec![others];
+        }
+        let namable = fleet.namable(now);
+        let all: Vec<NodeCard> = namable.into_iter().cloned().collect();
+        return in_datagrams(&all);
+    }
+    if is_near && !is_hub {
+        return vec![others];
+    }
+    let meets_hub = fresh && is_hub && fleet.is_hub(now);
+    if !from.seeking && !meets_hub {
+        return Vec::new();
+    }
+    let mut cards = others;
+    if is_hub {
+        let far = heard_hubs(fleet, now);
+        let mut far: Vec<&NodeCard> = far
+            .into_iter()
+            .filter(|hub| hub.zone != card.zone)
+            .collect();
+        let own = node_hash(&fleet.own().name);
+        far.sort_by_key(|hub| xxh3_64_with_seed(hub.name.as_bytes(), own));
+        cards.extend(far.into_iter().take(MOST_CARDS).cloned());
+    }
+    in_datagrams(&cards)
+}
+
+fn in_datagrams(cards: &[NodeCard]) -> Vec<Vec<NodeCard>> {
+    if cards.is_empty() {
+        return vec![Vec::new()];
+    }
+    cards.chunks(MOST_CARDS).map(<[NodeCard]>::to_vec).collect()
+}
+
+fn near_nodes(
+    fleet: &FleetView,
+    own: &NodeHeartbeat,
+    tells_calls: bool,
+    now: Duration,
+) -> Vec<SocketAddr> {
+    if tells_calls {
+        return fleet.call_nodes(true, &own.entries, now);
+    }
+    let hubs = fleet.hubs(&fleet.own().zone, now);
+    hubs.iter().map(|card| card.peers).collect()
+}
+
+fn is_due(last: &mut Option<Duration>, pause: Duration, now: Duration) -> bool {
+    if last.is_some_and(|last| now + TICK_SLACK < last + pause) {
+        return false;
+    }
+    *last = Some(now);
+    true
+}
+
+/// The next `share` of a list, or all of it.
+fn take_turn(list: &[SocketAddr], turn: &mut usize, share: usize, whole: bool) -> Vec<SocketAddr> {
+    let count = if whole {
+        list.len()
+    } else {
+        share.min(list.len())
+    };
+    let from = *turn;
+    *turn = turn.wrapping_add(count);
+    let steps = 0..count;
+    steps
+        .map(|step| list[from.wrapping_add(step) % list.len()])
+        .collect()
+}
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -12,5 +12,6 @@
 mod partition;
 mod registry;
 mod rules;
+mod spread;
 mod surge;
 mod waiting;
--- /dev/null
+++ b/kernel/tests/gateway/spread.rs
@@ -0,0 +1,466 @@
+//! Heartbeats among many nodes without a network: who is told what, how soon, and at what cost.
+//!
+//! The patterns: all nodes start at once and know three seeds; all lose power and come back; a zone's
+//! hubs die together; a zone is cut off and comes back; datagrams are lost, doubled and overtake each
+//! other; one node freezes. Whatever grew with the fleet squared, or told a node of a large zone only
+//! every few seconds, shows here.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::entries::entries;
+use monsoonbank_kernel::gateway::fleet::FleetView;
+use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState};
+use monsoonbank_kernel::gateway::spread::{
+    self, HeartbeatSpread, IDLE_TICK, SpreadNews, SpreadPlan, SpreadRound,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const STEP: Duration = Duration::from_millis(10);
+/// Nodes of one availability zone, about.
+const ZONE_NODES: usize = 59;
+const STRONG: u32 = 500;
+const WEAK: u32 = 120;
+const SEEDS: usize = 3;
+/// Bytes of a datagram's headers.
+const HEADERS: usize = 28;
+
+/// A node of the model; its view is gone while it is down.
+struct ModelNode {
+    card: NodeCard,
+    up: bool,
+    view: FleetView,
+    spread: HeartbeatSpread,
+    tick_at: Duration,
+    version: u64,
+    news: SpreadNews,
+}
+
+/// What one node sent and received.
+#[derive(Clone, Copy, Debug, Default)]
+struct NodeCost {
+    sent: usize,
+    received: usize,
+    bytes: usize,
+}
+
+struct ModelFleet {
+    now: Duration,
+    nodes: Vec<ModelNode>,
+    by_address: BTreeMap<SocketAddr, usize>,
+    in_flight: BTreeMap<Duration, Vec<(usize, NodeHeartbeat)>>,
+    random: Pcg64Mcg,
+    loss: f64,
+    cut: BTreeSet<Box<str>>,
+    costs: Vec<NodeCost>,
+    largest: usize,
+}
+
+fn zone_count(nodes: usize) -> usize {
+    nodes.div_ceil(ZONE_NODES).max(5)
+}
+
+fn zone_name(zone: usize) -> Box<str> {
+    format!("zone-{zone:02}").into()
+}
+
+fn address(index: usize) -> SocketAddr {
+    let [.., high, low] = (index as u32).to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7000))
+}
+
+impl ModelFleet {
+    /// Nodes of five zones, three strong ones in each, that start within 0.3 s.
+    fn new(count: usize, seed: u64) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let zones = zone_count(count);
+        let nodes = (0..count)
+            .map(|index| {
+                let zone = zone_name(index % zones);
+                let is_strong = (1..=3).contains(&(index / zones));
+                let card = NodeCard {
+                    name: format!("node-{zone}-{index:04}").into(),
+                    incarnation: 1,
+                    zone,
+                    callers: address(index),
+                    peers: address(index),
+                    capacity: if is_strong { STRONG } else { WEAK },
+                    state: NodeState::Ready,
+                };
+                ModelNode {
+                    view: FleetView::new(card.clone(), Duration::ZERO),
+                    card,
+                    up: true,
+                    spread: HeartbeatSpread::default(),
+                    tick_at: Duration::from_millis(random.random_range(0..300)),
+                    version: 0,
+                    news: SpreadNews::None,
+                }
+            })
+            .collect();
+        Self {
+            now: Duration::ZERO,
+            nodes,
+            by_address: (0..count).map(|index| (address(index), index)).collect(),
+            in_flight: BTreeMap::new(),
+            random,
+            loss: 0.01,
+            cut: BTreeSet::new(),
+            costs: vec![NodeCost::default(); count],
+            largest: 0,
+        }
+    }
+
+    fn heartbeat(&self, index: usize) -> NodeHeartbeat {
+        let node = &self.nodes[index];
+        let mut heartbeat = NodeHeartbeat {
+            version: node.version,
+            store_well: true,
+            seeking: spread::is_seeking(&node.view, self.now),
+            zone_size: if node.view.is_hub(self.now) {
+                node.view.zone_size(self.now)
+            } else {
+                0
+            },
+            fleet_size: node.view.size(self.now),
+            work: Some(Vec::new()),
+            ..NodeHeartbeat::new(node.view.own().clone())
+        };
+        heartbeat.entries = node.view.entry_hashes(&heartbeat, self.now);
+        heartbeat
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, heartbeat: &NodeHeartbeat) {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(heartbeat, &mut bytes).expect("written");
+        let size = bytes.len() + HEADERS;
+        self.largest = self.largest.max(bytes.len());
+        self.costs[from].sent += 1;
+        self.costs[from].bytes += size;
+        let to = self.by_address[&to];
+        let zones = [&self.nodes[from].card.zone, &self.nodes[to].card.zone];
+        let is_cut = zones[0] != zones[1] && zones.iter().any(|zone| self.cut.contains(*zone));
+        if is_cut || self.random.random_bool(self.loss) {
+            return;
+        }
+        // Some overtake others, and some come twice.
+        for _ in 0..=usize::from(self.random.random_bool(self.loss)) {
+            let delay = Duration::from_millis(self.random.random_range(1..=30));
+            let arriving = self.in_flight.entry(self.now + delay).or_default();
+            arriving.push((to, heartbeat.clone()));
+            self.costs[to].bytes += size;
+        }
+    }
+
+    fn receive(&mut self, index: usize, heartbeat: &NodeHeartbeat) {
+        let now = self.now;
+        if !self.nodes[index].up {
+            return;
+        }
+        self.costs[index].received += 1;
+        let node = &mut self.nodes[index];
+        if heartbeat.version > node.version {
+            node.version = heartbeat.version;
+            if node.view.is_hub(now) {
+                node.news = SpreadNews::All;
+            }
+            node.tick_at = now;
+        }
+        let news = node.view.heard(heartbeat.clone(), now);
+        if news.fresh {
+            node.tick_at = now;
+        }
+        if heartbeat.answers {
+            return;
+        }
+        for cards in spread::answer(&node.view, heartbeat, news.fresh, now) {
+            let answer = NodeHeartbeat {
+                answers: true,
+                cards,
+                work: None,
+                ..self.heartbeat(index)
+            };
+            self.send(index, heartbeat.card.peers, &answer);
+        }
+    }
+
+    fn speak(&mut self, index: usize) {
+        let now = self.now;
+        let mut own = self.heartbeat(index);
+        let node = &mut self.nodes[index];
+        node.tick_at = now + IDLE_TICK;
+        node.view.forget(now);
+        let round = SpreadRound {
+            busy: false,
+            news: std::mem::take(&mut node.news),
+            now,
+        };
+        let SpreadPlan {
+            near,
+            zone,
+            far,
+            seeds,
+            zone_cards,
+            hub_cards,
+        } = node.spread.plan(&mut node.view, &own, round);
+        own.cards = zone_cards;
+        for to in &zone {
+            self.send(index, *to, &own);
+        }
+        own.cards = hub_cards;
+        for to in near.iter().chain(&far) {
+            self.send(index, *to, &own);
+        }
+        for seed in (0..SEEDS).filter(|seed| seeds && *seed != index) {
+            self.send(index, address(seed), &own);
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            let later = self
+                .in_flight
+                .split_off(&(self.now + Duration::from_nanos(1)));
+            let due = std::mem::replace(&mut self.in_flight, later);
+            for (to, heartbeat) in due.into_values().flatten() {
+                self.receive(to, &heartbeat);
+            }
+            for index in 0..self.nodes.len() {
+                if self.nodes[index].up && self.nodes[index].tick_at <= self.now {
+                    self.speak(index);
+                }
+            }
+        }
+    }
+
+    fn stop(&mut self, indices: impl Iterator<Item = usize>) {
+        for index in indices {
+            self.nodes[index].up = false;
+        }
+    }
+
+    /// Starts nodes anew, with nothing known.
+    fn start(&mut self, indices: impl Iterator<Item = usize>) {
+        let now = self.now;
+        for index in indices {
+            let node = &mut self.nodes[index];
+            node.card.incarnation += 1;
+            node.view = FleetView::new(node.card.clone(), now);
+            node.spread = HeartbeatSpread::default();
+            node.version = 0;
+            node.up = true;
+            node.tick_at = now + Duration::from_millis(self.random.random_range(0..300));
+        }
+    }
+
+    fn live(&self) -> impl Iterator<Item = &ModelNode> {
+        self.nodes.iter().filter(|node| node.up)
+    }
+
+    /// The strongest live nodes of a zone.
+    fn true_hubs(&self, zone: &str) -> BTreeSet<&str> {
+        let mut cards: Vec<&NodeCard> = self.live().map(|node| &node.card).collect();
+        cards.retain(|card| &*card.zone == zone);
+        cards.sort_by_key(|card| (std::cmp::Reverse(card.capacity), card.name.clone()));
+        cards.iter().take(3).map(|card| &*card.name).collect()
+    }
+
+    /// Live nodes that take other nodes for the hubs of their zone than it has.
+    fn misled(&self) -> Vec<&str> {
+        let now = self.now;
+        self.live()
+            .filter(|node| {
+                let hubs = node.view.hubs(&node.card.zone, now);
+                let hubs: BTreeSet<&str> = hubs.iter().map(|card| &*card.name).collect();
+                hubs != self.true_hubs(&node.card.zone)
+            })
+            .map(|node| &*node.card.name)
+            .collect()
+    }
+
+    /// Live nodes that send callers elsewhere than to the strongest nodes of their zone.
+    fn misleading(&self) -> usize {
+        let live: Vec<NodeHeartbeat> = self
+            .live()
+            .map(|node| NodeHeartbeat::new(node.card.clone()))
+            .collect();
+        let wrong = self.live().filter(|node| {
+            let zone = &node.card.zone;
+            let own = NodeHeartbeat::new(node.card.clone());
+            let named = node.view.callers_nodes(&own, zone, self.now);
+            let right = entries(live.iter(), zone);
+            let right = right.iter().map(|entry| entry.card.callers);
+            BTreeSet::from_iter(named) != right.collect()
+        });
+        wrong.count()
+    }
+
+    /// Live nodes that lack a version.
+    fn lacking(&self, version: u64) -> usize {
+        self.live().filter(|node| node.version < version).count()
+    }
+
+    /// A node puts a version in force and tells others.
+    fn publish(&mut self, index: usize, version: u64) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.version = version;
+        node.news = SpreadNews::All;
+        node.tick_at = now;
+    }
+
+    /// Index of the first live hub of a zone.
+    fn hub(&self, zone: &str) -> usize {
+        let hubs = self.true_hubs(zone);
+        let is_hub = |node: &ModelNode| hubs.contains(&*node.card.name);
+        self.nodes.iter().position(is_hub).expect("a hub")
+    }
+
+    fn reset_costs(&mut self) {
+        self.costs.fill(NodeCost::default());
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Names a case: a number of nodes, and bytes that a node of middle cost may send and receive in a
+/// second at rest.
+macro_rules! at_rest {
+    ($($name:ident: $count:literal, $most:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = ModelFleet::new($count, 1);
+            fleet.run(SECOND * 10);
+            assert!(fleet.misled().is_empty(), "{:?}", fleet.misled());
+            assert_eq!(fleet.misleading(), 0);
+            fleet.reset_costs();
+            for _ in 0..20 {
+                fleet.run(SECOND / 2);
+                assert_eq!(fleet.misleading(), 0, "at {:?}", fleet.now);
+            }
+            let mut bytes: Vec<usize> = fleet.costs.iter().map(|cost| cost.bytes / 10).collect();
+            bytes.sort_unstable();
+            let median = bytes[bytes.len() / 2];
+            let mean = bytes.iter().sum::<usize>() / bytes.len();
+            println!("{} nodes: median {median}, mean {mean}, most {:?} bytes/s, largest {}",
+                $count, bytes.last(), fleet.largest);
+            assert!(median <= $most, "{median} bytes/s");
+            assert!(fleet.largest <= 1400, "{} bytes in a datagram", fleet.largest);
+            let sizes: BTreeSet<u32> = fleet.nodes.iter().map(|node| node.view.size(fleet.now)).collect();
+            assert_eq!(sizes, BTreeSet::from([$count]));
+        }
+    )*};
+}
+
+at_rest! {
+    thirty_nodes_at_rest: 30, 4000;
+    a_hundred_nodes_at_rest: 100, 4000;
+    three_hundred_nodes_at_rest: 295, 4000;
+    a_thousand_nodes_at_rest: 980, 4000;
+}
+
+/// Names a case: a number of nodes that start at once. All have to know their hubs within 2 s, and the
+/// datagrams that they send until then must not grow with the square of their number.
+macro_rules! start_at_once {
+    ($($name:ident: $count:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = ModelFleet::new($count, 2);
+            fleet.run(SECOND * 2);
+            assert!(fleet.misled().is_empty(), "{:?}", fleet.misled());
+            let sent: usize = fleet.costs.iter().map(|cost| cost.sent).sum();
+            let busiest = fleet.costs.iter().map(|cost| cost.bytes).max();
+            println!("{} nodes: {} datagrams a node, busiest {busiest:?} bytes", $count, sent / $count);
+            assert!(sent <= 100 * $count, "{sent} datagrams");
+            fleet.stop(0..$count);
+            fleet.run(SECOND * 2);
+            fleet.start(0..$count);
+            fleet.run(SECOND * 2);
+            assert!(fleet.misled().is_empty(), "after the return: {:?}", fleet.misled());
+        }
+    )*};
+}
+
+start_at_once! {
+    thirty_nodes_start_at_once: 30;
+    three_hundred_nodes_start_at_once: 295;
+    a_thousand_nodes_start_at_once: 980;
+}
+
+/// Names a case: what happens to a fleet of 295, and how long it may take until all live nodes agree
+/// on their hubs and have what was published after it.
+macro_rules! recovers {
+    ($($name:ident: $loss:literal, $within:expr, $trouble:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in 0..4 {
+                let mut fleet = ModelFleet::new(295, 10 + seed);
+                fleet.run(SECOND * 3);
+                fleet.loss = $loss;
+                let trouble: fn(&mut ModelFleet) = $trouble;
+                trouble(&mut fleet);
+                fleet.run($within);
+                assert_eq!(fleet.misleading(), 0, "seed {seed}");
+                // Who loses three heartbeats in a row tells a node too many for a moment.
+                assert!(fleet.misled().len() <= 3, "seed {seed}: {:?}", fleet.misled());
+                let reader = fleet.hub(&zone_name(2));
+                fleet.publish(reader, 7);
+                fleet.run(SECOND);
+                assert_eq!(fleet.lacking(7), 0, "seed {seed}");
+            }
+        }
+    )*};
+}
+
+recovers! {
+    datagrams_are_lost: 0.05, SECOND * 5, |_| ();
+    the_hubs_of_a_zone_die_at_once: 0.01, SECOND * 6, |fleet| {
+        let hubs: Vec<usize> = (0..3).map(|_| {
+            let hub = fleet.hub(&zone_name(0));
+            fleet.stop(std::iter::once(hub));
+            hub
+        }).collect();
+        assert_eq!(hubs.len(), 3);
+    };
+    half_of_all_nodes_die_and_come_back: 0.01, SECOND * 4, |fleet| {
+        let half = || (0..295).filter(|index| index % 7 < 4);
+        fleet.stop(half());
+        fleet.run(SECOND * 3);
+        fleet.start(half());
+    };
+    a_zone_is_cut_off_and_comes_back: 0.01, SECOND * 8, |fleet| {
+        fleet.cut.insert(zone_name(1));
+        fleet.run(SECOND * 20);
+        fleet.cut.clear();
+    };
+    all_seeds_are_lost_for_good: 0.01, SECOND * 5, |fleet| fleet.stop(0..SEEDS);
+    hubs_start_anew_one_after_the_other: 0.01, SECOND * 3, |fleet| {
+        for _ in 0..3 {
+            let hub = fleet.hub(&zone_name(3));
+            fleet.stop(std::iter::once(hub));
+            fleet.run(SECOND);
+            fleet.start(std::iter::once(hub));
+            fleet.run(SECOND);
+        }
+    };
+}
+
+#[test]
+fn news_reaches_all_within_a_second_and_costs_a_few_datagrams_a_node() {
+    let mut fleet = ModelFleet::new(295, 5);
+    fleet.run(SECOND * 4);
+    fleet.reset_costs();
+    fleet.run(SECOND);
+    let at_rest: usize = fleet.costs.iter().map(|cost| cost.sent).sum();
+    fleet.reset_costs();
+    let reader = fleet.hub(&zone_name(3));
+    fleet.publish(reader, 9);
+    fleet.run(SECOND);
+    assert_eq!(fleet.lacking(9), 0);
+    let sent: usize = fleet.costs.iter().map(|cost| cost.sent).sum();
+    assert!(sent - at_rest <= 5 * 295, "{sent} against {at_rest}");
+}
