Tell far nodes of calls only where there are many

Each counted as busy for 15 s, so an entry told 236 far nodes in turn, 12 in 0.2 s, instead of the 12 hubs of other zones, and what it had read of prompts reached only the 12 of that round. Ruled out: the cap of 48 parts a heartbeat, which is reached only at 120 calls a second and node.

Far nodes hear of a node that is a hub or has eight open calls, and only such are told. The test had 236 far nodes before and has 12 now.

--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -271,7 +271,7 @@
         peers.filter(move |peer| peer.heard_within(SILENT_AFTER, now))
     }
 
-    /// Nodes of this node's zone, or of all others, that send calls or are sent calls, with the hubs.
+    /// Nodes of this node's zone, or of all others, that have many calls or are sent them, with the hubs.
     pub fn call_nodes(&self, near: bool, entries: &[u64], now: Duration) -> Vec<SocketAddr> {
         let in_reach = |zone: &str| (zone == &*self.own.zone) == near;
         let zones: BTreeSet<&str> = self
@@ -293,7 +293,7 @@
         }
         let calls = |peer: &&FleetPeer| {
             let card = &peer.heartbeat.card;
-            let busy = peer.sends_calls() && peer.heard_within(FAR_SILENT_AFTER, now);
+            let busy = peer.heartbeat.sends_many() && peer.heard_within(SILENT_AFTER, now);
             busy || entries.contains(&short_hash(&card.name))
         };
         let peers = self.peers.values().filter(calls);
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -11,6 +11,10 @@
 
 use crate::gateway::load::WorkCount;
 
+/// Open calls of a node that nodes of other zones are told of. Nodes that callers are not sent to get a
+/// call now and then; if all told all, those that share the load would hear each other seldom.
+const MANY_CALLS: u32 = 8;
+
 /// Tells a node from others in what is drawn by hashing.
 pub fn node_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
@@ -133,6 +137,11 @@
         work.map(|work| work.count.calls).sum()
     }
 
+    /// Whether it has so many calls that others choose worse if they do not hear of them.
+    pub fn sends_many(&self) -> bool {
+        self.open_calls() >= MANY_CALLS
+    }
+
     /// Whether it has calls at upstreams, as far as it told.
     pub fn sends_calls(&self) -> bool {
         self.work.as_ref().is_some_and(|work| !work.is_empty())
--- a/kernel/src/gateway/spread.rs
+++ b/kernel/src/gateway/spread.rs
@@ -108,7 +108,8 @@
         let now = round.now;
         // A hub that leaves says so to all that it told.
         let is_hub = fleet.is_hub(now) || fleet.own().state == NodeState::Leaving;
-        let tells_calls = is_hub || round.busy || own.sends_calls();
+        let tells_far = is_hub || own.sends_many();
+        let tells_calls = tells_far || round.busy || own.sends_calls();
         let mut plan = SpreadPlan::default();
         if self.note_hubs(fleet, now) {
             self.near_at = None;
@@ -134,7 +135,7 @@
         } else {
             FAR_IDLE_PAUSE
         };
-        if tells_calls && is_due(&mut self.far_at, far_pause, now) {
+        if tells_far && is_due(&mut self.far_at, far_pause, now) {
             plan.far = self.far_nodes(fleet, round);
         }
         let is_seeking = is_seeking(fleet, now);
--- a/kernel/tests/gateway/spread.rs
+++ b/kernel/tests/gateway/spread.rs
@@ -11,7 +11,8 @@
 
 use monsoonbank_kernel::gateway::entries::entries;
 use monsoonbank_kernel::gateway::fleet::FleetView;
-use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState};
+use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
+use monsoonbank_kernel::gateway::load::WorkCount;
 use monsoonbank_kernel::gateway::spread::{
     self, HeartbeatSpread, IDLE_TICK, SpreadNews, SpreadPlan, SpreadRound,
 };
@@ -56,6 +57,7 @@
     cut: BTreeSet<Box<str>>,
     costs: Vec<NodeCost>,
     largest: usize,
+    stray_calls: bool,
 }
 
 fn zone_count(nodes: usize) -> usize {
@@ -110,6 +112,7 @@
             cut: BTreeSet::new(),
             costs: vec![NodeCost::default(); count],
             largest: 0,
+            stray_calls: false,
         }
     }
 
@@ -125,13 +128,31 @@
                 0
             },
             fleet_size: node.view.size(self.now),
-            work: Some(Vec::new()),
+            work: Some(self.work()),
             ..NodeHeartbeat::new(node.view.own().clone())
         };
         heartbeat.entries = node.view.entry_hashes(&heartbeat, self.now);
         heartbeat
     }
 
+    /// One call, or none.
+    fn work(&self) -> Vec<WorkReport> {
+        let count = WorkCount {
+            calls: 1,
+            ..WorkCount::default()
+        };
+        let report = WorkReport {
+            run: 7,
+            count,
+            taken_tokens: 0,
+        };
+        if self.stray_calls {
+            vec![report]
+        } else {
+            Vec::new()
+        }
+    }
+
     fn send(&mut self, from: usize, to: SocketAddr, heartbeat: &NodeHeartbeat) {
         let mut bytes = Vec::new();
         ciborium::into_writer(heartbeat, &mut bytes).expect("written");
@@ -193,7 +214,7 @@
         node.tick_at = now + IDLE_TICK;
         node.view.forget(now);
         let round = SpreadRound {
-            busy: false,
+            busy: self.stray_calls,
             news: std::mem::take(&mut node.news),
             now,
         };
@@ -449,6 +470,22 @@
     };
 }
 
+/// Each node gets a call now and then, though callers are sent to three of a zone.
+#[test]
+fn a_few_calls_at_every_node_do_not_thin_out_what_the_entries_tell_each_other() {
+    let mut fleet = ModelFleet::new(295, 6);
+    fleet.stray_calls = true;
+    fleet.run(SECOND * 4);
+    let reader = fleet.hub(&zone_name(0));
+    let own = fleet.heartbeat(reader);
+    let now = fleet.now;
+    let node = &mut fleet.nodes[reader];
+    let far = node.view.call_nodes(false, &own.entries, now);
+    assert_eq!(far.len(), 4 * 3, "hubs of four other zones");
+    let near = node.view.call_nodes(true, &own.entries, now);
+    assert_eq!(near.len(), 2, "the other hubs of the zone");
+}
+
 #[test]
 fn news_reaches_all_within_a_second_and_costs_a_few_datagrams_a_node() {
     let mut fleet = ModelFleet::new(295, 5);
