Use resting upstreams that answer some calls while sound ones are full

Ruled out: warnings of other nodes, three of 100 rests.

What finds no room at sound upstreams goes to resting ones that answered within 2 s, and a call that may run once only where it is more likely answered than lost. One that went dark has answered nothing by then. The tests were red before. The line of a send tells what is known to be kept.

--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -171,6 +171,12 @@
         cost: i64,
         /// Prompt tokens that it has to read.
         unread: u32,
+        /// Tokens of the prompt's shared parts.
+        shared: u32,
+        /// Tokens of them that some upstream keeps, as far as this node knows.
+        known: u32,
+        /// Tokens of them that this one keeps.
+        kept: u32,
         /// Whether it fetches parts of the prompt from another upstream.
         fetches: bool,
         /// Time that is left, in ms.
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -285,6 +285,9 @@
         attempt: trail.history.sends,
         cost: choice.cost as i64,
         unread: choice.unread_tokens,
+        shared: call.head.prompt.shared_tokens(),
+        known: choice.known_tokens,
+        kept: choice.kept_tokens,
         fetches: choice.fetch_from.is_some(),
         left_ms: millis(time_left),
     });
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -31,6 +31,8 @@
 const ZONE_COST: f64 = 150.0;
 /// What a call that is sent in vain costs.
 const FAILURE_COST: f64 = 1500.0;
+/// Running share of failures above which a call is more likely lost than answered.
+const LIKELY_LOST: f64 = 0.5;
 /// What a token that is fetched costs, against one that is read.
 const FETCH_PART: f64 = 0.07;
 /// What a thousand tokens cost that some engine has read and another reads again. A prompt's shared
@@ -87,6 +89,10 @@
     pub cost: f64,
     /// Prompt tokens that it has to read.
     pub unread_tokens: u32,
+    /// Tokens of the prompt's shared parts that it keeps or is about to read.
+    pub kept_tokens: u32,
+    /// Tokens of them that any upstream does.
+    pub known_tokens: u32,
     /// Prompt tokens that its cache has to take in: what it reads and what it fetches.
     pub taken_tokens: u32,
     /// The upstream that keeps more of the prompt.
@@ -123,23 +129,44 @@
     } else {
         None
     };
-    let fresh = |option: &&UpstreamOption| !input.tried.contains(&option.key);
-    let any_rested = all.iter().filter(fresh).any(|option| !option.resting);
-    all.iter()
-        .filter(fresh)
-        .filter(|option| !any_rested || !option.resting)
-        .map(|option| {
-            let place = UpstreamPlace {
-                option,
-                kept: kept.contains(&option.key),
-                home: home == Some(option.key),
-                rank: own_rank(option.upstream, input),
-            };
-            (place, weigh(place, input, keeper, known_tokens))
-        })
-        .filter(|(place, choice)| room::has_room(*place, choice.unread_tokens, input))
-        .map(|(_, choice)| choice)
-        .min_by(|one, other| one.cost.total_cmp(&other.cost))
+    let fresh = all
+        .iter()
+        .filter(|option| !input.tried.contains(&option.key));
+    let (resting, sound): (Vec<_>, Vec<_>) = fresh.partition(|option| option.resting);
+    let cheapest = |options: &[&UpstreamOption]| {
+        options
+            .iter()
+            .map(|option| {
+                let place = UpstreamPlace {
+                    option,
+                    kept: kept.contains(&option.key),
+                    home: home == Some(option.key),
+                    rank: own_rank(option.upstream, input),
+                };
+                (place, weigh(place, input, keeper, known_tokens))
+            })
+            .filter(|(place, choice)| room::has_room(*place, choice.unread_tokens, input))
+            .map(|(_, choice)| choice)
+            .min_by(|one, other| one.cost.total_cmp(&other.cost))
+    };
+    if sound.is_empty() {
+        return cheapest(&resting);
+    }
+    cheapest(&sound).or_else(|| cheapest(&overflow(&resting, input)))
+}
+
+/// Resting upstreams that take what finds no room at sound ones: they lose some answers and give
+/// others. With most of a pool resting, the few others cannot carry its calls. A call that may run
+/// only once goes there if it is more likely answered than not.
+fn overflow<'a>(
+    resting: &[&'a UpstreamOption<'a>],
+    input: &ChoiceInput,
+) -> Vec<&'a UpstreamOption<'a>> {
+    let fits = |option: &&&UpstreamOption| {
+        let health = &option.upstream.health;
+        health.answers_some(input.now) && (input.repeatable || health.failures() < LIKELY_LOST)
+    };
+    resting.iter().filter(fits).copied().collect()
 }
 
 /// An upstream and what it is to its pool.
@@ -243,12 +270,7 @@
         cost += ZONE_COST;
     }
     if place.home {
-        let shared: u32 = input
-            .prompt
-            .shared_parts()
-            .iter()
-            .map(|part| part.tokens)
-            .sum();
+        let shared = input.prompt.shared_tokens();
         cost -= HOME_COST * f64::from(shared) / 1000.0;
     }
     cost += LEAN_COST * place.rank as f64 / (input.rivals.len() + 1) as f64;
@@ -256,6 +278,8 @@
         key,
         cost,
         unread_tokens: unread,
+        kept_tokens: kept,
+        known_tokens,
         taken_tokens: unread + fetched,
         fetch_from: keeper.map(|keeper| keeper.key),
     }
--- a/kernel/src/gateway/health.rs
+++ b/kernel/src/gateway/health.rs
@@ -18,6 +18,9 @@
 const TRIAL_TIME: Duration = Duration::from_secs(1);
 /// Time for which another node's warning holds: three of its longest pauses between two words.
 const WARNING_TIME: Duration = Duration::from_millis(700);
+/// Age up to which an answer shows that a resting upstream still answers some calls: one that went dark
+/// has stopped by then.
+const SOME_ANSWERS_AGE: Duration = Duration::from_secs(2);
 /// Age up to which an own answer counts for more than another node's warning.
 const ANSWER_AGE: Duration = Duration::from_secs(1);
 
@@ -109,6 +112,12 @@
         self.rests > 0
     }
 
+    /// Whether it answered a call a moment ago.
+    pub fn answers_some(&self, now: Duration) -> bool {
+        self.answered_at
+            .is_some_and(|at| at + SOME_ANSWERS_AGE > now)
+    }
+
     /// Running share of calls that failed, from 0 to 1.
     pub fn failures(&self) -> f64 {
         self.failures
--- a/kernel/src/gateway/prompt.rs
+++ b/kernel/src/gateway/prompt.rs
@@ -30,6 +30,11 @@
         f64::from(tokens) / f64::from(event_tokens.max(1))
     }
 
+    /// Tokens of the parts that other calls may share.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
+
     /// The parts that other calls may share: all but the last.
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -225,6 +225,82 @@
     }
 }
 
+/// Three plain upstreams: `i-0` and `i-1` rest after lost answers, the last good one of which came
+/// `since` ago; `i-2` is full.
+fn mostly_resting(since: Duration) -> UpstreamRegistry {
+    let mut registry = registry(&["east"; 3], 6);
+    for upstream in ["i-0", "i-1"] {
+        let key = registry.key(upstream).expect("known");
+        let health = &mut registry.get_mut(key).expect("known").health;
+        for _ in 0..20 {
+            health.succeeded(NOW.saturating_sub(since));
+        }
+        health.silent(NOW);
+    }
+    load(&mut registry, "i-2", WorkItem::default(), 18);
+    registry
+}
+
+/// A call at a pool of plain upstreams.
+fn plain(prompt: &PromptShape, repeatable: bool) -> ChoiceInput<'_> {
+    ChoiceInput {
+        cache_tokens: 0,
+        repeatable,
+        ..input(prompt, false)
+    }
+}
+
+/// Names a case: when the resting upstreams answered last, whether the call may be repeated, and where
+/// it goes while all others are full.
+macro_rules! overflows {
+    ($($name:ident: $since_ms:literal, $repeatable:literal => $upstream:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let registry = mostly_resting(Duration::from_millis($since_ms));
+            let prompt = bulk(0);
+            let choice = choose(&registry, &plain(&prompt, $repeatable));
+            assert_eq!(id(&registry, choice), $upstream);
+        }
+    )*};
+}
+
+overflows! {
+    one_that_loses_some_answers_takes_what_sound_ones_cannot: 500, true => "i-0";
+    also_a_call_that_may_run_once_if_most_are_answered: 500, false => "i-0";
+    one_that_has_not_answered_for_long_takes_nothing: 5000, true => "none";
+}
+
+#[test]
+fn a_call_that_may_run_once_does_not_go_where_most_answers_are_lost() {
+    let mut registry = mostly_resting(Duration::from_millis(500));
+    for upstream in ["i-0", "i-1"] {
+        let key = registry.key(upstream).expect("known");
+        let health = &mut registry.get_mut(key).expect("known").health;
+        for _ in 0..20 {
+            health.silent(NOW);
+        }
+    }
+    let prompt = bulk(0);
+    let once = choose(&registry, &plain(&prompt, false));
+    assert_eq!(id(&registry, once), "none");
+    let repeatable = choose(&registry, &plain(&prompt, true));
+    assert_eq!(id(&registry, repeatable), "i-0");
+}
+
+#[test]
+fn sound_upstreams_with_room_go_before_resting_ones() {
+    let mut registry = mostly_resting(Duration::from_millis(500));
+    let key = registry.key("i-2").expect("known");
+    registry
+        .get_mut(key)
+        .expect("known")
+        .load
+        .end(WorkItem::default());
+    let prompt = bulk(0);
+    let choice = choose(&registry, &plain(&prompt, true));
+    assert_eq!(id(&registry, choice), "i-2");
+}
+
 #[test]
 fn a_part_that_is_being_read_is_not_fetched_until_it_is_read() {
     let mut registry = registry(&["east", "east"], 10);
