Ask engines at a node's start what they keep of prompts

In its first 5 s a hub asks each engine of its zone once for what it keeps; a failed or odd answer is written down and harms nothing. What other zones keep is learnt from use, as before.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -2,8 +2,9 @@
 //!
 //! A call is read by `listener`, matched by `intake`, sent by `relay` through `channels`, and its
 //! stream is passed on by `stream`. `follow` reads the platform's store, `peers` talks with the
-//! other nodes, `desk` answers lookups and checks.
+//! other nodes, `desk` answers lookups and checks, `caches` asks engines what they keep.
 
+pub mod caches;
 pub mod channels;
 pub mod decisions;
 pub mod desk;
@@ -256,6 +257,7 @@
     listener::start(&gateway).await?;
     peers::start(&gateway).await?;
     follow::start(&gateway, u64::from_le_bytes(random));
+    caches::start(&gateway);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- /dev/null
+++ b/daemon/src/gateway/caches.rs
@@ -0,0 +1,126 @@
+//! Asks engines that ran before this node what they keep of prompts. Without it, all that engines had
+//! read is read again after the nodes lost power.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use hyper::StatusCode;
+use monsoonbank_kernel::gateway::prompt::PromptPart;
+use monsoonbank_kernel::gateway::registry::UpstreamKey;
+use monsoonbank_platform::body::{self, BodyError};
+use monsoonbank_platform::cache::{self, CacheError};
+use thiserror::Error;
+
+use crate::gateway::Gateway;
+use crate::gateway::channels::{self, ChannelError};
+use crate::gateway::decisions::Decision;
+
+/// Time after the node's start in which engines are asked; those that come later keep nothing yet.
+const ASKING_TIME: Duration = Duration::from_secs(5);
+/// Time between two looks for engines that were not asked.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Engines that are asked at once.
+const MOST_AT_ONCE: usize = 16;
+/// Time for an engine to begin its answer, and longest pause in it.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+
+/// Why an engine's list was not taken.
+#[derive(Debug, Error)]
+enum ListError {
+    #[error("{0}")]
+    Channel(#[from] ChannelError),
+    #[error("{0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("answered {0}")]
+    Refused(StatusCode),
+    #[error("{0}")]
+    Body(#[from] BodyError),
+    #[error("{0}")]
+    Malformed(#[from] CacheError),
+}
+
+/// An engine to ask.
+#[derive(Clone, Copy, Debug)]
+struct EngineAddress {
+    key: UpstreamKey,
+    address: SocketAddr,
+}
+
+/// Starts asking, if this node is a hub: callers are sent to hubs first.
+pub fn start(gateway: &Rc<Gateway>) {
+    tokio::task::spawn_local(ask_all(gateway.clone()));
+}
+
+async fn ask_all(gateway: Rc<Gateway>) {
+    let until = gateway.now() + ASKING_TIME;
+    let mut asked = BTreeSet::new();
+    while gateway.now() < until {
+        if gateway.is_ready() && gateway.is_hub() {
+            let engines = engines_to_ask(&gateway, &asked);
+            asked.extend(engines.iter().map(|engine| engine.key));
+            for some in engines.chunks(MOST_AT_ONCE) {
+                join_all(some.iter().map(|engine| ask(&gateway, *engine))).await;
+            }
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Engines of the own availability zone. What others keep is fetched once they are used.
+fn engines_to_ask(gateway: &Gateway, asked: &BTreeSet<UpstreamKey>) -> Vec<EngineAddress> {
+    let Some(rules) = gateway.rules() else {
+        return Vec::new();
+    };
+    let registry = gateway.registry.borrow();
+    let is_engine = |pool: &str| rules.pool(pool).is_some_and(|pool| pool.engine.is_some());
+    registry
+        .iter()
+        .filter(|(key, upstream)| upstream.left.is_none() && !asked.contains(key))
+        .filter(|(_, upstream)| upstream.entry.zone == gateway.settings.zone)
+        .filter(|(_, upstream)| is_engine(&upstream.entry.pool))
+        .map(|(key, upstream)| EngineAddress {
+            key,
+            address: upstream.entry.address,
+        })
+        .collect()
+}
+
+async fn ask(gateway: &Gateway, engine: EngineAddress) {
+    let listed = list(engine).await;
+    let mut registry = gateway.registry.borrow_mut();
+    let Some(upstream) = registry.get_mut(engine.key) else {
+        return;
+    };
+    let (parts, reason) = match listed {
+        Ok(parts) => (parts, None),
+        Err(error) => (Vec::new(), Some(error.to_string())),
+    };
+    let now = gateway.now();
+    for part in &parts {
+        upstream.load.part_read(part.id, now);
+    }
+    gateway.decisions.line(&Decision::CacheListed {
+        upstream: &upstream.entry.id,
+        parts: parts.len(),
+        reason: reason.as_deref(),
+    });
+}
+
+async fn list(engine: EngineAddress) -> Result<Vec<PromptPart>, ListError> {
+    let mut channel = channels::open(engine.key, engine.address).await?;
+    let request = cache::list_request(&engine.address.to_string())?;
+    let answer = tokio::time::timeout(ANSWER_TIME, channel.sender.send_request(request)).await;
+    let answer = answer.map_err(|_| ListError::TimedOut)??;
+    if !answer.status().is_success() {
+        return Err(ListError::Refused(answer.status()));
+    }
+    let body = body::read_whole(answer.into_body(), ANSWER_TIME, |_| ()).await?;
+    Ok(cache::decode_list(&body)?)
+}
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -68,6 +68,15 @@
         /// Whether its entry lapsed while the registry was away.
         lapsed: bool,
     },
+    /// An engine that ran before this node was asked what it keeps of prompts.
+    CacheListed {
+        /// The engine's id.
+        upstream: &'a str,
+        /// Parts that it keeps.
+        parts: usize,
+        /// Why it did not tell, if so.
+        reason: Option<&'a str>,
+    },
     /// An upstream is passed over for a while.
     UpstreamRests {
         /// The upstream's id.
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway as processes, between raw callers, scripted upstreams and a store.
 
+mod caches;
 mod heartbeats;
 mod input;
 mod leaving;
--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -167,7 +167,8 @@
         world.with_nodes(zones).await
     }
 
-    async fn with_nodes(mut self, zones: &[&str]) -> Self {
+    /// Starts one more node per zone name.
+    pub async fn with_nodes(mut self, zones: &[&str]) -> Self {
         for (index, zone) in zones.iter().enumerate() {
             let seeds: Vec<IpAddr> = self.nodes.iter().map(|node| node.host).collect();
             let name = format!("node-{index}");
