Share idle engines out between tight streams and other calls

In a calm zone one engine of 32 was kept for tight streams, since 0.85 of its slots hold all of them: streams took 115 ms an event there, on an engine with 50 others, beside 31 almost idle ones.

While a zone has more engines than all calls fill, those left over are shared out alike, at 0.85 of the slots for tight streams and 0.5 for other calls, whose prompts fill a cache at that. When all are needed, tight streams keep what they fill, as before.

The tests of the load were red before. Also here: heartbeats take the place of words in names and comments, and the note on them.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -77,7 +77,7 @@
     pub fleet: RefCell<FleetView>,
     /// Budgets for repeats, by pool.
     pub budgets: RefCell<BTreeMap<Box<str>, RetryBudget>>,
-    /// Parts of prompts that were sent since the last word to other nodes: tokens, part, and hash of
+    /// Parts of prompts that were sent since the last heartbeat to other nodes: tokens, part, and hash of
     /// the upstream's run.
     pub sent_parts: RefCell<BTreeSet<(u32, u64, u64)>>,
     /// How fast streams go.
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -31,7 +31,7 @@
 const FETCH_SILENCE: Duration = Duration::from_millis(500);
 /// Least time between two fetches: what a node that lags costs others.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
-/// Time over which fetches are spread that one word sets off: a node with 10 Mbit/s sends 25 kB, a
+/// Time over which fetches are spread that one heartbeat sets off: a node with 10 Mbit/s sends 25 kB, a
 /// usual configuration, in 20 ms, and those who have it become sources.
 const FETCH_SPREAD: Duration = Duration::from_millis(250);
 
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
-use monsoonbank_kernel::gateway::spread::{self, HeartbeatSpread, SpreadNews, SpreadRound};
+use monsoonbank_kernel::gateway::spread::{
+    self, AnswerNeed, HeartbeatSpread, SpreadNews, SpreadRound,
+};
 use tokio::net::UdpSocket;
 
 use crate::error::NodeError;
@@ -233,21 +235,27 @@
     take_work(gateway, &heartbeat, now);
     exchange::catch_up(gateway, &heartbeat);
     gateway.room_notice.notify_waiters();
-    let news = gateway.fleet.borrow_mut().heard(heartbeat.clone(), now);
+    let card = heartbeat.card.clone();
+    let (seeking, answers) = (heartbeat.seeking, heartbeat.answers);
+    let news = gateway.fleet.borrow_mut().heard(heartbeat, now);
     if news.left && gateway.is_hub() {
         gateway.tell(SpreadNews::All);
     }
     if news.fresh {
         gateway.speak_notice.notify_one();
         gateway.decisions.line(&Decision::PeerHeard {
-            peer: &heartbeat.card.name,
-            zone: &heartbeat.card.zone,
+            peer: &card.name,
+            zone: &card.zone,
         });
     }
-    if heartbeat.answers {
+    if answers {
         return;
     }
-    let lists = spread::answer(&gateway.fleet.borrow(), &heartbeat, news.fresh, now);
+    let need = AnswerNeed {
+        fresh: news.fresh,
+        seeking,
+    };
+    let lists = spread::answer(&gateway.fleet.borrow(), &card, need, now);
     for cards in lists {
         let answer = NodeHeartbeat {
             answers: true,
@@ -255,7 +263,7 @@
             work: None,
             ..own_heartbeat(gateway)
         };
-        send(gateway, socket, heartbeat.card.peers, &answer).await;
+        send(gateway, socket, card.peers, &answer).await;
     }
 }
 
--- a/daemon/src/gateway/settings.rs
+++ b/daemon/src/gateway/settings.rs
@@ -134,7 +134,7 @@
         Ok(settings)
     }
 
-    /// Where this node hears words of other nodes, and serves them what it has read.
+    /// Where this node hears heartbeats of other nodes, and serves them what it has read.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.peers.ip, self.peers.ports[0])
     }
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -16,7 +16,7 @@
 /// may wait up to a third of it.
 const PATIENCE_PART: f64 = 0.33;
 /// Time after which a waiting call looks again even if nothing was told: work of other nodes ends
-/// unseen until their next word.
+/// unseen until their next heartbeat.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Part of a call's target that its way through an upstream takes when it is busy: a call that has
--- a/daemon/tests/gateway/thin.rs
+++ b/daemon/tests/gateway/thin.rs
@@ -75,7 +75,7 @@
         thin_world
     }
 
-    /// Waits until the strong node has the version and lets its words say so.
+    /// Waits until the strong node has the version and lets its heartbeats say so.
     async fn tell(&self, newest: &Value) {
         let version = &newest["version"];
         let strong = &self.world.nodes[0];
--- a/kernel/src/gateway/cache.rs
+++ b/kernel/src/gateway/cache.rs
@@ -10,9 +10,9 @@
 use crate::gateway::prompt::PromptShape;
 
 /// Time after which a part is no longer counted on, whatever else the engine took in: its use by
-/// nodes whose words were lost is not known.
+/// nodes whose heartbeats were lost is not known.
 const LONGEST_KEPT: Duration = Duration::from_mins(1);
-/// Part of the room in the cache that is counted on. What calls generate and what lost words told
+/// Part of the room in the cache that is counted on. What calls generate and what lost heartbeats told
 /// of takes room too.
 const COUNTED_PART: f64 = 0.9;
 /// Parts that are remembered before old ones are dropped: bounds memory to some 100 kB an engine.
@@ -53,8 +53,8 @@
         self.own_taken
     }
 
-    /// Another node's word on how much its calls made it take in so far. What came before its first
-    /// word is no news; after a new start of the node it counts from nothing.
+    /// Another node's report of how much its calls made it take in so far. What came before its first
+    /// report is no news; after a new start of the node it counts from nothing.
     pub fn heard(&mut self, node: &str, taken: u64) {
         let before = self.others_taken.insert(node.into(), taken);
         let before = before.unwrap_or(taken);
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -44,7 +44,7 @@
 /// each thousand shared tokens: without it nodes that get calls at once read them several times.
 const HOME_COST: f64 = 50.0;
 /// What speaks against the upstream to which a node leans least. Nodes lean to different ones, so
-/// that they do not all find the same cheapest one between two words.
+/// that they do not all find the same cheapest one between two heartbeats.
 const LEAN_COST: f64 = 100.0;
 
 /// Where a call comes from and what it needs.
--- a/kernel/src/gateway/health.rs
+++ b/kernel/src/gateway/health.rs
@@ -16,7 +16,7 @@
 const FAILED_IN_A_ROW: u32 = 3;
 /// Time for which a trial keeps other calls away unless it ends before: some answers take long.
 const TRIAL_TIME: Duration = Duration::from_secs(1);
-/// Time for which another node's warning holds: three of its longest pauses between two words.
+/// Time for which another node's warning holds: three of its longest pauses between two heartbeats.
 const WARNING_TIME: Duration = Duration::from_millis(700);
 /// Age up to which an answer shows that a resting upstream still answers some calls: one that went dark
 /// has stopped by then.
--- a/kernel/src/gateway/load.rs
+++ b/kernel/src/gateway/load.rs
@@ -8,7 +8,7 @@
 
 use crate::gateway::cache::{CacheMoment, PromptCache};
 
-/// Work of one node at one upstream. In a word it is four bare numbers: with names, those of sixty
+/// Work of one node at one upstream. In a heartbeat it is four bare numbers: with names, those of sixty
 /// upstreams fill three datagrams instead of one.
 #[derive(
     Clone,
@@ -48,10 +48,10 @@
     pub tight: bool,
 }
 
-/// Time after which another node's word no longer counts: three of its longest pauses.
-const WORD_AGE: Duration = Duration::from_millis(1500);
+/// Time after which another node's heartbeat no longer counts: three of its longest pauses.
+const REPORT_AGE: Duration = Duration::from_millis(1500);
 
-/// Time within which the other nodes of a zone that send calls hear of one: two of their words.
+/// Time within which the other nodes of a zone that send calls hear of one: two of their heartbeats.
 const UNHEARD_TIME: Duration = Duration::from_millis(100);
 
 /// Prompt tokens that an engine reads in a ms. Only a scale: engines in use read about 50.
@@ -111,7 +111,7 @@
         self.own.tight_streams = self.own.tight_streams.saturating_sub(tight);
     }
 
-    /// Another node's word on its own work here.
+    /// Another node's report of its own work here.
     pub fn heard(&mut self, node: &str, count: WorkCount, now: Duration) {
         self.others.insert(node.into(), (now, count));
     }
@@ -121,9 +121,12 @@
         self.own
     }
 
-    /// Work of all nodes whose word is fresh.
+    /// Work of all nodes whose heartbeat is fresh.
     pub fn total(&self, now: Duration) -> WorkCount {
-        let fresh = self.others.values().filter(|(at, _)| *at + WORD_AGE > now);
+        let fresh = self
+            .others
+            .values()
+            .filter(|(at, _)| *at + REPORT_AGE > now);
         fresh.fold(self.own, |sum, (_, count)| sum + *count)
     }
 
--- a/kernel/src/gateway/partition.rs
+++ b/kernel/src/gateway/partition.rs
@@ -13,9 +13,11 @@
 use crate::gateway::registry::{Upstream, UpstreamKey};
 
 /// Part of a kept engine's slots that tight streams fill before one more engine is kept: the rest is
-/// room for a burst until the next words of other nodes, and for short calls beside them. At 0.5,
-/// streams of 2 s held up to two thirds of a zone's engines in a surge of long prompts.
+/// room for a burst until the next heartbeats of other nodes, and for short calls beside them. Less
+/// would let streams hold most of a zone's engines in a surge of long prompts.
 const TIGHT_FILL: f64 = 0.85;
+/// Part of an engine's slots that other calls fill: their long prompts fill its cache before that.
+const OTHER_FILL: f64 = 0.5;
 
 /// An upstream that a call may go to, with all its work.
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +33,8 @@
 }
 
 /// The engines that are kept for tight streams: in each availability zone with two or more, as
-/// many as its streams fill, at least one and never all.
+/// many as its streams fill, at least one and never all. While there are more engines than all calls
+/// fill, those left over are shared out alike: a stream in a smaller batch goes faster.
 pub fn kept_for_tight(options: &[UpstreamOption]) -> BTreeSet<UpstreamKey> {
     let mut zones: BTreeMap<&str, Vec<&UpstreamOption>> = BTreeMap::new();
     for option in options.iter().filter(|option| !option.resting) {
@@ -53,7 +56,11 @@
         .iter()
         .map(|option| option.upstream.entry.slots)
         .sum();
-    let share = f64::from(streams) / (TIGHT_FILL * f64::from(slots)).max(1.0);
+    let calls: u32 = options.iter().map(|option| option.total.calls).sum();
+    let slots = f64::from(slots).max(1.0);
+    let tight = f64::from(streams) / (TIGHT_FILL * slots);
+    let other = f64::from(calls.saturating_sub(streams)) / (OTHER_FILL * slots);
+    let share = tight.max(tight / (tight + other).max(f64::MIN_POSITIVE));
     let wanted = (share * options.len() as f64).ceil() as usize;
     options.sort_by_key(|option| xxh3_64(option.upstream.entry.id.as_bytes()));
     options.truncate(wanted.clamp(1, options.len() - 1));
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -35,7 +35,7 @@
 }
 
 impl UpstreamEntry {
-    /// Stands for this run of the upstream in words between nodes: 32 bits, five bytes on the wire.
+    /// Stands for this run of the upstream in heartbeats between nodes: 32 bits, five bytes on the wire.
     /// Two of 10,000 upstreams share one with a chance of one in a hundred, which costs a worse
     /// choice.
     pub fn run_hash(&self) -> u64 {
@@ -89,7 +89,7 @@
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
 /// Time for which other nodes are told that an upstream leaves: two of the longest pauses between
-/// words, so that a lost word does not matter.
+/// heartbeats, so that a lost heartbeat does not matter.
 const DEPARTURE_AGE: Duration = Duration::from_millis(1500);
 /// Departures that are told at once, five bytes each. More are learnt with the whole registry.
 const MOST_DEPARTURES: usize = 24;
@@ -125,7 +125,7 @@
         changed
     }
 
-    /// Takes another node's word that an upstream leaves. Gives the upstream if that is news.
+    /// Takes in another node's report that an upstream leaves. Gives the upstream if that is news.
     pub fn departed(&mut self, hash: u64, now: Duration) -> Option<UpstreamKey> {
         let key = self.by_hash(hash)?;
         let upstream = self.upstreams.get_mut(&key)?;
--- a/kernel/src/gateway/room.rs
+++ b/kernel/src/gateway/room.rs
@@ -15,7 +15,7 @@
 /// ranks, a tenth of short urgent calls were refused while long patient ones were sent.
 const RESERVED_PART: f64 = 0.3;
 /// Part of an engine's slots, at most, that a node leaves to those that go before it there. Without
-/// an order all nodes take the slot that falls free, since each learns of it by the same word.
+/// an order all nodes take the slot that falls free, since each learns of it by the same heartbeat.
 const UNSEEN_PART: f64 = 0.05;
 /// Part of a call's target that the prompts before it may take to be read. Slots alone let prompts
 /// pile up until every first token is late; this keeps engines reading and their calls in time.
--- a/kernel/src/gateway/spread.rs
+++ b/kernel/src/gateway/spread.rs
@@ -236,15 +236,23 @@
     fleet.live(now).next().is_none()
 }
 
-/// Lists of nodes to answer a heartbeat with, one for each datagram: a new node is led to the hubs of
-/// its zone, and told of all nodes by the first of them.
+/// Why a node's heartbeat may have to be answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerNeed {
+    /// The node is new here or started again.
+    pub fresh: bool,
+    /// It asks for nodes.
+    pub seeking: bool,
+}
+
+/// Lists of nodes to answer the heartbeat of the node of this card with, one for each datagram: a new
+/// node is led to the hubs of its zone, and told of all nodes by the first of them.
 pub fn answer(
     fleet: &FleetView,
-    from: &NodeHeartbeat,
-    fresh: bool,
+    card: &NodeCard,
+    need: AnswerNeed,
     now: Duration,
 ) -> Vec<Vec<NodeCard>> {
-    let card = &from.card;
     let hubs = fleet.hubs(&card.zone, now);
     let is_hub = hubs.iter().any(|hub| hub.name == card.name);
     let others: Vec<NodeCard> = hubs
@@ -254,7 +262,7 @@
         .collect();
     let is_near = card.zone == fleet.own().zone;
     if is_near && fleet.is_hub(now) {
-        if !fresh {
+        if !need.fresh {
             return Vec::new();
         }
         let is_first = others
@@ -270,8 +278,8 @@
     if is_near && !is_hub {
         return vec![others];
     }
-    let meets_hub = fresh && is_hub && fleet.is_hub(now);
-    if !from.seeking && !meets_hub {
+    let meets_hub = need.fresh && is_hub && fleet.is_hub(now);
+    if !need.seeking && !meets_hub {
         return Vec::new();
     }
     let mut cards = others;
--- a/kernel/tests/gateway/partition.rs
+++ b/kernel/tests/gateway/partition.rs
@@ -52,6 +52,30 @@
     }
 }
 
+/// Names a case: engines of a zone, its tight streams and other calls, and how many engines are kept.
+///
+/// The pattern: a calm zone of many engines, on whose one kept engine all tight streams ran, each at
+/// half the speed that the idle engines beside it had given.
+macro_rules! spread_cases {
+    ($($name:ident: $engines:expr, $streams:expr, $others:expr => $kept:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let mut registry = engines($engines);
+            streams(&mut registry, $streams);
+            let key = registry.key("i-1").expect("known");
+            load(&mut registry, key, WorkItem::default(), $others);
+            assert_eq!(kept(&registry).len(), $kept);
+        })*
+    };
+}
+
+spread_cases! {
+    idle_engines_are_shared_out_by_what_there_is: 32, 17, 30 => 8;
+    streams_alone_leave_one_engine_for_the_rest: 32, 17, 0 => 31;
+    when_all_are_needed_streams_get_what_they_fill: 32, 102, 600 => 6;
+    a_few_streams_beside_many_calls_keep_one: 32, 1, 300 => 1;
+}
+
 macro_rules! kept_cases {
     ($($name:ident: $engines:expr, $streams:expr => $kept:expr;)*) => {
         $(#[test]
--- a/kernel/tests/gateway/spread.rs
+++ b/kernel/tests/gateway/spread.rs
@@ -14,7 +14,7 @@
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
 use monsoonbank_kernel::gateway::load::WorkCount;
 use monsoonbank_kernel::gateway::spread::{
-    self, HeartbeatSpread, IDLE_TICK, SpreadNews, SpreadPlan, SpreadRound,
+    self, AnswerNeed, HeartbeatSpread, IDLE_TICK, SpreadNews, SpreadPlan, SpreadRound,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -190,13 +190,17 @@
             node.tick_at = now;
         }
         let news = node.view.heard(heartbeat.clone(), now);
+        let need = AnswerNeed {
+            fresh: news.fresh,
+            seeking: heartbeat.seeking,
+        };
         if news.fresh {
             node.tick_at = now;
         }
         if heartbeat.answers {
             return;
         }
-        for cards in spread::answer(&node.view, heartbeat, news.fresh, now) {
+        for cards in spread::answer(&node.view, &heartbeat.card, need, now) {
             let answer = NodeHeartbeat {
                 answers: true,
                 cards,
--- a/kernel/tests/gateway/surge.rs
+++ b/kernel/tests/gateway/surge.rs
@@ -1,10 +1,10 @@
-//! A surge of long prompts over several nodes that share engines and know of each other by words.
+//! A surge of long prompts over several nodes that share engines and know of each other by heartbeats.
 //!
 //! The pattern: twice as many calls as the engines can read, each with thousands of unread prompt
 //! tokens and wanted within 500 ms. Engines read 60 tokens in a ms in chunks of
 //! 2,048 and make one token of each running call a step, as the large deployments' engines do. Slots
 //! alone do not bound what waits to be read, so without a bound every first token is late; without
-//! fresh words nodes either fill engines over their slots or leave them idle.
+//! fresh heartbeats nodes either fill engines over their slots or leave them idle.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -194,14 +194,14 @@
     }
 }
 
-/// Plays a surge of twice the calls that can be read, with a pause between words.
+/// Plays a surge of twice the calls that can be read, with a pause between heartbeats.
 fn play(kind: SurgeKind, word_pause_ms: u64) -> SurgeOutcome {
     let mut model = SurgeModel::new(kind);
     let prompt = bulk(kind.prompt);
     let mut arrived = 0;
     for now_ms in 0..LENGTH_MS {
         while arrived * 1000 < now_ms * kind.readable_per_s() * 2 {
-            // A stride that visits all nodes and is not in step with words.
+            // A stride that visits all nodes and is not in step with heartbeats.
             model.waiting[(arrived * 5 % 7) as usize % NODES].push_back(now_ms);
             arrived += 1;
         }
@@ -229,7 +229,7 @@
             let readable = kind.readable_per_s() * LENGTH_MS / 1000;
             assert!(outcome.ended * 100 > readable * $ended, "{outcome:?} of {readable}");
             assert!(outcome.in_time * 100 > outcome.ended * $in_time, "{outcome:?}");
-            // Some more wait a moment in the engine's own queue: words are 50 ms old.
+            // Some more wait a moment in the engine's own queue: heartbeats are 50 ms old.
             let most = (SLOTS + SLOTS / 8) as usize;
             assert!(outcome.most_at_engine <= most, "{outcome:?}");
         }
