Ask a seed every 0.1 s until one answers, and fetch at once when nothing is in force

After all lost power 24 of 26 nodes of a zone read the store themselves, 0.18 to 0.33 s after their start: their first heartbeats came before the seeds listened, the next 0.2 s later, and a fetch waits up to 0.25 s. Ruled out: seeds that are slow (ready in 15 ms).

A node that has heard no other asks one seed in turn every 0.1 s; a fetch of a node that has nothing in force is spread over 60 ms. The model of 30 to 980 nodes stays within its bounds of datagrams.

--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -34,6 +34,8 @@
 /// Time over which fetches are spread that one heartbeat sets off: a node with 10 Mbit/s sends 25 kB, a
 /// usual configuration, in 20 ms, and those who have it become sources.
 const FETCH_SPREAD: Duration = Duration::from_millis(250);
+/// The same of a node that has nothing in force: callers wait for it.
+const START_SPREAD: Duration = Duration::from_millis(60);
 
 /// Why nothing was fetched.
 #[derive(Debug, Error)]
@@ -70,7 +72,12 @@
     let (gateway, heartbeat) = (gateway.clone(), heartbeat.clone());
     tokio::task::spawn_local(async move {
         let turn = xxh3_64_with_seed(gateway.settings.name.as_bytes(), millis(gateway.now()));
-        tokio::time::sleep(FETCH_SPREAD.mul_f64(turn as f64 / u64::MAX as f64)).await;
+        let spread = if gateway.version() > 0 {
+            FETCH_SPREAD
+        } else {
+            START_SPREAD
+        };
+        tokio::time::sleep(spread.mul_f64(turn as f64 / u64::MAX as f64)).await;
         let lacking = lacks(&gateway, &heartbeat);
         if lacking.any() {
             let (peer, address) = source(&gateway, &heartbeat, turn);
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
 use monsoonbank_kernel::gateway::spread::{
-    self, AnswerNeed, HeartbeatSpread, SpreadNews, SpreadRound,
+    self, AnswerNeed, HeartbeatSpread, SeedChoice, SpreadNews, SpreadRound,
 };
 use tokio::net::UdpSocket;
 
@@ -125,6 +125,7 @@
     gateway: Rc<Gateway>,
     socket: Rc<UdpSocket>,
     seeds: BTreeSet<SocketAddr>,
+    seed_turn: usize,
     spread: HeartbeatSpread,
     /// Parts of prompts that nodes of other zones have not heard of.
     far_parts: BTreeSet<(u32, u64, u64)>,
@@ -136,6 +137,7 @@
             gateway: gateway.clone(),
             socket,
             seeds,
+            seed_turn: 0,
             spread: HeartbeatSpread::default(),
             far_parts: BTreeSet::new(),
         }
@@ -147,6 +149,18 @@
         }
     }
 
+    fn seeds_to_tell(&mut self, choice: SeedChoice) -> Vec<SocketAddr> {
+        match choice {
+            SeedChoice::None => Vec::new(),
+            SeedChoice::Next => {
+                self.seed_turn = (self.seed_turn + 1) % self.seeds.len().max(1);
+                let next = self.seeds.iter().nth(self.seed_turn);
+                next.copied().into_iter().collect()
+            }
+            SeedChoice::All => self.seeds.iter().copied().collect(),
+        }
+    }
+
     async fn round(&mut self) {
         let gateway = self.gateway.clone();
         let now = gateway.now();
@@ -180,22 +194,17 @@
             own.parts = longest_parts(&std::mem::take(&mut self.far_parts));
             self.tell(&plan.far, &own).await;
         }
-        if plan.seeds {
-            own.parts = Vec::new();
-            let seeds: Vec<SocketAddr> = self.seeds.iter().copied().collect();
-            self.tell(&seeds, &own).await;
-        }
+        own.parts = Vec::new();
+        let seeds = self.seeds_to_tell(plan.seeds);
+        self.tell(&seeds, &own).await;
     }
 }
 
 async fn speak(mut speaker: HeartbeatSpeaker) {
     let gateway = speaker.gateway.clone();
     loop {
-        let tick = if gateway.open_calls.get() > 0 {
-            spread::BUSY_TICK
-        } else {
-            spread::IDLE_TICK
-        };
+        let busy = gateway.open_calls.get() > 0;
+        let tick = spread::tick(&gateway.fleet.borrow(), busy, gateway.now());
         gateway.decisions.flush();
         speaker.round().await;
         // A tick that passes and a notice both begin a round.
--- a/kernel/src/gateway/spread.rs
+++ b/kernel/src/gateway/spread.rs
@@ -14,9 +14,11 @@
 use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash};
 
 /// Time between two looks at what is due, of a node without calls.
-pub const IDLE_TICK: Duration = Duration::from_millis(200);
+const IDLE_TICK: Duration = Duration::from_millis(200);
 /// Of a node with calls: an engine under load takes and ends one in some 50 ms.
-pub const BUSY_TICK: Duration = Duration::from_millis(50);
+const BUSY_TICK: Duration = Duration::from_millis(50);
+/// Of a node that has heard no other: at a start of all, seeds may begin to listen after it asked.
+const SEEK_TICK: Duration = Duration::from_millis(100);
 /// What timers may be late without a heartbeat being put off to the next look.
 const TICK_SLACK: Duration = Duration::from_millis(20);
 
@@ -44,6 +46,17 @@
 /// Nodes in one datagram that answers a new node, some 75 bytes each.
 const MOST_CARDS: usize = 14;
 
+/// Time until a node should look again at what is due.
+pub fn tick(fleet: &FleetView, busy: bool, now: Duration) -> Duration {
+    if busy {
+        BUSY_TICK
+    } else if is_seeking(fleet, now) {
+        SEEK_TICK
+    } else {
+        IDLE_TICK
+    }
+}
+
 /// What others should know at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SpreadNews {
@@ -76,14 +89,26 @@
     pub zone: Vec<SocketAddr>,
     /// Nodes of other zones that hear of its work.
     pub far: Vec<SocketAddr>,
-    /// Whether the seeds are told too.
-    pub seeds: bool,
+    /// Which seeds are told too.
+    pub seeds: SeedChoice,
     /// Nodes that the heartbeats to the zone name.
     pub zone_cards: Vec<NodeCard>,
     /// Hubs that all other heartbeats name.
     pub hub_cards: Vec<NodeCard>,
 }
 
+/// Which of the seeds are told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SeedChoice {
+    /// None.
+    #[default]
+    None,
+    /// The next in turn: all nodes of a fleet that starts ask them again and again.
+    Next,
+    /// All.
+    All,
+}
+
 /// When a node told whom last.
 #[derive(Clone, Debug, Default)]
 pub struct HeartbeatSpread {
@@ -139,8 +164,15 @@
             plan.far = self.far_nodes(fleet, round);
         }
         let is_seeking = is_seeking(fleet, now);
-        let seed_pause = if is_seeking { IDLE_TICK } else { SEED_PAUSE };
-        plan.seeds = (is_hub || is_seeking) && is_due(&mut self.seeds_at, seed_pause, now);
+        let seed_pause = if is_seeking { SEEK_TICK } else { SEED_PAUSE };
+        let is_first = self.seeds_at.is_none();
+        if (is_hub || is_seeking) && is_due(&mut self.seeds_at, seed_pause, now) {
+            plan.seeds = if is_seeking && !is_first {
+                SeedChoice::Next
+            } else {
+                SeedChoice::All
+            };
+        }
         if is_hub {
             plan.hub_cards = hub_cards(fleet, now);
         }
--- a/kernel/tests/gateway/spread.rs
+++ b/kernel/tests/gateway/spread.rs
@@ -14,7 +14,7 @@
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
 use monsoonbank_kernel::gateway::load::WorkCount;
 use monsoonbank_kernel::gateway::spread::{
-    self, AnswerNeed, HeartbeatSpread, IDLE_TICK, SpreadNews, SpreadPlan, SpreadRound,
+    self, AnswerNeed, HeartbeatSpread, SeedChoice, SpreadNews, SpreadPlan, SpreadRound,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -215,8 +215,8 @@
         let now = self.now;
         let mut own = self.heartbeat(index);
         let node = &mut self.nodes[index];
-        node.tick_at = now + IDLE_TICK;
         node.view.forget(now);
+        node.tick_at = now + spread::tick(&node.view, false, now);
         let round = SpreadRound {
             busy: self.stray_calls,
             news: std::mem::take(&mut node.news),
@@ -238,7 +238,15 @@
         for to in near.iter().chain(&far) {
             self.send(index, *to, &own);
         }
-        for seed in (0..SEEDS).filter(|seed| seeds && *seed != index) {
+        let asked = match seeds {
+            SeedChoice::None => 0..0,
+            SeedChoice::Next => {
+                let next = (now.as_millis() / 100) as usize % SEEDS;
+                next..next + 1
+            }
+            SeedChoice::All => 0..SEEDS,
+        };
+        for seed in asked.filter(|seed| *seed != index) {
             self.send(index, address(seed), &own);
         }
     }
