--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -2,40 +2,27 @@
 //!
 //! In each availability zone the few strongest nodes are its *hubs*: every node of the zone sends its
 //! heartbeats to them, they tell all nodes of the zone, and hubs of different zones tell each other.
-//! Hubs are not elected: each node ranks the nodes that it knows, and passes over those that it
-//! expects to hear and does not. Nodes that disagree for a while tell a few nodes too many.
+
+mod callers;
+mod hubs;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::gateway::entries;
-use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash, short_hash};
-
-/// Hubs of an availability zone: the loss of two at once leaves one.
-pub const HUBS: usize = 3;
+use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash};
 
 /// Time after which a silent node is no longer named to callers: one heartbeat of a node that has no
 /// calls may be lost.
 pub const SILENT_AFTER: Duration = Duration::from_secs(2);
-/// Time after which a silent hub is passed over by those who tell it: two of its heartbeats may be lost.
-const HUB_SILENT_AFTER: Duration = Duration::from_millis(2500);
 /// The same for hubs of other zones, which tell each other in turn if there are many. A node counts as
 /// part of the fleet for as long.
 pub const FAR_SILENT_AFTER: Duration = Duration::from_secs(15);
-/// Time after which a silent hub no longer reads the store for others: one heartbeat may be lost.
-const READER_SILENT_AFTER: Duration = Duration::from_millis(1800);
 /// Time after which a node of which nothing is heard, also not of others, is forgotten. Hubs name all
 /// nodes of a zone of some hundred to each other node in less.
 const FORGOTTEN_AFTER: Duration = Duration::from_mins(1);
 /// Time for which a node that has gone silent is taken to send calls still.
 const RIVAL_AGE: Duration = Duration::from_secs(30);
-/// Time without an answer of the store to any node after which the first node that is no hub tries.
-/// Readers ask every 0.7 s, and their news takes a second to reach all.
-const STORE_PATIENCE: Duration = Duration::from_secs(3);
-/// Time after which one more does: enough that a whole outage costs few calls, and a store that turns
-/// all hubs away is read again within seconds.
-const STORE_STEP: Duration = Duration::from_millis(500);
 
 /// Another node.
 #[derive(Clone, Debug)]
@@ -205,108 +192,12 @@
         }
     }
 
-    /// The hubs of an availability zone: the strongest of its nodes that are not known to be leaving or
-    /// silent.
-    pub fn hubs(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
-        let mut ranked = self.ranked(zone, now);
-        ranked.truncate(HUBS);
-        ranked
-    }
-
-    /// Whether this node is a hub of its zone.
-    pub fn is_hub(&self, now: Duration) -> bool {
-        self.rank(now).is_some_and(|rank| rank < HUBS)
-    }
-
-    fn ranked(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
-        let is_own = zone == &*self.own.zone;
-        let age = if is_own {
-            HUB_SILENT_AFTER
-        } else {
-            FAR_SILENT_AFTER
-        };
-        let peers = self.peers.values();
-        let peers = peers
-            .filter(|peer| !peer.is_silent(age, now))
-            .map(|peer| &peer.heartbeat.card);
-        let own = is_own.then_some(&self.own);
-        let mut nodes: Vec<&NodeCard> = peers
-            .chain(own)
-            .filter(|card| &*card.zone == zone && card.state != NodeState::Leaving)
-            .collect();
-        nodes.sort_by(|one, other| (other.capacity, &one.name).cmp(&(one.capacity, &other.name)));
-        nodes
-    }
-
-    /// This node's place among those of its zone; none if it leaves.
-    fn rank(&self, now: Duration) -> Option<usize> {
-        let ranked = self.ranked(&self.own.zone, now);
-        ranked.iter().position(|card| card.name == self.own.name)
-    }
-
-    /// Whether this node reads the store: the first hub of each zone that the store answers does so for
-    /// all. If the store seems to answer no node at all, hubs try, and then one node more after the
-    /// other, since the store may turn just the hubs away.
-    pub fn reads_store(&self, now: Duration) -> bool {
-        let ranked = self.ranked(&self.own.zone, now);
-        let rank = ranked.iter().position(|card| card.name == self.own.name);
-        let rank = rank.unwrap_or(ranked.len());
-        if rank < HUBS {
-            let reads = |card: &&NodeCard| {
-                let peer = self.peers.get(&card.name);
-                peer.is_some_and(|peer| {
-                    peer.heartbeat.store_well && peer.heard_within(READER_SILENT_AFTER, now)
-                })
-            };
-            return !ranked[..rank].iter().any(reads);
-        }
-        let quiet_since = self.store_answered_at.unwrap_or(self.started_at);
-        let steps = u32::try_from(rank - HUBS).unwrap_or(u32::MAX);
-        now > quiet_since + STORE_PATIENCE + STORE_STEP.saturating_mul(steps)
-    }
-
     /// Nodes that were heard a moment ago.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &FleetPeer> {
         let peers = self.peers.values();
         peers.filter(move |peer| peer.heard_within(SILENT_AFTER, now))
     }
 
-    /// Nodes of this node's zone, or of all others, that have many calls or are sent them, with the hubs.
-    pub fn call_nodes(&self, near: bool, entries: &[u64], now: Duration) -> Vec<SocketAddr> {
-        let in_reach = |zone: &str| (zone == &*self.own.zone) == near;
-        let zones: BTreeSet<&str> = self
-            .peers
-            .values()
-            .map(|peer| &*peer.heartbeat.card.zone)
-            .filter(|zone| in_reach(zone))
-            .collect();
-        let mut told: BTreeSet<SocketAddr> = zones
-            .iter()
-            .flat_map(|zone| self.hubs(zone, now))
-            .map(|card| card.peers)
-            .collect();
-        let mut entries: BTreeSet<u64> = entries.iter().copied().filter(|_| near).collect();
-        for peer in self.live(now) {
-            if in_reach(&peer.heartbeat.card.zone) {
-                entries.extend(&peer.heartbeat.entries);
-            }
-        }
-        let calls = |peer: &&FleetPeer| {
-            let card = &peer.heartbeat.card;
-            let busy = peer.heartbeat.sends_many() && peer.heard_within(SILENT_AFTER, now);
-            busy || entries.contains(&short_hash(&card.name))
-        };
-        let peers = self.peers.values().filter(calls);
-        let cards = peers.map(|peer| &peer.heartbeat.card);
-        told.extend(
-            cards
-                .filter(|card| in_reach(&card.zone))
-                .map(|card| card.peers),
-        );
-        told.remove(&self.own.peers);
-        told.into_iter().collect()
-    }
-
     /// All other nodes of this node's zone.
     pub fn zone_peers(&self) -> impl Iterator<Item = &FleetPeer> {
         let peers = self.peers.values();
@@ -325,65 +216,6 @@
         peers.map(|peer| &peer.heartbeat.card).collect()
     }
 
-    /// Short hashes of the nodes that callers of this zone are sent to, if this node is a hub, which
-    /// hears all of them.
-    pub fn entry_hashes(&self, own: &NodeHeartbeat, now: Duration) -> Vec<u64> {
-        if !self.is_hub(now) {
-            return Vec::new();
-        }
-        let entries = self.known_entries(own, &self.own.zone, now);
-        let names = entries.iter().map(|entry| &entry.card.name);
-        names.map(|name| short_hash(name)).collect()
-    }
-
-    fn known_entries<'a>(
-        &'a self,
-        own: &'a NodeHeartbeat,
-        zone: &str,
-        now: Duration,
-    ) -> Vec<&'a NodeHeartbeat> {
-        let live = self.live(now).map(|peer| &peer.heartbeat);
-        entries::entries(live.chain(std::iter::once(own)), zone)
-    }
-
-    /// The nodes that callers of a zone are sent to: as the zone's first hub says, or as this node
-    /// knows if it is a hub itself or hears none. If there are none, all that take calls.
-    pub fn callers_nodes(&self, own: &NodeHeartbeat, zone: &str, now: Duration) -> Vec<SocketAddr> {
-        let is_own_hub = zone == &*self.own.zone && self.is_hub(now);
-        let told = (!is_own_hub).then(|| self.told_entries(zone, now));
-        let mut cards = told.unwrap_or_default();
-        if cards.is_empty() {
-            let known = self.known_entries(own, zone, now);
-            cards = known.iter().map(|entry| &entry.card).collect();
-        }
-        if cards.is_empty() {
-            let live = self.live(now).map(|peer| &peer.heartbeat.card);
-            cards = live
-                .chain(std::iter::once(&self.own))
-                .filter(|card| card.is_ready())
-                .collect();
-        }
-        cards.iter().map(|card| card.callers).collect()
-    }
-
-    fn told_entries(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
-        let hubs = self.hubs(zone, now);
-        let mut lists = hubs
-            .iter()
-            .filter_map(|card| self.peers.get(&card.name))
-            .filter(|peer| peer.heard_within(SILENT_AFTER, now))
-            .map(|peer| &peer.heartbeat.entries);
-        let Some(entries) = lists.find(|entries| !entries.is_empty()) else {
-            return Vec::new();
-        };
-        let peers = self.peers.values().map(|peer| &peer.heartbeat.card);
-        peers
-            .chain(std::iter::once(&self.own))
-            .filter(|card| card.state != NodeState::Leaving)
-            .filter(|card| entries.contains(&short_hash(&card.name)))
-            .collect()
-    }
-
     /// Nodes of this node's zone that it hears, and itself.
     pub fn zone_size(&self, now: Duration) -> u32 {
         let live = self.zone_peers();
--- /dev/null
+++ b/kernel/src/gateway/fleet/callers.rs
@@ -0,0 +1,106 @@
+//! Which nodes callers are sent to, as hubs say, and which nodes hear of each other's calls.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::gateway::entries;
+use crate::gateway::fleet::{FleetPeer, FleetView, SILENT_AFTER};
+use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, short_hash};
+
+impl FleetView {
+    /// Nodes of this node's zone, or of all others, that have many calls or are sent them, with the hubs.
+    pub fn call_nodes(&self, near: bool, entries: &[u64], now: Duration) -> Vec<SocketAddr> {
+        let in_reach = |zone: &str| (zone == &*self.own.zone) == near;
+        let zones: BTreeSet<&str> = self
+            .peers
+            .values()
+            .map(|peer| &*peer.heartbeat.card.zone)
+            .filter(|zone| in_reach(zone))
+            .collect();
+        let mut told: BTreeSet<SocketAddr> = zones
+            .iter()
+            .flat_map(|zone| self.hubs(zone, now))
+            .map(|card| card.peers)
+            .collect();
+        let mut entries: BTreeSet<u64> = entries.iter().copied().filter(|_| near).collect();
+        for peer in self.live(now) {
+            if in_reach(&peer.heartbeat.card.zone) {
+                entries.extend(&peer.heartbeat.entries);
+            }
+        }
+        let calls = |peer: &&FleetPeer| {
+            let card = &peer.heartbeat.card;
+            let busy = peer.heartbeat.sends_many() && peer.heard_within(SILENT_AFTER, now);
+            busy || entries.contains(&short_hash(&card.name))
+        };
+        let peers = self.peers.values().filter(calls);
+        let cards = peers.map(|peer| &peer.heartbeat.card);
+        told.extend(
+            cards
+                .filter(|card| in_reach(&card.zone))
+                .map(|card| card.peers),
+        );
+        told.remove(&self.own.peers);
+        told.into_iter().collect()
+    }
+
+    /// Short hashes of the nodes that callers of this zone are sent to, if this node is a hub, which
+    /// hears all of them.
+    pub fn entry_hashes(&self, own: &NodeHeartbeat, now: Duration) -> Vec<u64> {
+        if !self.is_hub(now) {
+            return Vec::new();
+        }
+        let entries = self.known_entries(own, &self.own.zone, now);
+        let names = entries.iter().map(|entry| &entry.card.name);
+        names.map(|name| short_hash(name)).collect()
+    }
+
+    fn known_entries<'a>(
+        &'a self,
+        own: &'a NodeHeartbeat,
+        zone: &str,
+        now: Duration,
+    ) -> Vec<&'a NodeHeartbeat> {
+        let live = self.live(now).map(|peer| &peer.heartbeat);
+        entries::entries(live.chain(std::iter::once(own)), zone)
+    }
+
+    /// The nodes that callers of a zone are sent to: as the zone's first hub says, or as this node
+    /// knows if it is a hub itself or hears none. If there are none, all that take calls.
+    pub fn callers_nodes(&self, own: &NodeHeartbeat, zone: &str, now: Duration) -> Vec<SocketAddr> {
+        let is_own_hub = zone == &*self.own.zone && self.is_hub(now);
+        let told = (!is_own_hub).then(|| self.told_entries(zone, now));
+        let mut cards = told.unwrap_or_default();
+        if cards.is_empty() {
+            let known = self.known_entries(own, zone, now);
+            cards = known.iter().map(|entry| &entry.card).collect();
+        }
+        if cards.is_empty() {
+            let live = self.live(now).map(|peer| &peer.heartbeat.card);
+            cards = live
+                .chain(std::iter::once(&self.own))
+                .filter(|card| card.is_ready())
+                .collect();
+        }
+        cards.iter().map(|card| card.callers).collect()
+    }
+
+    fn told_entries(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
+        let hubs = self.hubs(zone, now);
+        let mut lists = hubs
+            .iter()
+            .filter_map(|card| self.peers.get(&card.name))
+            .filter(|peer| peer.heard_within(SILENT_AFTER, now))
+            .map(|peer| &peer.heartbeat.entries);
+        let Some(entries) = lists.find(|entries| !entries.is_empty()) else {
+            return Vec::new();
+        };
+        let peers = self.peers.values().map(|peer| &peer.heartbeat.card);
+        peers
+            .chain(std::iter::once(&self.own))
+            .filter(|card| card.state != NodeState::Leaving)
+            .filter(|card| entries.contains(&short_hash(&card.name)))
+            .collect()
+    }
+}
