--- a/daemon/src/gateway/caches.rs
+++ b/daemon/src/gateway/caches.rs
@@ -20,6 +20,9 @@
 
 /// Time after the node's start in which engines are asked; those that come later keep nothing yet.
 const ASKING_TIME: Duration = Duration::from_secs(5);
+/// Time until a starting node knows whether it is a hub: at first each takes itself for one, and a whole
+/// fleet would ask every engine.
+const SETTLING_TIME: Duration = Duration::from_millis(500);
 /// Time between two looks for engines that were not asked.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 /// Engines that are asked at once.
@@ -61,6 +64,7 @@
 async fn ask_all(gateway: Rc<Gateway>) {
     let until = gateway.now() + ASKING_TIME;
     let mut asked = BTreeSet::new();
+    tokio::time::sleep(SETTLING_TIME).await;
     while gateway.now() < until {
         if gateway.is_ready() && gateway.is_hub() {
             let engines = engines_to_ask(&gateway, &asked);
