Bound the parts of prompts that wait to be told to other zones

A node with few calls tells no node of other zones, so what it noted for them grew by some two parts a call for as long as it ran (read in the code; no run showed it). The shortest are dropped beyond 192.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -19,6 +19,8 @@
 
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
+/// Parts of prompts that wait to be told to nodes of other zones: a node with few calls tells none.
+const MOST_WAITING_PARTS: usize = 4 * MOST_PARTS;
 /// Open calls that a core carries: at 25 to 60 of them a node spends 0.02 cores.
 const CALLS_PER_CORE: f64 = 1000.0;
 /// Largest datagram: one that networks do not split.
@@ -188,6 +190,9 @@
             let parts = std::mem::take(&mut *gateway.sent_parts.borrow_mut());
             own.parts = longest_parts(&parts);
             self.far_parts.extend(parts);
+            while self.far_parts.len() > MOST_WAITING_PARTS {
+                self.far_parts.pop_first();
+            }
             self.tell(&plan.near, &own).await;
         }
         if !plan.far.is_empty() {
--- a/kernel/src/gateway/spread.rs
+++ b/kernel/src/gateway/spread.rs
@@ -328,6 +328,7 @@
     in_datagrams(&cards)
 }
 
+/// One list for each datagram. An empty one is an answer too: it says that the node is there.
 fn in_datagrams(cards: &[NodeCard]) -> Vec<Vec<NodeCard>> {
     if cards.is_empty() {
         return vec![Vec::new()];
