--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -26,8 +26,8 @@
 use crate::gateway::patch::{self, TextPatch};
 use crate::gateway::{Gateway, desk, follow};
 
-/// Time in which a node has to begin its answer, and longest pause within it. Zones are a few ms apart,
-/// and a node of 0.12 cores that takes in 8,000 rules was seen to do nothing else for up to 0.34 s.
+/// Time in which a node has to begin its answer, and longest pause within it. A weak host that takes in
+/// thousands of rules does nothing else for a third of a second.
 const FETCH_SILENCE: Duration = Duration::from_millis(500);
 /// Least time between two fetches: what a node that lags costs others.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
