Add the lease on the platform's duties and the ledger of usage to the kernel

Cause: the platform has calls that one node at a time may make, and the gateway had no lease. The product's LeaseState is used for it, with its times as a parameter, a start over when the log comes back from an older copy, and the offset of the claim since which no other node has held it.

Ruled out: a token that changes with each renewal, since a call under the older one may arrive later; log-join, which deals partitions anew unasked; producer epochs, which an older copy takes back.

The token now stays until another node has held the lease.

--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod cache;
 pub mod choice;
+pub mod duty;
 pub mod entries;
 pub mod fleet;
 pub mod health;
@@ -17,7 +18,9 @@
 pub mod partition;
 pub mod prompt;
 pub mod registry;
+pub mod reports;
 pub mod room;
 pub mod rules;
 pub mod spread;
+pub mod usage;
 pub mod waiting;
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -117,6 +117,7 @@
             self.named(card, now);
         }
         heartbeat.parts = Vec::new();
+        heartbeat.usage = Vec::new();
         if let Some(age) = heartbeat.store_age() {
             let answered_at = now.saturating_sub(age);
             self.store_answered_at = self.store_answered_at.max(Some(answered_at));
@@ -263,6 +264,30 @@
         silent.count() as u32
     }
 
+    /// Time since 1970 at the start of this node's steady clock: the median of what the live nodes and
+    /// this one say, so that a step of some hosts' time of day moves nothing. `own` is this node's.
+    pub fn unix_start(&self, own: Duration, now: Duration) -> Duration {
+        let told = self.live(now).filter_map(|peer| {
+            let unix = Duration::from_millis(peer.heartbeat.unix_ms);
+            unix.checked_sub(peer.heard_at?)
+        });
+        let told = told.filter(|start| !start.is_zero());
+        let mut starts: Vec<Duration> = told.chain(std::iter::once(own)).collect();
+        starts.sort_unstable();
+        starts[starts.len() / 2]
+    }
+
+    /// This node's place in the order in which nodes claim duties: the strongest first, and of the same
+    /// strength hubs, which hear all of their zone and are heard.
+    pub fn duty_rank(&self, now: Duration) -> usize {
+        let live = self.live(now).map(|peer| &peer.heartbeat.card);
+        let stronger = live.filter(|card| {
+            let ahead = (self.own.capacity, &card.name).cmp(&(card.capacity, &self.own.name));
+            card.state != NodeState::Leaving && ahead == std::cmp::Ordering::Less
+        });
+        stronger.count()
+    }
+
     /// Every other node that is known, live or not.
     pub fn iter(&self) -> impl Iterator<Item = &FleetPeer> {
         self.peers.values()
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::load::WorkCount;
+use crate::gateway::usage::WindowUsage;
 
 /// Open calls of a node that nodes of other zones are told of. Nodes that callers are not sent to get a
 /// call now and then; if all told all, those that share the load would hear each other seldom.
@@ -74,6 +75,19 @@
     pub taken_tokens: u64,
 }
 
+/// Who holds the duties, as the holder says or others pass on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
+pub struct HolderNotice {
+    /// The holder's fencing token; grows from holder to holder.
+    pub token: u64,
+    /// Where the holder hears other nodes.
+    pub peers: SocketAddr,
+    /// Time since the holder said so, in ms.
+    pub age_ms: u64,
+    /// The newest window whose usage is written down.
+    pub written: u64,
+}
+
 /// What a node says of itself and of others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct NodeHeartbeat {
@@ -107,6 +121,12 @@
     pub departures: Vec<u64>,
     /// Parts of prompts that it sent lately, with the hash of the upstream's run.
     pub parts: Vec<(u64, u64)>,
+    /// Its time of day, in Unix ms; 0 where no duty needs it.
+    pub unix_ms: u64,
+    /// Who holds the duties, as far as it knows.
+    pub holder: Option<HolderNotice>,
+    /// Calls by workspace, if it is sent to the holder.
+    pub usage: Vec<WindowUsage>,
 }
 
 impl NodeHeartbeat {
@@ -128,6 +148,9 @@
             failing: Vec::new(),
             departures: Vec::new(),
             parts: Vec::new(),
+            unix_ms: 0,
+            holder: None,
+            usage: Vec::new(),
         }
     }
 
--- /dev/null
+++ b/kernel/src/gateway/usage.rs
@@ -0,0 +1,134 @@
+//! Calls that upstreams began for each workspace, by windows of the fleet's time.
+//!
+//! Counts only grow, and what a node tells replaces nothing larger: a tell that is lost, doubled or
+//! overtaken changes nothing.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
+
+/// Calls by workspace.
+pub type WorkspaceCounts = BTreeMap<Box<str>, u64>;
+
+/// Time after a window's end at which its counts are final if every node has told since: nodes tell
+/// twice a second, and first events reach them up to some 0.1 s after the call began.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
+/// Time after which a window is final, whoever has not told: a node may be gone for good.
+const LONGEST_SETTLE: Duration = Duration::from_secs(4);
+/// Windows that counts are kept for.
+const KEPT_WINDOWS: u64 = 6;
+
+/// What a node tells of one window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
+pub struct WindowUsage {
+    /// The window's number.
+    pub window: u64,
+    /// Calls of some or all workspaces.
+    pub counts: Vec<(Box<str>, u64)>,
+}
+
+/// What this node and others counted.
+#[derive(Clone, Debug)]
+pub struct UsageLedger {
+    length: Duration,
+    own: BTreeMap<u64, WorkspaceCounts>,
+    told: BTreeMap<u64, BTreeMap<u64, WorkspaceCounts>>,
+    told_at: BTreeMap<u64, Duration>,
+}
+
+impl UsageLedger {
+    /// An empty one, for windows of this length.
+    pub fn new(length: Duration) -> Self {
+        Self {
+            length: length.max(Duration::from_millis(1)),
+            own: BTreeMap::new(),
+            told: BTreeMap::new(),
+            told_at: BTreeMap::new(),
+        }
+    }
+
+    /// The window that a moment, in time since 1970, falls into.
+    pub fn window(&self, at: Duration) -> u64 {
+        u64::try_from(at.as_nanos() / self.length.as_nanos()).unwrap_or(u64::MAX)
+    }
+
+    /// When a window ends, in time since 1970.
+    pub fn end(&self, window: u64) -> Duration {
+        let seconds = self.length.as_secs_f64() * (window as f64 + 1.0);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// Counts a call that an upstream began at this time.
+    pub fn count(&mut self, workspace: &str, at: Duration) {
+        let counts = self.own.entry(self.window(at)).or_default();
+        match counts.get_mut(workspace) {
+            Some(count) => *count += 1,
+            None => {
+                counts.insert(workspace.into(), 1);
+            }
+        }
+    }
+
+    /// What this node counted in windows after `window`.
+    pub fn own_after(&self, window: u64) -> impl Iterator<Item = (u64, &WorkspaceCounts)> {
+        let own = self.own.range(window.saturating_add(1)..);
+        own.map(|(window, counts)| (*window, counts))
+    }
+
+    /// Takes in what the run `source` of another node tells at this time.
+    pub fn hear(&mut self, source: u64, usage: Vec<WindowUsage>, at: Duration) {
+        self.told_at.insert(source, at);
+        for WindowUsage { window, counts } in usage {
+            let sources = self.told.entry(window).or_default();
+            let known = sources.entry(source).or_default();
+            for (workspace, count) in counts {
+                let known = known.entry(workspace).or_default();
+                *known = count.max(*known);
+            }
+        }
+    }
+
+    /// Calls of all nodes in a window, as far as they have told.
+    pub fn total(&self, window: u64) -> WorkspaceCounts {
+        let told = self
+            .told
+            .get(&window)
+            .into_iter()
+            .flat_map(BTreeMap::values);
+        let mut total = WorkspaceCounts::new();
+        for counts in told.chain(self.own.get(&window)) {
+            for (workspace, count) in counts {
+                *total.entry(workspace.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+
+    /// Whether a window's counts are final at a time since 1970.
+    pub fn is_settled(&self, window: u64, at: Duration) -> bool {
+        let end = self.end(window);
+        if at < end + SETTLE_TIME {
+            return false;
+        }
+        let earliest = end.saturating_sub(self.length);
+        let mut awaited = self.told_at.values().filter(|told| **told >= earliest);
+        at >= end + LONGEST_SETTLE || awaited.all(|told| *told >= end)
+    }
+
+    /// Age of what the node that is silent longest has told of a window, at a time since 1970.
+    pub fn oldest_input(&self, window: u64, at: Duration) -> Duration {
+        let sources = self.told.get(&window).into_iter().flat_map(BTreeMap::keys);
+        let told = sources.filter_map(|source| self.told_at.get(source));
+        at.saturating_sub(told.copied().min().unwrap_or(at))
+    }
+
+    /// Forgets windows that ended long before a time since 1970.
+    pub fn forget(&mut self, at: Duration) {
+        let first = self.window(at).saturating_sub(KEPT_WINDOWS);
+        self.own = self.own.split_off(&first);
+        self.told = self.told.split_off(&first);
+        let oldest = at.saturating_sub(self.length * KEPT_WINDOWS as u32);
+        self.told_at.retain(|_, told| *told >= oldest);
+    }
+}
--- a/kernel/src/leases/lease.rs
+++ b/kernel/src/leases/lease.rs
@@ -25,11 +25,37 @@
 /// How long a claim may take to be read back before it is sent again.
 const CLAIM_WAIT: Duration = Duration::from_secs(3);
 
+/// Times that the holder and all claimants of a lease have to agree on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTerms {
+    /// How long it holds.
+    pub length: Duration,
+    /// Part that its holder leaves unused, for clocks that run at different rates.
+    pub margin: Duration,
+    /// Longest time that an order may go on taking effect after it was sent.
+    pub flight: Duration,
+    /// How long a claim may take to be read back before it is sent again.
+    pub claim_wait: Duration,
+}
+
+impl Default for LeaseTerms {
+    fn default() -> Self {
+        Self {
+            length: LEASE_LENGTH,
+            margin: DRIFT_MARGIN,
+            flight: ORDER_FLIGHT,
+            claim_wait: CLAIM_WAIT,
+        }
+    }
+}
+
 /// A lease that this node holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldLease {
-    /// The offset of its record.
+    /// The offset of its newest record.
     pub fencing: u64,
+    /// The offset of the claim since which no other node has held it.
+    pub claimed: u64,
     /// The time from which no order may be given under it.
     pub until: Duration,
 }
@@ -48,15 +74,36 @@
 /// What this node knows of the lease.
 #[derive(Clone, Debug, Default)]
 pub struct LeaseState {
+    terms: LeaseTerms,
     head: Option<LeaseHead>,
     lapses: Duration,
     quiet_until: Duration,
     held: Option<HeldLease>,
+    claimed: u64,
     claim: Option<PendingClaim>,
     renew_at: Duration,
 }
 
 impl LeaseState {
+    /// What a node knows that has not read the log yet.
+    pub fn new(terms: LeaseTerms) -> Self {
+        Self {
+            terms,
+            ..Self::default()
+        }
+    }
+
+    /// Forgets all records, as those that were read may not stand any more, and waits as if another
+    /// node had just renewed the lease.
+    pub fn start_over(&mut self, now: Duration) {
+        *self = Self {
+            terms: self.terms,
+            lapses: now + self.terms.length,
+            quiet_until: now + self.terms.length + self.terms.flight,
+            ..Self::default()
+        };
+    }
+
     /// A valid lease record was folded at `now`.
     pub fn see(
         &mut self,
@@ -74,13 +121,16 @@
             return;
         }
         let own = is_of(head, node, incarnation);
+        let follows_own = |known: &LeaseHead| is_of(known, node, incarnation);
+        if own && !self.head.as_ref().is_some_and(follows_own) {
+            self.claimed = head.offset;
+        }
         if own {
             self.take(head, random);
         } else {
             self.held = None;
-            self.quiet_until = self
-                .quiet_until
-                .max(now + head.record.length + ORDER_FLIGHT);
+            let quiet_until = now + head.record.length + self.terms.flight;
+            self.quiet_until = self.quiet_until.max(quiet_until);
         }
         self.lapses = now + head.record.length;
         self.claim = None;
@@ -101,7 +151,8 @@
         };
         self.held = Some(HeldLease {
             fencing: head.offset,
-            until: sent + head.record.length.saturating_sub(DRIFT_MARGIN),
+            claimed: self.claimed,
+            until: sent + head.record.length.saturating_sub(self.terms.margin),
         });
         self.renew_at = sent + head.record.length.mul_f64(random.random_range(0.4..0.6));
     }
@@ -158,7 +209,8 @@
         if renewing && now < self.renew_at {
             return None;
         }
-        if self.is_held_by_other(node, incarnation, now) {
+        let unknown = self.head.is_none() && now < self.lapses;
+        if unknown || self.is_held_by_other(node, incarnation, now) {
             return None;
         }
         let follows = self.head.as_ref().map_or(0, |head| head.offset + 1);
@@ -170,12 +222,12 @@
         if now < claim.again_at {
             return None;
         }
-        claim.again_at = now + CLAIM_WAIT;
+        claim.again_at = now + self.terms.claim_wait;
         Some(LeaseRecord {
             node,
             incarnation,
             follows,
-            length: LEASE_LENGTH,
+            length: self.terms.length,
         })
     }
 
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod cache;
 mod choice;
+mod duty;
 mod engines;
 mod fleet;
 mod health;
