Report each workspace's usage, under a lease, and start over when the store comes back older

Nodes count a call when its first event comes, tell the holder twice a second, and the holder writes a window's counts to the log before it sends them, so that a later holder sends the same.

When the store's era grows, readers begin anew, and missing entries prove nothing until they had time to be written again.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod channels;
 pub mod decisions;
 pub mod desk;
+pub mod duties;
 pub mod events;
 pub mod exchange;
 pub mod follow;
@@ -18,9 +19,11 @@
 pub mod peers;
 pub mod relay;
 pub mod reply;
+pub mod reports;
 pub mod settings;
 pub mod silence;
 pub mod stream;
+pub mod usage;
 pub mod waiting;
 pub mod watch;
 pub mod work;
@@ -40,11 +43,14 @@
 use monsoonbank_kernel::gateway::rules::RuleTable;
 use monsoonbank_kernel::gateway::spread::SpreadNews;
 use monsoonbank_kernel::gateway::waiting::WaitList;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::NodeError;
 use crate::gateway::channels::ChannelPool;
 use crate::gateway::decisions::{Decision, DecisionLog};
+use crate::gateway::duties::DutyState;
 use crate::gateway::intake::Call;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::patch::TextHistory;
@@ -114,6 +120,12 @@
     pub fetching: Cell<bool>,
     /// The newest version that any node told, and how fetching it goes.
     pub lag: Cell<VersionLag>,
+    /// The store's newest era that any answer showed; none before the first answer.
+    pub store_era: Cell<Option<u64>>,
+    /// Time since 1970 at the start of the steady clock, as most nodes say.
+    pub unix_start: Cell<Duration>,
+    /// Calls to the platform that one node at a time makes; none if it has no such duties.
+    pub duties: Option<DutyState>,
 }
 
 impl Gateway {
@@ -188,6 +200,43 @@
         self.table.borrow().clone()
     }
 
+    /// Time since 1970, as most nodes of the fleet say.
+    pub fn unix_now(&self) -> Duration {
+        self.unix_start.get() + self.now()
+    }
+
+    /// Compares the clocks of other nodes with this host's.
+    pub fn compare_clocks(&self) {
+        let now = self.now();
+        let own = duties::host_time().saturating_sub(now);
+        let start = self.fleet.borrow().unix_start(own, now);
+        self.unix_start.set(start);
+    }
+
+    /// Takes in the store's era that an answer showed. When a new one begins, the store runs from a copy
+    /// some seconds old: what it lacks proves nothing until it has been written again.
+    pub fn see_store_era(&self, era: u64) {
+        let known = self.store_era.get();
+        if known.is_some_and(|known| known >= era) {
+            return;
+        }
+        self.store_era.set(Some(era));
+        if let Some(duties) = &self.duties {
+            duties.see_era(era, self.unix_now());
+        }
+        if known.is_none() {
+            return;
+        }
+        let now = self.now();
+        let mut view = self.store.get();
+        view.failed_at = Some(now);
+        view.returned_at = now;
+        self.store.set(view);
+        self.decisions.line(&Decision::StoreEraBegan { era });
+        self.store_nudge.notify_waiters();
+        self.configuration_nudge.notify_waiters();
+    }
+
     /// Whether the node takes new calls: also for a while after it was told to stop.
     pub fn takes_calls(&self) -> bool {
         self.leaving_since
@@ -210,6 +259,8 @@
 /// Time for which a node that leaves goes on taking calls. Callers that keep its address for longer
 /// find its port closed; a call that is taken later may not end within the grace period.
 const LINGER: Duration = Duration::from_millis(2500);
+/// Turns the process's random seed into another one, for the lease on duties.
+const DUTY_STREAM: u32 = 17;
 /// Part of the grace period after which the node ends whatever it still has. The rest is kept for
 /// the process's own end.
 const GRACE_PART: f64 = 0.93;
@@ -249,6 +300,12 @@
         speak_notice: tokio::sync::Notify::new(),
         fetching: Cell::new(false),
         lag: Cell::default(),
+        store_era: Cell::new(None),
+        unix_start: Cell::new(duties::host_time().saturating_sub(clock.now())),
+        duties: settings
+            .duties
+            .clone()
+            .map(|duties| DutyState::new(duties, &settings.name, incarnation)),
         settings,
     });
     gateway.decisions.line(&Decision::Started {
@@ -258,6 +315,9 @@
     peers::start(&gateway).await?;
     follow::start(&gateway, u64::from_le_bytes(random));
     caches::start(&gateway);
+    let seed = u64::from_le_bytes(random).rotate_left(DUTY_STREAM);
+    duties::start(&gateway, Pcg64Mcg::seed_from_u64(seed));
+    reports::start(&gateway);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -296,6 +356,9 @@
         }
         tokio::time::sleep(pause).await;
     }
+    // What was counted since the last heartbeat is told before the process ends.
+    gateway.speak_notice.notify_one();
+    tokio::time::sleep(pause).await;
     gateway.decisions.line(&Decision::Left {
         open_calls: gateway.open_calls.get(),
     });
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -102,6 +102,47 @@
         /// How long it was lost, in ms.
         lost_ms: u64,
     },
+    /// The store came back from an older copy.
+    StoreEraBegan {
+        /// Its era, which grows each time.
+        era: u64,
+    },
+    /// This node holds the platform's duties.
+    DutiesHeld {
+        /// Its fencing token.
+        token: u64,
+    },
+    /// This node no longer holds them.
+    DutiesLost,
+    /// The usage of a window was written to the log; it is not counted anew.
+    UsageWritten {
+        /// The window.
+        window: u64,
+        /// Workspaces with calls.
+        workspaces: usize,
+        /// Their calls.
+        calls: u64,
+        /// Age of what the node that is silent longest told, in ms.
+        oldest_input_ms: u64,
+    },
+    /// A window's usage was sent to the platform.
+    UsageReported {
+        /// The window.
+        window: u64,
+        /// Workspaces with calls.
+        workspaces: usize,
+        /// Their calls.
+        calls: u64,
+        /// The fencing token.
+        token: u64,
+        /// Why it is not known to be accepted, if so.
+        error: Option<&'a str>,
+    },
+    /// A window's report was not accepted in time.
+    UsageMissed {
+        /// The window.
+        window: u64,
+    },
     /// Another node was heard for the first time, or started again.
     PeerHeard {
         /// Its name.
--- /dev/null
+++ b/daemon/src/gateway/duties.rs
@@ -0,0 +1,409 @@
+//! Duties: calls to the platform that one node at a time makes, under a lease on the store's log.
+//!
+//! One task keeps the lease and writes down what its holder must not lose; `reports` makes the calls.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use monsoonbank_kernel::clock::Clock;
+use monsoonbank_kernel::gateway::duty::{DutyClaim, DutyLease, DutyRecord, DutyTopic};
+use monsoonbank_kernel::gateway::heartbeat::HolderNotice;
+use monsoonbank_kernel::gateway::reports::{FinalWindow, ReportMoment, UsageReports};
+use monsoonbank_kernel::gateway::usage::{UsageLedger, WorkspaceCounts};
+use monsoonbank_kernel::ids::{Incarnation, NodeId};
+use monsoonbank_platform::names;
+use monsoonbank_platform::store::{KeyedRecord, StoreClient, StoreError};
+use rand_pcg::Pcg64Mcg;
+
+use crate::boot::BootClock;
+use crate::gateway::Gateway;
+use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::settings::{DutyName, DutySettings};
+
+/// Time between two looks of a holder, or of a node that is to claim, at what is due.
+const BUSY_TICK: Duration = Duration::from_millis(100);
+/// The same of a node that hears of a holder.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+/// Time between two reads of a node that waits for a lease to end.
+const READ_PAUSE: Duration = Duration::from_millis(900);
+/// Time without word of a holder after which the first node in order reads the lease. A holder's word
+/// reaches every node within a second.
+const HOLDER_SILENT_AFTER: Duration = Duration::from_secs(2);
+/// Time for which each next node in order waits longer.
+const RANK_STEP: Duration = Duration::from_secs(1);
+/// Time that an answer of the store may take to begin.
+const STORE_PATIENCE: Duration = Duration::from_millis(800);
+/// Pause after a failed call to the store.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Windows that stay in the log, so that the next holder can send their reports again.
+const KEPT_WINDOWS: u64 = 4;
+
+/// A holder's word, and when it came.
+#[derive(Clone, Copy, Debug)]
+struct HeardNotice {
+    notice: HolderNotice,
+    at: Duration,
+}
+
+impl HeardNotice {
+    fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.at) + Duration::from_millis(self.notice.age_ms)
+    }
+}
+
+/// What a node holds of duties.
+pub struct DutyState {
+    /// What the settings say of them.
+    pub settings: DutySettings,
+    /// A clock that goes on while the host is suspended.
+    pub clock: BootClock,
+    /// The lease.
+    pub lease: RefCell<DutyLease>,
+    /// Calls by workspace and window.
+    pub ledger: RefCell<UsageLedger>,
+    /// Windows that are written down.
+    pub reports: RefCell<UsageReports>,
+    /// Since when this node has held the lease, in time since 1970.
+    held_since: Cell<Option<Duration>>,
+    heard: Cell<Option<HeardNotice>>,
+}
+
+impl DutyState {
+    /// The state of a node that starts.
+    pub fn new(settings: DutySettings, name: &str, incarnation: u64) -> Self {
+        let lease = DutyLease::new(
+            NodeId::named(name),
+            Incarnation(incarnation),
+            settings.lease,
+        );
+        Self {
+            clock: BootClock,
+            lease: RefCell::new(lease),
+            ledger: RefCell::new(UsageLedger::new(settings.usage_window)),
+            reports: RefCell::new(UsageReports::new(settings.usage_late)),
+            held_since: Cell::new(None),
+            heard: Cell::new(None),
+            settings,
+        }
+    }
+
+    /// Takes in the store's era.
+    pub fn see_era(&self, era: u64, unix_now: Duration) {
+        let window = self.ledger.borrow().window(unix_now) + 1;
+        let now = self.clock.now();
+        self.lease.borrow_mut().see_era(era, window, now);
+    }
+
+    /// Whether the platform has this duty.
+    pub fn has(&self, name: DutyName) -> bool {
+        self.settings.has(name)
+    }
+
+    /// Takes in what another node says of the holder.
+    pub fn hear(&self, notice: HolderNotice, now: Duration) {
+        let fresh = HeardNotice { notice, at: now };
+        let is_newer = self.heard.get().is_none_or(|known| {
+            let known_order = (known.notice.token, known.notice.written);
+            let order = (notice.token, notice.written);
+            order > known_order
+                || notice.token == known.notice.token && fresh.age(now) < known.age(now)
+        });
+        if is_newer {
+            let written = self.heard.get().map_or(0, |known| known.notice.written);
+            let notice = HolderNotice {
+                written: notice.written.max(written),
+                ..notice
+            };
+            self.heard.set(Some(HeardNotice { notice, at: now }));
+        }
+    }
+
+    /// What this node says of the holder: its own word, or what it heard a moment ago.
+    pub fn notice(&self, gateway: &Gateway) -> Option<HolderNotice> {
+        let now = gateway.now();
+        if let Some(token) = self.held_token() {
+            return Some(HolderNotice {
+                token,
+                peers: gateway.settings.peer_address(),
+                age_ms: 0,
+                written: self.reports.borrow().written_through(),
+            });
+        }
+        let heard = self.heard.get()?;
+        let age = heard.age(now);
+        (age < HOLDER_SILENT_AFTER).then_some(HolderNotice {
+            age_ms: millis(age),
+            ..heard.notice
+        })
+    }
+
+    /// The token under which this node holds the lease, also before it may act.
+    fn held_token(&self) -> Option<u64> {
+        self.lease.borrow().claimed(self.clock.now())
+    }
+
+    /// Whether this node holds the lease.
+    pub fn is_holder(&self) -> bool {
+        self.held_token().is_some()
+    }
+
+    /// The fencing token for a call that is sent now, if this node may send one.
+    pub fn token(&self) -> Option<u64> {
+        self.lease.borrow().token(self.clock.now())
+    }
+
+    /// Time since the holder's last word, as far as this node heard.
+    fn silence(&self, now: Duration) -> Duration {
+        self.heard.get().map_or(now, |heard| heard.age(now))
+    }
+}
+
+/// Time since 1970 by this host's clock.
+pub fn host_time() -> Duration {
+    // A clock before 1970 is as wrong as one at 1970.
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+/// Starts to keep the lease, if the platform has duties.
+pub fn start(gateway: &Rc<Gateway>, random: Pcg64Mcg) {
+    if gateway.duties.is_none() {
+        return;
+    }
+    let keeper = LeaseKeeper {
+        client: StoreClient::new(gateway.settings.store.address),
+        gateway: gateway.clone(),
+        random,
+        read_at: Duration::ZERO,
+    };
+    tokio::task::spawn_local(keep(keeper));
+}
+
+/// Claims and renews the lease.
+struct LeaseKeeper {
+    gateway: Rc<Gateway>,
+    client: StoreClient,
+    random: Pcg64Mcg,
+    read_at: Duration,
+}
+
+async fn keep(mut keeper: LeaseKeeper) {
+    let gateway = keeper.gateway.clone();
+    let Some(duties) = &gateway.duties else {
+        return;
+    };
+    while gateway.leaving_since.get().is_none() {
+        let is_busy = keeper.step(duties).await;
+        keeper.note_holding(duties);
+        let tick = if is_busy { BUSY_TICK } else { IDLE_TICK };
+        tokio::time::sleep(tick).await;
+    }
+    // The lease lapses; others learn with the node's heartbeat that it leaves.
+}
+
+impl LeaseKeeper {
+    /// Does what is due. Gives whether this node holds the lease or is to claim it.
+    async fn step(&mut self, duties: &DutyState) -> bool {
+        let holds = duties.is_holder();
+        if !holds && !self.is_claimant(duties) {
+            return false;
+        }
+        let now = duties.clock.now();
+        if holds && duties.lease.borrow().needs_read(now) || !holds && now >= self.read_at {
+            self.read_at = now + READ_PAUSE;
+            self.read(duties).await;
+        }
+        self.append(duties).await;
+        true
+    }
+
+    fn is_claimant(&self, duties: &DutyState) -> bool {
+        let now = self.gateway.now();
+        let rank = self.gateway.fleet.borrow().duty_rank(now);
+        let patience = HOLDER_SILENT_AFTER + RANK_STEP * u32::try_from(rank).unwrap_or(u32::MAX);
+        duties.silence(now) >= patience
+    }
+
+    /// Writes down when this node begins and ceases to hold the lease.
+    fn note_holding(&self, duties: &DutyState) {
+        let token = duties.held_token();
+        match (token, duties.held_since.get()) {
+            (Some(token), None) => {
+                duties.held_since.set(Some(self.gateway.unix_now()));
+                self.gateway.decisions.line(&Decision::DutiesHeld { token });
+            }
+            (None, Some(_)) => {
+                duties.held_since.set(None);
+                self.gateway.decisions.line(&Decision::DutiesLost);
+            }
+            _ => {}
+        }
+    }
+
+    async fn read(&mut self, duties: &DutyState) {
+        let read = self.client.newest(names::DUTY_TOPIC, STORE_PATIENCE).await;
+        self.gateway.see_store_era(self.client.era());
+        let snapshot = match read {
+            Ok(snapshot) => snapshot,
+            Err(error) => return self.failed(&error).await,
+        };
+        self.count("answered");
+        let topic = DutyTopic {
+            era: self.client.era(),
+            end: snapshot.end,
+            newest: newest_lease(&snapshot.records),
+        };
+        let now = duties.clock.now();
+        duties
+            .lease
+            .borrow_mut()
+            .see_topic(&topic, now, &mut self.random);
+        let mut reports = duties.reports.borrow_mut();
+        for last in snapshot.records.iter().filter_map(final_window) {
+            reports.written(last);
+        }
+    }
+
+    async fn failed(&self, error: &StoreError) {
+        self.count("failed");
+        let reason = error.to_string();
+        self.gateway.decisions.line(&Decision::StoreLost {
+            reader: "duties",
+            reason: &reason,
+        });
+        tokio::time::sleep(FAILURE_PAUSE).await;
+    }
+
+    fn count(&self, outcome: &str) {
+        let calls = &self.gateway.metrics.store_calls;
+        calls.with_label_values(&["duties", outcome]).inc();
+    }
+
+    /// Claims or renews the lease if that is due, and writes down windows of usage that are final.
+    async fn append(&mut self, duties: &DutyState) {
+        let now = duties.clock.now();
+        let Some(claim) = duties.lease.borrow_mut().claim(now) else {
+            return;
+        };
+        let last = self.final_windows(duties);
+        let records = encode(&claim.record, &last);
+        let records: Vec<(&[u8], &[u8])> = records
+            .iter()
+            .map(|(key, value)| (&key[..], &value[..]))
+            .collect();
+        let appended = self
+            .client
+            .append(names::DUTY_TOPIC, claim.at, &records, STORE_PATIENCE)
+            .await;
+        self.gateway.see_store_era(self.client.era());
+        match appended {
+            Ok(place) => {
+                self.count("answered");
+                self.appended(duties, &claim, place.end, last);
+            }
+            Err(StoreError::Elsewhere) => {
+                self.count("answered");
+                duties.lease.borrow_mut().refused();
+            }
+            Err(error) => {
+                duties.lease.borrow_mut().unanswered();
+                self.failed(&error).await;
+            }
+        }
+    }
+
+    /// Windows that may be written down now: only under a lease that holds, with all read back.
+    fn final_windows(&self, duties: &DutyState) -> Vec<FinalWindow> {
+        let (Some(held_since), Some(_)) = (duties.held_since.get(), duties.token()) else {
+            return Vec::new();
+        };
+        if !duties.has(DutyName::Usage) {
+            return Vec::new();
+        }
+        let moment = ReportMoment {
+            now: self.gateway.unix_now(),
+            held_since,
+            first_window: duties.lease.borrow().first_window(),
+        };
+        let ledger = duties.ledger.borrow();
+        duties.reports.borrow().to_write(&ledger, moment)
+    }
+
+    fn appended(
+        &mut self,
+        duties: &DutyState,
+        claim: &DutyClaim,
+        end: u64,
+        last: Vec<FinalWindow>,
+    ) {
+        let now = duties.clock.now();
+        let era = self.client.era();
+        duties
+            .lease
+            .borrow_mut()
+            .appended(claim, era, end, now, &mut self.random);
+        if claim.record.era != era {
+            return;
+        }
+        let unix_now = self.gateway.unix_now();
+        let ledger = duties.ledger.borrow();
+        for last in last {
+            self.gateway.decisions.line(&Decision::UsageWritten {
+                window: last.window,
+                workspaces: last.counts.len(),
+                calls: last.counts.values().sum(),
+                oldest_input_ms: millis(ledger.oldest_input(last.window, unix_now)),
+            });
+            duties.reports.borrow_mut().written(last);
+        }
+    }
+}
+
+fn newest_lease(records: &[KeyedRecord]) -> Option<(u64, DutyRecord)> {
+    let record = records
+        .iter()
+        .find(|record| record.key == names::LEASE_KEY)?;
+    match ciborium::from_reader(record.value.as_deref()?) {
+        Ok(lease) => Some((record.offset, lease)),
+        Err(error) => {
+            log::warn!("the lease on duties is malformed: {error}");
+            None
+        }
+    }
+}
+
+fn final_window(record: &KeyedRecord) -> Option<FinalWindow> {
+    let key = std::str::from_utf8(&record.key).ok()?;
+    let window = key.strip_prefix(names::USAGE_KEY)?.parse().ok()?;
+    match ciborium::from_reader::<WorkspaceCounts, _>(record.value.as_deref()?) {
+        Ok(counts) => Some(FinalWindow { window, counts }),
+        Err(error) => {
+            log::warn!("the usage of window {window} is malformed: {error}");
+            None
+        }
+    }
+}
+
+/// A record's key and value.
+type KeyedBytes = (Vec<u8>, Vec<u8>);
+
+/// The lease's record first, then the windows; windows long past are dropped.
+fn encode(lease: &DutyRecord, last: &[FinalWindow]) -> Vec<KeyedBytes> {
+    let mut records = vec![(names::LEASE_KEY.to_vec(), to_cbor(lease))];
+    for FinalWindow { window, counts } in last {
+        let key = |window: u64| format!("{}{window}", names::USAGE_KEY).into_bytes();
+        records.push((key(*window), to_cbor(counts)));
+        records.push((key(window.saturating_sub(KEPT_WINDOWS)), Vec::new()));
+    }
+    records
+}
+
+fn to_cbor(value: &impl serde::Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    if let Err(error) = ciborium::into_writer(value, &mut bytes) {
+        log::error!("a record cannot be written: {error}");
+    }
+    bytes
+}
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -69,6 +69,8 @@
     timeouts: u32,
     lost_since: Option<Duration>,
     counted_bytes: usize,
+    /// The era that the reader's position in the log belongs to.
+    era: u64,
 }
 
 impl StoreReader {
@@ -82,9 +84,24 @@
             timeouts: 0,
             lost_since: None,
             counted_bytes: 0,
+            era: 0,
         }
     }
 
+    /// Takes in the era of the answer that came last. Gives whether offsets known before still count: not
+    /// if the store came back from an older copy, also not if the answer is from before that.
+    fn same_era(&mut self) -> bool {
+        let era = self.client.era();
+        self.gateway.see_store_era(era);
+        let known = std::mem::replace(&mut self.era, era);
+        known == era
+            && self
+                .gateway
+                .store_era
+                .get()
+                .is_none_or(|newest| newest == era)
+    }
+
     fn succeeded(&mut self) {
         self.count("answered", "used");
         let now = self.gateway.now();
@@ -195,25 +212,34 @@
         match outcome {
             Ok(next) => {
                 reader.succeeded();
-                position = Some(next);
+                position = next;
+            }
+            Err(StoreError::Expired { .. }) => {
+                reader.same_era();
+                position = None;
             }
-            Err(StoreError::Expired { .. }) => position = None,
             Err(error) => reader.failed(&error).await,
         }
     }
 }
 
-async fn newest_configuration(reader: &mut StoreReader) -> Result<u64, StoreError> {
+/// Reads the newest configuration. Gives where to go on; none if the pages are not of one era.
+async fn newest_configuration(reader: &mut StoreReader) -> Result<Option<u64>, StoreError> {
     let patience = reader.patience();
     let snapshot = reader
         .client
         .newest(names::OPERATOR_TOPIC, patience)
         .await?;
+    let same_era = reader.same_era();
     take_configurations(&reader.gateway, &snapshot.records);
-    Ok(snapshot.end)
+    Ok(same_era.then_some(snapshot.end))
 }
 
-async fn more_configuration(reader: &mut StoreReader, from: u64) -> Result<u64, StoreError> {
+/// Reads on. Gives where to go on; none if the log is another one than before.
+async fn more_configuration(
+    reader: &mut StoreReader,
+    from: u64,
+) -> Result<Option<u64>, StoreError> {
     let gateway = reader.gateway.clone();
     let wait = if gateway.store_doubtful() || !gateway.is_reader() {
         Duration::ZERO
@@ -232,11 +258,14 @@
             again.await?
         }
     };
+    if !reader.same_era() {
+        return Ok(None);
+    }
     take_configurations(&gateway, &batch.records);
     if wait.is_zero() && batch.records.is_empty() {
         tokio::time::sleep(REGISTRY_PAUSE).await;
     }
-    Ok(batch.next)
+    Ok(Some(batch.next))
 }
 
 /// Names the store as the source of a configuration.
@@ -308,12 +337,13 @@
         match outcome {
             Ok(next) => {
                 reader.succeeded();
-                position = Some(next);
+                position = next;
                 let mut view = reader.gateway.store.get();
                 view.registry_known = true;
                 reader.gateway.store.set(view);
             }
             Err(StoreError::Expired { .. }) => {
+                reader.same_era();
                 position = None;
                 continue;
             }
@@ -327,12 +357,13 @@
     }
 }
 
-async fn newest_registry(reader: &mut StoreReader) -> Result<u64, StoreError> {
+async fn newest_registry(reader: &mut StoreReader) -> Result<Option<u64>, StoreError> {
     let patience = reader.patience();
     let snapshot = reader
         .client
         .newest(names::UPSTREAM_TOPIC, patience)
         .await?;
+    let same_era = reader.same_era();
     let trusted = reader.trusted();
     let gateway = &reader.gateway;
     take_entries(gateway, &snapshot.records, trusted);
@@ -349,17 +380,20 @@
     for key in changed {
         upstream_changed(gateway, key);
     }
-    Ok(snapshot.end)
+    Ok(same_era.then_some(snapshot.end))
 }
 
-async fn more_registry(reader: &mut StoreReader, from: u64) -> Result<u64, StoreError> {
+async fn more_registry(reader: &mut StoreReader, from: u64) -> Result<Option<u64>, StoreError> {
     let reading = reader
         .client
         .read(names::UPSTREAM_TOPIC, from, Duration::ZERO, PATIENCE);
     let batch = reading.await?;
+    if !reader.same_era() {
+        return Ok(None);
+    }
     let trusted = reader.trusted();
     take_entries(&reader.gateway, &batch.records, trusted);
-    Ok(batch.next)
+    Ok(Some(batch.next))
 }
 
 fn take_entries(gateway: &Gateway, records: &[KeyedRecord], trusted: bool) {
@@ -418,7 +452,7 @@
         let view = gateway.store.get();
         let sound = view
             .failed_at
-            .is_none_or(|failed_at| view.returned_at > failed_at);
+            .is_none_or(|failed_at| view.returned_at >= failed_at);
         if !sound {
             continue;
         }
--- a/daemon/src/gateway/intake.rs
+++ b/daemon/src/gateway/intake.rs
@@ -1,5 +1,6 @@
 //! Reads a caller's request and decides by the rules what it is.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -55,6 +56,8 @@
     pub started: Duration,
     /// When it must have ended.
     pub deadline: Duration,
+    /// Whether it has been counted for its workspace.
+    pub counted: Cell<bool>,
 }
 
 impl Call {
@@ -125,6 +128,7 @@
         target: parts.uri,
         body,
         started,
+        counted: Cell::new(false),
         deadline: started + patience,
         pool,
         head,
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -34,6 +34,8 @@
     pub version: IntGauge,
     /// Calls that have not ended.
     pub open_calls: IntGauge,
+    /// Windows of usage whose report was not accepted in time.
+    pub duty_calls_missed: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -62,6 +64,14 @@
         registry
             .register(Box::new(heartbeat_bytes.clone()))
             .expect("a new name");
+        let duty_calls_missed = IntCounter::new(
+            "monsoonbank_usage_reports_missed_total",
+            "Windows of usage whose report was not accepted in time",
+        )
+        .expect("a valid name");
+        registry
+            .register(Box::new(duty_calls_missed.clone()))
+            .expect("a new name");
         let options = HistogramOpts::new(
             "monsoonbank_first_piece_seconds",
             "Time to the first piece of an answer",
@@ -84,6 +94,7 @@
             ),
             first_piece,
             heartbeat_bytes,
+            duty_calls_missed,
             store_calls: counter(
                 "monsoonbank_store_calls_total",
                 "Calls to the platform's store",
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -14,8 +14,9 @@
 
 use crate::error::NodeError;
 use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::duties::host_time;
 use crate::gateway::settings::GatewaySettings;
-use crate::gateway::{Gateway, exchange, follow};
+use crate::gateway::{Gateway, exchange, follow, usage};
 
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
@@ -83,6 +84,7 @@
     gateway.fleet.borrow_mut().set_state(gateway.state());
     let fleet = gateway.fleet.borrow();
     let answered_at = fleet.store_answered_at();
+    let duties = gateway.duties.as_ref();
     let mut heartbeat = NodeHeartbeat {
         version: gateway.version(),
         store_well: gateway.store.get().registry_known && !gateway.store_doubtful(),
@@ -98,6 +100,8 @@
         work: Some(work),
         failing,
         departures: registry.departures(now),
+        unix_ms: duties.map_or(0, |_| millis(host_time())),
+        holder: duties.and_then(|duties| duties.notice(gateway)),
         ..NodeHeartbeat::new(fleet.own().clone())
     };
     heartbeat.entries = fleet.entry_hashes(&heartbeat, now);
@@ -131,6 +135,8 @@
     spread: HeartbeatSpread,
     /// Parts of prompts that nodes of other zones have not heard of.
     far_parts: BTreeSet<(u32, u64, u64)>,
+    /// When calls by workspace were told last.
+    usage_at: Duration,
 }
 
 impl HeartbeatSpeaker {
@@ -142,6 +148,7 @@
             seed_turn: 0,
             spread: HeartbeatSpread::default(),
             far_parts: BTreeSet::new(),
+            usage_at: Duration::ZERO,
         }
     }
 
@@ -167,6 +174,7 @@
         let gateway = self.gateway.clone();
         let now = gateway.now();
         gateway.fleet.borrow_mut().forget(now);
+        gateway.compare_clocks();
         let mut own = own_heartbeat(&gateway);
         let round = SpreadRound {
             busy: gateway.open_calls.get() > 0,
@@ -202,6 +210,27 @@
         own.parts = Vec::new();
         let seeds = self.seeds_to_tell(plan.seeds);
         self.tell(&seeds, &own).await;
+        if now >= self.usage_at + usage::tell_pause(&gateway) {
+            self.usage_at = now;
+            self.tell_usage(own).await;
+        }
+    }
+
+    /// Tells the holder of the platform's duties the calls that this node counted.
+    async fn tell_usage(&self, own: NodeHeartbeat) {
+        let Some((holder, pieces)) = usage::untold(&self.gateway) else {
+            return;
+        };
+        for piece in pieces {
+            let heartbeat = NodeHeartbeat {
+                usage: piece,
+                work: None,
+                failing: Vec::new(),
+                cards: Vec::new(),
+                ..own.clone()
+            };
+            self.tell(&[holder.peers], &heartbeat).await;
+        }
     }
 }
 
@@ -240,13 +269,16 @@
     }
 }
 
-async fn hear(gateway: &Rc<Gateway>, socket: &UdpSocket, heartbeat: NodeHeartbeat) {
+async fn hear(gateway: &Rc<Gateway>, socket: &UdpSocket, mut heartbeat: NodeHeartbeat) {
     if heartbeat.card.name == gateway.settings.name {
         return;
     }
     let now = gateway.now();
     take_departures(gateway, &heartbeat, now);
     take_work(gateway, &heartbeat, now);
+    if let Some(duties) = &gateway.duties {
+        usage::hear(gateway, duties, &mut heartbeat);
+    }
     exchange::catch_up(gateway, &heartbeat);
     gateway.room_notice.notify_waiters();
     let card = heartbeat.card.clone();
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -25,7 +25,7 @@
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::watch::{CallOutcome, CallWatch};
 use crate::gateway::work::WorkShare;
-use crate::gateway::{silence, stream, waiting};
+use crate::gateway::{silence, stream, usage, waiting};
 
 /// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
@@ -380,6 +380,7 @@
         response,
     } = attempt;
     let (parts, body) = response.into_parts();
+    usage::count(gateway, call, gateway.now().saturating_sub(work.since));
     let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
     let body = match silence::hear(gateway, call, work.key, reading).await? {
         Err(error) => return Err(FailedAttempt::new(AttemptEnd::Lost, &error)),
--- /dev/null
+++ b/daemon/src/gateway/reports.rs
@@ -0,0 +1,95 @@
+//! Makes the calls of duties, each under a lease that is looked at right before it is sent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monsoonbank_kernel::clock::Clock;
+use monsoonbank_kernel::gateway::duty::CALL_FLIGHT;
+use monsoonbank_kernel::gateway::reports::FinalWindow;
+use monsoonbank_platform::duties::{DutyClient, DutyError, DutyStamp, UsageReport};
+
+use crate::gateway::Gateway;
+use crate::gateway::decisions::Decision;
+use crate::gateway::duties::DutyState;
+use crate::gateway::settings::DutyName;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(200);
+/// The same of a node that holds no duty.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+/// Time for an answer: a call that is still under way then is reset, well before another holder may
+/// begin.
+const CALL_PATIENCE: Duration = CALL_FLIGHT.saturating_sub(Duration::from_millis(200));
+
+/// Starts to make the calls of duties, if the platform has any.
+pub fn start(gateway: &Rc<Gateway>) {
+    if gateway.duties.is_some() {
+        tokio::task::spawn_local(report(gateway.clone()));
+    }
+}
+
+async fn report(gateway: Rc<Gateway>) {
+    let Some(duties) = &gateway.duties else {
+        return;
+    };
+    let mut client = DutyClient::new(duties.settings.address);
+    loop {
+        let unix_now = gateway.unix_now();
+        duties.ledger.borrow_mut().forget(unix_now);
+        let missed = {
+            let ledger = duties.ledger.borrow();
+            duties.reports.borrow_mut().forget(&ledger, unix_now)
+        };
+        for window in missed {
+            gateway.metrics.duty_calls_missed.inc();
+            gateway.decisions.line(&Decision::UsageMissed { window });
+        }
+        if duties.token().is_none() {
+            tokio::time::sleep(IDLE_TICK).await;
+            continue;
+        }
+        let due = duties.reports.borrow().to_send(unix_now);
+        if let Some(due) = due.filter(|_| duties.has(DutyName::Usage)) {
+            send(&gateway, duties, &mut client, due).await;
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn send(gateway: &Gateway, duties: &DutyState, client: &mut DutyClient, due: FinalWindow) {
+    let connected = client.connect().await;
+    // Nothing is waited for between this look at the lease and the call.
+    let Some(token) = duties.token() else {
+        return;
+    };
+    let stamp = DutyStamp {
+        holder: &gateway.settings.name,
+        token,
+    };
+    let report = UsageReport {
+        window_id: due.window,
+        counts: &due.counts,
+    };
+    let outcome = match connected {
+        Ok(()) => client.report(stamp, &report, CALL_PATIENCE).await,
+        Err(error) => Err(error),
+    };
+    let error = outcome.as_ref().err().map(DutyError::to_string);
+    gateway.decisions.line(&Decision::UsageReported {
+        window: due.window,
+        workspaces: due.counts.len(),
+        calls: due.counts.values().sum(),
+        token,
+        error: error.as_deref(),
+    });
+    match outcome {
+        Ok(()) => duties.reports.borrow_mut().accepted(due.window),
+        Err(error) => {
+            if error.is_conflict() {
+                duties.lease.borrow_mut().fenced(duties.clock.now());
+            }
+            let unix_now = gateway.unix_now();
+            duties.reports.borrow_mut().unanswered(due.window, unix_now);
+        }
+    }
+}
--- a/daemon/src/gateway/settings.rs
+++ b/daemon/src/gateway/settings.rs
@@ -32,6 +32,73 @@
     pub times: TimeSettings,
     /// The fleet's budget for repeats.
     pub retries: RetrySettings,
+    /// Calls to the platform that one node at a time makes; none if it has no such duties.
+    #[serde(default)]
+    pub duties: Option<DutySettings>,
+}
+
+/// Calls to the platform that are the duty of one node at a time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DutySettings {
+    /// Where they go.
+    pub address: SocketAddr,
+    /// Which duties there are.
+    pub names: Vec<Box<str>>,
+    /// Calls a second that the platform accepts, of all duties.
+    pub calls_per_s: f64,
+    /// How soon after another holder's last call the next holder may make one.
+    #[serde(
+        rename = "lease_ms",
+        default = "default_lease",
+        deserialize_with = "millis"
+    )]
+    pub lease: Duration,
+    /// Length of a window of usage.
+    #[serde(
+        rename = "usage_window_s",
+        default = "default_window",
+        deserialize_with = "seconds"
+    )]
+    pub usage_window: Duration,
+    /// Time after a window's end at which its report is due.
+    #[serde(
+        rename = "usage_late_s",
+        default = "default_late",
+        deserialize_with = "seconds"
+    )]
+    pub usage_late: Duration,
+}
+
+impl DutySettings {
+    /// Whether the platform has a duty. Names of others are passed over: a platform may have duties that
+    /// this version does not know.
+    pub fn has(&self, name: DutyName) -> bool {
+        let name = name.to_string();
+        self.names.iter().any(|known| **known == *name)
+    }
+}
+
+/// A duty that this version knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "lowercase")]
+pub enum DutyName {
+    /// Reports of each workspace's usage.
+    Usage,
+    /// Orders of engines.
+    Autoscale,
+}
+
+fn default_lease() -> Duration {
+    Duration::from_secs(3)
+}
+
+fn default_window() -> Duration {
+    Duration::from_secs(5)
+}
+
+fn default_late() -> Duration {
+    Duration::from_secs(10)
 }
 
 /// Listen addresses, each an IP number and a port.
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -20,8 +20,8 @@
 use crate::gateway::intake::Call;
 use crate::gateway::relay::{self, CallTrail, FailedAttempt, OpenAttempt};
 use crate::gateway::reply::{self, CutError, Reply};
-use crate::gateway::silence;
 use crate::gateway::watch::{CallOutcome, CallWatch};
+use crate::gateway::{silence, usage};
 
 /// The next piece of an upstream's stream.
 enum StreamPiece {
@@ -123,6 +123,7 @@
         return Err(whole_failure(gateway, call, stream).await);
     }
     let first = stream.next(gateway, call).await?;
+    usage::count(gateway, call, first_token_age(gateway, call));
     stream.attempt.work.prompt_read();
     if let Some(upstream) = gateway
         .registry
@@ -134,11 +135,20 @@
     Ok(BegunStream { stream, first })
 }
 
+/// How long ago the first token was made when the first event comes, which holds several.
+fn first_token_age(gateway: &Gateway, call: &Call) -> Duration {
+    let tokens = call.engine.map_or(1, |engine| engine.event_tokens.max(1));
+    let pace = gateway.pace(call);
+    let event = pace.time_for(2.0).saturating_sub(pace.time_to_first());
+    event * (tokens - 1) / tokens
+}
+
 async fn whole_failure(
     gateway: &Gateway,
     call: &Call,
     mut stream: UpstreamStream,
 ) -> FailedAttempt {
+    usage::count(gateway, call, Duration::ZERO);
     while !stream.ended {
         if let Err(failed) = stream.read(gateway, call).await {
             return failed;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answers;
 pub mod body;
+pub mod boot;
 pub mod callers;
 pub mod calls;
 pub mod changes;
