Order engines by load, spot ones first, and tell usage to the holder and its deputy

The holder of the duties now orders engines: spot ones in place of all firm ones but one a zone before there is load, twice as many as there were first (never dearer than before), more when the pool reads or runs more than about half of what it can, a lost zone made up for in the others.

Nodes tell the holder and the node that is next in order, each 0.2 s, what changed.

Found by a test: a zone whose spot engines came back was ordered what the others had made up for it.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -20,6 +20,7 @@
 pub mod relay;
 pub mod reply;
 pub mod reports;
+pub mod scaling;
 pub mod settings;
 pub mod silence;
 pub mod stream;
@@ -275,6 +276,8 @@
     let clock = MonotonicClock::new();
     let incarnation = follow::start_time();
     let own = peers::own_card(&settings, incarnation);
+    let duty_seed = u64::from_le_bytes(random).rotate_left(DUTY_STREAM);
+    let duty_random = Pcg64Mcg::seed_from_u64(duty_seed);
     let gateway = Rc::new(Gateway {
         decisions: DecisionLog::start(clock, settings.name.clone()),
         metrics: GatewayMetrics::new(),
@@ -305,7 +308,7 @@
         duties: settings
             .duties
             .clone()
-            .map(|duties| DutyState::new(duties, &settings.name, incarnation)),
+            .map(|duties| DutyState::new(duties, &settings.name, incarnation, duty_random)),
         settings,
     });
     gateway.decisions.line(&Decision::Started {
@@ -315,9 +318,9 @@
     peers::start(&gateway).await?;
     follow::start(&gateway, u64::from_le_bytes(random));
     caches::start(&gateway);
-    let seed = u64::from_le_bytes(random).rotate_left(DUTY_STREAM);
-    duties::start(&gateway, Pcg64Mcg::seed_from_u64(seed));
+    duties::start(&gateway);
     reports::start(&gateway);
+    scaling::start(&gateway);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -143,6 +143,36 @@
         /// The window.
         window: u64,
     },
+    /// How busy a pool is whose engines this node orders.
+    PoolBusy {
+        /// The pool.
+        pool: &'a str,
+        /// Engines that take calls.
+        engines: u32,
+        /// Calls that are at them.
+        calls: u32,
+        /// Prompt tokens that they take in each second.
+        tokens_per_s: u64,
+    },
+    /// Engines were ordered of the platform.
+    EnginesOrdered {
+        /// The pool.
+        pool: &'a str,
+        /// The availability zone.
+        zone: &'a str,
+        /// Which engines: `firm` or `spot`.
+        kind: &'a str,
+        /// How many of them it shall have.
+        desired: u32,
+        /// How many of both kinds take calls there.
+        present: u32,
+        /// The fencing token.
+        token: u64,
+        /// How it ended.
+        outcome: &'a str,
+        /// More on it, if it was not accepted.
+        reason: Option<&'a str>,
+    },
     /// Another node was heard for the first time, or started again.
     PeerHeard {
         /// Its name.
--- a/daemon/src/gateway/duties.rs
+++ b/daemon/src/gateway/duties.rs
@@ -29,9 +29,9 @@
 const READ_PAUSE: Duration = Duration::from_millis(900);
 /// Time without word of a holder after which the first node in order reads the lease. A holder's word
 /// reaches every node within a second.
-const HOLDER_SILENT_AFTER: Duration = Duration::from_secs(2);
+const HOLDER_SILENT_AFTER: Duration = Duration::from_millis(1600);
 /// Time for which each next node in order waits longer.
-const RANK_STEP: Duration = Duration::from_secs(1);
+const RANK_STEP: Duration = Duration::from_millis(600);
 /// Time that an answer of the store may take to begin.
 const STORE_PATIENCE: Duration = Duration::from_millis(800);
 /// Pause after a failed call to the store.
@@ -67,11 +67,12 @@
     /// Since when this node has held the lease, in time since 1970.
     held_since: Cell<Option<Duration>>,
     heard: Cell<Option<HeardNotice>>,
+    random: RefCell<Pcg64Mcg>,
 }
 
 impl DutyState {
     /// The state of a node that starts.
-    pub fn new(settings: DutySettings, name: &str, incarnation: u64) -> Self {
+    pub fn new(settings: DutySettings, name: &str, incarnation: u64, random: Pcg64Mcg) -> Self {
         let lease = DutyLease::new(
             NodeId::named(name),
             Incarnation(incarnation),
@@ -84,6 +85,7 @@
             reports: RefCell::new(UsageReports::new(settings.usage_late)),
             held_since: Cell::new(None),
             heard: Cell::new(None),
+            random: RefCell::new(random),
             settings,
         }
     }
@@ -101,24 +103,37 @@
     }
 
     /// Takes in what another node says of the holder.
-    pub fn hear(&self, notice: HolderNotice, now: Duration) {
+    pub fn hear(&self, notice: HolderNotice, now: Duration, unix_now: Duration) {
         let fresh = HeardNotice { notice, at: now };
+        let order = |notice: &HolderNotice| (notice.token, notice.renewal, notice.written);
         let is_newer = self.heard.get().is_none_or(|known| {
-            let known_order = (known.notice.token, known.notice.written);
-            let order = (notice.token, notice.written);
-            order > known_order
-                || notice.token == known.notice.token && fresh.age(now) < known.age(now)
+            let is_fresher = fresh.age(now) < known.age(now);
+            order(&notice) > order(&known.notice)
+                || notice.token == known.notice.token && is_fresher
         });
         if is_newer {
-            let written = self.heard.get().map_or(0, |known| known.notice.written);
+            let known = self.heard.get().map(|known| known.notice);
+            let written = known.map_or(0, |known| known.written);
+            let renewal = known.map_or(0, |known| known.renewal);
             let notice = HolderNotice {
                 written: notice.written.max(written),
+                renewal: notice.renewal.max(renewal),
                 ..notice
             };
             self.heard.set(Some(HeardNotice { notice, at: now }));
+            self.hear_renewal(notice.renewal, unix_now);
         }
     }
 
+    fn hear_renewal(&self, renewal: u64, unix_now: Duration) {
+        let window = self.ledger.borrow().window(unix_now) + 1;
+        let mut random = self.random.borrow_mut();
+        let now = self.clock.now();
+        self.lease
+            .borrow_mut()
+            .hear(renewal, window, now, &mut random);
+    }
+
     /// What this node says of the holder: its own word, or what it heard a moment ago.
     pub fn notice(&self, gateway: &Gateway) -> Option<HolderNotice> {
         let now = gateway.now();
@@ -126,7 +141,9 @@
             return Some(HolderNotice {
                 token,
                 peers: gateway.settings.peer_address(),
+                deputy: gateway.fleet.borrow().duty_deputy(now),
                 age_ms: 0,
+                renewal: self.lease.borrow().newest().unwrap_or(0),
                 written: self.reports.borrow().written_through(),
             });
         }
@@ -168,14 +185,13 @@
 }
 
 /// Starts to keep the lease, if the platform has duties.
-pub fn start(gateway: &Rc<Gateway>, random: Pcg64Mcg) {
+pub fn start(gateway: &Rc<Gateway>) {
     if gateway.duties.is_none() {
         return;
     }
     let keeper = LeaseKeeper {
         client: StoreClient::new(gateway.settings.store.address),
         gateway: gateway.clone(),
-        random,
         read_at: Duration::ZERO,
     };
     tokio::task::spawn_local(keep(keeper));
@@ -185,7 +201,6 @@
 struct LeaseKeeper {
     gateway: Rc<Gateway>,
     client: StoreClient,
-    random: Pcg64Mcg,
     read_at: Duration,
 }
 
@@ -259,7 +274,7 @@
         duties
             .lease
             .borrow_mut()
-            .see_topic(&topic, now, &mut self.random);
+            .see_topic(&topic, now, &mut duties.random.borrow_mut());
         let mut reports = duties.reports.borrow_mut();
         for last in snapshot.records.iter().filter_map(final_window) {
             reports.written(last);
@@ -343,7 +358,7 @@
         duties
             .lease
             .borrow_mut()
-            .appended(claim, era, end, now, &mut self.random);
+            .appended(claim, era, end, now, &mut duties.random.borrow_mut());
         if claim.record.era != era {
             return;
         }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::duties::host_time;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::usage::UsageTeller;
 use crate::gateway::{Gateway, exchange, follow, usage};
 
 /// Parts of prompts in one datagram, about 16 bytes each.
@@ -137,6 +138,7 @@
     far_parts: BTreeSet<(u32, u64, u64)>,
     /// When calls by workspace were told last.
     usage_at: Duration,
+    usage: UsageTeller,
 }
 
 impl HeartbeatSpeaker {
@@ -149,6 +151,7 @@
             spread: HeartbeatSpread::default(),
             far_parts: BTreeSet::new(),
             usage_at: Duration::ZERO,
+            usage: UsageTeller::default(),
         }
     }
 
@@ -216,20 +219,20 @@
         }
     }
 
-    /// Tells the holder of the platform's duties the calls that this node counted.
-    async fn tell_usage(&self, own: NodeHeartbeat) {
-        let Some((holder, pieces)) = usage::untold(&self.gateway) else {
+    /// Tells the holder of the platform's duties, and its deputy, the calls that this node counted.
+    async fn tell_usage(&mut self, own: NodeHeartbeat) {
+        let Some((hearers, pieces)) = self.usage.next(&self.gateway) else {
             return;
         };
         for piece in pieces {
             let heartbeat = NodeHeartbeat {
-                usage: piece,
+                usage: vec![piece],
                 work: None,
                 failing: Vec::new(),
                 cards: Vec::new(),
                 ..own.clone()
             };
-            self.tell(&[holder.peers], &heartbeat).await;
+            self.tell(&hearers, &heartbeat).await;
         }
     }
 }
--- a/daemon/src/gateway/reports.rs
+++ b/daemon/src/gateway/reports.rs
@@ -19,7 +19,7 @@
 const IDLE_TICK: Duration = Duration::from_millis(500);
 /// Time for an answer: a call that is still under way then is reset, well before another holder may
 /// begin.
-const CALL_PATIENCE: Duration = CALL_FLIGHT.saturating_sub(Duration::from_millis(200));
+pub const CALL_PATIENCE: Duration = CALL_FLIGHT.saturating_sub(Duration::from_millis(200));
 
 /// Starts to make the calls of duties, if the platform has any.
 pub fn start(gateway: &Rc<Gateway>) {
--- /dev/null
+++ b/daemon/src/gateway/scaling.rs
@@ -0,0 +1,194 @@
+//! Orders engines of the platform, as the duty of the node that holds the lease.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::rules::PoolSpec;
+use monsoonbank_kernel::gateway::scaling::{
+    EngineKind, EngineOrder, OrderOutcome, PoolLoad, PoolScaling, ZoneEngines,
+};
+use monsoonbank_platform::duties::{DutyClient, DutyError, DutyStamp, ScaleCall};
+
+use crate::gateway::Gateway;
+use crate::gateway::decisions::Decision;
+use crate::gateway::duties::DutyState;
+use crate::gateway::reports::CALL_PATIENCE;
+use crate::gateway::settings::DutyName;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(200);
+/// Time between two looks at how busy a pool is.
+const METER_PAUSE: Duration = Duration::from_secs(1);
+/// The same of a node that holds no duty.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+
+/// Starts to order engines, if the platform lets the fleet do so.
+pub fn start(gateway: &Rc<Gateway>) {
+    let is_wanted = |duties: &DutyState| duties.has(DutyName::Autoscale);
+    if gateway.duties.as_ref().is_some_and(is_wanted) {
+        tokio::task::spawn_local(order(gateway.clone()));
+    }
+}
+
+/// What a holder remembers of its orders, by pool.
+type PoolScalings = BTreeMap<Box<str>, (PoolScaling, LoadMeter)>;
+
+/// Measures how busy a pool is.
+#[derive(Debug, Default)]
+struct LoadMeter {
+    taken: u64,
+    at: Duration,
+}
+
+impl LoadMeter {
+    fn measure(&mut self, gateway: &Gateway, pool: &str) -> Option<PoolLoad> {
+        let now = gateway.now();
+        let passed = now.saturating_sub(self.at);
+        if passed < METER_PAUSE {
+            return None;
+        }
+        let registry = gateway.registry.borrow();
+        let mut load = PoolLoad::default();
+        let mut taken = 0;
+        for (_, upstream) in registry.iter() {
+            if &*upstream.entry.pool == pool {
+                load.calls += upstream.load.total(now).calls;
+                load.slots = load.slots.max(upstream.entry.slots);
+                taken += upstream.load.cache.taken();
+            }
+        }
+        load.tokens_per_s = taken.saturating_sub(self.taken) as f64 / passed.as_secs_f64();
+        self.taken = taken;
+        let is_first = std::mem::replace(&mut self.at, now).is_zero();
+        (!is_first).then_some(load)
+    }
+}
+
+async fn order(gateway: Rc<Gateway>) {
+    let Some(duties) = &gateway.duties else {
+        return;
+    };
+    let mut client = DutyClient::new(duties.settings.address);
+    let mut scalings = PoolScalings::new();
+    loop {
+        if duties.token().is_none() {
+            // The next holder's orders are not known here.
+            scalings.clear();
+            tokio::time::sleep(IDLE_TICK).await;
+            continue;
+        }
+        let pools = gateway.rules();
+        for pool in pools.iter().flat_map(|rules| rules.pools()) {
+            if pool.scaling.is_none() {
+                continue;
+            }
+            let (scaling, meter) = scalings.entry(pool.name.clone()).or_insert_with(|| {
+                let total = duties.lease.borrow().engines().get(&pool.name).copied();
+                let scaling = PoolScaling::resume(total.unwrap_or(0));
+                (scaling, LoadMeter::default())
+            });
+            if let Some(load) = meter.measure(&gateway, &pool.name) {
+                scaling.measured(load, gateway.now());
+                let total = scaling.needed(gateway.now());
+                duties.lease.borrow_mut().decide_engines(&pool.name, total);
+                let engines = zone_engines(&gateway, &pool.name);
+                gateway.decisions.line(&Decision::PoolBusy {
+                    pool: &pool.name,
+                    engines: engines.values().map(|engines| engines.all()).sum(),
+                    calls: load.calls,
+                    tokens_per_s: load.tokens_per_s as u64,
+                });
+            }
+            order_next(&gateway, duties, &mut client, pool, scaling).await;
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// Gives the pool's next order, if one is due.
+async fn order_next(
+    gateway: &Gateway,
+    duties: &DutyState,
+    client: &mut DutyClient,
+    pool: &PoolSpec,
+    scaling: &mut PoolScaling,
+) {
+    let Some(spec) = &pool.scaling else {
+        return;
+    };
+    let zones = zone_engines(gateway, &pool.name);
+    let Some(order) = scaling.next_order(spec, &zones, gateway.now()) else {
+        return;
+    };
+    let connected = client.connect().await;
+    // Nothing is waited for between this look at the lease and the call.
+    let Some(token) = duties.token() else {
+        return;
+    };
+    let stamp = DutyStamp {
+        holder: &gateway.settings.name,
+        token,
+    };
+    let call = ScaleCall {
+        pool: &pool.name,
+        zone: &order.zone,
+        desired: order.desired,
+        spot: order.kind == EngineKind::Spot,
+    };
+    let given = match connected {
+        Ok(()) => client.order(stamp, &call, CALL_PATIENCE).await,
+        Err(error) => Err(error),
+    };
+    let outcome = match &given {
+        Ok(()) => OrderOutcome::Accepted,
+        Err(error) if error.is_conflict() => OrderOutcome::Unavailable,
+        Err(_) => OrderOutcome::Unanswered,
+    };
+    let present = zones.get(&order.zone).copied().unwrap_or_default();
+    write_down(gateway, pool, &order, present, token, given.err());
+    scaling.ordered(order, outcome, gateway.now());
+}
+
+fn write_down(
+    gateway: &Gateway,
+    pool: &PoolSpec,
+    order: &EngineOrder,
+    present: ZoneEngines,
+    token: u64,
+    error: Option<DutyError>,
+) {
+    let reason = error.map(|error| error.to_string());
+    gateway.decisions.line(&Decision::EnginesOrdered {
+        pool: &pool.name,
+        zone: &order.zone,
+        kind: &order.kind.to_string(),
+        desired: order.desired,
+        present: present.all(),
+        token,
+        outcome: if reason.is_some() {
+            "failed"
+        } else {
+            "accepted"
+        },
+        reason: reason.as_deref(),
+    });
+}
+
+/// Engines of a pool that take calls, in each zone in which it ever ran.
+fn zone_engines(gateway: &Gateway, pool: &str) -> BTreeMap<Box<str>, ZoneEngines> {
+    let registry = gateway.registry.borrow();
+    let mut zones: BTreeMap<Box<str>, ZoneEngines> = BTreeMap::new();
+    for upstream in registry
+        .newest()
+        .filter(|upstream| &*upstream.entry.pool == pool)
+    {
+        let engines = zones.entry(upstream.entry.zone.clone()).or_default();
+        match (upstream.left.is_some(), upstream.entry.spot) {
+            (true, _) => {}
+            (false, true) => engines.spot += 1,
+            (false, false) => engines.firm += 1,
+        }
+    }
+    zones
+}
--- a/daemon/src/gateway/usage.rs
+++ b/daemon/src/gateway/usage.rs
@@ -1,9 +1,11 @@
 //! Counts calls that upstreams began, and tells the counts to the node that reports them.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use monsoonbank_kernel::gateway::heartbeat::{HolderNotice, NodeHeartbeat, node_hash};
+use monsoonbank_kernel::gateway::heartbeat::{NodeHeartbeat, node_hash};
 use monsoonbank_kernel::gateway::usage::{WindowUsage, WorkspaceCounts};
 
 use crate::gateway::Gateway;
@@ -12,8 +14,10 @@
 use crate::gateway::settings::DutyName;
 
 /// Time between two tells of a node: what its loss costs, against a datagram.
-const TELL_PAUSE: Duration = Duration::from_millis(500);
-/// Nodes that the holder hears in each such time; in larger fleets each tells less often.
+const TELL_PAUSE: Duration = Duration::from_millis(200);
+/// Tells after which all is told anew, in case one was lost.
+const TELLS_BETWEEN_WHOLE: u32 = 5;
+/// Nodes that the holder hears in each pause; in larger fleets each tells less often.
 const MOST_TELLS: u32 = 100;
 /// Workspaces in one datagram, some 12 bytes each.
 const MOST_WORKSPACES: usize = 90;
@@ -42,42 +46,52 @@
     TELL_PAUSE * nodes.div_ceil(MOST_TELLS)
 }
 
-/// Where to tell, and in which pieces, what the holder has not written down; none if there is nothing, or
-/// no one to tell.
-pub fn untold(gateway: &Gateway) -> Option<(HolderNotice, Vec<Vec<WindowUsage>>)> {
-    let duties = gateway.duties.as_ref()?;
-    if duties.is_holder() || !duties.has(DutyName::Usage) {
-        return None;
-    }
-    let notice = duties.notice(gateway)?;
-    let ledger = duties.ledger.borrow();
-    let own = ledger.own_after(notice.written);
-    let pieces: Vec<Vec<WindowUsage>> = own
-        .flat_map(|(window, counts)| in_pieces(window, counts))
-        .collect();
-    (!pieces.is_empty()).then_some((notice, pieces))
+/// Tells the holder what it has not heard or written down.
+#[derive(Debug, Default)]
+pub struct UsageTeller {
+    told: BTreeMap<u64, WorkspaceCounts>,
+    tells: u32,
 }
 
-fn in_pieces(window: u64, counts: &WorkspaceCounts) -> Vec<Vec<WindowUsage>> {
-    let counts: Vec<(Box<str>, u64)> = counts
-        .iter()
-        .map(|(workspace, count)| (workspace.clone(), *count))
-        .collect();
-    let pieces = counts.chunks(MOST_WORKSPACES);
-    pieces
-        .map(|piece| {
-            vec![WindowUsage {
+impl UsageTeller {
+    /// Whom to tell, and in which pieces; none if there is nothing to tell, or no one.
+    pub fn next(&mut self, gateway: &Gateway) -> Option<(Vec<SocketAddr>, Vec<WindowUsage>)> {
+        let duties = gateway.duties.as_ref()?;
+        if !duties.has(DutyName::Usage) {
+            return None;
+        }
+        let notice = duties.notice(gateway)?;
+        self.tells += 1;
+        if self.tells.is_multiple_of(TELLS_BETWEEN_WHOLE) {
+            self.told.clear();
+        }
+        let ledger = duties.ledger.borrow();
+        let mut pieces = Vec::new();
+        for (window, counts) in ledger.own_after(notice.written) {
+            let told = self.told.entry(window).or_default();
+            let news: Vec<(Box<str>, u64)> = counts
+                .iter()
+                .filter(|news| told.get(news.0) != Some(news.1))
+                .map(|(workspace, count)| (workspace.clone(), *count))
+                .collect();
+            pieces.extend(news.chunks(MOST_WORKSPACES).map(|piece| WindowUsage {
                 window,
                 counts: piece.to_vec(),
-            }]
-        })
-        .collect()
+            }));
+            *told = counts.clone();
+        }
+        self.told.retain(|window, _| *window > notice.written);
+        let own = gateway.settings.peer_address();
+        let hearers = std::iter::once(notice.peers).chain(notice.deputy);
+        let hearers: Vec<SocketAddr> = hearers.filter(|hearer| *hearer != own).collect();
+        (!pieces.is_empty()).then_some((hearers, pieces))
+    }
 }
 
 /// Takes in what another node's heartbeat says of the holder and of its calls.
 pub fn hear(gateway: &Rc<Gateway>, duties: &DutyState, heartbeat: &mut NodeHeartbeat) {
     if let Some(notice) = heartbeat.holder {
-        duties.hear(notice, gateway.now());
+        duties.hear(notice, gateway.now(), gateway.unix_now());
     }
     if heartbeat.usage.is_empty() {
         return;
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod reports;
 pub mod room;
 pub mod rules;
+pub mod scaling;
 pub mod spread;
 pub mod usage;
 pub mod waiting;
--- a/kernel/src/gateway/cache.rs
+++ b/kernel/src/gateway/cache.rs
@@ -53,6 +53,11 @@
         self.own_taken
     }
 
+    /// Tokens that calls of all nodes made it take in, since this node first heard of each.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
     /// Another node's report of how much its calls made it take in so far. What came before its first
     /// report is no news; after a new start of the node it counts from nothing.
     pub fn heard(&mut self, node: &str, taken: u64) {
--- a/kernel/src/gateway/duty.rs
+++ b/kernel/src/gateway/duty.rs
@@ -5,6 +5,7 @@
 //! older copy, which begins a new *era*: its offsets are then given out again, those of the eras before
 //! count for nothing.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand_pcg::Pcg64Mcg;
@@ -24,6 +25,9 @@
 /// integers that JSON carries exactly.
 const OFFSET_BITS: u32 = 32;
 
+/// Stands for the holder of a lease whose record was only heard of.
+const NOT_READ: NodeId = NodeId(0);
+
 /// A record of the lease in the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DutyRecord {
@@ -33,6 +37,8 @@
     pub era: u64,
     /// The first window whose usage no earlier era can have reported.
     pub first_window: u64,
+    /// Engines that the holder decided on, by pool.
+    pub engines: BTreeMap<Box<str>, u32>,
 }
 
 /// What a read of the topic showed.
@@ -75,6 +81,7 @@
     era: Option<u64>,
     end: Option<u64>,
     first_window: u64,
+    engines: BTreeMap<Box<str>, u32>,
     read_back: Option<u64>,
 }
 
@@ -95,6 +102,7 @@
             era: None,
             end: None,
             first_window: 0,
+            engines: BTreeMap::new(),
             read_back: None,
         }
     }
@@ -126,6 +134,9 @@
             self.first_window = record.first_window;
         }
         self.see(*offset, record, now, random);
+        if self.claimed(now).is_none() {
+            self.engines = record.engines.clone();
+        }
         let is_own = record.lease.node == self.node && record.lease.incarnation == self.incarnation;
         if is_own {
             self.read_back = Some(position(topic.era, *offset));
@@ -163,6 +174,7 @@
             lease,
             era,
             first_window: self.first_window,
+            engines: self.engines.clone(),
         }
     }
 
@@ -215,6 +227,41 @@
         is_free.then_some(token_of(held))
     }
 
+    /// Engines that the holder before this one decided on, by pool, or this one did.
+    pub fn engines(&self) -> &BTreeMap<Box<str>, u32> {
+        &self.engines
+    }
+
+    /// Notes how many engines this holder decides on; the next renewal writes it down.
+    pub fn decide_engines(&mut self, pool: &str, total: u32) {
+        self.engines.insert(pool.into(), total);
+    }
+
+    /// The lease's newest record, as a position in the log; none if none is known.
+    pub fn newest(&self) -> Option<u64> {
+        self.state.newest()
+    }
+
+    /// Takes in another node's word of the lease's newest record. It counts as if it was read now, so that
+    /// a node need not read the log to know how long the lease lasts.
+    pub fn hear(&mut self, newest: u64, window: u64, now: Duration, random: &mut Pcg64Mcg) {
+        self.see_era(newest >> OFFSET_BITS, window, now);
+        if self.era != Some(newest >> OFFSET_BITS) {
+            return;
+        }
+        let head = LeaseHead {
+            offset: newest,
+            record: LeaseRecord {
+                node: NOT_READ,
+                incarnation: Incarnation(0),
+                follows: 0,
+                length: self.state.terms().length,
+            },
+        };
+        let (node, incarnation) = (self.node, self.incarnation);
+        self.state.see(&head, node, incarnation, now, random);
+    }
+
     /// The first window whose usage no earlier era can have reported.
     pub fn first_window(&self) -> u64 {
         self.first_window
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod hubs;
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -77,6 +78,11 @@
     store_answered_at: Option<Duration>,
 }
 
+/// The order in which nodes claim duties.
+fn claim_order(card: &NodeCard) -> (Reverse<u32>, &str) {
+    (Reverse(card.capacity), &card.name)
+}
+
 impl FleetView {
     /// The view of a node that starts now and knows no other.
     pub fn new(own: NodeCard, now: Duration) -> Self {
@@ -277,15 +283,22 @@
         starts[starts.len() / 2]
     }
 
-    /// This node's place in the order in which nodes claim duties: the strongest first, and of the same
-    /// strength hubs, which hear all of their zone and are heard.
+    /// This node's place in the order in which nodes claim duties: the strongest first.
     pub fn duty_rank(&self, now: Duration) -> usize {
+        let own = claim_order(&self.own);
+        let claimants = self.claimants(now);
+        claimants.filter(|card| claim_order(card) < own).count()
+    }
+
+    /// The other node that is the first to claim duties if this one is gone.
+    pub fn duty_deputy(&self, now: Duration) -> Option<SocketAddr> {
+        let first = self.claimants(now).min_by_key(|card| claim_order(card))?;
+        Some(first.peers)
+    }
+
+    fn claimants(&self, now: Duration) -> impl Iterator<Item = &NodeCard> {
         let live = self.live(now).map(|peer| &peer.heartbeat.card);
-        let stronger = live.filter(|card| {
-            let ahead = (self.own.capacity, &card.name).cmp(&(card.capacity, &self.own.name));
-            card.state != NodeState::Leaving && ahead == std::cmp::Ordering::Less
-        });
-        stronger.count()
+        live.filter(|card| card.state != NodeState::Leaving)
     }
 
     /// Every other node that is known, live or not.
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -82,8 +82,12 @@
     pub token: u64,
     /// Where the holder hears other nodes.
     pub peers: SocketAddr,
+    /// Where the node hears that is likely to follow: it is told what the holder is told.
+    pub deputy: Option<SocketAddr>,
     /// Time since the holder said so, in ms.
     pub age_ms: u64,
+    /// The newest record of its lease, as a position in the log.
+    pub renewal: u64,
     /// The newest window whose usage is written down.
     pub written: u64,
 }
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -32,6 +32,9 @@
     pub slots: u32,
     /// Whether it takes nothing new.
     pub leaving: bool,
+    /// Whether the platform may reclaim it at any time.
+    #[serde(default)]
+    pub spot: bool,
 }
 
 impl UpstreamEntry {
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -4,6 +4,8 @@
 use std::ops::Bound;
 use std::time::Duration;
 
+use crate::gateway::scaling::ScalingSpec;
+
 /// Whether a call may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallSafety {
@@ -81,6 +83,8 @@
     pub name: Box<str>,
     /// What is known of its engines, if it runs a model.
     pub engine: Option<EngineSpec>,
+    /// How its engines are ordered, if they can be.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// What is known of a pool's engines.
@@ -233,6 +237,11 @@
         self.pools.get(name)
     }
 
+    /// All pools.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolSpec> {
+        self.pools.values()
+    }
+
     /// Number of rules.
     pub fn rule_count(&self) -> usize {
         self.rules.values().map(BTreeMap::len).sum()
--- /dev/null
+++ b/kernel/src/gateway/scaling.rs
@@ -0,0 +1,326 @@
+//! How many engines of a pool each availability zone shall have, and of which kind.
+//!
+//! *Spot* engines cost a part of the price, but all of a zone's may be reclaimed at once, with some
+//! seconds' notice. *Firm* ones stay. Most engines are spot, spread evenly, so that a zone's loss is borne
+//! by the others.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::gateway::load::TOKENS_PER_MS;
+
+/// Firm engines of each availability zone that stay when spot engines have taken their place.
+const FIRM_BASE: u32 = 1;
+/// Part of an engine's time in which it reads prompts at the load that the pool is sized for: beside more,
+/// pauses between events come near their bounds.
+const READING_FILL: f64 = 0.45;
+/// Part of an engine's slots that are taken at that load.
+const SLOT_FILL: f64 = 0.5;
+/// Time without new engines after which those that are there are taken to be all.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
+/// Engines, against those that were there at first, when most are spot: the loss of a zone of three in a
+/// surge still leaves more than there were. Never so many that they cost more than firm ones would.
+const SPOT_HEADROOM: f64 = 2.0;
+/// Time for which the pool stays as large as its load needed: surges come in series, and a new engine
+/// takes seconds to start and has nothing cached.
+const PEAK_KEPT: Duration = Duration::from_mins(1);
+/// Engines, against what the load of `PEAK_KEPT` needed, below which a pool that was larger at first
+/// does not fall.
+const SHRINK_MARGIN: f64 = 1.5;
+/// Time after which an order that was refused is given again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(2500);
+/// Time after which an order without an answer is given again.
+const UNANSWERED_PAUSE: Duration = Duration::from_secs(1);
+/// Time beyond their start in which ordered engines show in the registry.
+const LATE_START: Duration = Duration::from_secs(3);
+/// Time between two orders for fewer engines, each of which drains and takes its cache along.
+const LOWER_PAUSE: Duration = Duration::from_secs(20);
+
+/// What the platform says of ordering a pool's engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScalingSpec {
+    /// Fewest engines in an availability zone, of both kinds together.
+    pub least: u32,
+    /// Most.
+    pub most: u32,
+    /// Time that a new engine takes to start.
+    pub startup: Duration,
+    /// Price of a spot engine, as a part of a firm one's; none if there are none to be had.
+    pub spot_price: Option<f64>,
+    /// Price of an engine in each availability zone.
+    pub zone_prices: BTreeMap<Box<str>, f64>,
+}
+
+/// A kind of engine.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EngineKind {
+    /// At full price; stays.
+    #[display("firm")]
+    Firm,
+    /// May be reclaimed.
+    #[display("spot")]
+    Spot,
+}
+
+/// Engines of an availability zone that take calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ZoneEngines {
+    /// At full price.
+    pub firm: u32,
+    /// Those that may be reclaimed.
+    pub spot: u32,
+}
+
+impl PoolLoad {
+    /// Engines that carry it well.
+    fn needed(&self) -> u32 {
+        let reading = self.tokens_per_s / (TOKENS_PER_MS * 1000.0 * READING_FILL);
+        let calls = f64::from(self.calls) / (f64::from(self.slots.max(1)) * SLOT_FILL);
+        reading.max(calls).ceil() as u32
+    }
+}
+
+impl ZoneEngines {
+    /// Engines of both kinds.
+    pub fn all(self) -> u32 {
+        self.firm + self.spot
+    }
+}
+
+/// An order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// The availability zone.
+    pub zone: Box<str>,
+    /// Which engines.
+    pub kind: EngineKind,
+    /// How many of them it shall have.
+    pub desired: u32,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The platform took it.
+    #[display("accepted")]
+    Accepted,
+    /// There are no such engines now.
+    #[display("unavailable")]
+    Unavailable,
+    /// Nothing is known.
+    #[display("unanswered")]
+    Unanswered,
+}
+
+/// The last order of a kind of engine in a zone.
+#[derive(Clone, Copy, Debug)]
+struct LastOrder {
+    desired: u32,
+    at: Duration,
+    outcome: OrderOutcome,
+}
+
+/// Work of a pool, as the node that orders its engines knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolLoad {
+    /// Calls that are at its engines.
+    pub calls: u32,
+    /// Slots of an engine.
+    pub slots: u32,
+    /// Prompt tokens that they take in each second.
+    pub tokens_per_s: f64,
+}
+
+/// What was ordered for a pool.
+#[derive(Clone, Debug, Default)]
+pub struct PoolScaling {
+    /// Engines that the pool had when it was first looked at.
+    first_total: u32,
+    first_at: Option<Duration>,
+    grown_at: Option<Duration>,
+    peaks: VecDeque<(Duration, u32)>,
+    orders: BTreeMap<(Box<str>, EngineKind), LastOrder>,
+    lowered_at: Option<Duration>,
+}
+
+impl PoolScaling {
+    /// What a holder goes on with that follows another: the engines that this one had decided on.
+    pub fn resume(total: u32) -> Self {
+        Self {
+            first_total: total,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in how busy the pool is.
+    pub fn measured(&mut self, load: PoolLoad, now: Duration) {
+        let needed = load.needed();
+        while self.peaks.back().is_some_and(|(_, peak)| *peak <= needed) {
+            self.peaks.pop_back();
+        }
+        self.peaks.push_back((now, needed));
+        while self
+            .peaks
+            .front()
+            .is_some_and(|(at, _)| *at + PEAK_KEPT < now)
+        {
+            self.peaks.pop_front();
+        }
+    }
+
+    /// The next order that is due, if any. `zones` are those in which the pool runs.
+    pub fn next_order(
+        &mut self,
+        spec: &ScalingSpec,
+        zones: &BTreeMap<Box<str>, ZoneEngines>,
+        now: Duration,
+    ) -> Option<EngineOrder> {
+        let ordered = !self.orders.is_empty();
+        let counted = |engines: &ZoneEngines| if ordered { engines.firm } else { engines.all() };
+        let present = zones.values().map(counted).sum();
+        if present > self.first_total && !self.has_lowered() {
+            self.first_total = present;
+            self.grown_at = Some(now);
+        }
+        self.first_at.get_or_insert(now);
+        let total = self.total(spec, now);
+        let share = total.div_ceil(u32::try_from(zones.len()).ok()?.max(1));
+        let share = share.clamp(spec.least, spec.most);
+        let first_share = self.first_total / u32::try_from(zones.len()).ok()?.max(1);
+        let all_known = self.grown_at.is_none_or(|at| now >= at + SETTLE_TIME);
+        let spot_short = self.spot_shortage(zones, share, now);
+        let wanted = zones.iter().flat_map(|(zone, engines)| {
+            let spot = if spec.spot_price.is_some() {
+                let made_up = if self.is_dry(zone, now) {
+                    0
+                } else {
+                    spot_short
+                };
+                (share.saturating_sub(FIRM_BASE) + made_up)
+                    .min(spec.most.saturating_sub(engines.firm))
+            } else {
+                0
+            };
+            let replaced = share.min(first_share);
+            let firm = replaced.saturating_sub(engines.spot).max(FIRM_BASE);
+            let last = self.orders.get(&(zone.clone(), EngineKind::Firm));
+            let firm = firm.min(last.map_or(engines.firm, |last| last.desired));
+            // While engines turn up that were there before, none is given up for those ordered.
+            let firm = if all_known { firm } else { engines.firm };
+            let order = |kind, desired| EngineOrder {
+                zone: zone.clone(),
+                kind,
+                desired,
+            };
+            [
+                (order(EngineKind::Spot, spot), engines.spot),
+                (order(EngineKind::Firm, firm), engines.firm),
+            ]
+        });
+        let due: Vec<EngineOrder> = wanted
+            .filter(|(order, present)| self.is_due(order, *present, spec, now))
+            .map(|(order, _)| order)
+            .collect();
+        due.into_iter().next()
+    }
+
+    /// Engines that the pool shall have: as many as it had at first, or as its load needed lately. After
+    /// `PEAK_KEPT` it may fall below the first.
+    fn total(&self, spec: &ScalingSpec, now: Duration) -> u32 {
+        let affordable = |price: f64| SPOT_HEADROOM.min(1.0 / price.max(f64::MIN_POSITIVE));
+        let headroom = spec.spot_price.map_or(1.0, affordable).max(1.0);
+        let first = f64::from(self.needed(now)) * headroom;
+        let peak = self.peaks.front().map_or(0, |(_, peak)| *peak);
+        peak.max(first.ceil() as u32)
+    }
+
+    /// Engines at full price that would carry the load.
+    pub fn needed(&self, now: Duration) -> u32 {
+        let peak = self.peaks.front().map_or(0, |(_, peak)| *peak);
+        let is_known = self.first_at.is_some_and(|at| now >= at + PEAK_KEPT);
+        if !is_known {
+            return self.first_total;
+        }
+        let least = (f64::from(peak) * SHRINK_MARGIN).ceil() as u32;
+        self.first_total.min(least)
+    }
+
+    /// Whether firm engines were given up, so that those present are no longer all that there were.
+    fn has_lowered(&self) -> bool {
+        let mut kinds = self.orders.keys().map(|(_, kind)| *kind);
+        self.first_at.is_some() && kinds.any(|kind| kind == EngineKind::Firm)
+    }
+
+    /// Spot engines that each zone has to make up for zones where none are to be had.
+    fn spot_shortage(
+        &self,
+        zones: &BTreeMap<Box<str>, ZoneEngines>,
+        share: u32,
+        now: Duration,
+    ) -> u32 {
+        let (dry, others): (Vec<_>, Vec<_>) = zones
+            .iter()
+            .partition(|(zone, _)| self.is_dry(zone.as_ref(), now));
+        let wanted = share.saturating_sub(FIRM_BASE);
+        let short: u32 = dry
+            .iter()
+            .map(|(_, engines)| wanted.saturating_sub(engines.spot))
+            .sum();
+        short.div_ceil(u32::try_from(others.len()).unwrap_or(1).max(1))
+    }
+
+    /// Whether spot engines were not to be had in a zone a moment ago.
+    fn is_dry(&self, zone: &str, now: Duration) -> bool {
+        let last = self.orders.get(&(zone.into(), EngineKind::Spot));
+        last.is_some_and(|last| {
+            last.outcome == OrderOutcome::Unavailable && now < last.at + REFUSED_PAUSE * 2
+        })
+    }
+
+    fn is_due(&self, order: &EngineOrder, present: u32, spec: &ScalingSpec, now: Duration) -> bool {
+        let last = self.orders.get(&(order.zone.clone(), order.kind));
+        let Some(last) = last else {
+            return order.desired != present;
+        };
+        let pause = match last.outcome {
+            OrderOutcome::Accepted if last.desired != order.desired => Duration::ZERO,
+            OrderOutcome::Accepted => spec.startup + LATE_START,
+            OrderOutcome::Unavailable => REFUSED_PAUSE,
+            OrderOutcome::Unanswered => UNANSWERED_PAUSE,
+        };
+        if now < last.at + pause {
+            return false;
+        }
+        let known = if last.outcome == OrderOutcome::Accepted {
+            last.desired
+        } else {
+            present
+        };
+        if order.desired > known {
+            return true;
+        }
+        if order.desired < known {
+            let replaced = order.kind == EngineKind::Firm;
+            let rested = self.lowered_at.is_none_or(|at| now >= at + LOWER_PAUSE);
+            return replaced || rested;
+        }
+        present < order.desired
+    }
+
+    /// An order was given.
+    pub fn ordered(&mut self, order: EngineOrder, outcome: OrderOutcome, now: Duration) {
+        let subject = (order.zone, order.kind);
+        let before = self.orders.get(&subject).map(|last| last.desired);
+        if before.is_some_and(|before| order.desired < before) && subject.1 == EngineKind::Spot {
+            self.lowered_at = Some(now);
+        }
+        let last = LastOrder {
+            desired: order.desired,
+            at: now,
+            outcome,
+        };
+        self.orders.insert(subject, last);
+    }
+}
--- a/kernel/src/leases/lease.rs
+++ b/kernel/src/leases/lease.rs
@@ -93,6 +93,16 @@
         }
     }
 
+    /// Its times.
+    pub fn terms(&self) -> LeaseTerms {
+        self.terms
+    }
+
+    /// The offset of the newest record that is known.
+    pub fn newest(&self) -> Option<u64> {
+        self.head.as_ref().map(|head| head.offset)
+    }
+
     /// Forgets all records, as those that were read may not stand any more, and waits as if another
     /// node had just renewed the lease.
     pub fn start_over(&mut self, now: Duration) {
--- a/kernel/tests/gateway/duty.rs
+++ b/kernel/tests/gateway/duty.rs
@@ -16,6 +16,10 @@
     Duration::from_millis(millis)
 }
 
+fn just_before(at: Duration) -> Duration {
+    at.saturating_sub(ms(1))
+}
+
 /// The topic of the lease.
 #[derive(Debug, Default)]
 struct LeaseLog {
@@ -114,10 +118,10 @@
     let (first, mut log, now) = holder();
     let mut second = lease("second", 1);
     read(&mut second, &log, now);
-    assert!(!append(&mut second, &mut log, now + LENGTH - ms(1)));
+    assert!(!append(&mut second, &mut log, just_before(now + LENGTH)));
     assert!(append(&mut second, &mut log, now + LENGTH));
     read(&mut second, &log, now + LENGTH);
-    assert_eq!(second.token(now + LENGTH + CALL_FLIGHT - ms(1)), None);
+    assert_eq!(second.token(just_before(now + LENGTH + CALL_FLIGHT)), None);
     let token = second.token(now + LENGTH + CALL_FLIGHT);
     assert!(token > first.token(now));
 }
@@ -127,7 +131,7 @@
     let (_, mut log, now) = holder();
     let mut again = lease("first", 2);
     read(&mut again, &log, now);
-    assert!(!append(&mut again, &mut log, now + LENGTH - ms(1)));
+    assert!(!append(&mut again, &mut log, just_before(now + LENGTH)));
     assert!(append(&mut again, &mut log, now + LENGTH));
 }
 
@@ -141,7 +145,7 @@
     read(&mut first, &log, now);
     assert_eq!(first.claimed(now), None);
     read(&mut second, &log, now);
-    assert!(!append(&mut second, &mut log, now + LENGTH - ms(1)));
+    assert!(!append(&mut second, &mut log, just_before(now + LENGTH)));
     assert!(append(&mut second, &mut log, now + LENGTH));
     read(&mut second, &log, now + LENGTH);
     assert!(second.token(now + LENGTH + CALL_FLIGHT) > before);
--- a/kernel/tests/gateway/engines.rs
+++ b/kernel/tests/gateway/engines.rs
@@ -22,6 +22,7 @@
             zone: (*zone).into(),
             slots,
             leaving: false,
+            spot: false,
         };
         registry.apply(RegistryChange::Put(entry), true, NOW);
     }
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -13,6 +13,8 @@
 mod partition;
 mod registry;
 mod rules;
+mod scaling;
 mod spread;
 mod surge;
+mod usage;
 mod waiting;
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -17,6 +17,7 @@
         zone: "east".into(),
         slots: 10,
         leaving,
+        spot: false,
     }
 }
 
