Order firm engines where spot ones are not to be had, and never count spot ones as the size at first

Two cases that a test of takeovers and lost zones showed: a holder that follows another took the engines present, spot ones with their headroom, for the size at first and would have doubled it at each takeover; and without spot engines a surge added none.

--- a/kernel/src/gateway/scaling.rs
+++ b/kernel/src/gateway/scaling.rs
@@ -114,6 +114,17 @@
     Unanswered,
 }
 
+/// How large a pool is and shall be.
+#[derive(Clone, Copy, Debug)]
+struct PoolSize {
+    /// Engines that each zone shall have.
+    share: u32,
+    /// Engines that each zone had at first.
+    first_share: u32,
+    /// Engines that take calls.
+    present: u32,
+}
+
 /// The last order of a kind of engine in a zone.
 #[derive(Clone, Copy, Debug)]
 struct LastOrder {
@@ -138,6 +149,7 @@
 pub struct PoolScaling {
     /// Engines that the pool had when it was first looked at.
     first_total: u32,
+    is_resumed: bool,
     first_at: Option<Duration>,
     grown_at: Option<Duration>,
     peaks: VecDeque<(Duration, u32)>,
@@ -145,11 +157,19 @@
     lowered_at: Option<Duration>,
 }
 
+/// Spot engines for each firm one that they take the place of.
+fn headroom(spec: &ScalingSpec) -> f64 {
+    let affordable = |price: f64| SPOT_HEADROOM.min(1.0 / price.max(f64::MIN_POSITIVE));
+    spec.spot_price.map_or(1.0, affordable).max(1.0)
+}
+
 impl PoolScaling {
-    /// What a holder goes on with that follows another: the engines that this one had decided on.
+    /// What a holder goes on with that follows another: the engines that this one had decided on; 0 if
+    /// that is not known.
     pub fn resume(total: u32) -> Self {
         Self {
             first_total: total,
+            is_resumed: total > 0,
             ..Self::default()
         }
     }
@@ -177,65 +197,117 @@
         zones: &BTreeMap<Box<str>, ZoneEngines>,
         now: Duration,
     ) -> Option<EngineOrder> {
-        let ordered = !self.orders.is_empty();
-        let counted = |engines: &ZoneEngines| if ordered { engines.firm } else { engines.all() };
-        let present = zones.values().map(counted).sum();
-        if present > self.first_total && !self.has_lowered() {
-            self.first_total = present;
-            self.grown_at = Some(now);
-        }
+        self.note_first(spec, zones, now);
         self.first_at.get_or_insert(now);
-        let total = self.total(spec, now);
-        let share = total.div_ceil(u32::try_from(zones.len()).ok()?.max(1));
-        let share = share.clamp(spec.least, spec.most);
-        let first_share = self.first_total / u32::try_from(zones.len()).ok()?.max(1);
-        let all_known = self.grown_at.is_none_or(|at| now >= at + SETTLE_TIME);
-        let spot_short = self.spot_shortage(zones, share, now);
+        let count = u32::try_from(zones.len()).ok()?.max(1);
+        let share = self.total(spec, now).div_ceil(count);
+        let size = PoolSize {
+            share: share.clamp(spec.least, spec.most),
+            first_share: self.first_total / count,
+            present: zones.values().map(|engines| engines.all()).sum(),
+        };
         let wanted = zones.iter().flat_map(|(zone, engines)| {
-            let spot = if spec.spot_price.is_some() {
-                let made_up = if self.is_dry(zone, now) {
-                    0
-                } else {
-                    spot_short
-                };
-                (share.saturating_sub(FIRM_BASE) + made_up)
-                    .min(spec.most.saturating_sub(engines.firm))
-            } else {
-                0
-            };
-            let replaced = share.min(first_share);
-            let firm = replaced.saturating_sub(engines.spot).max(FIRM_BASE);
-            let last = self.orders.get(&(zone.clone(), EngineKind::Firm));
-            let firm = firm.min(last.map_or(engines.firm, |last| last.desired));
-            // While engines turn up that were there before, none is given up for those ordered.
-            let firm = if all_known { firm } else { engines.firm };
             let order = |kind, desired| EngineOrder {
                 zone: zone.clone(),
                 kind,
                 desired,
             };
+            let spot = self.spot_wanted(spec, zones, size, zone, now);
+            let firm = self.firm_wanted(spec, *engines, size, zone, now);
             [
                 (order(EngineKind::Spot, spot), engines.spot),
                 (order(EngineKind::Firm, firm), engines.firm),
             ]
         });
-        let due: Vec<EngineOrder> = wanted
-            .filter(|(order, present)| self.is_due(order, *present, spec, now))
-            .map(|(order, _)| order)
-            .collect();
-        due.into_iter().next()
+        let mut wanted = wanted.filter(|(order, present)| self.is_due(order, *present, spec, now));
+        wanted.next().map(|(order, _)| order)
+    }
+
+    /// Spot engines of a zone: all but the base, and what other zones cannot have.
+    fn spot_wanted(
+        &self,
+        spec: &ScalingSpec,
+        zones: &BTreeMap<Box<str>, ZoneEngines>,
+        size: PoolSize,
+        zone: &str,
+        now: Duration,
+    ) -> u32 {
+        if spec.spot_price.is_none() {
+            return 0;
+        }
+        let made_up = if self.is_dry(zone, now) {
+            0
+        } else {
+            self.spot_shortage(zones, size.share, now)
+        };
+        let firm = zones.get(zone).map_or(0, |engines| engines.firm);
+        let wanted = size.share.saturating_sub(FIRM_BASE) + made_up;
+        wanted.min(spec.most.saturating_sub(firm))
+    }
+
+    /// Firm engines of a zone: those that no spot engine has taken the place of yet. More are ordered only
+    /// where there are no spot engines, or none to be had while the pool is smaller than it was at first.
+    fn firm_wanted(
+        &self,
+        spec: &ScalingSpec,
+        engines: ZoneEngines,
+        size: PoolSize,
+        zone: &str,
+        now: Duration,
+    ) -> u32 {
+        // While engines turn up that were there before, none is given up for those ordered.
+        if self.grown_at.is_some_and(|at| now < at + SETTLE_TIME) {
+            return engines.firm;
+        }
+        if spec.spot_price.is_none() {
+            return size.share;
+        }
+        let last = self.orders.get(&(zone.into(), EngineKind::Firm));
+        let known = last.map_or(engines.firm, |last| last.desired);
+        let is_short = self.is_dry(zone, now) && size.present < self.first_total;
+        let most = if is_short {
+            spec.most.saturating_sub(engines.spot)
+        } else {
+            known
+        };
+        let replaced = size.share.min(size.first_share);
+        let unreplaced = replaced.saturating_sub(engines.spot);
+        unreplaced.max(FIRM_BASE).min(most)
     }
 
     /// Engines that the pool shall have: as many as it had at first, or as its load needed lately. After
     /// `PEAK_KEPT` it may fall below the first.
     fn total(&self, spec: &ScalingSpec, now: Duration) -> u32 {
-        let affordable = |price: f64| SPOT_HEADROOM.min(1.0 / price.max(f64::MIN_POSITIVE));
-        let headroom = spec.spot_price.map_or(1.0, affordable).max(1.0);
-        let first = f64::from(self.needed(now)) * headroom;
+        let first = f64::from(self.needed(now)) * headroom(spec);
         let peak = self.peaks.front().map_or(0, |(_, peak)| *peak);
         peak.max(first.ceil() as u32)
     }
 
+    /// Takes in how many engines there are before any are given up for others, unless the holder before
+    /// this one told. Spot engines that are there already stand for fewer firm ones.
+    fn note_first(
+        &mut self,
+        spec: &ScalingSpec,
+        zones: &BTreeMap<Box<str>, ZoneEngines>,
+        now: Duration,
+    ) {
+        if self.is_resumed || self.has_lowered() {
+            return;
+        }
+        let firm: u32 = zones.values().map(|engines| engines.firm).sum();
+        let spot: u32 = zones.values().map(|engines| engines.spot).sum();
+        let spot = if self.orders.is_empty() {
+            f64::from(spot) / headroom(spec)
+        } else {
+            0.0
+        };
+        let present = firm + spot.ceil() as u32;
+        if present > self.first_total {
+            self.first_total = present;
+            self.grown_at = Some(now);
+        }
+    }
+
     /// Engines at full price that would carry the load.
     pub fn needed(&self, now: Duration) -> u32 {
         let peak = self.peaks.front().map_or(0, |(_, peak)| *peak);
--- a/kernel/tests/gateway/scaling.rs
+++ b/kernel/tests/gateway/scaling.rs
@@ -211,3 +211,29 @@
     world.run(20);
     assert_eq!(world.present(), 69);
 }
+
+#[test]
+fn a_surge_adds_firm_engines_where_there_are_no_others() {
+    let mut world = EngineWorld::new(None, 12);
+    world.run(20);
+    world.load = PoolLoad {
+        calls: 1500,
+        slots: 64,
+        tokens_per_s: 1_300_000.0,
+    };
+    world.run(8);
+    assert!((58..=62).contains(&world.present()), "{}", world.present());
+}
+
+#[test]
+fn firm_engines_come_back_when_more_spot_engines_are_lost_than_others_make_up_for() {
+    let mut world = EngineWorld::new(Some(0.22), 20);
+    world.run(20);
+    world.reclaim("west");
+    world.reclaim("north");
+    world.run(8);
+    assert!(world.present() >= 60, "{}", world.present());
+    world.dry.clear();
+    world.run(30);
+    assert_eq!(world.zone("west"), ZoneEngines { firm: 1, spot: 39 });
+}
