Test duties and a store that comes back older on real processes

The stand-in of the store gains conditional appends, its era in every answer, and a copy that lacks the newest records; a scripted upstream takes the place of the platform.

--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -45,7 +45,7 @@
 }
 
 impl NodeProcess {
-    fn start(name: &str, zone: &str, store: SocketAddr, seeds: &[IpAddr]) -> Self {
+    fn start(name: &str, zone: &str, store: SocketAddr, seeds: &[IpAddr], more: &str) -> Self {
         let host = own_host();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("'{seed}:4003'")).collect();
@@ -57,7 +57,7 @@
              store: {{address: '{store}'}}\n\
              limits: {{descriptors: 4096, cores: 0.25}}\n\
              times: {{trust_ms: 3000, grace_ms: 8000}}\n\
-             retries: {{ratio: 0.2, slack: 50, window_s: 10}}\n",
+             retries: {{ratio: 0.2, slack: 50, window_s: 10}}\n{more}",
             seeds.join(", ")
         );
         let settings = folder.join(format!("gateway-{host}.yaml"));
@@ -141,11 +141,18 @@
     pub store: KeyedStore,
     pub upstreams: Vec<ScriptedUpstream>,
     pub nodes: Vec<NodeProcess>,
+    /// Further settings of the nodes.
+    pub settings: String,
 }
 
 impl World {
     /// Starts one node per zone name, and one upstream of the pool `model` per script.
     pub async fn start(zones: &[&str], scripts: Vec<AnswerScript>) -> Self {
+        Self::start_with(zones, scripts, "").await
+    }
+
+    /// The same, with further settings of the nodes.
+    pub async fn start_with(zones: &[&str], scripts: Vec<AnswerScript>, settings: &str) -> Self {
         let store = KeyedStore::start("127.0.0.1:0").await.expect("a store");
         let mut upstreams = Vec::new();
         for script in scripts {
@@ -159,6 +166,7 @@
             store,
             upstreams,
             nodes: Vec::new(),
+            settings: settings.into(),
         };
         world.publish(&configuration(1));
         for index in 0..world.upstreams.len() {
@@ -177,6 +185,7 @@
                 zone,
                 self.store.address(),
                 &seeds,
+                &self.settings,
             ));
         }
         for node in &self.nodes {
@@ -188,12 +197,12 @@
     /// Starts a node with another store, which knows the nodes of this world.
     pub fn turned_away(&self, store: SocketAddr) -> NodeProcess {
         let seeds: Vec<IpAddr> = self.nodes.iter().map(|node| node.host).collect();
-        NodeProcess::start("turned-away", "east", store, &seeds)
+        NodeProcess::start("turned-away", "east", store, &seeds, "")
     }
 
     /// Starts a node with another store, which knows no other.
     pub fn lonely_node(store: SocketAddr) -> NodeProcess {
-        NodeProcess::start("lonely", "east", store, &[])
+        NodeProcess::start("lonely", "east", store, &[], "")
     }
 
     /// Writes a configuration.
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -52,6 +52,16 @@
         self.first + self.records.len() as u64
     }
 
+    fn roll_back(&mut self, lost: usize) {
+        let kept = self.records.len().saturating_sub(lost);
+        let records: Vec<TopicRecord> = self.records.drain(..kept).collect();
+        self.records.clear();
+        self.newest.clear();
+        for TopicRecord { key, value } in records {
+            self.append(&key, &value);
+        }
+    }
+
     fn append(&mut self, key: &[u8], value: &[u8]) {
         let offset = self.end();
         self.records.push(TopicRecord {
@@ -71,6 +81,8 @@
     topics: BTreeMap<String, StoreTopic>,
     mood: StoreMood,
     calls: usize,
+    /// Grows each time that the store comes back from an older copy.
+    era: u64,
 }
 
 #[derive(Debug, Default)]
@@ -130,6 +142,17 @@
         }
     }
 
+    /// Comes back from a copy that lacks the newest records of a topic. Their offsets are given out again.
+    pub fn roll_back(&self, topic: &str, lost: usize) {
+        let mut state = lock(&self.share.state);
+        state.era += 1;
+        if let Some(topic) = state.topics.get_mut(topic) {
+            topic.roll_back(lost);
+        }
+        drop(state);
+        self.share.appended.notify_waiters();
+    }
+
     /// Changes how it answers; calls that wait see it at once.
     pub fn set_mood(&self, mood: StoreMood) {
         lock(&self.share.state).mood = mood;
@@ -162,7 +185,8 @@
             StoreMood::Busy => answer = ("503 Service Unavailable", Vec::new()),
             StoreMood::Garbage => answer.1 = b"\x00\x01garbage".to_vec(),
         }
-        if write_answer(&mut stream, answer.0, "", &answer.1)
+        let era = format!("Store-Era: {}\r\n", lock(&share.state).era);
+        if write_answer(&mut stream, answer.0, &era, &answer.1)
             .await
             .is_err()
         {
@@ -214,7 +238,7 @@
                 .topics
                 .entry(request.query("topic").into())
                 .or_default();
-            if from < topic.first {
+            if from < topic.first || from > topic.end() {
                 let body = json!({ "first": topic.first });
                 return ("410 Gone", body.to_string().into_bytes());
             }
@@ -247,6 +271,11 @@
         .entry(request.query("topic").into())
         .or_default();
     let offset = topic.end();
+    let at = request.query("at");
+    if !at.is_empty() && at.parse() != Ok(offset) {
+        let body = json!({ "end": offset });
+        return ("412 Precondition Failed", body.to_string().into_bytes());
+    }
     let mut rest = &request.body[..];
     while let Some((length, after)) = rest.split_first_chunk::<4>() {
         let length = u32::from_be_bytes(*length) as usize;
