--- a/daemon/src/gateway/duties.rs
+++ b/daemon/src/gateway/duties.rs
@@ -36,6 +36,8 @@
 const STORE_PATIENCE: Duration = Duration::from_millis(800);
 /// Pause after a failed call to the store.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Time between two calls if the settings give no usable rate.
+const LONGEST_CALL_PAUSE: Duration = Duration::from_secs(1);
 /// Windows that stay in the log, so that the next holder can send their reports again.
 const KEPT_WINDOWS: u64 = 4;
 
@@ -67,6 +69,8 @@
     /// Since when this node has held the lease, in time since 1970.
     held_since: Cell<Option<Duration>>,
     heard: Cell<Option<HeardNotice>>,
+    /// From when on the platform accepts the next call.
+    call_at: Cell<Duration>,
     random: RefCell<Pcg64Mcg>,
 }
 
@@ -85,6 +89,7 @@
             reports: RefCell::new(UsageReports::new(settings.usage_late)),
             held_since: Cell::new(None),
             heard: Cell::new(None),
+            call_at: Cell::new(Duration::ZERO),
             random: RefCell::new(random),
             settings,
         }
@@ -170,6 +175,16 @@
         self.lease.borrow().token(self.clock.now())
     }
 
+    /// Whether a call fits into the platform's rate now; it is counted then.
+    pub fn takes_call(&self, now: Duration) -> bool {
+        if now < self.call_at.get() {
+            return false;
+        }
+        let pause = Duration::try_from_secs_f64(1.0 / self.settings.calls_per_s);
+        self.call_at.set(now + pause.unwrap_or(LONGEST_CALL_PAUSE));
+        true
+    }
+
     /// Time since the holder's last word, as far as this node heard.
     fn silence(&self, now: Duration) -> Duration {
         self.heard.get().map_or(now, |heard| heard.age(now))
--- a/daemon/src/gateway/reports.rs
+++ b/daemon/src/gateway/reports.rs
@@ -57,6 +57,9 @@
 }
 
 async fn send(gateway: &Gateway, duties: &DutyState, client: &mut DutyClient, due: FinalWindow) {
+    if !duties.takes_call(gateway.now()) {
+        return;
+    }
     let connected = client.connect().await;
     // Nothing is waited for between this look at the lease and the call.
     let Some(token) = duties.token() else {
--- a/daemon/src/gateway/scaling.rs
+++ b/daemon/src/gateway/scaling.rs
@@ -121,6 +121,9 @@
     let Some(order) = scaling.next_order(spec, &zones, gateway.now()) else {
         return;
     };
+    if !duties.takes_call(gateway.now()) {
+        return;
+    }
     let connected = client.connect().await;
     // Nothing is waited for between this look at the lease and the call.
     let Some(token) = duties.token() else {
