Have hubs claim duties first and the other nodes spread over seconds, and write windows down at once

Windows are final after 1 s now and renew the lease when they are. Reads pass over windows whose time is past; only the holder counts a window as missed.

Tests: the order of claims in a zone of 90, and the fleet's time beside stepped clocks; both written with the change.

--- a/daemon/src/gateway/duties.rs
+++ b/daemon/src/gateway/duties.rs
@@ -30,8 +30,6 @@
 /// Time without word of a holder after which the first node in order reads the lease. A holder's word
 /// reaches every node within a second.
 const HOLDER_SILENT_AFTER: Duration = Duration::from_millis(1600);
-/// Time for which each next node in order waits longer.
-const RANK_STEP: Duration = Duration::from_millis(600);
 /// Time that an answer of the store may take to begin.
 const STORE_PATIENCE: Duration = Duration::from_millis(800);
 /// Pause after a failed call to the store.
@@ -251,9 +249,8 @@
 
     fn is_claimant(&self, duties: &DutyState) -> bool {
         let now = self.gateway.now();
-        let rank = self.gateway.fleet.borrow().duty_rank(now);
-        let patience = HOLDER_SILENT_AFTER + RANK_STEP * u32::try_from(rank).unwrap_or(u32::MAX);
-        duties.silence(now) >= patience
+        let fleet = self.gateway.fleet.borrow();
+        duties.silence(now) >= fleet.claim_patience(HOLDER_SILENT_AFTER, now)
     }
 
     /// Writes down when this node begins and ceases to hold the lease.
@@ -291,8 +288,12 @@
             .borrow_mut()
             .see_topic(&topic, now, &mut duties.random.borrow_mut());
         let mut reports = duties.reports.borrow_mut();
+        let ledger = duties.ledger.borrow();
+        let unix_now = self.gateway.unix_now();
         for last in snapshot.records.iter().filter_map(final_window) {
-            reports.written(last);
+            if reports.is_due(&ledger, last.window, unix_now) {
+                reports.written(last);
+            }
         }
     }
 
@@ -314,10 +315,13 @@
     /// Claims or renews the lease if that is due, and writes down windows of usage that are final.
     async fn append(&mut self, duties: &DutyState) {
         let now = duties.clock.now();
+        let last = self.final_windows(duties);
+        if !last.is_empty() {
+            duties.lease.borrow_mut().renew_now(now);
+        }
         let Some(claim) = duties.lease.borrow_mut().claim(now) else {
             return;
         };
-        let last = self.final_windows(duties);
         let records = encode(&claim.record, &last);
         let records: Vec<(&[u8], &[u8])> = records
             .iter()
--- a/daemon/src/gateway/reports.rs
+++ b/daemon/src/gateway/reports.rs
@@ -41,6 +41,10 @@
             duties.reports.borrow_mut().forget(&ledger, unix_now)
         };
         for window in missed {
+            if !duties.is_holder() {
+                // Another node may have reported it.
+                continue;
+            }
             gateway.metrics.duty_calls_missed.inc();
             gateway.decisions.line(&Decision::UsageMissed { window });
         }
--- a/kernel/src/gateway/duty.rs
+++ b/kernel/src/gateway/duty.rs
@@ -161,6 +161,11 @@
         self.end.is_none() || self.state.held(now).is_some_and(unread)
     }
 
+    /// Has the lease renewed with the next claim: there is something to write down with it.
+    pub fn renew_now(&mut self, now: Duration) {
+        self.state.renew_now(now);
+    }
+
     /// The record that claims or renews the lease, if it is time for one.
     pub fn claim(&mut self, now: Duration) -> Option<DutyClaim> {
         let (era, at) = (self.era?, self.end?);
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -22,6 +22,12 @@
 /// Time after which a node of which nothing is heard, also not of others, is forgotten. Hubs name all
 /// nodes of a zone of some hundred to each other node in less.
 const FORGOTTEN_AFTER: Duration = Duration::from_mins(1);
+/// Time for which each next hub waits longer before it claims duties.
+const RANK_STEP: Duration = Duration::from_millis(600);
+/// Time for which hubs have the first turn.
+const HUBS_TURN: Duration = Duration::from_secs(8);
+/// Time between two other nodes, which may be cut off from all hubs or find these cut off from the store.
+const MEMBER_STEP: Duration = Duration::from_millis(250);
 /// Time for which a node that has gone silent is taken to send calls still.
 const RIVAL_AGE: Duration = Duration::from_secs(30);
 
@@ -283,11 +289,18 @@
         starts[starts.len() / 2]
     }
 
-    /// This node's place in the order in which nodes claim duties: the strongest first.
-    pub fn duty_rank(&self, now: Duration) -> usize {
+    /// Time without word of a holder after which this node claims duties, beyond `silence`: hubs in their
+    /// order, the strongest first, then the other nodes spread over a time that grows with the fleet, so
+    /// that an outage of the store costs it few calls.
+    pub fn claim_patience(&self, silence: Duration, now: Duration) -> Duration {
         let own = claim_order(&self.own);
         let claimants = self.claimants(now);
-        claimants.filter(|card| claim_order(card) < own).count()
+        let rank = claimants.filter(|card| claim_order(card) < own).count();
+        if self.is_hub(now) {
+            return silence + RANK_STEP * u32::try_from(rank).unwrap_or(u32::MAX);
+        }
+        let draw = node_hash(&self.own.name) as f64 / u64::MAX as f64;
+        silence + HUBS_TURN + MEMBER_STEP.mul_f64(draw * f64::from(self.size(now)))
     }
 
     /// The other node that is the first to claim duties if this one is gone.
--- a/kernel/src/gateway/reports.rs
+++ b/kernel/src/gateway/reports.rs
@@ -9,8 +9,8 @@
 use crate::gateway::usage::{UsageLedger, WorkspaceCounts};
 
 /// Time for which a new holder hears nodes before it takes their counts for complete: they learn of it
-/// within a second and tell twice in the next.
-const LISTEN_TIME: Duration = Duration::from_millis(2500);
+/// within a second and tell all in the next.
+const LISTEN_TIME: Duration = Duration::from_secs(2);
 /// Time between two tries to send a report.
 const SEND_PAUSE: Duration = Duration::from_millis(500);
 
@@ -79,6 +79,11 @@
             .collect()
     }
 
+    /// Whether a report can still be in time.
+    pub fn is_due(&self, ledger: &UsageLedger, window: u64, now: Duration) -> bool {
+        now < ledger.end(window) + self.late
+    }
+
     /// These counts of a window stand in the log: read there, or acknowledged.
     pub fn written(&mut self, last: FinalWindow) {
         self.windows.entry(last.window).or_insert(WrittenWindow {
--- a/kernel/src/gateway/usage.rs
+++ b/kernel/src/gateway/usage.rs
@@ -12,8 +12,8 @@
 pub type WorkspaceCounts = BTreeMap<Box<str>, u64>;
 
 /// Time after a window's end at which its counts are final if every node has told since: nodes tell
-/// twice a second, and first events reach them up to some 0.1 s after the call began.
-const SETTLE_TIME: Duration = Duration::from_millis(1500);
+/// five times a second, and first events reach them up to some 0.1 s after the call began.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time after which a window is final, whoever has not told: a node may be gone for good.
 const LONGEST_SETTLE: Duration = Duration::from_secs(4);
 /// Windows that counts are kept for.
--- a/kernel/src/leases/lease.rs
+++ b/kernel/src/leases/lease.rs
@@ -197,6 +197,11 @@
         self.quiet_until
     }
 
+    /// Has the lease renewed with the next claim.
+    pub fn renew_now(&mut self, now: Duration) {
+        self.renew_at = self.renew_at.min(now);
+    }
+
     /// For the state dump.
     pub fn dump(&self) -> Value {
         json!({
--- a/kernel/tests/gateway/fleet.rs
+++ b/kernel/tests/gateway/fleet.rs
@@ -247,3 +247,53 @@
     fleet.forget(SECOND * 35);
     assert!(fleet.rivals().is_empty());
 }
+
+/// A fleet of hubs and others that know each other, in one zone, and the patience of each.
+fn patiences(nodes: u32) -> Vec<Duration> {
+    let name = |node: u32| format!("n{node:03}");
+    let card_of = |node: u32| NodeCard {
+        capacity: if node < 3 { 500 } else { 120 },
+        ..card(&name(node), "east", 1)
+    };
+    let all = 0..nodes;
+    all.map(|own| {
+        let mut fleet = FleetView::new(card_of(own), Duration::ZERO);
+        for other in (0..nodes).filter(|other| *other != own) {
+            fleet.heard(NodeHeartbeat::new(card_of(other)), SECOND);
+        }
+        fleet.claim_patience(SECOND, SECOND)
+    })
+    .collect()
+}
+
+#[test]
+fn hubs_claim_duties_one_after_the_other_and_the_rest_are_spread_far_behind() {
+    let patiences = patiences(90);
+    assert_eq!(patiences[0], SECOND);
+    assert!(patiences[0] < patiences[1] && patiences[1] < patiences[2]);
+    let mut members = patiences[3..].to_vec();
+    members.sort_unstable();
+    assert!(members[0] > patiences[2] + 5 * SECOND);
+    let most = members
+        .windows(20)
+        .filter(|window| window[19] < window[0] + SECOND)
+        .count();
+    assert_eq!(most, 0, "twenty nodes claim within a second");
+}
+
+#[test]
+fn a_step_of_some_hosts_time_of_day_does_not_move_the_fleets() {
+    let mut fleet = view();
+    let told = [("a", 50_000), ("b", 52_000), ("c", 50_002), ("d", 48_000)];
+    for (name, unix_ms) in told {
+        let heartbeat = NodeHeartbeat {
+            unix_ms,
+            ..heartbeat(name, "east", 1, true)
+        };
+        fleet.heard(heartbeat, SECOND);
+    }
+    let own = Duration::from_millis(49_001);
+    assert_eq!(fleet.unix_start(own, SECOND), own);
+    let stepped = Duration::from_millis(47_001);
+    assert_eq!(fleet.unix_start(stepped, SECOND), Duration::from_secs(49));
+}
