Order firm engines in place of spot ones that are not to be had while the load needs them

A zone's spot engines are not to be had for some ten seconds after they were reclaimed. If that falls into a surge, firm ones start in four seconds.

--- a/kernel/src/gateway/scaling.rs
+++ b/kernel/src/gateway/scaling.rs
@@ -26,6 +26,8 @@
 /// Time for which the pool stays as large as its load needed: surges come in series, and a new engine
 /// takes seconds to start and has nothing cached.
 const PEAK_KEPT: Duration = Duration::from_mins(1);
+/// Time for which a load counts as that of now.
+const RECENT: Duration = Duration::from_secs(3);
 /// Engines, against what the load of `PEAK_KEPT` needed, below which a pool that was larger at first
 /// does not fall.
 const SHRINK_MARGIN: f64 = 1.5;
@@ -123,6 +125,8 @@
     first_share: u32,
     /// Engines that take calls.
     present: u32,
+    /// Engines below which the pool may not fall: those of the start, or what the load needs now.
+    needed: u32,
 }
 
 /// The last order of a kind of engine in a zone.
@@ -205,6 +209,7 @@
             share: share.clamp(spec.least, spec.most),
             first_share: self.first_total / count,
             present: zones.values().map(|engines| engines.all()).sum(),
+            needed: self.first_total.max(self.needed_now(now)),
         };
         let wanted = zones.iter().flat_map(|(zone, engines)| {
             let order = |kind, desired| EngineOrder {
@@ -246,7 +251,8 @@
     }
 
     /// Firm engines of a zone: those that no spot engine has taken the place of yet. More are ordered only
-    /// where there are no spot engines, or none to be had while the pool is smaller than it was at first.
+    /// where there are no spot engines, or none to be had while the pool is smaller than it was at first or
+    /// than its load needs.
     fn firm_wanted(
         &self,
         spec: &ScalingSpec,
@@ -264,7 +270,7 @@
         }
         let last = self.orders.get(&(zone.into(), EngineKind::Firm));
         let known = last.map_or(engines.firm, |last| last.desired);
-        let is_short = self.is_dry(zone, now) && size.present < self.first_total;
+        let is_short = self.is_dry(zone, now) && size.present < size.needed;
         let most = if is_short {
             spec.most.saturating_sub(engines.spot)
         } else {
@@ -319,6 +325,12 @@
         self.first_total.min(least)
     }
 
+    /// Engines that the load of the last moments needs.
+    fn needed_now(&self, now: Duration) -> u32 {
+        let fresh = self.peaks.iter().filter(|(at, _)| *at + RECENT > now);
+        fresh.map(|(_, needed)| *needed).max().unwrap_or(0)
+    }
+
     /// Whether firm engines were given up, so that those present are no longer all that there were.
     fn has_lowered(&self) -> bool {
         let mut kinds = self.orders.keys().map(|(_, kind)| *kind);
--- a/kernel/tests/gateway/scaling.rs
+++ b/kernel/tests/gateway/scaling.rs
@@ -237,3 +237,22 @@
     world.run(30);
     assert_eq!(world.zone("west"), ZoneEngines { firm: 1, spot: 39 });
 }
+
+#[test]
+fn firm_engines_stand_in_for_a_lost_zone_in_a_surge_and_leave_after_it() {
+    let mut world = EngineWorld::new(Some(0.22), 20);
+    world.run(20);
+    world.load = PoolLoad {
+        calls: 1500,
+        slots: 64,
+        tokens_per_s: 2_400_000.0,
+    };
+    world.run(2);
+    world.reclaim("west");
+    world.run(4);
+    assert_eq!(world.zone("west"), ZoneEngines { firm: 20, spot: 0 });
+    world.dry.clear();
+    world.load = PoolLoad::default();
+    world.run(30);
+    assert_eq!(world.zone("west"), ZoneEngines { firm: 1, spot: 39 });
+}
