--- a/daemon/src/gateway/duties.rs
+++ b/daemon/src/gateway/duties.rs
@@ -342,7 +342,7 @@
                 duties.lease.borrow_mut().refused();
             }
             Err(error) => {
-                duties.lease.borrow_mut().unanswered();
+                duties.lease.borrow_mut().read_again();
                 self.failed(&error).await;
             }
         }
--- a/daemon/src/gateway/scaling.rs
+++ b/daemon/src/gateway/scaling.rs
@@ -149,6 +149,10 @@
         Err(_) => OrderOutcome::Unanswered,
     };
     let present = zones.get(&order.zone).copied().unwrap_or_default();
+    if outcome == OrderOutcome::Unavailable {
+        // The same status says that another holder has a newer token.
+        duties.lease.borrow_mut().read_again();
+    }
     write_down(gateway, pool, &order, present, token, given.err());
     scaling.ordered(order, outcome, gateway.now());
 }
--- a/kernel/src/gateway/duty.rs
+++ b/kernel/src/gateway/duty.rs
@@ -207,8 +207,9 @@
         self.state.refused();
     }
 
-    /// No answer came: the claim may stand, or may stand later.
-    pub fn unanswered(&mut self) {
+    /// Has the log read again before anything more is done: a claim without an answer may stand, or may
+    /// stand later; a call that was turned away may have been overtaken by another holder's.
+    pub fn read_again(&mut self) {
         self.end = None;
     }
 
--- a/kernel/tests/gateway/duty.rs
+++ b/kernel/tests/gateway/duty.rs
@@ -170,7 +170,7 @@
     let (mut first, mut log) = (lease("first", 1), LeaseLog::default());
     read(&mut first, &log, ms(0));
     let claim = first.claim(LENGTH).expect("a claim");
-    first.unanswered();
+    first.read_again();
     assert!(log.append(&claim));
     read(&mut first, &log, LENGTH + ms(2000));
     assert!(first.claimed(LENGTH + ms(2600)).is_some());
@@ -288,15 +288,15 @@
             return;
         };
         match self.random.random_range(0..10) {
-            0 => self.nodes[host].unanswered(),
+            0 => self.nodes[host].read_again(),
             1 => {
                 self.log.append(&claim);
-                self.nodes[host].unanswered();
+                self.nodes[host].read_again();
             }
             2 => {
                 let at = now + ms(self.random.random_range(500..6000));
                 self.late.insert(at, claim);
-                self.nodes[host].unanswered();
+                self.nodes[host].read_again();
             }
             _ => {
                 let stands = self.log.append(&claim);
@@ -348,3 +348,12 @@
     }
     assert!(acted > 350, "the lease was held in {acted} of 400 runs");
 }
+
+#[test]
+fn a_holder_whose_call_was_turned_away_reads_the_log_before_the_next() {
+    let (mut first, log, now) = holder();
+    first.read_again();
+    assert_eq!(first.token(now), None);
+    read(&mut first, &log, now);
+    assert!(first.token(now).is_some());
+}
