Name what nodes send of usage by the field's words, and bound the windows that others can make a node keep

Renames (told, heard, tell), comments that told how a value was found, and one bound: counts for windows far from now are left out, with its test. No other change of behaviour.

--- a/daemon/src/gateway/duties.rs
+++ b/daemon/src/gateway/duties.rs
@@ -23,12 +23,12 @@
 
 /// Time between two looks of a holder, or of a node that is to claim, at what is due.
 const BUSY_TICK: Duration = Duration::from_millis(100);
-/// The same of a node that hears of a holder.
+/// The same of a node that knows of a holder.
 const IDLE_TICK: Duration = Duration::from_millis(500);
 /// Time between two reads of a node that waits for a lease to end.
 const READ_PAUSE: Duration = Duration::from_millis(900);
-/// Time without word of a holder after which the first node in order reads the lease. A holder's word
-/// reaches every node within a second.
+/// Time without a notice of a holder after which the first node in order reads the lease. A notice reaches
+/// every node within a second.
 const HOLDER_SILENT_AFTER: Duration = Duration::from_millis(1600);
 /// Time that an answer of the store may take to begin.
 const STORE_PATIENCE: Duration = Duration::from_millis(800);
@@ -39,14 +39,14 @@
 /// Windows that stay in the log, so that the next holder can send their reports again.
 const KEPT_WINDOWS: u64 = 4;
 
-/// A holder's word, and when it came.
+/// A notice of the holder, and when it came.
 #[derive(Clone, Copy, Debug)]
-struct HeardNotice {
+struct ReceivedNotice {
     notice: HolderNotice,
     at: Duration,
 }
 
-impl HeardNotice {
+impl ReceivedNotice {
     fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.at) + Duration::from_millis(self.notice.age_ms)
     }
@@ -66,7 +66,7 @@
     pub reports: RefCell<UsageReports>,
     /// Since when this node has held the lease, in time since 1970.
     held_since: Cell<Option<Duration>>,
-    heard: Cell<Option<HeardNotice>>,
+    received: Cell<Option<ReceivedNotice>>,
     /// From when on the platform accepts the next call.
     call_at: Cell<Duration>,
     random: RefCell<Pcg64Mcg>,
@@ -86,7 +86,7 @@
             ledger: RefCell::new(UsageLedger::new(settings.usage_window)),
             reports: RefCell::new(UsageReports::new(settings.usage_late)),
             held_since: Cell::new(None),
-            heard: Cell::new(None),
+            received: Cell::new(None),
             call_at: Cell::new(Duration::ZERO),
             random: RefCell::new(random),
             settings,
@@ -106,16 +106,16 @@
     }
 
     /// Takes in what another node says of the holder.
-    pub fn hear(&self, notice: HolderNotice, now: Duration, unix_now: Duration) {
-        let fresh = HeardNotice { notice, at: now };
+    pub fn observe(&self, notice: HolderNotice, now: Duration, unix_now: Duration) {
+        let fresh = ReceivedNotice { notice, at: now };
         let order = |notice: &HolderNotice| (notice.token, notice.renewal, notice.written);
-        let is_newer = self.heard.get().is_none_or(|known| {
+        let is_newer = self.received.get().is_none_or(|known| {
             let is_fresher = fresh.age(now) < known.age(now);
             order(&notice) > order(&known.notice)
                 || notice.token == known.notice.token && is_fresher
         });
         if is_newer {
-            let known = self.heard.get().map(|known| known.notice);
+            let known = self.received.get().map(|known| known.notice);
             let written = known.map_or(0, |known| known.written);
             let renewal = known.map_or(0, |known| known.renewal);
             let notice = HolderNotice {
@@ -123,21 +123,21 @@
                 renewal: notice.renewal.max(renewal),
                 ..notice
             };
-            self.heard.set(Some(HeardNotice { notice, at: now }));
-            self.hear_renewal(notice.renewal, unix_now);
+            self.received.set(Some(ReceivedNotice { notice, at: now }));
+            self.observe_renewal(notice.renewal, unix_now);
         }
     }
 
-    fn hear_renewal(&self, renewal: u64, unix_now: Duration) {
+    fn observe_renewal(&self, renewal: u64, unix_now: Duration) {
         let window = self.ledger.borrow().window(unix_now) + 1;
         let mut random = self.random.borrow_mut();
         let now = self.clock.now();
         self.lease
             .borrow_mut()
-            .hear(renewal, window, now, &mut random);
+            .observe(renewal, window, now, &mut random);
     }
 
-    /// What this node says of the holder: its own word, or what it heard a moment ago.
+    /// What this node says of the holder: its own notice, or one that it received a moment ago.
     pub fn notice(&self, gateway: &Gateway) -> Option<HolderNotice> {
         let now = gateway.now();
         if let Some(token) = self.held_token() {
@@ -150,11 +150,11 @@
                 written: self.reports.borrow().written_through(),
             });
         }
-        let heard = self.heard.get()?;
-        let age = heard.age(now);
+        let received = self.received.get()?;
+        let age = received.age(now);
         (age < HOLDER_SILENT_AFTER).then_some(HolderNotice {
             age_ms: millis(age),
-            ..heard.notice
+            ..received.notice
         })
     }
 
@@ -183,9 +183,11 @@
         true
     }
 
-    /// Time since the holder's last word, as far as this node heard.
+    /// Time since the holder's last notice, as far as this node knows.
     fn silence(&self, now: Duration) -> Duration {
-        self.heard.get().map_or(now, |heard| heard.age(now))
+        self.received
+            .get()
+            .map_or(now, |received| received.age(now))
     }
 }
 
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -21,7 +21,7 @@
 /// Time between two reads of the registry: an upstream that leaves has to be known well within
 /// two seconds, and each read is one call.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
-/// Time beyond the wait that the store gets to begin its answer. It takes 4 ms when it is well.
+/// Time beyond the wait that the store gets to begin its answer.
 const PATIENCE: Duration = Duration::from_millis(800);
 /// How often `PATIENCE` is doubled at most for an answer that may be large: many nodes that read 2 MB
 /// each keep a store that sends 80 MB a second busy for seconds, and who gives up and asks again only
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -16,14 +16,14 @@
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::duties::host_time;
 use crate::gateway::settings::GatewaySettings;
-use crate::gateway::usage::UsageTeller;
+use crate::gateway::usage::UsageSender;
 use crate::gateway::{Gateway, exchange, follow, usage};
 
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
 /// Parts of prompts that wait to be told to nodes of other zones: a node with few calls tells none.
 const MOST_WAITING_PARTS: usize = 4 * MOST_PARTS;
-/// Open calls that a core carries: at 25 to 60 of them a node spends 0.02 cores.
+/// Open calls that a core carries with room to spare.
 const CALLS_PER_CORE: f64 = 1000.0;
 /// Largest datagram: one that networks do not split.
 const MOST_BYTES: usize = 1400;
@@ -136,9 +136,9 @@
     spread: HeartbeatSpread,
     /// Parts of prompts that nodes of other zones have not heard of.
     far_parts: BTreeSet<(u32, u64, u64)>,
-    /// When calls by workspace were told last.
+    /// When calls by workspace were sent last.
     usage_at: Duration,
-    usage: UsageTeller,
+    usage: UsageSender,
 }
 
 impl HeartbeatSpeaker {
@@ -151,7 +151,7 @@
             spread: HeartbeatSpread::default(),
             far_parts: BTreeSet::new(),
             usage_at: Duration::ZERO,
-            usage: UsageTeller::default(),
+            usage: UsageSender::default(),
         }
     }
 
@@ -213,15 +213,15 @@
         own.parts = Vec::new();
         let seeds = self.seeds_to_tell(plan.seeds);
         self.tell(&seeds, &own).await;
-        if now >= self.usage_at + usage::tell_pause(&gateway) {
+        if now >= self.usage_at + usage::send_pause(&gateway) {
             self.usage_at = now;
-            self.tell_usage(own).await;
+            self.send_usage(own).await;
         }
     }
 
-    /// Tells the holder of the platform's duties, and its deputy, the calls that this node counted.
-    async fn tell_usage(&mut self, own: NodeHeartbeat) {
-        let Some((hearers, pieces)) = self.usage.next(&self.gateway) else {
+    /// Sends the holder of the platform's duties, and its deputy, the calls that this node counted.
+    async fn send_usage(&mut self, own: NodeHeartbeat) {
+        let Some((receivers, pieces)) = self.usage.next(&self.gateway) else {
             return;
         };
         for piece in pieces {
@@ -232,7 +232,7 @@
                 cards: Vec::new(),
                 ..own.clone()
             };
-            self.tell(&hearers, &heartbeat).await;
+            self.tell(&receivers, &heartbeat).await;
         }
     }
 }
@@ -280,7 +280,7 @@
     take_departures(gateway, &heartbeat, now);
     take_work(gateway, &heartbeat, now);
     if let Some(duties) = &gateway.duties {
-        usage::hear(gateway, duties, &mut heartbeat);
+        usage::receive(gateway, duties, &mut heartbeat);
     }
     exchange::catch_up(gateway, &heartbeat);
     gateway.room_notice.notify_waiters();
--- a/daemon/src/gateway/usage.rs
+++ b/daemon/src/gateway/usage.rs
@@ -1,4 +1,4 @@
-//! Counts calls that upstreams began, and tells the counts to the node that reports them.
+//! Counts calls that upstreams began, and sends the counts to the node that reports them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,12 +13,12 @@
 use crate::gateway::intake::Call;
 use crate::gateway::settings::DutyName;
 
-/// Time between two tells of a node: what its loss costs, against a datagram.
-const TELL_PAUSE: Duration = Duration::from_millis(200);
-/// Tells after which all is told anew, in case one was lost.
-const TELLS_BETWEEN_WHOLE: u32 = 5;
-/// Nodes that the holder hears in each pause; in larger fleets each tells less often.
-const MOST_TELLS: u32 = 100;
+/// Time between two messages of a node: what its loss costs, against a datagram.
+const SEND_PAUSE: Duration = Duration::from_millis(200);
+/// Messages after which all is sent anew, in case one was lost.
+const SENDS_BETWEEN_WHOLE: u32 = 5;
+/// Nodes whose messages the holder takes in each pause; in larger fleets each sends less often.
+const MOST_SENDERS: u32 = 100;
 /// Workspaces in one datagram, some 12 bytes each.
 const MOST_WORKSPACES: usize = 90;
 
@@ -37,61 +37,61 @@
     duties.ledger.borrow_mut().count(workspace, begun_at);
 }
 
-/// Time until the node should tell again; one that leaves tells whenever it speaks.
-pub fn tell_pause(gateway: &Gateway) -> Duration {
+/// Time until the node should send again; one that leaves does so with every heartbeat.
+pub fn send_pause(gateway: &Gateway) -> Duration {
     if gateway.leaving_since.get().is_some() {
         return Duration::ZERO;
     }
     let nodes = u32::try_from(gateway.node_count()).unwrap_or(u32::MAX);
-    TELL_PAUSE * nodes.div_ceil(MOST_TELLS)
+    SEND_PAUSE * nodes.div_ceil(MOST_SENDERS)
 }
 
-/// Tells the holder what it has not heard or written down.
+/// Sends the holder what it does not have yet.
 #[derive(Debug, Default)]
-pub struct UsageTeller {
-    told: BTreeMap<u64, WorkspaceCounts>,
-    tells: u32,
+pub struct UsageSender {
+    sent: BTreeMap<u64, WorkspaceCounts>,
+    sends: u32,
 }
 
-impl UsageTeller {
-    /// Whom to tell, and in which pieces; none if there is nothing to tell, or no one.
+impl UsageSender {
+    /// Receivers and messages; none if there is nothing to send, or no one to send it to.
     pub fn next(&mut self, gateway: &Gateway) -> Option<(Vec<SocketAddr>, Vec<WindowUsage>)> {
         let duties = gateway.duties.as_ref()?;
         if !duties.has(DutyName::Usage) {
             return None;
         }
         let notice = duties.notice(gateway)?;
-        self.tells += 1;
-        if self.tells.is_multiple_of(TELLS_BETWEEN_WHOLE) {
-            self.told.clear();
+        self.sends += 1;
+        if self.sends.is_multiple_of(SENDS_BETWEEN_WHOLE) {
+            self.sent.clear();
         }
         let ledger = duties.ledger.borrow();
         let mut pieces = Vec::new();
         for (window, counts) in ledger.own_after(notice.written) {
-            let told = self.told.entry(window).or_default();
+            let sent = self.sent.entry(window).or_default();
             let news: Vec<(Box<str>, u64)> = counts
                 .iter()
-                .filter(|news| told.get(news.0) != Some(news.1))
+                .filter(|news| sent.get(news.0) != Some(news.1))
                 .map(|(workspace, count)| (workspace.clone(), *count))
                 .collect();
             pieces.extend(news.chunks(MOST_WORKSPACES).map(|piece| WindowUsage {
                 window,
                 counts: piece.to_vec(),
             }));
-            *told = counts.clone();
+            *sent = counts.clone();
         }
-        self.told.retain(|window, _| *window > notice.written);
+        self.sent.retain(|window, _| *window > notice.written);
         let own = gateway.settings.peer_address();
-        let hearers = std::iter::once(notice.peers).chain(notice.deputy);
-        let hearers: Vec<SocketAddr> = hearers.filter(|hearer| *hearer != own).collect();
-        (!pieces.is_empty()).then_some((hearers, pieces))
+        let receivers = std::iter::once(notice.peers).chain(notice.deputy);
+        let receivers: Vec<SocketAddr> = receivers.filter(|receiver| *receiver != own).collect();
+        (!pieces.is_empty()).then_some((receivers, pieces))
     }
 }
 
 /// Takes in what another node's heartbeat says of the holder and of its calls.
-pub fn hear(gateway: &Rc<Gateway>, duties: &DutyState, heartbeat: &mut NodeHeartbeat) {
+pub fn receive(gateway: &Rc<Gateway>, duties: &DutyState, heartbeat: &mut NodeHeartbeat) {
     if let Some(notice) = heartbeat.holder {
-        duties.hear(notice, gateway.now(), gateway.unix_now());
+        duties.observe(notice, gateway.now(), gateway.unix_now());
     }
     if heartbeat.usage.is_empty() {
         return;
@@ -99,5 +99,5 @@
     let source = node_hash(&heartbeat.card.name) ^ heartbeat.card.incarnation;
     let usage = std::mem::take(&mut heartbeat.usage);
     let unix_now = gateway.unix_now();
-    duties.ledger.borrow_mut().hear(source, usage, unix_now);
+    duties.ledger.borrow_mut().merge(source, usage, unix_now);
 }
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -61,8 +61,7 @@
 }
 
 /// Whether a call is late already and cannot be expected to end in its time either. Such a call
-/// would take an engine's time from others and be cut; refusing it at once took the calls that fail
-/// on a loaded day from 0.039 to 0.029. One that was sent before goes on.
+/// would take an engine's time from others and be cut. One that was sent before goes on.
 fn is_in_vain(gateway: &Gateway, call: &Call, trail: &CallTrail, hopeful_until: Duration) -> bool {
     let now = gateway.now();
     if hopeful_until > now || trail.history.sends > 0 {
--- a/kernel/src/gateway/duty.rs
+++ b/kernel/src/gateway/duty.rs
@@ -25,7 +25,7 @@
 /// integers that JSON carries exactly.
 const OFFSET_BITS: u32 = 32;
 
-/// Stands for the holder of a lease whose record was only heard of.
+/// Stands for the holder of a lease whose record is known from heartbeats only.
 const NOT_READ: NodeId = NodeId(0);
 
 /// A record of the lease in the log.
@@ -248,9 +248,9 @@
         self.state.newest()
     }
 
-    /// Takes in another node's word of the lease's newest record. It counts as if it was read now, so that
-    /// a node need not read the log to know how long the lease lasts.
-    pub fn hear(&mut self, newest: u64, window: u64, now: Duration, random: &mut Pcg64Mcg) {
+    /// Takes in the lease's newest record as another node's heartbeat names it. It counts as if it was read
+    /// now, so that a node need not read the log to know how long the lease lasts.
+    pub fn observe(&mut self, newest: u64, window: u64, now: Duration, random: &mut Pcg64Mcg) {
         self.see_era(newest >> OFFSET_BITS, window, now);
         if self.era != Some(newest >> OFFSET_BITS) {
             return;
--- a/kernel/src/gateway/pace.rs
+++ b/kernel/src/gateway/pace.rs
@@ -1,7 +1,7 @@
 //! How fast a pool's streams go, from those that this node passed on.
 //!
-//! A stream beside prompts that are read takes a chunk of a prompt for each of its tokens, some 37 ms
-//! instead of 6, so whether a call can still end in its time depends on the load.
+//! A stream beside prompts that are read waits for a chunk of a prompt at each of its tokens, so whether a
+//! call can still end in its time depends on the load.
 
 use std::time::Duration;
 
@@ -9,8 +9,7 @@
 /// passes on in a second.
 const NEWEST_WEIGHT: f64 = 0.05;
 
-/// Part of the expected events that is counted on. Half of the answers are shorter than expected, a
-/// quarter shorter than 0.7 of it (360 streams with callers' estimates).
+/// Part of the expected events that is counted on: callers' estimates are medians.
 const SURE_PART: f64 = 0.7;
 
 /// Streams that go alike.
--- a/kernel/src/gateway/partition.rs
+++ b/kernel/src/gateway/partition.rs
@@ -1,6 +1,6 @@
 //! Which engines are kept for streams with tight pauses.
 //!
-//! A prompt that is read stretches every step of its batch from some 5 ms to 40, so streams beside
+//! A prompt that is read stretches every step of its batch several times over, so streams beside
 //! a steady flow of long prompts are late however idle the engine looked when they were sent. The
 //! part that is kept follows the streams that there are, zone by zone, and all nodes find the same
 //! engines for the same knowledge.
--- a/kernel/src/gateway/reports.rs
+++ b/kernel/src/gateway/reports.rs
@@ -8,9 +8,9 @@
 
 use crate::gateway::usage::{UsageLedger, WorkspaceCounts};
 
-/// Time for which a new holder hears nodes before it takes their counts for complete: they learn of it
-/// within a second and tell all in the next.
-const LISTEN_TIME: Duration = Duration::from_secs(2);
+/// Time for which a new holder collects counts before it takes them for complete: nodes learn of it within
+/// a second and send all in the next.
+const COLLECT_TIME: Duration = Duration::from_secs(2);
 /// Time between two tries to send a report.
 const SEND_PAUSE: Duration = Duration::from_millis(500);
 
@@ -63,7 +63,7 @@
     /// Windows that are final and not written yet, the oldest first. One without calls needs no report.
     pub fn to_write(&self, ledger: &UsageLedger, moment: ReportMoment) -> Vec<FinalWindow> {
         let now = moment.now;
-        if now < moment.held_since + LISTEN_TIME {
+        if now < moment.held_since + COLLECT_TIME {
             return Vec::new();
         }
         let oldest = ledger.window(now.saturating_sub(self.late));
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Every window up to this one is written or past its time: nodes need not tell them again.
+    /// Every window up to this one is written or past its time: nodes need not send them again.
     pub fn written_through(&self) -> u64 {
         self.windows.keys().next_back().copied().unwrap_or(0)
     }
--- a/kernel/src/gateway/room.rs
+++ b/kernel/src/gateway/room.rs
@@ -11,8 +11,7 @@
 /// Part of the cache that calls may hold. The rest is for what is cached between calls.
 const CACHE_PART: f64 = 0.85;
 /// Part of slots and cache that the least urgent calls leave to others. A surge fills all engines up
-/// to what the least urgent may take, so each rank's share has to fit a prompt or two: at 0.1 of six
-/// ranks, a tenth of short urgent calls were refused while long patient ones were sent.
+/// to what the least urgent may take, so each rank's share has to fit a prompt or two.
 const RESERVED_PART: f64 = 0.3;
 /// Part of an engine's slots, at most, that a node leaves to those that go before it there. Without
 /// an order all nodes take the slot that falls free, since each learns of it by the same heartbeat.
--- a/kernel/src/gateway/scaling.rs
+++ b/kernel/src/gateway/scaling.rs
@@ -290,7 +290,7 @@
     }
 
     /// Takes in how many engines there are before any are given up for others, unless the holder before
-    /// this one told. Spot engines that are there already stand for fewer firm ones.
+    /// this one decided on them. Spot engines that are there already stand for fewer firm ones.
     fn note_first(
         &mut self,
         spec: &ScalingSpec,
--- a/kernel/src/gateway/spread.rs
+++ b/kernel/src/gateway/spread.rs
@@ -15,7 +15,7 @@
 
 /// Time between two looks at what is due, of a node without calls.
 const IDLE_TICK: Duration = Duration::from_millis(200);
-/// Of a node with calls: an engine under load takes and ends one in some 50 ms.
+/// Of a node with calls: about as often as an engine under load takes and ends one.
 const BUSY_TICK: Duration = Duration::from_millis(50);
 /// Of a node that has heard no other: at a start of all, seeds may begin to listen after it asked.
 const SEEK_TICK: Duration = Duration::from_millis(100);
--- a/kernel/src/gateway/usage.rs
+++ b/kernel/src/gateway/usage.rs
@@ -1,6 +1,6 @@
 //! Calls that upstreams began for each workspace, by windows of the fleet's time.
 //!
-//! Counts only grow, and what a node tells replaces nothing larger: a tell that is lost, doubled or
+//! Counts only grow, and what a node reports replaces nothing larger: a report that is lost, doubled or
 //! overtaken changes nothing.
 
 use std::collections::BTreeMap;
@@ -11,15 +11,15 @@
 /// Calls by workspace.
 pub type WorkspaceCounts = BTreeMap<Box<str>, u64>;
 
-/// Time after a window's end at which its counts are final if every node has told since: nodes tell
+/// Time after a window's end at which its counts are final if every node has reported since: nodes report
 /// five times a second, and first events reach them up to some 0.1 s after the call began.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
-/// Time after which a window is final, whoever has not told: a node may be gone for good.
+/// Time after which a window is final, whoever has not reported: a node may be gone for good.
 const LONGEST_SETTLE: Duration = Duration::from_secs(4);
 /// Windows that counts are kept for.
 const KEPT_WINDOWS: u64 = 6;
 
-/// What a node tells of one window.
+/// What a node reports of one window.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct WindowUsage {
     /// The window's number.
@@ -33,8 +33,8 @@
 pub struct UsageLedger {
     length: Duration,
     own: BTreeMap<u64, WorkspaceCounts>,
-    told: BTreeMap<u64, BTreeMap<u64, WorkspaceCounts>>,
-    told_at: BTreeMap<u64, Duration>,
+    remote: BTreeMap<u64, BTreeMap<u64, WorkspaceCounts>>,
+    updated_at: BTreeMap<u64, Duration>,
 }
 
 impl UsageLedger {
@@ -43,8 +43,8 @@
         Self {
             length: length.max(Duration::from_millis(1)),
             own: BTreeMap::new(),
-            told: BTreeMap::new(),
-            told_at: BTreeMap::new(),
+            remote: BTreeMap::new(),
+            updated_at: BTreeMap::new(),
         }
     }
 
@@ -76,11 +76,15 @@
         own.map(|(window, counts)| (*window, counts))
     }
 
-    /// Takes in what the run `source` of another node tells at this time.
-    pub fn hear(&mut self, source: u64, usage: Vec<WindowUsage>, at: Duration) {
-        self.told_at.insert(source, at);
-        for WindowUsage { window, counts } in usage {
-            let sources = self.told.entry(window).or_default();
+    /// Merges what the run `source` of another node reports at this time. Windows far from it are left
+    /// out: what a node says cannot make this one hold more.
+    pub fn merge(&mut self, source: u64, usage: Vec<WindowUsage>, at: Duration) {
+        self.updated_at.insert(source, at);
+        let newest = self.window(at) + 1;
+        let oldest = newest.saturating_sub(KEPT_WINDOWS);
+        let is_kept = |usage: &WindowUsage| (oldest..=newest).contains(&usage.window);
+        for WindowUsage { window, counts } in usage.into_iter().filter(is_kept) {
+            let sources = self.remote.entry(window).or_default();
             let known = sources.entry(source).or_default();
             for (workspace, count) in counts {
                 let known = known.entry(workspace).or_default();
@@ -89,15 +93,15 @@
         }
     }
 
-    /// Calls of all nodes in a window, as far as they have told.
+    /// Calls of all nodes in a window, as far as they have reported.
     pub fn total(&self, window: u64) -> WorkspaceCounts {
-        let told = self
-            .told
+        let remote = self
+            .remote
             .get(&window)
             .into_iter()
             .flat_map(BTreeMap::values);
         let mut total = WorkspaceCounts::new();
-        for counts in told.chain(self.own.get(&window)) {
+        for counts in remote.chain(self.own.get(&window)) {
             for (workspace, count) in counts {
                 *total.entry(workspace.clone()).or_default() += count;
             }
@@ -112,23 +116,30 @@
             return false;
         }
         let earliest = end.saturating_sub(self.length);
-        let mut awaited = self.told_at.values().filter(|told| **told >= earliest);
-        at >= end + LONGEST_SETTLE || awaited.all(|told| *told >= end)
+        let mut awaited = self
+            .updated_at
+            .values()
+            .filter(|updated| **updated >= earliest);
+        at >= end + LONGEST_SETTLE || awaited.all(|updated| *updated >= end)
     }
 
-    /// Age of what the node that is silent longest has told of a window, at a time since 1970.
+    /// Age of the oldest report that counts for a window, at a time since 1970.
     pub fn oldest_input(&self, window: u64, at: Duration) -> Duration {
-        let sources = self.told.get(&window).into_iter().flat_map(BTreeMap::keys);
-        let told = sources.filter_map(|source| self.told_at.get(source));
-        at.saturating_sub(told.copied().min().unwrap_or(at))
+        let sources = self
+            .remote
+            .get(&window)
+            .into_iter()
+            .flat_map(BTreeMap::keys);
+        let updates = sources.filter_map(|source| self.updated_at.get(source));
+        at.saturating_sub(updates.copied().min().unwrap_or(at))
     }
 
     /// Forgets windows that ended long before a time since 1970.
     pub fn forget(&mut self, at: Duration) {
         let first = self.window(at).saturating_sub(KEPT_WINDOWS);
         self.own = self.own.split_off(&first);
-        self.told = self.told.split_off(&first);
+        self.remote = self.remote.split_off(&first);
         let oldest = at.saturating_sub(self.length * KEPT_WINDOWS as u32);
-        self.told_at.retain(|_, told| *told >= oldest);
+        self.updated_at.retain(|_, updated| *updated >= oldest);
     }
 }
--- a/kernel/tests/gateway/usage.rs
+++ b/kernel/tests/gateway/usage.rs
@@ -1,4 +1,4 @@
-//! Counts of calls by workspace: what nodes tell, when a window is final, and what is reported.
+//! Counts of calls by workspace: what nodes report, when a window is final, and what is reported.
 
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
     Duration::from_secs_f64(seconds)
 }
 
-fn told(window: u64, count: u64) -> Vec<WindowUsage> {
+fn report(window: u64, count: u64) -> Vec<WindowUsage> {
     vec![WindowUsage {
         window,
         counts: vec![("fern".into(), count)],
@@ -54,22 +54,22 @@
 }
 
 #[test]
-fn tells_that_are_doubled_or_overtaken_change_nothing() {
+fn reports_that_are_doubled_or_overtaken_change_nothing() {
     let mut ledger = ledger();
-    ledger.hear(7, told(WINDOW, 5), at(504.0));
-    ledger.hear(7, told(WINDOW, 3), at(504.1));
-    ledger.hear(7, told(WINDOW, 5), at(504.2));
-    ledger.hear(8, told(WINDOW, 1), at(504.3));
+    ledger.merge(7, report(WINDOW, 5), at(504.0));
+    ledger.merge(7, report(WINDOW, 3), at(504.1));
+    ledger.merge(7, report(WINDOW, 5), at(504.2));
+    ledger.merge(8, report(WINDOW, 1), at(504.3));
     assert_eq!(ledger.total(WINDOW), counts(8));
 }
 
 macro_rules! settled {
-    ($($name:ident: $heard:expr, $now:expr => $settled:expr;)*) => {$(
+    ($($name:ident: $reports:expr, $now:expr => $settled:expr;)*) => {$(
         #[test]
         fn $name() {
             let mut ledger = ledger();
-            for (source, time) in $heard {
-                ledger.hear(source, told(WINDOW, 1), at(time));
+            for (source, time) in $reports {
+                ledger.merge(source, report(WINDOW, 1), at(time));
             }
             assert_eq!(ledger.is_settled(WINDOW, at($now)), $settled);
         }
@@ -78,9 +78,9 @@
 
 settled! {
     a_window_that_goes_on_is_not_final: [(1, 504.0)], 504.5 => false;
-    nodes_have_time_to_tell_after_its_end: [(1, 505.2)], 505.9 => false;
-    it_is_final_once_all_have_told: [(1, 505.2), (2, 505.4)], 506.0 => true;
-    a_node_that_has_not_told_since_is_waited_for: [(1, 505.2), (2, 504.0)], 506.5 => false;
+    nodes_have_time_to_report_after_its_end: [(1, 505.2)], 505.9 => false;
+    it_is_final_once_all_have_reported: [(1, 505.2), (2, 505.4)], 506.0 => true;
+    a_node_that_has_not_reported_since_is_waited_for: [(1, 505.2), (2, 504.0)], 506.5 => false;
     but_not_for_long: [(1, 505.2), (2, 504.0)], 509.0 => true;
     a_node_that_was_silent_before_it_is_not_waited_for: [(1, 505.2), (2, 499.0)], 506.5 => true;
 }
@@ -172,3 +172,14 @@
     assert_eq!(reports.forget(&ledger, at(526.0)), [WINDOW]);
     assert_eq!(reports.missed(), 1);
 }
+
+#[test]
+fn windows_far_from_now_are_not_kept() {
+    let mut ledger = UsageLedger::new(LENGTH);
+    ledger.merge(7, report(WINDOW + 2, 5), at(504.0));
+    ledger.merge(7, report(WINDOW - 7, 5), at(504.0));
+    ledger.merge(7, report(WINDOW + 1, 5), at(504.0));
+    assert!(ledger.total(WINDOW + 2).is_empty());
+    assert!(ledger.total(WINDOW - 7).is_empty());
+    assert_eq!(ledger.total(WINDOW + 1), counts(5));
+}
