Order no engines for pools of over 1,000, or where there are more than may be ordered

Replacing 3,000 engines has every node fetch the whole registry again and again. An order for a zone with more engines than the bound would end the rest.

--- a/kernel/src/gateway/scaling.rs
+++ b/kernel/src/gateway/scaling.rs
@@ -11,6 +11,9 @@
 
 use crate::gateway::load::TOKENS_PER_MS;
 
+/// Engines of a pool above which none are ordered: each that comes or goes has all nodes fetch the whole
+/// registry, which departures have to get past.
+const LARGEST_POOL: u32 = 1000;
 /// Firm engines of each availability zone that stay when spot engines have taken their place.
 const FIRM_BASE: u32 = 1;
 /// Part of an engine's time in which it reads prompts at the load that the pool is sized for: beside more,
@@ -201,6 +204,10 @@
         zones: &BTreeMap<Box<str>, ZoneEngines>,
         now: Duration,
     ) -> Option<EngineOrder> {
+        let present: u32 = zones.values().map(|engines| engines.all()).sum();
+        if present > LARGEST_POOL {
+            return None;
+        }
         self.note_first(spec, zones, now);
         self.first_at.get_or_insert(now);
         let count = u32::try_from(zones.len()).ok()?.max(1);
@@ -208,10 +215,14 @@
         let size = PoolSize {
             share: share.clamp(spec.least, spec.most),
             first_share: self.first_total / count,
-            present: zones.values().map(|engines| engines.all()).sum(),
+            present,
             needed: self.first_total.max(self.needed_now(now)),
         };
-        let wanted = zones.iter().flat_map(|(zone, engines)| {
+        // Where there are more than may be ordered, an order would end those above the bound.
+        let allowed = zones
+            .iter()
+            .filter(|(_, engines)| engines.all() <= spec.most);
+        let wanted = allowed.flat_map(|(zone, engines)| {
             let order = |kind, desired| EngineOrder {
                 zone: zone.clone(),
                 kind,
--- a/kernel/tests/gateway/scaling.rs
+++ b/kernel/tests/gateway/scaling.rs
@@ -256,3 +256,19 @@
     world.run(30);
     assert_eq!(world.zone("west"), ZoneEngines { firm: 1, spot: 39 });
 }
+
+macro_rules! left_alone {
+    ($($name:ident: $firm:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut world = EngineWorld::new(Some(0.22), $firm);
+            world.run(30);
+            assert!(world.orders.is_empty(), "{:?}", world.orders);
+        }
+    )*};
+}
+
+left_alone! {
+    zones_with_more_engines_than_may_be_ordered: 41;
+    a_pool_so_large_that_its_registry_would_never_rest: 400;
+}
