--- a/daemon/src/gateway/reports.rs
+++ b/daemon/src/gateway/reports.rs
@@ -60,18 +60,27 @@
     }
 }
 
-async fn send(gateway: &Gateway, duties: &DutyState, client: &mut DutyClient, due: FinalWindow) {
+/// Makes sure of a connection, then looks at the lease; none if nothing may be sent now. The caller waits
+/// for nothing else before it sends.
+pub async fn begin_call<'a>(
+    gateway: &'a Gateway,
+    duties: &DutyState,
+    client: &mut DutyClient,
+) -> Option<(DutyStamp<'a>, Result<(), DutyError>)> {
     if !duties.takes_call(gateway.now()) {
-        return;
+        return None;
     }
     let connected = client.connect().await;
-    // Nothing is waited for between this look at the lease and the call.
-    let Some(token) = duties.token() else {
-        return;
-    };
     let stamp = DutyStamp {
         holder: &gateway.settings.name,
-        token,
+        token: duties.token()?,
+    };
+    Some((stamp, connected))
+}
+
+async fn send(gateway: &Gateway, duties: &DutyState, client: &mut DutyClient, due: FinalWindow) {
+    let Some((stamp, connected)) = begin_call(gateway, duties, client).await else {
+        return;
     };
     let report = UsageReport {
         window_id: due.window,
@@ -86,7 +95,7 @@
         window: due.window,
         workspaces: due.counts.len(),
         calls: due.counts.values().sum(),
-        token,
+        token: stamp.token,
         error: error.as_deref(),
     });
     match outcome {
--- a/daemon/src/gateway/scaling.rs
+++ b/daemon/src/gateway/scaling.rs
@@ -8,12 +8,12 @@
 use monsoonbank_kernel::gateway::scaling::{
     EngineKind, EngineOrder, OrderOutcome, PoolLoad, PoolScaling, ZoneEngines,
 };
-use monsoonbank_platform::duties::{DutyClient, DutyError, DutyStamp, ScaleCall};
+use monsoonbank_platform::duties::{DutyClient, DutyError, ScaleCall};
 
 use crate::gateway::Gateway;
 use crate::gateway::decisions::Decision;
 use crate::gateway::duties::DutyState;
-use crate::gateway::reports::CALL_PATIENCE;
+use crate::gateway::reports::{CALL_PATIENCE, begin_call};
 use crate::gateway::settings::DutyName;
 
 /// Time between two looks at what is due.
@@ -121,17 +121,8 @@
     let Some(order) = scaling.next_order(spec, &zones, gateway.now()) else {
         return;
     };
-    if !duties.takes_call(gateway.now()) {
+    let Some((stamp, connected)) = begin_call(gateway, duties, client).await else {
         return;
-    }
-    let connected = client.connect().await;
-    // Nothing is waited for between this look at the lease and the call.
-    let Some(token) = duties.token() else {
-        return;
-    };
-    let stamp = DutyStamp {
-        holder: &gateway.settings.name,
-        token,
     };
     let call = ScaleCall {
         pool: &pool.name,
@@ -153,7 +144,7 @@
         // The same status says that another holder has a newer token.
         duties.lease.borrow_mut().read_again();
     }
-    write_down(gateway, pool, &order, present, token, given.err());
+    write_down(gateway, pool, &order, present, stamp.token, given.err());
     scaling.ordered(order, outcome, gateway.now());
 }
 
