Write the digest of what a call asks for into its first line

The lines named an arrival by its attempt id and not what arrived, so that two attempts at the same thing could not be told from two calls. `matched` has `content` now: host, method, path, workspace and body. No decision changes.

--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -208,6 +208,8 @@
     Matched {
         /// The call.
         call: &'a str,
+        /// Digest of what it asks for: the same for each attempt at the same thing.
+        content: &'a str,
         /// The rule that matched first.
         rule: &'a str,
         /// Its pool.
--- a/daemon/src/gateway/intake.rs
+++ b/daemon/src/gateway/intake.rs
@@ -8,7 +8,9 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode, Uri};
+use monsoonbank_kernel::gateway::content::{ContentDigest, ContentParts};
 use monsoonbank_kernel::gateway::pace::StreamKind;
 use monsoonbank_kernel::gateway::rules::{
     CallClass, CallRule, EngineSpec, RuleTable, WorkspaceSpec,
@@ -38,6 +40,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// What it asks for, whichever attempt brings it.
+    pub content: ContentDigest,
     /// The class that the first matching rule gave it.
     pub class: CallClass,
     /// The pool that the rule sent it to.
@@ -116,7 +120,16 @@
         .time_left
         .unwrap_or(DEFAULT_TIME)
         .min(rule.class.timeout);
+    let target = parts.uri.path_and_query();
+    let content = ContentDigest::of(ContentParts {
+        host: &head.host,
+        method: parts.method.as_str(),
+        target: target.map_or("/", PathAndQuery::as_str),
+        workspace: workspace.map(|workspace| &*workspace.name),
+        body: &body,
+    });
     let call = Call {
+        content,
         engine: rules.pool(&pool).and_then(|pool| pool.engine),
         tight: rules.is_tight(rule),
         tiers: rules.tiers(),
@@ -135,6 +148,7 @@
     };
     gateway.decisions.line(&Decision::Matched {
         call: &call.head.id,
+        content: &call.content.to_string(),
         rule: &rule.name,
         pool: &call.pool,
         tier,
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod cache;
 mod choice;
+mod content;
 mod duty;
 mod engines;
 mod fleet;
