Test that a call which crashes upstreams is refused after three of them, listed as red

Three cases on real processes: the same call at one node, at nodes of two zones in turn, and among a call's own retries.

--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway as processes, between raw callers, scripted upstreams and a store.
 
 mod caches;
+mod crashes;
 mod duties;
 mod heartbeats;
 mod input;
