Refuse calls under whose content three upstreams have crashed, at all nodes

Callers saw: a call that crashes each engine that begins to run it was sent to engines 9 and 7 times after its third crash (18 and 13 engines lost, and every stream on them).

Cause: each arrival was judged by its attempt id, which is new each time. Health remembers upstreams, retries remember a call; nothing remembered what a call asks for, from one attempt, node or start of the fleet to the next. The class: evidence that is kept for the wrong subject and in one process only.

Change: a broken connection is noted for the call's content with the run of the upstream; the sets of runs are a union that nodes tell each other in heartbeats. At three runs the content is quarantined: 503 with Retry-After, also for what waits and for retries. What is quarantined has a digest in heartbeats, is fetched where it differs, and is written to the store, which a fleet that starts anew reads. One hub tries it again after 30 s and 5 min, since a pool that crashes as a whole accuses innocent calls.

--- a/cli/src/why.rs
+++ b/cli/src/why.rs
@@ -87,6 +87,10 @@
         needs_ms: u64,
         left_ms: u64,
     },
+    #[display(
+        "{crashes} upstreams broke off under calls with its content {content}, which are no longer sent; it did not run"
+    )]
+    Quarantined { content: Box<str>, crashes: u64 },
     #[display("{upstream} did not take it ({end}: {reason}); it did not run")]
     NotTaken {
         upstream: Box<str>,
@@ -135,6 +139,7 @@
             Self::Refused { .. } => "refused",
             Self::NoRoom { .. } => "no room",
             Self::TooLate { .. } => "too late",
+            Self::Quarantined { .. } => "quarantined",
             Self::NotTaken { .. } => "not taken",
             Self::NotCarried => "node leaving",
             Self::Failed { .. } => "upstream failed",
@@ -204,6 +209,12 @@
 
 fn not_run(lines: &[Value]) -> CallCause {
     let last = |event: &str| lines.iter().rev().find(|line| line["event"] == event);
+    if let Some(line) = last("call_quarantined") {
+        return CallCause::Quarantined {
+            content: text(line, "content"),
+            crashes: number(line, "crashes"),
+        };
+    }
     if let Some(line) = last("too_late") {
         return CallCause::TooLate {
             events: number(line, "expected_events"),
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod patch;
 pub mod peers;
+pub mod quarantine;
 pub mod relay;
 pub mod reply;
 pub mod reports;
@@ -36,6 +37,7 @@
 
 use monsoonbank_kernel::clock::{Clock, MonotonicClock};
 use monsoonbank_kernel::gateway::budget::RetryBudget;
+use monsoonbank_kernel::gateway::crashes::CrashLedger;
 use monsoonbank_kernel::gateway::fleet::FleetView;
 use monsoonbank_kernel::gateway::heartbeat::NodeState;
 use monsoonbank_kernel::gateway::lag::VersionLag;
@@ -82,6 +84,8 @@
     pub registry: RefCell<UpstreamRegistry>,
     /// Other nodes.
     pub fleet: RefCell<FleetView>,
+    /// Contents of calls that upstreams crashed under.
+    pub crashes: RefCell<CrashLedger>,
     /// Budgets for repeats, by pool.
     pub budgets: RefCell<BTreeMap<Box<str>, RetryBudget>>,
     /// Parts of prompts that were sent since the last heartbeat to other nodes: tokens, part, and hash of
@@ -287,6 +291,7 @@
         texts: RefCell::default(),
         registry: RefCell::default(),
         fleet: RefCell::new(FleetView::new(own, clock.now())),
+        crashes: RefCell::default(),
         budgets: RefCell::default(),
         sent_parts: RefCell::default(),
         paces: RefCell::default(),
@@ -319,6 +324,7 @@
     follow::start(&gateway, u64::from_le_bytes(random));
     caches::start(&gateway);
     duties::start(&gateway);
+    quarantine::start(&gateway);
     reports::start(&gateway);
     scaling::start(&gateway);
     loop {
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -277,6 +277,39 @@
         /// More on it.
         reason: &'a str,
     },
+    /// An upstream's connection broke under a call, which it is remembered for.
+    UpstreamBroke {
+        /// The call.
+        call: &'a str,
+        /// Digest of what it asks for.
+        content: &'a str,
+        /// The upstream.
+        upstream: &'a str,
+        /// Runs of upstreams that broke off under such calls so far, as far as this node knows.
+        crashes: usize,
+    },
+    /// Calls for something are kept from upstreams from now on, or no longer.
+    QuarantineChanged {
+        /// Digest of what they ask for.
+        content: &'a str,
+        /// Whether they are kept from them.
+        quarantined: bool,
+        /// Runs of upstreams that broke off under them.
+        crashes: usize,
+        /// `own`, `store` or the node that told.
+        source: &'a str,
+    },
+    /// A call was not sent, as upstreams crashed under such calls.
+    CallQuarantined {
+        /// The call.
+        call: &'a str,
+        /// Digest of what it asks for.
+        content: &'a str,
+        /// Runs of upstreams that broke off under such calls.
+        crashes: usize,
+        /// What its caller is told to wait, in ms.
+        pause_ms: u64,
+    },
     /// A stream goes on at another upstream.
     Resumed {
         /// The call.
--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -33,6 +33,8 @@
 const BASE_NAME: &str = "base=";
 /// Path of the registry, for other nodes.
 pub const REGISTRY_PATH: &str = "/registry";
+/// Path of the contents of calls that upstreams crashed under, for other nodes.
+pub const CRASH_PATH: &str = "/crashes";
 /// Said to who asks before there is any.
 const NO_CONFIGURATION: &str = "no configuration yet";
 
@@ -73,6 +75,7 @@
         CONFIGURATION_PATH => configuration(gateway),
         PATCH_PATH => patch(gateway, query),
         REGISTRY_PATH => registry(gateway),
+        CRASH_PATH => cbor_reply(&gateway.crashes.borrow().settled(gateway.now())),
         "/metrics" => reply::whole(StatusCode::OK, gateway.metrics.text()),
         "/state" => state(gateway),
         _ => reply::failure(StatusCode::NOT_FOUND, "no such question"),
@@ -186,6 +189,19 @@
             })
         })
         .collect();
+    let reports = gateway.crashes.borrow().settled(now);
+    let quarantined: Vec<serde_json::Value> = reports
+        .iter()
+        .filter(|report| report.is_quarantined())
+        .map(|report| {
+            json!({
+                "content": report.content.to_string(),
+                "crashes": report.runs.len(),
+                "trials": report.trials,
+                "age_ms": report.age_ms,
+            })
+        })
+        .collect();
     let body = json!({
         "name": gateway.settings.name,
         "ready": gateway.is_ready(),
@@ -194,6 +210,7 @@
         "hub": gateway.is_hub(),
         "fleet_size": gateway.node_count(),
         "open_calls": gateway.open_calls.get(),
+        "quarantined": quarantined,
         "upstreams": upstreams,
         "peers": peers,
     });
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use monsoonbank_kernel::gateway::crashes::CrashReport;
 use monsoonbank_kernel::gateway::fleet::FleetPeer;
 use monsoonbank_kernel::gateway::heartbeat::NodeHeartbeat;
 use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry};
@@ -24,7 +25,7 @@
 
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::patch::{self, TextPatch};
-use crate::gateway::{Gateway, desk, follow};
+use crate::gateway::{Gateway, desk, follow, quarantine};
 
 /// Time in which a node has to begin its answer, and longest pause within it. A weak host that takes in
 /// thousands of rules does nothing else for a third of a second.
@@ -93,11 +94,12 @@
 struct LackingPart {
     rules: bool,
     entries: bool,
+    crashes: bool,
 }
 
 impl LackingPart {
     fn any(self) -> bool {
-        self.rules || self.entries
+        self.rules || self.entries || self.crashes
     }
 }
 
@@ -106,7 +108,9 @@
     let differs = heartbeat.registry_digest != gateway.registry.borrow().digest();
     let unknown = !gateway.store.get().registry_known && heartbeat.registry_digest != 0;
     let trusted = heartbeat.store_well && learns_from(gateway, heartbeat);
+    let crash_digest = gateway.crashes.borrow().digest();
     LackingPart {
+        crashes: heartbeat.crash_digest != 0 && heartbeat.crash_digest != crash_digest,
         rules: heartbeat.version > gateway.version(),
         entries: differs && trusted && !reads_itself || unknown,
     }
@@ -132,6 +136,7 @@
     let has_same = |peer: &&FleetPeer| {
         peer.heartbeat.version >= heartbeat.version
             && peer.heartbeat.registry_digest == heartbeat.registry_digest
+            && peer.heartbeat.crash_digest == heartbeat.crash_digest
     };
     let mut peers: Vec<&FleetPeer> = fleet.live(gateway.now()).filter(has_same).collect();
     let is_near = |peer: &&FleetPeer| peer.heartbeat.card.zone == gateway.settings.zone;
@@ -150,10 +155,20 @@
     Configuration,
     #[display("registry")]
     Registry,
+    #[display("crashes")]
+    Crashes,
 }
 
-/// Fetches what is lacking, the registry first, as it is smaller; what fails is written down.
+/// Fetches what is lacking, the smallest first; what fails is written down.
 async fn fetch_all(gateway: &Gateway, peer: &str, address: SocketAddr, lacking: LackingPart) {
+    if lacking.crashes {
+        let source = FetchSource::new(peer, address, FetchPart::Crashes);
+        let Some(reports) = fetch::<Vec<CrashReport>>(gateway, source, desk::CRASH_PATH).await
+        else {
+            return;
+        };
+        quarantine::hear(gateway, &reports, peer);
+    }
     if lacking.entries {
         let source = FetchSource::new(peer, address, FetchPart::Registry);
         let Some(entries) = fetch(gateway, source, desk::REGISTRY_PATH).await else {
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -34,6 +34,10 @@
     pub version: IntGauge,
     /// Calls that have not ended.
     pub open_calls: IntGauge,
+    /// Calls that were not sent, as upstreams crashed under such calls.
+    pub quarantined_calls: IntCounter,
+    /// Contents of such calls that are known.
+    pub quarantined_contents: IntGauge,
     /// Windows of usage whose report was not accepted in time.
     pub duty_calls_missed: IntCounter,
 }
@@ -56,22 +60,13 @@
                 .expect("a new name");
             gauge
         };
-        let heartbeat_bytes = IntCounter::new(
-            "monsoonbank_heartbeat_bytes_total",
-            "Bytes of heartbeats that were sent to other nodes",
-        )
-        .expect("a valid name");
-        registry
-            .register(Box::new(heartbeat_bytes.clone()))
-            .expect("a new name");
-        let duty_calls_missed = IntCounter::new(
-            "monsoonbank_usage_reports_missed_total",
-            "Windows of usage whose report was not accepted in time",
-        )
-        .expect("a valid name");
-        registry
-            .register(Box::new(duty_calls_missed.clone()))
-            .expect("a new name");
+        let plain_counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("a valid name");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("a new name");
+            counter
+        };
         let options = HistogramOpts::new(
             "monsoonbank_first_piece_seconds",
             "Time to the first piece of an answer",
@@ -93,8 +88,22 @@
                 &["pool", "end"],
             ),
             first_piece,
-            heartbeat_bytes,
-            duty_calls_missed,
+            heartbeat_bytes: plain_counter(
+                "monsoonbank_heartbeat_bytes_total",
+                "Bytes of heartbeats that were sent to other nodes",
+            ),
+            duty_calls_missed: plain_counter(
+                "monsoonbank_usage_reports_missed_total",
+                "Windows of usage whose report was not accepted in time",
+            ),
+            quarantined_calls: plain_counter(
+                "monsoonbank_quarantined_calls_total",
+                "Calls that were not sent, as upstreams crashed under such calls",
+            ),
+            quarantined_contents: gauge(
+                "monsoonbank_quarantined_contents",
+                "Contents of calls that are kept from upstreams",
+            ),
             store_calls: counter(
                 "monsoonbank_store_calls_total",
                 "Calls to the platform's store",
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -17,7 +17,7 @@
 use crate::gateway::duties::host_time;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::usage::UsageSender;
-use crate::gateway::{Gateway, exchange, follow, usage};
+use crate::gateway::{Gateway, exchange, follow, quarantine, usage};
 
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
@@ -86,6 +86,7 @@
     let fleet = gateway.fleet.borrow();
     let answered_at = fleet.store_answered_at();
     let duties = gateway.duties.as_ref();
+    let mut crashes = gateway.crashes.borrow_mut();
     let mut heartbeat = NodeHeartbeat {
         version: gateway.version(),
         store_well: gateway.store.get().registry_known && !gateway.store_doubtful(),
@@ -101,6 +102,8 @@
         work: Some(work),
         failing,
         departures: registry.departures(now),
+        crashes: crashes.news(now),
+        crash_digest: crashes.digest(),
         unix_ms: duties.map_or(0, |_| millis(host_time())),
         holder: duties.and_then(|duties| duties.notice(gateway)),
         ..NodeHeartbeat::new(fleet.own().clone())
@@ -278,6 +281,7 @@
     }
     let now = gateway.now();
     take_departures(gateway, &heartbeat, now);
+    quarantine::hear(gateway, &heartbeat.crashes, &heartbeat.card.name);
     take_work(gateway, &heartbeat, now);
     if let Some(duties) = &gateway.duties {
         usage::receive(gateway, duties, &mut heartbeat);
--- /dev/null
+++ b/daemon/src/gateway/quarantine.rs
@@ -0,0 +1,297 @@
+//! Keeps calls from upstreams that crash under their content, and writes down which those are, so that a
+//! fleet that starts anew knows them.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::content::ContentDigest;
+use monsoonbank_kernel::gateway::crashes::{ContentVerdict, CrashNews, CrashReport};
+use monsoonbank_kernel::gateway::spread::SpreadNews;
+use monsoonbank_platform::names;
+use monsoonbank_platform::store::{KeyedRecord, StoreClient, StoreError};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::gateway::Gateway;
+use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::intake::Call;
+use crate::gateway::relay::CallTrail;
+
+/// Time between two looks at what has to be read or written down.
+const TICK: Duration = Duration::from_millis(250);
+/// Time that an answer of the store may take to begin.
+const STORE_PATIENCE: Duration = Duration::from_millis(800);
+/// Pause after a failed call to the store.
+const FAILURE_PAUSE: Duration = Duration::from_millis(800);
+/// Where reports that this node made itself come from, in lines.
+const OWN_SOURCE: &str = "own";
+/// Where reports that were written down come from, in lines.
+const STORE_SOURCE: &str = "store";
+
+/// The call's content is quarantined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("upstreams crashed under this call")]
+pub struct QuarantineError {
+    /// Time until it may be sent again.
+    pub pause: Duration,
+}
+
+/// Whether a call may be sent now.
+///
+/// # Errors
+///
+/// If its content is quarantined.
+pub fn check(gateway: &Gateway, call: &Call, trail: &mut CallTrail) -> Result<(), QuarantineError> {
+    if trail.is_trial {
+        return Ok(());
+    }
+    let now = gateway.now();
+    let content = call.content;
+    let may_try = || gateway.fleet.borrow().is_drawn(content.into(), now);
+    let verdict = gateway.crashes.borrow_mut().verdict(content, may_try, now);
+    match verdict {
+        ContentVerdict::Clear => Ok(()),
+        ContentVerdict::Trial => {
+            trail.is_trial = true;
+            gateway.tell(SpreadNews::All);
+            Ok(())
+        }
+        ContentVerdict::Quarantined { pause } => {
+            gateway.metrics.quarantined_calls.inc();
+            gateway.decisions.line(&Decision::CallQuarantined {
+                call: &call.head.id,
+                content: &content.to_string(),
+                crashes: gateway.crashes.borrow().crashes(content),
+                pause_ms: millis(pause),
+            });
+            Err(QuarantineError { pause })
+        }
+    }
+}
+
+/// Takes in that the connection to a run of an upstream broke under a call.
+pub fn crashed(gateway: &Gateway, call: &Call, upstream: &str, run: u64) {
+    let now = gateway.now();
+    let news = gateway.crashes.borrow_mut().crashed(call.content, run, now);
+    if news == CrashNews::Known {
+        return;
+    }
+    gateway.decisions.line(&Decision::UpstreamBroke {
+        call: &call.head.id,
+        content: &call.content.to_string(),
+        upstream,
+        crashes: gateway.crashes.borrow().crashes(call.content),
+    });
+    gateway.tell(SpreadNews::Calls);
+    note(gateway, call.content, news, OWN_SOURCE);
+}
+
+/// Takes in that a call was answered well.
+pub fn answered(gateway: &Gateway, call: &Call) {
+    let now = gateway.now();
+    if gateway.crashes.borrow_mut().answered(call.content, now) {
+        gateway.tell(SpreadNews::All);
+        note(gateway, call.content, CrashNews::Cleared, OWN_SOURCE);
+    }
+}
+
+/// Takes in what another node or the store knows.
+pub fn hear(gateway: &Gateway, reports: &[CrashReport], source: &str) {
+    let now = gateway.now();
+    for report in reports {
+        let news = gateway.crashes.borrow_mut().heard(report, now);
+        note(gateway, report.content, news, source);
+    }
+}
+
+/// Writes a change down, and has it told at once to all that the node tells.
+fn note(gateway: &Gateway, content: ContentDigest, news: CrashNews, source: &str) {
+    let is_quarantined = match news {
+        CrashNews::Known | CrashNews::Noted => return,
+        CrashNews::Quarantined => true,
+        CrashNews::Cleared => false,
+    };
+    let ledger = gateway.crashes.borrow();
+    gateway
+        .metrics
+        .quarantined_contents
+        .set(i64::try_from(ledger.quarantined()).unwrap_or(i64::MAX));
+    gateway.decisions.line(&Decision::QuarantineChanged {
+        content: &content.to_string(),
+        quarantined: is_quarantined,
+        crashes: ledger.crashes(content),
+        source,
+    });
+    gateway.tell(SpreadNews::All);
+}
+
+/// Starts to read and write down what is quarantined.
+pub fn start(gateway: &Rc<Gateway>) {
+    let keeper = QuarantineKeeper {
+        client: StoreClient::new(gateway.settings.store.address),
+        gateway: gateway.clone(),
+        known: None,
+    };
+    tokio::task::spawn_local(keep(keeper));
+}
+
+async fn keep(mut keeper: QuarantineKeeper) {
+    let gateway = keeper.gateway.clone();
+    while gateway.leaving_since.get().is_none() {
+        gateway.crashes.borrow_mut().forget(gateway.now());
+        if gateway.is_reader()
+            && let Err(error) = keeper.step().await
+        {
+            keeper.failed(&error).await;
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// What the store holds, as far as this node knows.
+struct StoredReports {
+    era: u64,
+    end: u64,
+    digests: BTreeMap<ContentDigest, u64>,
+}
+
+/// A report as it is written down, with the time of day, which outlasts the process.
+#[derive(Serialize, Deserialize)]
+struct StoredReport {
+    report: CrashReport,
+    unix_ms: u64,
+}
+
+/// Reads what is written down once, and writes down what is new.
+struct QuarantineKeeper {
+    gateway: Rc<Gateway>,
+    client: StoreClient,
+    known: Option<StoredReports>,
+}
+
+impl QuarantineKeeper {
+    async fn step(&mut self) -> Result<(), StoreError> {
+        let era = self.gateway.store_era.get();
+        let known = self.known.take();
+        let known = match known.filter(|known| era.is_none_or(|era| era == known.era)) {
+            Some(known) => known,
+            None => self.read().await?,
+        };
+        let known = self.known.insert(known);
+        let now = self.gateway.now();
+        let settled = self.gateway.crashes.borrow().settled(now);
+        let is_new = |report: &&CrashReport| {
+            known.digests.get(&report.content) != Some(&state_digest(report))
+        };
+        let lacking: Vec<CrashReport> = settled.iter().filter(is_new).cloned().collect();
+        if lacking.is_empty() {
+            return Ok(());
+        }
+        self.append(&lacking).await
+    }
+
+    async fn read(&mut self) -> Result<StoredReports, StoreError> {
+        let read = self
+            .client
+            .newest(names::CRASH_TOPIC, STORE_PATIENCE)
+            .await?;
+        self.count("answered");
+        self.gateway.see_store_era(self.client.era());
+        let reports: Vec<CrashReport> = read
+            .records
+            .iter()
+            .filter_map(|record| self.decode(record))
+            .collect();
+        hear(&self.gateway, &reports, STORE_SOURCE);
+        let digests = reports
+            .iter()
+            .map(|report| (report.content, state_digest(report)));
+        Ok(StoredReports {
+            era: self.client.era(),
+            end: read.end,
+            digests: digests.collect(),
+        })
+    }
+
+    /// Writes reports down, unless another node wrote since this one read: that is read first then.
+    async fn append(&mut self, reports: &[CrashReport]) -> Result<(), StoreError> {
+        let Some(known) = self.known.take() else {
+            return Ok(());
+        };
+        let records: Vec<(Vec<u8>, Vec<u8>)> =
+            reports.iter().map(|report| self.encode(report)).collect();
+        let records: Vec<(&[u8], &[u8])> = records
+            .iter()
+            .map(|(key, value)| (&key[..], &value[..]))
+            .collect();
+        let appended = self
+            .client
+            .append(names::CRASH_TOPIC, known.end, &records, STORE_PATIENCE)
+            .await;
+        self.gateway.see_store_era(self.client.era());
+        let place = match appended {
+            Err(StoreError::Elsewhere) => {
+                self.count("answered");
+                return Ok(());
+            }
+            place => place?,
+        };
+        self.count("answered");
+        let mut known = StoredReports {
+            end: place.end,
+            ..known
+        };
+        let digests = reports
+            .iter()
+            .map(|report| (report.content, state_digest(report)));
+        known.digests.extend(digests);
+        self.known = Some(known);
+        Ok(())
+    }
+
+    fn encode(&self, report: &CrashReport) -> (Vec<u8>, Vec<u8>) {
+        let stored = StoredReport {
+            report: report.clone(),
+            unix_ms: millis(self.gateway.unix_now()),
+        };
+        let mut value = Vec::new();
+        if let Err(error) = ciborium::into_writer(&stored, &mut value) {
+            log::error!("a quarantine cannot be written: {error}");
+        }
+        (report.content.to_string().into_bytes(), value)
+    }
+
+    fn decode(&self, record: &KeyedRecord) -> Option<CrashReport> {
+        match ciborium::from_reader::<StoredReport, _>(record.value.as_deref()?) {
+            Ok(stored) => {
+                let since = millis(self.gateway.unix_now()).saturating_sub(stored.unix_ms);
+                Some(CrashReport {
+                    age_ms: stored.report.age_ms.saturating_add(since),
+                    ..stored.report
+                })
+            }
+            Err(error) => {
+                log::warn!("a quarantine in the store is malformed: {error}");
+                None
+            }
+        }
+    }
+
+    async fn failed(&self, error: &StoreError) {
+        self.count("failed");
+        log::debug!("quarantines were not read or written: {error}");
+        tokio::time::sleep(FAILURE_PAUSE).await;
+    }
+
+    fn count(&self, outcome: &str) {
+        let calls = &self.gateway.metrics.store_calls;
+        calls.with_label_values(&["quarantine", outcome]).inc();
+    }
+}
+
+/// The same for reports that say the same, whatever their age.
+fn state_digest(report: &CrashReport) -> u64 {
+    let is_quarantined = u64::from(report.is_quarantined());
+    u64::from(report.round) << 16 | u64::from(report.trials) << 1 | is_quarantined
+}
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -1,5 +1,6 @@
 //! Sends a call to upstreams until one answers or it must be given up.
 
+use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,10 +23,11 @@
 use crate::gateway::channels::{self, ChannelError, UpstreamChannel};
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::intake::Call;
+use crate::gateway::quarantine::QuarantineError;
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::watch::{CallOutcome, CallWatch};
 use crate::gateway::work::WorkShare;
-use crate::gateway::{silence, stream, usage, waiting};
+use crate::gateway::{quarantine, silence, stream, usage, waiting};
 
 /// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
@@ -42,6 +44,8 @@
     pub tried: Vec<UpstreamKey>,
     /// What came of that.
     pub history: CallHistory,
+    /// Whether it is sent to see whether its content is rightly quarantined.
+    pub is_trial: bool,
     connects: usize,
 }
 
@@ -63,6 +67,10 @@
     pub reason: Box<str>,
     /// The upstream's own failure, if it gave one.
     pub answer: Option<Reply>,
+    /// Whether the upstream's connection broke under it.
+    pub broke: bool,
+    /// What the caller is told to wait; as long as for a full pool if none.
+    pub pause: Option<Duration>,
 }
 
 impl FailedAttempt {
@@ -71,6 +79,24 @@
             end,
             reason: reason.to_string().into(),
             answer: None,
+            broke: false,
+            pause: None,
+        }
+    }
+
+    fn quarantined(error: QuarantineError) -> Self {
+        Self {
+            pause: Some(error.pause),
+            ..Self::new(AttemptEnd::NotSent, &error)
+        }
+    }
+
+    /// The upstream's connection ended with this error after the call was sent.
+    pub fn broken(error: &hyper::Error) -> Self {
+        Self {
+            // An upstream that talks garbage lives.
+            broke: !error.is_parse(),
+            ..Self::new(AttemptEnd::Lost, error)
         }
     }
 }
@@ -118,9 +144,12 @@
     after: Option<u64>,
 ) -> Result<OpenAttempt, FailedAttempt> {
     loop {
+        quarantine::check(gateway, call, trail).map_err(FailedAttempt::quarantined)?;
         let choice = waiting::wait_for_room(gateway, call, trail)
             .await
             .map_err(|end| FailedAttempt::new(AttemptEnd::NotSent, &end))?;
+        // It may have been quarantined while it waited.
+        quarantine::check(gateway, call, trail).map_err(FailedAttempt::quarantined)?;
         trail.tried.push(choice.key);
         match attempt(gateway, call, trail, &choice, after).await {
             Ok(attempt) => return Ok(attempt),
@@ -166,6 +195,9 @@
 ) -> bool {
     let now = gateway.now();
     trail.history.may_have_run |= failed.end.may_have_run();
+    if failed.broke {
+        note_crash(gateway, call, key);
+    }
     let room = has_room(gateway, call, trail, failed.end, now);
     let next = outcome::next_step(failed.end, call.class.safety, trail.history, room);
     let mut registry = gateway.registry.borrow_mut();
@@ -209,6 +241,17 @@
     next == NextStep::Retry
 }
 
+fn note_crash(gateway: &Gateway, call: &Call, key: UpstreamKey) {
+    let entry = gateway
+        .registry
+        .borrow()
+        .get(key)
+        .map(|upstream| upstream.entry.clone());
+    if let Some(entry) = entry {
+        quarantine::crashed(gateway, call, &entry.id, entry.run_hash());
+    }
+}
+
 fn has_room(
     gateway: &Gateway,
     call: &Call,
@@ -226,6 +269,9 @@
     if trail.history.sends >= call.class.max_attempts {
         return false;
     }
+    if gateway.crashes.borrow().is_quarantined(call.content, now) {
+        return false;
+    }
     if call.class.safety == CallSafety::AtMostOnce && trail.history.may_have_run {
         return false;
     }
@@ -294,7 +340,7 @@
     let answer = channel.sender.try_send_request(request);
     let response = match silence::hear(gateway, call, choice.key, answer).await? {
         Err(error) if error.message().is_some() => return Err(not_sent(error.error())),
-        Err(error) => return Err(FailedAttempt::new(AttemptEnd::Lost, &error.error())),
+        Err(error) => return Err(FailedAttempt::broken(error.error())),
         Ok(response) => response,
     };
     match answer::classify(response.status(), response.headers(), &call.head.id) {
@@ -383,7 +429,7 @@
     usage::count(gateway, call, gateway.now().saturating_sub(work.since));
     let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
     let body = match silence::hear(gateway, call, work.key, reading).await? {
-        Err(error) => return Err(FailedAttempt::new(AttemptEnd::Lost, &error)),
+        Err(error) => return Err(unread(&*error)),
         Ok(body) => body.to_bytes(),
     };
     let now = gateway.now();
@@ -400,15 +446,26 @@
             end: AttemptEnd::Failed,
             reason,
             answer: Some(reply),
+            broke: false,
+            pause: None,
         });
     }
     if let Some(upstream) = gateway.registry.borrow_mut().get_mut(work.key) {
         upstream.health.succeeded(now);
     }
+    quarantine::answered(gateway, call);
     watch.set(CallOutcome::Answered);
     Ok(reply)
 }
 
+/// An answer's body did not come whole, or is too large.
+fn unread(error: &(dyn Error + 'static)) -> FailedAttempt {
+    match error.downcast_ref::<hyper::Error>() {
+        Some(error) => FailedAttempt::broken(error),
+        None => FailedAttempt::new(AttemptEnd::Lost, &error),
+    }
+}
+
 fn give_up(
     gateway: &Gateway,
     mut watch: CallWatch,
@@ -428,7 +485,7 @@
         }
         None => (
             CallOutcome::NotRun,
-            reply::not_run(&failed.reason, BUSY_PAUSE),
+            reply::not_run(&failed.reason, failed.pause.unwrap_or(BUSY_PAUSE)),
         ),
     };
     watch.status = reply.status().as_u16();
--- a/daemon/src/gateway/silence.rs
+++ b/daemon/src/gateway/silence.rs
@@ -65,6 +65,8 @@
         end: AttemptEnd::Lost,
         reason: reason.into(),
         answer: None,
+        broke: false,
+        pause: None,
     }
 }
 
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -21,7 +21,7 @@
 use crate::gateway::relay::{self, CallTrail, FailedAttempt, OpenAttempt};
 use crate::gateway::reply::{self, CutError, Reply};
 use crate::gateway::watch::{CallOutcome, CallWatch};
-use crate::gateway::{silence, usage};
+use crate::gateway::{quarantine, silence, usage};
 
 /// The next piece of an upstream's stream.
 enum StreamPiece {
@@ -77,12 +77,14 @@
             end: AttemptEnd::Lost,
             reason: reason.to_string().into(),
             answer: None,
+            broke: false,
+            pause: None,
         };
         let key = self.attempt.work.key;
         let frame = self.attempt.response.body_mut().frame();
         match silence::hear(gateway, call, key, frame).await? {
             None => self.ended = true,
-            Some(Err(error)) => return Err(lost(&error)),
+            Some(Err(error)) => return Err(FailedAttempt::broken(&error)),
             Some(Ok(frame)) => {
                 let Some(bytes) = frame.data_ref() else {
                     return Ok(());
@@ -161,6 +163,8 @@
         end: AttemptEnd::Failed,
         reason: status.to_string().into(),
         answer: Some(reply),
+        broke: false,
+        pause: None,
     }
 }
 
@@ -333,6 +337,7 @@
         {
             upstream.health.succeeded(now);
         }
+        quarantine::answered(&self.gateway, &self.call);
         self.gateway
             .channels
             .keep(source.attempt.channel, announced, now);
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod cache;
 pub mod choice;
 pub mod content;
+pub mod crashes;
 pub mod duty;
 pub mod entries;
 pub mod fleet;
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -130,6 +130,7 @@
         }
         heartbeat.parts = Vec::new();
         heartbeat.usage = Vec::new();
+        heartbeat.crashes = Vec::new();
         if let Some(age) = heartbeat.store_age() {
             let answered_at = now.saturating_sub(age);
             self.store_answered_at = self.store_answered_at.max(Some(answered_at));
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -9,6 +9,7 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gateway::crashes::CrashReport;
 use crate::gateway::load::WorkCount;
 use crate::gateway::usage::WindowUsage;
 
@@ -123,6 +124,10 @@
     pub failing: Vec<u64>,
     /// Hashes of the runs of upstreams that began to leave a moment ago.
     pub departures: Vec<u64>,
+    /// Changes of what it knows of content that upstreams crashed under.
+    pub crashes: Vec<CrashReport>,
+    /// Digest of the contents that are quarantined or were; 0 if there are none.
+    pub crash_digest: u64,
     /// Parts of prompts that it sent lately, with the hash of the upstream's run.
     pub parts: Vec<(u64, u64)>,
     /// Its time of day, in Unix ms; 0 where no duty needs it.
@@ -151,6 +156,8 @@
             work: None,
             failing: Vec::new(),
             departures: Vec::new(),
+            crashes: Vec::new(),
+            crash_digest: 0,
             parts: Vec::new(),
             unix_ms: 0,
             holder: None,
