--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod intake;
+pub mod limits;
 pub mod listener;
 pub mod metrics;
 pub mod patch;
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -277,6 +277,15 @@
         /// More on it.
         reason: &'a str,
     },
+    /// The limit that an upstream names is another one.
+    LimitChanged {
+        /// The upstream's id.
+        upstream: &'a str,
+        /// Requests a second that it takes from all nodes together; none if it names no limit any more.
+        per_second: Option<f64>,
+        /// `own` or the node that told.
+        source: &'a str,
+    },
     /// An upstream's connection broke under a call, which it is remembered for.
     UpstreamBroke {
         /// The call.
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -27,7 +27,7 @@
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::watch::{CallOutcome, CallWatch};
 use crate::gateway::work::WorkShare;
-use crate::gateway::{quarantine, silence, stream, usage, waiting};
+use crate::gateway::{limits, quarantine, silence, stream, usage, waiting};
 
 /// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
@@ -340,7 +340,11 @@
         Err(error) => return Err(FailedAttempt::broken(error.error())),
         Ok(response) => response,
     };
-    match answer::classify(response.status(), response.headers(), &call.head.id) {
+    let kind = answer::classify(response.status(), response.headers(), &call.head.id);
+    if !matches!(kind, AnswerKind::Foreign | AnswerKind::Moved) {
+        limits::answered(gateway, choice.key, answer::rate_limit(response.headers()));
+    }
+    match kind {
         AnswerKind::Success | AnswerKind::Failure => Ok(OpenAttempt {
             channel,
             work,
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -25,5 +25,6 @@
 pub mod rules;
 pub mod scaling;
 pub mod spread;
+pub mod throttle;
 pub mod usage;
 pub mod waiting;
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
+use crate::gateway::throttle::UpstreamThrottle;
 
 /// An upstream that this process has heard of; never used again for another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -85,6 +86,8 @@
     pub load: UpstreamLoad,
     /// What its answers say of its health.
     pub health: UpstreamHealth,
+    /// The limit that it named.
+    pub throttle: UpstreamThrottle,
 }
 
 /// Time that an entry, which lapsed while the registry was away, has to come back after the
@@ -227,6 +230,7 @@
             lapsed_at: None,
             load: UpstreamLoad::default(),
             health: UpstreamHealth::default(),
+            throttle: UpstreamThrottle::default(),
         };
         self.upstreams.insert(key, upstream);
         changed
