--- /dev/null
+++ b/daemon/tests/gateway/limits.rs
@@ -0,0 +1,101 @@
+//! Upstreams that name how many requests a second they take from all nodes together.
+
+use std::time::Duration;
+
+use monsoonbank_standin::scripted::AnswerScript;
+use monsoonbank_standin::scripted::ScriptStep::Send;
+use tokio::time::{Instant, sleep};
+
+use crate::world::{World, answer_head, good, request, script, send};
+
+/// Time in which an upstream's requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests in a window beyond one and a half times the limit.
+const SLACK: f64 = 5.0;
+/// Time from a node's first answer with a limit to the first request that counts.
+const TOLD_TIME: Duration = Duration::from_millis(500);
+/// Time between two calls of the load.
+const CALL_PAUSE: Duration = Duration::from_millis(25);
+
+/// Answers well and names a limit, if one is given for the number of the call.
+fn limited(
+    limit: impl Fn(usize) -> Option<&'static str> + Sync + std::marker::Send + 'static,
+) -> AnswerScript {
+    script(move |request, number| {
+        let line =
+            limit(number).map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
+        let head = answer_head(request.header("x-attempt-id"), &line);
+        vec![Send(
+            format!("{head}Content-Length: 2\r\n\r\nok").into_bytes(),
+        )]
+    })
+}
+
+/// Sends calls to all nodes in turn for a while. Gives the share that was answered.
+async fn send_load(world: &World, load_time: Duration) -> f64 {
+    let started = Instant::now();
+    let mut answered = Vec::new();
+    while started.elapsed() < load_time {
+        let number = answered.len();
+        let node = &world.nodes[number % world.nodes.len()];
+        let call = request(
+            &format!("/safe/{number}"),
+            &format!("c{number}"),
+            "X-Deadline-Ms: 200\r\n",
+        );
+        let call = call.replacen("X-Deadline-Ms: 2500\r\n", "", 1);
+        let address = node.address(4000);
+        answered.push(tokio::spawn(async move {
+            send(address, call.as_bytes()).await.status
+        }));
+        sleep(CALL_PAUSE).await;
+    }
+    let mut good = 0;
+    for answer in &mut answered {
+        good += usize::from(answer.await.expect("an answer") == 200);
+    }
+    good as f64 / answered.len() as f64
+}
+
+/// Most requests in a window that an upstream got after nodes had been told.
+fn most_in_window(world: &World, index: usize) -> usize {
+    let calls = world.upstreams[index].calls();
+    let calls = calls
+        .iter()
+        .filter(|call| call.request.target.starts_with("/safe"));
+    let times: Vec<Instant> = calls.map(|call| call.at).collect();
+    let told = times.first().map(|first| *first + TOLD_TIME);
+    let counted: Vec<Instant> = times.into_iter().filter(|at| Some(*at) >= told).collect();
+    let in_window = |from: &Instant| {
+        let window = counted
+            .iter()
+            .filter(|at| *at >= from && **at < *from + WINDOW);
+        window.count()
+    };
+    counted.iter().map(in_window).max().unwrap_or(0)
+}
+
+fn allowed(limit: f64) -> usize {
+    (1.5 * limit * WINDOW.as_secs_f64() + SLACK) as usize
+}
+
+/// Names a case: the zones of the nodes, the upstreams and the limit of the first of them.
+macro_rules! limits {
+    ($($name:ident: $zones:expr, $upstreams:expr, $limit:literal;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let world = World::start(&$zones, $upstreams).await;
+            send_load(&world, Duration::from_secs(7)).await;
+            let most = most_in_window(&world, 0);
+            assert!(most <= allowed($limit), "{most} requests");
+            assert!(most >= 2, "{most} requests: the upstream's share is not used");
+        }
+    )*};
+}
+
+// Guards against an upstream that got more than the limit it had named, as no node read it.
+limits! {
+    a_limit_holds_at_one_node: ["east"], vec![limited(|_| Some("1")), good()], 1.0;
+    a_limit_holds_over_all_nodes: ["east", "east", "west", "west"], vec![limited(|_| Some("1.5")), good()], 1.5;
+    a_limit_holds_where_there_is_no_other_upstream: ["east", "west"], vec![limited(|_| Some("2"))], 2.0;
+}
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod heartbeats;
 mod input;
 mod leaving;
+mod limits;
 mod peers;
 mod store;
 mod streams;
