Keep to the limit that an upstream names, all nodes together

Callers' upstreams saw: an engine that had named a limit of 1.5 requests a second got 30 in 4 s from nodes that had passed such an answer on (14 allowed), one that had named 1 got 12 (11 allowed).

The class: a bound that belongs to the fleet and that no part of it held; read by each node alone it would be held N times over.

Evidence: lines `sent` show the same calls a second before and after 8.0 s, one node alone over the fleet's limit, and no lull; tests on real processes reached 152 requests in 4 s at one node, at four nodes and without another upstream (11, 14 and 17 allowed).

Change: the newest naming wins, as told by answers and by heartbeats with its age. All nodes find each node's share by hashing over the nodes that they know: a small limit goes to few nodes of the upstream's zone, since each may send one request at once; a larger one to all zones by their size. Buckets start empty. An upstream without a token has no room, so calls go elsewhere, wait or are refused as before.

--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -171,6 +171,7 @@
                 "held_tokens": total.held_tokens,
                 "resting": upstream.health.resting(now),
                 "failures": upstream.health.failures(),
+                "limit_per_s": upstream.throttle.limit(),
             })
         })
         .collect();
--- a/daemon/src/gateway/limits.rs
+++ b/daemon/src/gateway/limits.rs
@@ -1,11 +1,18 @@
-//! Limits that upstreams in need name in their answers.
+//! Limits that upstreams in need name in their answers: told to other nodes, and shared with them.
 
-use monsoonbank_kernel::gateway::registry::UpstreamKey;
-use monsoonbank_kernel::gateway::throttle::NamedLimit;
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::fleet::SharedLimit;
+use monsoonbank_kernel::gateway::registry::{Upstream, UpstreamKey, UpstreamRegistry};
+use monsoonbank_kernel::gateway::spread::SpreadNews;
+use monsoonbank_kernel::gateway::throttle::{LimitReport, NamedLimit};
 
 use crate::gateway::Gateway;
 use crate::gateway::decisions::Decision;
 
+/// Limits in one heartbeat, some 17 bytes each.
+const MOST_REPORTS: usize = 16;
 /// Where limits come from that this node saw itself, in lines.
 const OWN_SOURCE: &str = "own";
 
@@ -18,12 +25,64 @@
     hear(gateway, key, said, OWN_SOURCE);
 }
 
+/// Takes in what another node says of limits.
+pub fn take_reports(gateway: &Gateway, reports: &[LimitReport], source: &str) {
+    for report in reports {
+        let key = gateway.registry.borrow().by_hash(report.run);
+        if let Some(key) = key {
+            hear(gateway, key, report.named(gateway.now()), source);
+        }
+    }
+}
+
+/// What other nodes should hear: what upstreams said last.
+pub fn news(registry: &UpstreamRegistry, now: Duration) -> Vec<LimitReport> {
+    let report = |upstream: &Upstream| upstream.throttle.report(upstream.entry.run_hash(), now);
+    let mut reports: Vec<LimitReport> = registry.newest().filter_map(report).collect();
+    reports.sort_by_key(|report| Reverse(report.age_ms));
+    reports.split_off(reports.len().saturating_sub(MOST_REPORTS))
+}
+
+/// Sets this node's share of each limit by the nodes that it knows.
+pub fn share_out(gateway: &Gateway) {
+    let now = gateway.now();
+    let limited: Vec<UpstreamKey> = gateway
+        .registry
+        .borrow()
+        .iter()
+        .filter(|(_, upstream)| upstream.throttle.limit().is_some())
+        .map(|(key, _)| key)
+        .collect();
+    for key in limited {
+        set_share(gateway, key, now);
+    }
+}
+
+fn set_share(gateway: &Gateway, key: UpstreamKey, now: Duration) {
+    let mut registry = gateway.registry.borrow_mut();
+    let Some(upstream) = registry.get_mut(key) else {
+        return;
+    };
+    let Some(per_second) = upstream.throttle.limit() else {
+        return;
+    };
+    let limit = SharedLimit {
+        run: upstream.entry.run_hash(),
+        zone: &upstream.entry.zone,
+        per_second,
+        confirmed: upstream.throttle.is_confirmed(now),
+    };
+    let share = gateway.fleet.borrow().limit_share(limit, now);
+    upstream.throttle.set_share(share, now);
+}
+
 fn hear(gateway: &Gateway, key: UpstreamKey, said: NamedLimit, source: &str) {
+    let now = gateway.now();
     let mut registry = gateway.registry.borrow_mut();
     let Some(upstream) = registry.get_mut(key) else {
         return;
     };
-    if !upstream.throttle.heard(said) {
+    if !upstream.throttle.heard(said, now) {
         return;
     }
     gateway.decisions.line(&Decision::LimitChanged {
@@ -31,4 +90,7 @@
         per_second: said.per_second,
         source,
     });
+    drop(registry);
+    gateway.tell(SpreadNews::All);
+    set_share(gateway, key, now);
 }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -17,7 +17,7 @@
 use crate::gateway::duties::host_time;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::usage::UsageSender;
-use crate::gateway::{Gateway, exchange, follow, quarantine, usage};
+use crate::gateway::{Gateway, exchange, follow, limits, quarantine, usage};
 
 /// Parts of prompts in one datagram, about 16 bytes each.
 const MOST_PARTS: usize = 48;
@@ -102,6 +102,7 @@
         work: Some(work),
         failing,
         departures: registry.departures(now),
+        limits: limits::news(&registry, now),
         crashes: crashes.news(now),
         crash_digest: crashes.digest(),
         unix_ms: duties.map_or(0, |_| millis(host_time())),
@@ -181,6 +182,7 @@
         let now = gateway.now();
         gateway.fleet.borrow_mut().forget(now);
         gateway.compare_clocks();
+        limits::share_out(&gateway);
         let mut own = own_heartbeat(&gateway);
         let round = SpreadRound {
             busy: gateway.open_calls.get() > 0,
@@ -281,6 +283,7 @@
     }
     let now = gateway.now();
     take_departures(gateway, &heartbeat, now);
+    limits::take_reports(gateway, &heartbeat.limits, &heartbeat.card.name);
     quarantine::hear(gateway, &heartbeat.crashes, &heartbeat.card.name);
     take_work(gateway, &heartbeat, now);
     if let Some(duties) = &gateway.duties {
--- a/daemon/src/gateway/work.rs
+++ b/daemon/src/gateway/work.rs
@@ -39,6 +39,7 @@
                 cache.take(choice.taken_tokens, engine.cache_tokens);
             }
             upstream.health.tried(now);
+            upstream.throttle.take(now);
             let hash = upstream.entry.run_hash();
             let mut sent_parts = gateway.sent_parts.borrow_mut();
             let shared = prompt.shared_parts();
--- a/daemon/tests/gateway/limits.rs
+++ b/daemon/tests/gateway/limits.rs
@@ -99,3 +99,36 @@
     a_limit_holds_over_all_nodes: ["east", "east", "west", "west"], vec![limited(|_| Some("1.5")), good()], 1.5;
     a_limit_holds_where_there_is_no_other_upstream: ["east", "west"], vec![limited(|_| Some("2"))], 2.0;
 }
+
+// Guards against an upstream that stays limited after it has stopped to say so.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_names_no_limit_any_more_gets_its_calls_again() {
+    let ends_soon = limited(|number| (number < 3).then_some("2"));
+    let world = World::start(&["east", "west"], vec![ends_soon]).await;
+    send_load(&world, Duration::from_secs(5)).await;
+    let answered = send_load(&world, Duration::from_secs(1)).await;
+    assert!(answered > 0.95, "{answered}");
+}
+
+// Guards against calls that are refused although another upstream has room.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_go_to_upstreams_without_a_limit() {
+    let world = World::start(&["east", "west"], vec![limited(|_| Some("0")), good()]).await;
+    let answered = send_load(&world, Duration::from_secs(3)).await;
+    assert!(answered > 0.99, "{answered}");
+}
+
+// Guards against a node that starts anew and sends what the others may send in all.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_holds_while_a_node_starts_anew() {
+    let upstreams = vec![limited(|_| Some("1")), good()];
+    let mut world = World::start(&["east", "east", "east"], upstreams).await;
+    send_load(&world, Duration::from_secs(3)).await;
+    world.nodes[1].child.kill().expect("killed");
+    world.nodes[1].child.wait().expect("ended");
+    world.nodes[1].restart();
+    world.nodes[1].ready().await;
+    send_load(&world, Duration::from_secs(5)).await;
+    let most = most_in_window(&world, 0);
+    assert!(most <= allowed(1.0), "{most} requests");
+}
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -5,12 +5,14 @@
 
 mod callers;
 mod hubs;
+mod shares;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use crate::gateway::fleet::shares::SharedLimit;
 use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash};
 
 /// Time after which a silent node is no longer named to callers: one heartbeat of a node that has no
@@ -131,6 +133,7 @@
         heartbeat.parts = Vec::new();
         heartbeat.usage = Vec::new();
         heartbeat.crashes = Vec::new();
+        heartbeat.limits = Vec::new();
         if let Some(age) = heartbeat.store_age() {
             let answered_at = now.saturating_sub(age);
             self.store_answered_at = self.store_answered_at.max(Some(answered_at));
--- a/kernel/src/gateway/fleet/hubs.rs
+++ b/kernel/src/gateway/fleet/hubs.rs
@@ -3,7 +3,6 @@
 //! Hubs are not elected: each node ranks the nodes that it knows, and passes over those that it
 //! expects to hear and does not. Nodes that disagree for a while tell a few nodes too many.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -40,15 +39,16 @@
 
     /// Whether a number draws this node out of the hubs of all zones.
     pub fn is_drawn(&self, number: u64, now: Duration) -> bool {
-        let peers = self.peers.values().map(|peer| &*peer.heartbeat.card.zone);
-        let mut zones: BTreeSet<&str> = peers.collect();
-        zones.insert(&self.own.zone);
-        let hubs = zones.into_iter().flat_map(|zone| self.hubs(zone, now));
+        let hubs = self
+            .zones()
+            .into_iter()
+            .flat_map(|zone| self.hubs(zone, now));
         let drawn = hubs.max_by_key(|hub| xxh3_64_with_seed(hub.name.as_bytes(), number));
         drawn.is_some_and(|hub| hub.name == self.own.name)
     }
 
-    fn ranked(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
+    /// The nodes of a zone that are not known to be leaving or silent, the strongest first.
+    pub(super) fn ranked(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
         let is_own = zone == &*self.own.zone;
         let age = if is_own {
             HUB_SILENT_AFTER
--- /dev/null
+++ b/kernel/src/gateway/fleet/shares.rs
@@ -0,0 +1,96 @@
+//! Which nodes share a limit that an upstream names, and what part each has.
+//!
+//! A node may always send one request at once, so a small limit is given to few nodes. These are drawn by
+//! hashing: all nodes find the same, without a word about it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::gateway::fleet::FleetView;
+use crate::gateway::throttle::LimitShare;
+
+/// Requests at once, by all nodes, beyond those of one second: so that a small limit is not one node's.
+const EXTRA_BURST: f64 = 2.0;
+/// Least requests a second that are shared out: without any, the end of a limit of 0 would not show.
+const LEAST_RATE: f64 = 0.2;
+
+/// A limit to share.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedLimit<'a> {
+    /// Hash of the upstream's run.
+    pub run: u64,
+    /// The upstream's availability zone.
+    pub zone: &'a str,
+    /// Requests a second of all nodes together.
+    pub per_second: f64,
+    /// Whether the upstream said so lately.
+    pub confirmed: bool,
+}
+
+impl FleetView {
+    /// This node's share of a limit. A zone has a part by its size if each can have one request at once;
+    /// else all of it goes to the upstream's own.
+    pub fn limit_share(&self, limit: SharedLimit, now: Duration) -> LimitShare {
+        let rate = limit.per_second.max(LEAST_RATE);
+        let size = f64::from(self.size(now).max(1));
+        if !limit.confirmed {
+            return LimitShare {
+                per_second: rate / size,
+                burst: 1.0,
+            };
+        }
+        let burst = (rate + EXTRA_BURST).floor();
+        let zones = self.zones();
+        let others = burst - zones.len() as f64;
+        if others < 0.0 {
+            if home_zone(&zones, limit) != &*self.own.zone {
+                return LimitShare::default();
+            }
+            return self.zone_share(limit.run, rate, burst, now);
+        }
+        let part = f64::from(self.own_zone_size(now)) / size;
+        let zone_burst = 1.0 + (others * part).floor();
+        self.zone_share(limit.run, rate * part, zone_burst, now)
+    }
+
+    /// This node's share of what its zone has.
+    fn zone_share(&self, run: u64, rate: f64, burst: f64, now: Duration) -> LimitShare {
+        let nodes = self.ranked(&self.own.zone, now);
+        let draw = |name: &str| xxh3_64_with_seed(name.as_bytes(), run);
+        let own = draw(&self.own.name);
+        let before = nodes.iter().filter(|card| draw(&card.name) < own).count();
+        let sharers = burst.min(nodes.len().max(1) as f64);
+        if before as f64 >= sharers {
+            return LimitShare::default();
+        }
+        LimitShare {
+            per_second: rate / sharers,
+            burst: (burst / sharers).floor(),
+        }
+    }
+
+    /// Availability zones of all nodes that are known.
+    pub(super) fn zones(&self) -> BTreeSet<&str> {
+        let peers = self.peers.values().map(|peer| &*peer.heartbeat.card.zone);
+        peers.chain(std::iter::once(&*self.own.zone)).collect()
+    }
+
+    /// Nodes of this node's zone, as its hubs count them; no fewer than this node hears.
+    fn own_zone_size(&self, now: Duration) -> u32 {
+        let told = self.live(now).map(|peer| &peer.heartbeat);
+        let told = told.filter(|heartbeat| heartbeat.card.zone == self.own.zone);
+        let told = told.map(|heartbeat| heartbeat.zone_size).max();
+        self.zone_size(now).max(told.unwrap_or(0))
+    }
+}
+
+/// The upstream's availability zone, or the one in its place if no node is there.
+fn home_zone<'a>(zones: &BTreeSet<&'a str>, limit: SharedLimit) -> &'a str {
+    let draw = |zone: &&&str| {
+        let drawn = xxh3_64_with_seed(zone.as_bytes(), limit.run);
+        (**zone == limit.zone, drawn)
+    };
+    zones.iter().max_by_key(draw).copied().unwrap_or_default()
+}
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::crashes::CrashReport;
 use crate::gateway::load::WorkCount;
+use crate::gateway::throttle::LimitReport;
 use crate::gateway::usage::WindowUsage;
 
 /// Open calls of a node that nodes of other zones are told of. Nodes that callers are not sent to get a
@@ -94,7 +95,7 @@
 }
 
 /// What a node says of itself and of others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct NodeHeartbeat {
     /// Who it is.
     pub card: NodeCard,
@@ -128,6 +129,8 @@
     pub crashes: Vec<CrashReport>,
     /// Digest of the contents that are quarantined or were; 0 if there are none.
     pub crash_digest: u64,
+    /// Limits that upstreams named a moment ago.
+    pub limits: Vec<LimitReport>,
     /// Parts of prompts that it sent lately, with the hash of the upstream's run.
     pub parts: Vec<(u64, u64)>,
     /// Its time of day, in Unix ms; 0 where no duty needs it.
@@ -158,6 +161,7 @@
             departures: Vec::new(),
             crashes: Vec::new(),
             crash_digest: 0,
+            limits: Vec::new(),
             parts: Vec::new(),
             unix_ms: 0,
             holder: None,
--- a/kernel/src/gateway/room.rs
+++ b/kernel/src/gateway/room.rs
@@ -29,6 +29,9 @@
 /// Whether an upstream can take the call without making others wait or be preempted. The less
 /// urgent a call is, the more room it leaves for others.
 pub fn has_room(place: UpstreamPlace, unread: u32, input: &ChoiceInput) -> bool {
+    if !place.option.upstream.throttle.is_open(input.now) {
+        return false;
+    }
     let total = place.option.total;
     let slots = f64::from(place.option.upstream.entry.slots);
     if input.cache_tokens == 0 {
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -18,5 +18,6 @@
 mod scaling;
 mod spread;
 mod surge;
+mod throttle;
 mod usage;
 mod waiting;
