--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -74,7 +74,8 @@
 }
 
 impl FailedAttempt {
-    fn new(end: AttemptEnd, reason: &dyn std::fmt::Display) -> Self {
+    /// An attempt that ended in this way.
+    pub fn new(end: AttemptEnd, reason: &dyn std::fmt::Display) -> Self {
         Self {
             end,
             reason: reason.to_string().into(),
@@ -84,6 +85,14 @@
         }
     }
 
+    /// The upstream answered with a failure of its own.
+    pub fn answered(status: StatusCode, answer: Reply) -> Self {
+        Self {
+            answer: Some(answer),
+            ..Self::new(AttemptEnd::Failed, &status)
+        }
+    }
+
     fn quarantined(error: QuarantineError) -> Self {
         Self {
             pause: Some(error.pause),
@@ -442,14 +451,7 @@
     watch.first_piece();
     watch.status = parts.status.as_u16();
     if !parts.status.is_success() {
-        let reason = parts.status.to_string().into();
-        return Err(FailedAttempt {
-            end: AttemptEnd::Failed,
-            reason,
-            answer: Some(reply),
-            broke: false,
-            pause: None,
-        });
+        return Err(FailedAttempt::answered(parts.status, reply));
     }
     if let Some(upstream) = gateway.registry.borrow_mut().get_mut(work.key) {
         upstream.health.succeeded(now);
--- a/daemon/src/gateway/silence.rs
+++ b/daemon/src/gateway/silence.rs
@@ -61,13 +61,7 @@
 }
 
 fn lost(reason: &str) -> FailedAttempt {
-    FailedAttempt {
-        end: AttemptEnd::Lost,
-        reason: reason.into(),
-        answer: None,
-        broke: false,
-        pause: None,
-    }
+    FailedAttempt::new(AttemptEnd::Lost, &reason)
 }
 
 async fn is_there(gateway: &Gateway, key: UpstreamKey) -> bool {
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -73,13 +73,6 @@
     }
 
     async fn read(&mut self, gateway: &Gateway, call: &Call) -> Result<(), FailedAttempt> {
-        let lost = |reason: &dyn ToString| FailedAttempt {
-            end: AttemptEnd::Lost,
-            reason: reason.to_string().into(),
-            answer: None,
-            broke: false,
-            pause: None,
-        };
         let key = self.attempt.work.key;
         let frame = self.attempt.response.body_mut().frame();
         match silence::hear(gateway, call, key, frame).await? {
@@ -90,7 +83,8 @@
                     return Ok(());
                 };
                 if !self.splitter.push(bytes) {
-                    return Err(lost(&"an event is too large"));
+                    let reason = "an event is too large";
+                    return Err(FailedAttempt::new(AttemptEnd::Lost, &reason));
                 }
             }
         }
@@ -159,13 +153,7 @@
     let status = stream.parts.status;
     let mut reply = reply::whole(status, stream.splitter.rest());
     *reply.headers_mut() = answer::lasting_headers(&stream.parts.headers);
-    FailedAttempt {
-        end: AttemptEnd::Failed,
-        reason: status.to_string().into(),
-        answer: Some(reply),
-        broke: false,
-        pause: None,
-    }
+    FailedAttempt::answered(status, reply)
 }
 
 /// A stream on its way to the caller.
