--- a/daemon/tests/gateway/limits.rs
+++ b/daemon/tests/gateway/limits.rs
@@ -6,7 +6,7 @@
 use monsoonbank_standin::scripted::ScriptStep::Send;
 use tokio::time::{Instant, sleep};
 
-use crate::world::{World, answer_head, good, request, script, send};
+use crate::world::{World, answer_head, good, request, script, send, until};
 
 /// Time in which an upstream's requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -132,3 +132,15 @@
     let most = most_in_window(&world, 0);
     assert!(most <= allowed(1.0), "{most} requests");
 }
+
+// Guards against nodes that each learn a limit by sending more than it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_is_told_to_nodes_that_sent_nothing() {
+    let world = World::start(&["east", "west"], vec![limited(|_| Some("2.5"))]).await;
+    assert_eq!(world.send(&request("/safe/x", "a1", "")).await.status, 200);
+    until("the other node knows the limit", async || {
+        let state = world.nodes[1].state().await;
+        state["upstreams"][0]["limit_per_s"] == 2.5
+    })
+    .await;
+}
