--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod cache;
 mod choice;
 mod content;
+mod crash_fuzz;
 mod crashes;
 mod duty;
 mod engines;
