Play a limit against fleets that start anew and lose heartbeats

Never more than 1.5 times the limit and five requests in 4 s from nodes that were told and in touch, and 0.3 of the limit or more is used.

--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod health;
 mod lag;
+mod limit_fuzz;
 mod outcome;
 mod pace;
 mod partition;
