Let the load of played limits pause, so that saved-up requests show

Under steady load no node saves up requests: twelve requests more at once for all nodes turned no case red. With pauses of 12 s they do.

--- a/kernel/tests/gateway/limit_fuzz.rs
+++ b/kernel/tests/gateway/limit_fuzz.rs
@@ -12,7 +12,9 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two heartbeats of a node.
 const TELL_PAUSE: Duration = Duration::from_millis(200);
-const PLAYED: Duration = Duration::from_secs(30);
+/// Time for which calls come, and for which none come after that.
+const LULL: Duration = Duration::from_secs(12);
+const PLAYED: Duration = Duration::from_secs(48);
 /// When the upstream begins to name its limit.
 const NAMED_AT: Duration = Duration::from_secs(5);
 /// Time in which its requests are counted.
@@ -45,6 +47,7 @@
     counted: VecDeque<Duration>,
     most: usize,
     sent: usize,
+    loaded: Duration,
     now: Duration,
 }
 
@@ -80,6 +83,7 @@
             counted: VecDeque::new(),
             most: 0,
             sent: 0,
+            loaded: Duration::ZERO,
             now: Duration::ZERO,
         }
     }
@@ -169,10 +173,13 @@
     fn play(&mut self) {
         while self.now < PLAYED {
             self.answer();
-            if self.now.as_millis() % TELL_PAUSE.as_millis() == 0 {
+            if self.now.as_millis().is_multiple_of(TELL_PAUSE.as_millis()) {
                 self.tell();
             }
-            self.send();
+            if self.now.as_secs() / LULL.as_secs() % 2 == 1 {
+                self.loaded += TICK;
+                self.send();
+            }
             if self.random.random_bool(0.02) {
                 self.restart();
             }
@@ -208,7 +215,7 @@
                 fleet.play();
                 let most = fleet.most;
                 assert!(most as f64 <= allowed, "seed {seed}: {most} requests");
-                let rate = fleet.sent as f64 / (PLAYED - NAMED_AT).as_secs_f64();
+                let rate = fleet.sent as f64 / fleet.loaded.as_secs_f64();
                 assert!(rate >= 0.3 * limit, "seed {seed}: {rate} a second");
             }
         }
