Let a trial of quarantined content be one send

Two trials of a class with two attempts make four repeats where three are allowed. Leave is taken for each send now, and the state of the call is gone.

With it: records are given to the store's client as they are encoded, which stood twice, and a failed call for quarantines writes store_lost like the others.

--- a/daemon/src/gateway/duties.rs
+++ b/daemon/src/gateway/duties.rs
@@ -325,10 +325,6 @@
             return;
         };
         let records = encode(&claim.record, &last);
-        let records: Vec<(&[u8], &[u8])> = records
-            .iter()
-            .map(|(key, value)| (&key[..], &value[..]))
-            .collect();
         let appended = self
             .client
             .append(names::DUTY_TOPIC, claim.at, &records, STORE_PATIENCE)
--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -16,7 +16,6 @@
 use crate::gateway::Gateway;
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::intake::Call;
-use crate::gateway::relay::CallTrail;
 
 /// Time between two looks at what has to be read or written down.
 const TICK: Duration = Duration::from_millis(250);
@@ -37,39 +36,53 @@
     pub pause: Duration,
 }
 
-/// Whether a call may be sent now.
+/// Whether a call may be sent, also after it has waited.
 ///
 /// # Errors
 ///
 /// If its content is quarantined.
-pub fn check(gateway: &Gateway, call: &Call, trail: &mut CallTrail) -> Result<(), QuarantineError> {
-    if trail.is_trial {
-        return Ok(());
+pub fn check(gateway: &Gateway, call: &Call) -> Result<(), QuarantineError> {
+    match verdict(gateway, call) {
+        ContentVerdict::Clear | ContentVerdict::Trial => Ok(()),
+        ContentVerdict::Quarantined { pause } => Err(refuse(gateway, call, pause)),
     }
-    let now = gateway.now();
-    let content = call.content;
-    let may_try = || gateway.fleet.borrow().is_drawn(content.into(), now);
-    let verdict = gateway.crashes.borrow_mut().verdict(content, may_try, now);
-    match verdict {
+}
+
+/// Takes leave to send a call now, once.
+///
+/// # Errors
+///
+/// If its content is quarantined.
+pub fn take_leave(gateway: &Gateway, call: &Call) -> Result<(), QuarantineError> {
+    match verdict(gateway, call) {
         ContentVerdict::Clear => Ok(()),
         ContentVerdict::Trial => {
-            trail.is_trial = true;
+            let now = gateway.now();
+            gateway.crashes.borrow_mut().begin_trial(call.content, now);
             gateway.tell(SpreadNews::All);
             Ok(())
         }
-        ContentVerdict::Quarantined { pause } => {
-            gateway.metrics.quarantined_calls.inc();
-            gateway.decisions.line(&Decision::CallQuarantined {
-                call: &call.head.id,
-                content: &content.to_string(),
-                crashes: gateway.crashes.borrow().crashes(content),
-                pause_ms: millis(pause),
-            });
-            Err(QuarantineError { pause })
-        }
+        ContentVerdict::Quarantined { pause } => Err(refuse(gateway, call, pause)),
     }
 }
 
+fn verdict(gateway: &Gateway, call: &Call) -> ContentVerdict {
+    let now = gateway.now();
+    let may_try = || gateway.fleet.borrow().is_drawn(call.content.into(), now);
+    gateway.crashes.borrow().verdict(call.content, may_try, now)
+}
+
+fn refuse(gateway: &Gateway, call: &Call, pause: Duration) -> QuarantineError {
+    gateway.metrics.quarantined_calls.inc();
+    gateway.decisions.line(&Decision::CallQuarantined {
+        call: &call.head.id,
+        content: &call.content.to_string(),
+        crashes: gateway.crashes.borrow().crashes(call.content),
+        pause_ms: millis(pause),
+    });
+    QuarantineError { pause }
+}
+
 /// Takes in that the connection to a run of an upstream broke under a call.
 pub fn crashed(gateway: &Gateway, call: &Call, upstream: &str, run: u64) {
     let now = gateway.now();
@@ -221,10 +234,6 @@
         };
         let records: Vec<(Vec<u8>, Vec<u8>)> =
             reports.iter().map(|report| self.encode(report)).collect();
-        let records: Vec<(&[u8], &[u8])> = records
-            .iter()
-            .map(|(key, value)| (&key[..], &value[..]))
-            .collect();
         let appended = self
             .client
             .append(names::CRASH_TOPIC, known.end, &records, STORE_PATIENCE)
@@ -280,7 +289,11 @@
 
     async fn failed(&self, error: &StoreError) {
         self.count("failed");
-        log::debug!("quarantines were not read or written: {error}");
+        let reason = error.to_string();
+        self.gateway.decisions.line(&Decision::StoreLost {
+            reader: "quarantine",
+            reason: &reason,
+        });
         tokio::time::sleep(FAILURE_PAUSE).await;
     }
 
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -44,8 +44,6 @@
     pub tried: Vec<UpstreamKey>,
     /// What came of that.
     pub history: CallHistory,
-    /// Whether it is sent to see whether its content is rightly quarantined.
-    pub is_trial: bool,
     connects: usize,
 }
 
@@ -153,12 +151,12 @@
     after: Option<u64>,
 ) -> Result<OpenAttempt, FailedAttempt> {
     loop {
-        quarantine::check(gateway, call, trail).map_err(FailedAttempt::quarantined)?;
+        quarantine::check(gateway, call).map_err(FailedAttempt::quarantined)?;
         let choice = waiting::wait_for_room(gateway, call, trail)
             .await
             .map_err(|end| FailedAttempt::new(AttemptEnd::NotSent, &end))?;
         // It may have been quarantined while it waited.
-        quarantine::check(gateway, call, trail).map_err(FailedAttempt::quarantined)?;
+        quarantine::take_leave(gateway, call).map_err(FailedAttempt::quarantined)?;
         trail.tried.push(choice.key);
         match attempt(gateway, call, trail, &choice, after).await {
             Ok(attempt) => return Ok(attempt),
--- a/kernel/src/gateway/crashes.rs
+++ b/kernel/src/gateway/crashes.rs
@@ -61,7 +61,7 @@
 pub enum CrashNews {
     /// Nothing.
     Known,
-    /// More is known of content that is not quarantined, or of one that was before.
+    /// More is known of the content, and it is treated as before.
     Noted,
     /// The content is quarantined from now on.
     Quarantined,
@@ -74,7 +74,7 @@
 pub enum ContentVerdict {
     /// It may be sent.
     Clear,
-    /// It is quarantined, and this node sends it once to see whether that is right.
+    /// It is quarantined, and this node may send it once to see whether that is right.
     Trial,
     /// It is quarantined.
     Quarantined {
@@ -212,9 +212,10 @@
         true
     }
 
-    /// What to do with a call. `may_try` says whether this node is the one that makes trials.
+    /// What to do with a call. `may_try` says whether this node is the one that makes trials. A trial is
+    /// one send: what follows asks anew.
     pub fn verdict(
-        &mut self,
+        &self,
         content: ContentDigest,
         may_try: impl FnOnce() -> bool,
         now: Duration,
@@ -227,9 +228,6 @@
         }
         let trial_at = record.trial_at();
         if trial_at.is_some_and(|at| at <= now) && may_try() {
-            let mut record = record.clone();
-            record.trials += 1;
-            self.put(content, record, now);
             return ContentVerdict::Trial;
         }
         let next = trial_at.filter(|at| *at > now);
@@ -239,6 +237,15 @@
         }
     }
 
+    /// A call is sent as a trial.
+    pub fn begin_trial(&mut self, content: ContentDigest, now: Duration) {
+        let Some(mut record) = self.records.get(&content).cloned() else {
+            return;
+        };
+        record.trials += 1;
+        self.put(content, record, now);
+    }
+
     /// Runs of upstreams that broke off under this content.
     pub fn crashes(&self, content: ContentDigest) -> usize {
         let record = self.records.get(&content);
--- a/kernel/tests/gateway/crash_fuzz.rs
+++ b/kernel/tests/gateway/crash_fuzz.rs
@@ -65,8 +65,10 @@
         let node = self.any_node();
         let content = ContentDigest::from(CRASHING);
         let verdict = self.ledgers[node].verdict(content, || node == 0, self.now);
-        if matches!(verdict, ContentVerdict::Quarantined { .. }) {
-            return;
+        match verdict {
+            ContentVerdict::Clear => {}
+            ContentVerdict::Trial => self.ledgers[node].begin_trial(content, self.now),
+            ContentVerdict::Quarantined { .. } => return,
         }
         self.running.push_back((self.now + RUN_TIME, node));
         let third = self.crashes.get(2);
--- a/kernel/tests/gateway/crashes.rs
+++ b/kernel/tests/gateway/crashes.rs
@@ -19,7 +19,7 @@
     ledger
 }
 
-fn may_be_sent(ledger: &mut CrashLedger, number: u64, now: Duration) -> bool {
+fn may_be_sent(ledger: &CrashLedger, number: u64, now: Duration) -> bool {
     ledger.verdict(content(number), || false, now) == ContentVerdict::Clear
 }
 
@@ -28,10 +28,10 @@
     let mut ledger = CrashLedger::default();
     assert_eq!(ledger.crashed(content(1), 1, S), CrashNews::Noted);
     assert_eq!(ledger.crashed(content(1), 2, S), CrashNews::Noted);
-    assert!(may_be_sent(&mut ledger, 1, S));
+    assert!(may_be_sent(&ledger, 1, S));
     assert_eq!(ledger.crashed(content(1), 3, S), CrashNews::Quarantined);
-    assert!(!may_be_sent(&mut ledger, 1, S));
-    assert!(may_be_sent(&mut ledger, 2, S));
+    assert!(!may_be_sent(&ledger, 1, S));
+    assert!(may_be_sent(&ledger, 2, S));
 }
 
 // Guards against one crash that several nodes tell of, and tell again, counting as several.
@@ -48,7 +48,7 @@
         ledger.crashed(content(1), 7, S);
     }
     assert_eq!(ledger.crashes(content(1)), 2);
-    assert!(may_be_sent(&mut ledger, 1, S));
+    assert!(may_be_sent(&ledger, 1, S));
 }
 
 // Guards against nodes that each know of one crash and send the call on.
@@ -85,7 +85,7 @@
         assert_eq!(ledger.heard(&report, S * 2), CrashNews::Quarantined);
     }
     assert_eq!(ledger.digest(), known.digest());
-    assert!(!may_be_sent(&mut ledger, 1, S * 2));
+    assert!(!may_be_sent(&ledger, 1, S * 2));
 }
 
 // Guards against a crash that takes innocent calls along and later ones of the same kind.
@@ -96,7 +96,7 @@
         ledger.crashed(content(1), run, S);
         ledger.answered(content(1), S);
     }
-    assert!(may_be_sent(&mut ledger, 1, S));
+    assert!(may_be_sent(&ledger, 1, S));
 }
 
 #[test]
@@ -107,12 +107,13 @@
     assert_eq!(ledger.verdict(content(1), || true, S * 2), wait);
     let trial = ledger.verdict(content(1), || true, S * 31);
     assert_eq!(trial, ContentVerdict::Trial);
-    assert!(!may_be_sent(&mut ledger, 1, S * 31));
+    ledger.begin_trial(content(1), S * 31);
+    assert!(!may_be_sent(&ledger, 1, S * 31));
     assert!(ledger.answered(content(1), S * 32));
     for report in ledger.news(S * 32) {
         assert_eq!(other.heard(&report, S * 32), CrashNews::Cleared);
     }
-    assert!(may_be_sent(&mut other, 1, S * 32));
+    assert!(may_be_sent(&other, 1, S * 32));
     assert_eq!(ledger.digest(), other.digest());
 }
 
@@ -123,6 +124,7 @@
     for second in 2..3600 {
         let now = S * second;
         if ledger.verdict(content(1), || true, now) == ContentVerdict::Trial {
+            ledger.begin_trial(content(1), now);
             trials += 1;
             ledger.crashed(content(1), 10 + trials, now);
         }
@@ -130,6 +132,15 @@
     assert_eq!(trials, 2);
 }
 
+// Guards against a trial whose own retries crash one upstream more each.
+#[test]
+fn a_trial_is_one_send() {
+    let mut ledger = quarantined();
+    ledger.begin_trial(content(1), S * 31);
+    let again = ledger.verdict(content(1), || true, S * 31);
+    assert!(matches!(again, ContentVerdict::Quarantined { .. }));
+}
+
 #[test]
 fn a_late_report_of_a_crash_does_not_undo_a_clearing() {
     let mut ledger = quarantined();
@@ -138,14 +149,14 @@
     for report in &late {
         assert_eq!(ledger.heard(report, S * 2), CrashNews::Known);
     }
-    assert!(may_be_sent(&mut ledger, 1, S * 2));
+    assert!(may_be_sent(&ledger, 1, S * 2));
 }
 
 #[test]
 fn a_quarantine_ends_an_hour_after_the_last_crash() {
     let mut ledger = quarantined();
-    assert!(!may_be_sent(&mut ledger, 1, S * 3600));
-    assert!(may_be_sent(&mut ledger, 1, S * 3602));
+    assert!(!may_be_sent(&ledger, 1, S * 3600));
+    assert!(may_be_sent(&ledger, 1, S * 3602));
     ledger.forget(S * 3602);
     assert_eq!((ledger.quarantined(), ledger.digest()), (0, 0));
 }
@@ -174,7 +185,7 @@
     for number in 2..10_000 {
         ledger.crashed(content(number), 1, S * 2);
     }
-    assert!(!may_be_sent(&mut ledger, 1, S * 2));
+    assert!(!may_be_sent(&ledger, 1, S * 2));
     assert_eq!(ledger.crashes(content(2)), 0);
     assert_eq!(ledger.crashes(content(9999)), 1);
 }
