Let a refusal without a limit end none

Found by reading the change anew: an answer that names no limit ends it, and a refusal of the upstream was such an answer, though it may carry less than one that ran. Other nodes were told so too. The test a_refusal_does_not_end_a_limit was red (no limit known after the refusal) and is green.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -348,8 +348,12 @@
         Ok(response) => response,
     };
     let kind = answer::classify(response.status(), response.headers(), &call.head.id);
-    if !matches!(kind, AnswerKind::Foreign | AnswerKind::Moved) {
-        limits::answered(gateway, choice.key, answer::rate_limit(response.headers()));
+    let limit = answer::rate_limit(response.headers());
+    match kind {
+        AnswerKind::Success | AnswerKind::Failure => limits::answered(gateway, choice.key, limit),
+        // A refusal without a limit says nothing of it.
+        AnswerKind::NotRun if limit.is_some() => limits::answered(gateway, choice.key, limit),
+        AnswerKind::NotRun | AnswerKind::Moved | AnswerKind::Foreign => {}
     }
     match kind {
         AnswerKind::Success | AnswerKind::Failure => Ok(OpenAttempt {
--- a/daemon/tests/gateway/limits.rs
+++ b/daemon/tests/gateway/limits.rs
@@ -100,6 +100,27 @@
     a_limit_holds_where_there_is_no_other_upstream: ["east", "west"], vec![limited(|_| Some("2"))], 2.0;
 }
 
+// Guards against a refusal, which says nothing of limits, that ends one for the whole fleet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_does_not_end_a_limit() {
+    let refusing = script(|request, number| {
+        let id = request.header("x-attempt-id");
+        let more = "Server-Limit: 1\r\nContent-Length: 2\r\n\r\nok";
+        let refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+        let text = match number {
+            0 => answer_head(id, more),
+            _ => format!("{refusal}X-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"),
+        };
+        vec![Send(text.into_bytes())]
+    });
+    let world = World::start(&["east"], vec![refusing]).await;
+    assert_eq!(world.send(&request("/safe/x", "a1", "")).await.status, 200);
+    sleep(Duration::from_millis(1200)).await;
+    assert_eq!(world.send(&request("/safe/x", "a2", "")).await.status, 503);
+    let state = world.nodes[0].state().await;
+    assert_eq!(state["upstreams"][0]["limit_per_s"], 1.0);
+}
+
 // Guards against an upstream that stays limited after it has stopped to say so.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_upstream_that_names_no_limit_any_more_gets_its_calls_again() {
