--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -167,7 +167,7 @@
         else {
             return;
         };
-        quarantine::hear(gateway, &reports, peer);
+        quarantine::receive(gateway, &reports, peer);
     }
     if lacking.entries {
         let source = FetchSource::new(peer, address, FetchPart::Registry);
--- a/daemon/src/gateway/limits.rs
+++ b/daemon/src/gateway/limits.rs
@@ -1,4 +1,4 @@
-//! Limits that upstreams in need name in their answers: told to other nodes, and shared with them.
+//! Limits that upstreams in need name in their answers: sent to other nodes, and shared with them.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -22,7 +22,7 @@
         per_second,
         at: gateway.now(),
     };
-    hear(gateway, key, said, OWN_SOURCE);
+    observe(gateway, key, said, OWN_SOURCE);
 }
 
 /// Takes in what another node says of limits.
@@ -30,12 +30,12 @@
     for report in reports {
         let key = gateway.registry.borrow().by_hash(report.run);
         if let Some(key) = key {
-            hear(gateway, key, report.named(gateway.now()), source);
+            observe(gateway, key, report.named(gateway.now()), source);
         }
     }
 }
 
-/// What other nodes should hear: what upstreams said last.
+/// Reports for the next heartbeat: what upstreams said last.
 pub fn news(registry: &UpstreamRegistry, now: Duration) -> Vec<LimitReport> {
     let report = |upstream: &Upstream| upstream.throttle.report(upstream.entry.run_hash(), now);
     let mut reports: Vec<LimitReport> = registry.newest().filter_map(report).collect();
@@ -76,13 +76,13 @@
     upstream.throttle.set_share(share, now);
 }
 
-fn hear(gateway: &Gateway, key: UpstreamKey, said: NamedLimit, source: &str) {
+fn observe(gateway: &Gateway, key: UpstreamKey, said: NamedLimit, source: &str) {
     let now = gateway.now();
     let mut registry = gateway.registry.borrow_mut();
     let Some(upstream) = registry.get_mut(key) else {
         return;
     };
-    if !upstream.throttle.heard(said, now) {
+    if !upstream.throttle.observe(said, now) {
         return;
     }
     gateway.decisions.line(&Decision::LimitChanged {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -284,7 +284,7 @@
     let now = gateway.now();
     take_departures(gateway, &heartbeat, now);
     limits::take_reports(gateway, &heartbeat.limits, &heartbeat.card.name);
-    quarantine::hear(gateway, &heartbeat.crashes, &heartbeat.card.name);
+    quarantine::receive(gateway, &heartbeat.crashes, &heartbeat.card.name);
     take_work(gateway, &heartbeat, now);
     if let Some(duties) = &gateway.duties {
         usage::receive(gateway, duties, &mut heartbeat);
--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -48,12 +48,12 @@
     }
 }
 
-/// Takes leave to send a call now, once.
+/// Lets a call be sent once, now.
 ///
 /// # Errors
 ///
 /// If its content is quarantined.
-pub fn take_leave(gateway: &Gateway, call: &Call) -> Result<(), QuarantineError> {
+pub fn begin_send(gateway: &Gateway, call: &Call) -> Result<(), QuarantineError> {
     match verdict(gateway, call) {
         ContentVerdict::Clear => Ok(()),
         ContentVerdict::Trial => {
@@ -110,10 +110,10 @@
 }
 
 /// Takes in what another node or the store knows.
-pub fn hear(gateway: &Gateway, reports: &[CrashReport], source: &str) {
+pub fn receive(gateway: &Gateway, reports: &[CrashReport], source: &str) {
     let now = gateway.now();
     for report in reports {
-        let news = gateway.crashes.borrow_mut().heard(report, now);
+        let news = gateway.crashes.borrow_mut().receive(report, now);
         note(gateway, report.content, news, source);
     }
 }
@@ -216,7 +216,7 @@
             .iter()
             .filter_map(|record| self.decode(record))
             .collect();
-        hear(&self.gateway, &reports, STORE_SOURCE);
+        receive(&self.gateway, &reports, STORE_SOURCE);
         let digests = reports
             .iter()
             .map(|report| (report.content, state_digest(report)));
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -156,7 +156,7 @@
             .await
             .map_err(|end| FailedAttempt::new(AttemptEnd::NotSent, &end))?;
         // It may have been quarantined while it waited.
-        quarantine::take_leave(gateway, call).map_err(FailedAttempt::quarantined)?;
+        quarantine::begin_send(gateway, call).map_err(FailedAttempt::quarantined)?;
         trail.tried.push(choice.key);
         match attempt(gateway, call, trail, &choice, after).await {
             Ok(attempt) => return Ok(attempt),
--- a/kernel/src/gateway/crashes.rs
+++ b/kernel/src/gateway/crashes.rs
@@ -168,11 +168,11 @@
             runs: BTreeSet::from([run]),
             age_ms: 0,
         };
-        self.heard(&report, now)
+        self.receive(&report, now)
     }
 
     /// Takes in what another node knows.
-    pub fn heard(&mut self, report: &CrashReport, now: Duration) -> CrashNews {
+    pub fn receive(&mut self, report: &CrashReport, now: Duration) -> CrashNews {
         let at = now.saturating_sub(Duration::from_millis(report.age_ms));
         let mut record = self
             .records
@@ -252,7 +252,7 @@
         record.map_or(0, |record| record.runs.len())
     }
 
-    /// What other nodes should hear now: content that is quarantined or nearly so first, then others in
+    /// Reports for the next heartbeat: content that is quarantined or nearly so first, then others in
     /// turn.
     pub fn news(&mut self, now: Duration) -> Vec<CrashReport> {
         while self
--- a/kernel/src/gateway/fleet/shares.rs
+++ b/kernel/src/gateway/fleet/shares.rs
@@ -1,7 +1,7 @@
 //! Which nodes share a limit that an upstream names, and what part each has.
 //!
 //! A node may always send one request at once, so a small limit is given to few nodes. These are drawn by
-//! hashing: all nodes find the same, without a word about it.
+//! hashing, which gives the same on all nodes.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/kernel/src/gateway/throttle.rs
+++ b/kernel/src/gateway/throttle.rs
@@ -7,8 +7,8 @@
 /// Time by which an answer without a limit has to follow one with it to end it: answers on several
 /// connections overtake each other.
 const ANSWER_SLACK: Duration = Duration::from_millis(200);
-/// Time for which other nodes are told what an upstream said.
-const TOLD_FOR: Duration = Duration::from_millis(1500);
+/// Time for which other nodes are sent what an upstream said.
+const REPORTED_FOR: Duration = Duration::from_millis(1500);
 /// Time without word of a limit after which all nodes share it, so that one of them learns whether it
 /// still stands.
 const CONFIRMED_FOR: Duration = Duration::from_secs(30);
@@ -24,7 +24,7 @@
     pub at: Duration,
 }
 
-/// The same, as other nodes are told.
+/// The same, as other nodes are sent it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct LimitReport {
     /// Hash of the upstream's run.
@@ -65,7 +65,7 @@
 
 impl UpstreamThrottle {
     /// Takes in what the upstream said. Gives whether the limit is another one now.
-    pub fn heard(&mut self, said: NamedLimit, now: Duration) -> bool {
+    pub fn observe(&mut self, said: NamedLimit, now: Duration) -> bool {
         let known = self.named.unwrap_or(NamedLimit {
             per_second: None,
             at: Duration::ZERO,
@@ -102,9 +102,9 @@
             .is_some_and(|named| named.at + CONFIRMED_FOR > now)
     }
 
-    /// What other nodes should hear of the upstream with this run.
+    /// The report on the upstream with this run for other nodes, if it is new enough.
     pub fn report(&self, run: u64, now: Duration) -> Option<LimitReport> {
-        let named = self.named.filter(|named| named.at + TOLD_FOR > now)?;
+        let named = self.named.filter(|named| named.at + REPORTED_FOR > now)?;
         let age = now.saturating_sub(named.at);
         Some(LimitReport {
             run,
--- a/kernel/tests/gateway/crash_fuzz.rs
+++ b/kernel/tests/gateway/crash_fuzz.rs
@@ -113,7 +113,7 @@
 
     fn hear(&mut self, node: usize, reports: &[CrashReport]) {
         for report in reports {
-            self.ledgers[node].heard(report, self.now);
+            self.ledgers[node].receive(report, self.now);
         }
     }
 
--- a/kernel/tests/gateway/crashes.rs
+++ b/kernel/tests/gateway/crashes.rs
@@ -43,7 +43,7 @@
     let mut ledger = CrashLedger::default();
     for _ in 0..5 {
         for report in teller.news(S) {
-            ledger.heard(&report, S);
+            ledger.receive(&report, S);
         }
         ledger.crashed(content(1), 7, S);
     }
@@ -63,7 +63,7 @@
         .collect();
     for (teller, listener) in [(0, 1), (2, 1), (1, 0), (1, 2)] {
         for report in nodes[teller].news(S) {
-            nodes[listener].heard(&report, S);
+            nodes[listener].receive(&report, S);
         }
     }
     for ledger in &mut nodes {
@@ -82,7 +82,7 @@
     let mut ledger = CrashLedger::default();
     assert_ne!(ledger.digest(), known.digest());
     for report in known.settled(S * 2) {
-        assert_eq!(ledger.heard(&report, S * 2), CrashNews::Quarantined);
+        assert_eq!(ledger.receive(&report, S * 2), CrashNews::Quarantined);
     }
     assert_eq!(ledger.digest(), known.digest());
     assert!(!may_be_sent(&ledger, 1, S * 2));
@@ -111,7 +111,7 @@
     assert!(!may_be_sent(&ledger, 1, S * 31));
     assert!(ledger.answered(content(1), S * 32));
     for report in ledger.news(S * 32) {
-        assert_eq!(other.heard(&report, S * 32), CrashNews::Cleared);
+        assert_eq!(other.receive(&report, S * 32), CrashNews::Cleared);
     }
     assert!(may_be_sent(&other, 1, S * 32));
     assert_eq!(ledger.digest(), other.digest());
@@ -147,7 +147,7 @@
     let late = ledger.news(S);
     ledger.answered(content(1), S * 2);
     for report in &late {
-        assert_eq!(ledger.heard(report, S * 2), CrashNews::Known);
+        assert_eq!(ledger.receive(report, S * 2), CrashNews::Known);
     }
     assert!(may_be_sent(&ledger, 1, S * 2));
 }
--- a/kernel/tests/gateway/limit_fuzz.rs
+++ b/kernel/tests/gateway/limit_fuzz.rs
@@ -90,7 +90,7 @@
 
     fn hear(&mut self, index: usize, said: NamedLimit) {
         let (now, node) = (self.now, &mut self.nodes[index]);
-        node.throttle.heard(said, now);
+        node.throttle.observe(said, now);
         share_out(node, now);
     }
 
--- a/kernel/tests/gateway/throttle.rs
+++ b/kernel/tests/gateway/throttle.rs
@@ -17,7 +17,7 @@
 
 fn throttled(per_second: f64, share: LimitShare) -> UpstreamThrottle {
     let mut throttle = UpstreamThrottle::default();
-    assert!(throttle.heard(named(Some(per_second), S), S));
+    assert!(throttle.observe(named(Some(per_second), S), S));
     throttle.set_share(share, S);
     throttle
 }
@@ -172,17 +172,17 @@
 #[test]
 fn an_answer_that_was_overtaken_does_not_end_a_limit() {
     let mut throttle = throttled(1.0, LimitShare::default());
-    assert!(!throttle.heard(named(None, S + MS * 199), S + MS * 199));
+    assert!(!throttle.observe(named(None, S + MS * 199), S + MS * 199));
     assert_eq!(throttle.limit(), Some(1.0));
-    assert!(throttle.heard(named(None, S + MS * 200), S + MS * 200));
+    assert!(throttle.observe(named(None, S + MS * 200), S + MS * 200));
     assert!(throttle.is_open(S + MS * 200));
 }
 
 #[test]
 fn what_another_node_heard_before_changes_nothing() {
     let mut throttle = throttled(1.0, LimitShare::default());
-    assert!(throttle.heard(named(Some(3.0), S * 2), S * 2));
-    assert!(!throttle.heard(named(Some(1.0), S + MS * 900), S * 3));
+    assert!(throttle.observe(named(Some(3.0), S * 2), S * 2));
+    assert!(!throttle.observe(named(Some(1.0), S + MS * 900), S * 3));
     assert_eq!(throttle.limit(), Some(3.0));
 }
 
