Write down when upstreams say that they leave or ask for a pause

The head of an answer is now decoded once into a typed value, with what the upstream says of itself; two lines and a counter show it. Nothing is decided by it but the limit, as before.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod limits;
 pub mod listener;
 pub mod metrics;
+pub mod notices;
 pub mod patch;
 pub mod peers;
 pub mod quarantine;
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -20,6 +20,8 @@
     pub calls: IntCounterVec,
     /// Attempts that ended without an answer to pass on, by pool and end.
     pub attempts: IntCounterVec,
+    /// Answers in which an upstream says that it leaves or asks for a pause, by which.
+    pub notices: IntCounterVec,
     /// Time to the first piece of the answer, by tier.
     pub first_piece: HistogramVec,
     /// Calls to the store, by reader and outcome.
@@ -87,6 +89,11 @@
                 "Attempts without an answer to pass on",
                 &["pool", "end"],
             ),
+            notices: counter(
+                "monsoonbank_upstream_notices_total",
+                "Answers in which an upstream says that it leaves or asks for a pause",
+                &["notice"],
+            ),
             first_piece,
             heartbeat_bytes: plain_counter(
                 "monsoonbank_heartbeat_bytes_total",
@@ -132,6 +139,11 @@
             .inc_by(bytes as u64);
     }
 
+    /// Counts an answer in which an upstream says something of itself.
+    pub fn count_notice(&self, notice: &str) {
+        self.notices.with_label_values(&[notice]).inc();
+    }
+
     /// Counts a first piece.
     pub fn observe_first(&self, tier: u8, took: Duration) {
         let tier = tier.to_string();
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -27,7 +27,7 @@
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::watch::{CallOutcome, CallWatch};
 use crate::gateway::work::WorkShare;
-use crate::gateway::{limits, quarantine, silence, stream, usage, waiting};
+use crate::gateway::{notices, quarantine, silence, stream, usage, waiting};
 
 /// Largest answer that is held whole before it is passed on. Plain services answer a few kB.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
@@ -347,15 +347,9 @@
         Err(error) => return Err(FailedAttempt::broken(error.error())),
         Ok(response) => response,
     };
-    let kind = answer::classify(response.status(), response.headers(), &call.head.id);
-    let limit = answer::rate_limit(response.headers());
-    match kind {
-        AnswerKind::Success | AnswerKind::Failure => limits::answered(gateway, choice.key, limit),
-        // A refusal without a limit says nothing of it.
-        AnswerKind::NotRun if limit.is_some() => limits::answered(gateway, choice.key, limit),
-        AnswerKind::NotRun | AnswerKind::Moved | AnswerKind::Foreign => {}
-    }
-    match kind {
+    let head = answer::decode(response.status(), response.headers(), &call.head.id);
+    notices::take(gateway, choice.key, &head);
+    match head.kind {
         AnswerKind::Success | AnswerKind::Failure => Ok(OpenAttempt {
             channel,
             work,
