--- /dev/null
+++ b/daemon/tests/gateway/departures.rs
@@ -0,0 +1,112 @@
+//! Upstreams that say in their answers that they leave.
+
+use std::time::Duration;
+
+use monsoonbank_standin::raw::RawRequest;
+use monsoonbank_standin::scripted::AnswerScript;
+use monsoonbank_standin::scripted::ScriptStep::Send;
+use tokio::time::{Instant, sleep};
+
+use crate::world::{World, answer_head, events, good, request, script, send};
+
+/// Time after such an answer in which calls may still be sent.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// For how long calls are sent.
+const LOAD_TIME: Duration = Duration::from_secs(6);
+/// Time between two calls.
+const CALL_PAUSE: Duration = Duration::from_millis(50);
+
+/// How an upstream answers while it leaves.
+#[derive(Clone, Copy)]
+enum LeavingAnswer {
+    /// It answers well.
+    Good,
+    /// It gives a stream.
+    Stream,
+    /// It refuses the call.
+    Refusal,
+}
+
+impl LeavingAnswer {
+    fn bytes(self, request: &RawRequest) -> Vec<u8> {
+        let id = request.header("x-attempt-id");
+        let says_so = "Server-Leaving: 1\r\n";
+        let whole = "Content-Length: 2\r\n\r\nok";
+        match self {
+            Self::Good => answer_head(id, &format!("{says_so}{whole}")).into_bytes(),
+            Self::Stream => {
+                let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let mut bytes = answer_head(id, &format!("{says_so}{kind}")).into_bytes();
+                bytes.extend(events(1, 3));
+                bytes.extend(b"0\r\n\r\n");
+                bytes
+            }
+            Self::Refusal => format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\
+                 X-Attempt-Id: {id}\r\n{says_so}{whole}"
+            )
+            .into_bytes(),
+        }
+    }
+}
+
+fn leaving(answer: LeavingAnswer) -> AnswerScript {
+    script(move |request, _| vec![Send(answer.bytes(request))])
+}
+
+/// Sends calls to all nodes in turn for a while. Gives when each was sent, by its id.
+async fn send_load(world: &World, folder: &str) -> Vec<(String, Instant)> {
+    let started = Instant::now();
+    let mut sent = Vec::new();
+    while started.elapsed() < LOAD_TIME {
+        let number = sent.len();
+        let node = &world.nodes[number % world.nodes.len()];
+        let id = format!("c{number}");
+        let call = request(&format!("/{folder}/{number}"), &id, "");
+        let address = node.address(4000);
+        sent.push((id, Instant::now()));
+        tokio::spawn(async move { send(address, call.as_bytes()).await });
+        sleep(CALL_PAUSE).await;
+    }
+    sent
+}
+
+/// Calls that reached the upstream though they were sent too late after its first answer.
+fn late_calls(world: &World, index: usize, sent: &[(String, Instant)]) -> usize {
+    let calls = world.upstreams[index].calls();
+    let mut calls = calls
+        .iter()
+        .filter(|call| &*call.request.target != "/kv-list");
+    let Some(first) = calls.next() else {
+        panic!("the upstream got no call");
+    };
+    let is_late = |id: &str| {
+        let found = sent.iter().find(|(sent_id, _)| sent_id == id);
+        found.is_some_and(|(_, at)| *at > first.at + DRAIN_TIME)
+    };
+    calls
+        .filter(|call| is_late(call.request.header("x-attempt-id")))
+        .count()
+}
+
+/// Names a case: the zones of the nodes, the folder of the calls, how the upstream answers that leaves, and
+/// how many others stay.
+macro_rules! departures {
+    ($($name:ident: $zones:expr, $folder:literal, $answer:ident, $others:literal;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let mut upstreams = vec![leaving(LeavingAnswer::$answer)];
+            upstreams.extend((0..$others).map(|_| good()));
+            let world = World::start(&$zones, upstreams).await;
+            let sent = send_load(&world, $folder).await;
+            assert_eq!(late_calls(&world, 0, &sent), 0);
+        }
+    )*};
+}
+
+// Guards against calls to an upstream whose answers say that it leaves, while its entry does not.
+departures! {
+    an_answer_says_that_its_upstream_leaves: ["east"], "safe", Good, 1;
+    a_stream_says_that_its_upstream_leaves: ["east"], "resume", Stream, 1;
+    a_refusal_says_that_the_only_upstream_leaves: ["east"], "safe", Refusal, 0;
+}
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod caches;
 mod crashes;
+mod departures;
 mod duties;
 mod heartbeats;
 mod input;
