Send nothing to an upstream whose answers say that it leaves

Callers' upstreams saw: two calls reached an engine 2,036 and 3,004 ms after the node that sent them had passed on an answer that said that the engine leaves (2,000 allowed).

Cause: leaving was read from the upstream's entry in the store alone, which took no entries from 7.0 to 20.4 s; the header passed through. The class: a fact with two sources of which the farther one alone was read.

Ruled out: calls chosen before the answer (both late ones were sent by their callers 2 s after it), and news that is overwritten (no line names the engine before).

Change: an answer of any kind that says so ends its upstream's run for new calls, whatever the entry says later; other nodes hear of it in the next heartbeats. A gate last of all before each send stops calls that were chosen before. A lapse no longer overrides a firmer cause, which took back an upstream that had announced that it leaves.

--- a/daemon/src/gateway/caches.rs
+++ b/daemon/src/gateway/caches.rs
@@ -8,15 +8,17 @@
 
 use futures_util::future::join_all;
 use hyper::StatusCode;
+use monsoonbank_kernel::gateway::gate::{self, GateError};
 use monsoonbank_kernel::gateway::prompt::PromptPart;
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
+use monsoonbank_platform::answer;
 use monsoonbank_platform::body::{self, BodyError};
 use monsoonbank_platform::cache::{self, CacheError};
 use thiserror::Error;
 
-use crate::gateway::Gateway;
 use crate::gateway::channels::{self, ChannelError};
 use crate::gateway::decisions::Decision;
+use crate::gateway::{Gateway, notices};
 
 /// Time after the node's start in which engines are asked; those that come later keep nothing yet.
 const ASKING_TIME: Duration = Duration::from_secs(5);
@@ -47,6 +49,8 @@
     Body(#[from] BodyError),
     #[error("{0}")]
     Malformed(#[from] CacheError),
+    #[error("{0}")]
+    Withheld(#[from] GateError),
 }
 
 /// An engine to ask.
@@ -86,7 +90,7 @@
     let is_engine = |pool: &str| rules.pool(pool).is_some_and(|pool| pool.engine.is_some());
     registry
         .iter()
-        .filter(|(key, upstream)| upstream.left.is_none() && !asked.contains(key))
+        .filter(|(key, _)| gate::check(&registry, *key).is_ok() && !asked.contains(key))
         .filter(|(_, upstream)| upstream.entry.zone == gateway.settings.zone)
         .filter(|(_, upstream)| is_engine(&upstream.entry.pool))
         .map(|(key, upstream)| EngineAddress {
@@ -97,7 +101,7 @@
 }
 
 async fn ask(gateway: &Gateway, engine: EngineAddress) {
-    let listed = list(engine).await;
+    let listed = list(gateway, engine).await;
     let mut registry = gateway.registry.borrow_mut();
     let Some(upstream) = registry.get_mut(engine.key) else {
         return;
@@ -117,11 +121,14 @@
     });
 }
 
-async fn list(engine: EngineAddress) -> Result<Vec<PromptPart>, ListError> {
+async fn list(gateway: &Gateway, engine: EngineAddress) -> Result<Vec<PromptPart>, ListError> {
     let mut channel = channels::open(engine.key, engine.address).await?;
+    gate::check(&gateway.registry.borrow(), engine.key)?;
     let request = cache::list_request(&engine.address.to_string())?;
     let answer = tokio::time::timeout(ANSWER_TIME, channel.sender.send_request(request)).await;
     let answer = answer.map_err(|_| ListError::TimedOut)??;
+    let said = answer::notices(answer.status(), answer.headers());
+    notices::take_notices(gateway, engine.key, said);
     if !answer.status().is_success() {
         return Err(ListError::Refused(answer.status()));
     }
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -286,11 +286,6 @@
         /// `own` or the node that told.
         source: &'a str,
     },
-    /// An upstream's answer says that it takes nothing new.
-    LeavingAnnounced {
-        /// The upstream's id.
-        upstream: &'a str,
-    },
     /// An upstream that refused a call wants nothing from this node for a while.
     PauseAsked {
         /// The upstream's id.
--- a/daemon/src/gateway/notices.rs
+++ b/daemon/src/gateway/notices.rs
@@ -4,7 +4,7 @@
 use monsoonbank_platform::answer::{AnswerHead, AnswerKind, UpstreamNotices};
 
 use crate::gateway::decisions::{Decision, millis};
-use crate::gateway::{Gateway, limits};
+use crate::gateway::{Gateway, follow, limits};
 
 /// Takes in the head of an upstream's answer.
 pub fn take(gateway: &Gateway, key: UpstreamKey, head: &AnswerHead) {
@@ -18,22 +18,23 @@
     take_notices(gateway, key, head.notices);
 }
 
-fn take_notices(gateway: &Gateway, key: UpstreamKey, notices: UpstreamNotices) {
-    let registry = gateway.registry.borrow();
-    let Some(upstream) = registry.get(key) else {
-        return;
-    };
-    let id = &upstream.entry.id;
+/// Takes in what an upstream says of itself.
+pub fn take_notices(gateway: &Gateway, key: UpstreamKey, notices: UpstreamNotices) {
     if notices.leaving {
         gateway.metrics.count_notice("leaving");
-        gateway
-            .decisions
-            .line(&Decision::LeavingAnnounced { upstream: id });
+        let is_news = gateway.registry.borrow_mut().announced(key, gateway.now());
+        if is_news {
+            follow::upstream_changed(gateway, key);
+        }
     }
     if let Some(pause) = notices.pause {
         gateway.metrics.count_notice("pause");
+        let registry = gateway.registry.borrow();
+        let Some(upstream) = registry.get(key) else {
+            return;
+        };
         gateway.decisions.line(&Decision::PauseAsked {
-            upstream: id,
+            upstream: &upstream.entry.id,
             pause_ms: millis(pause),
         });
     }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
+use monsoonbank_kernel::gateway::gate::{self, GateError};
 use monsoonbank_kernel::gateway::heartbeat;
 use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
@@ -94,7 +95,7 @@
     fn quarantined(error: QuarantineError) -> Self {
         Self {
             pause: Some(error.pause),
-            ..Self::new(AttemptEnd::NotSent, &error)
+            ..Self::new(AttemptEnd::Withheld, &error)
         }
     }
 
@@ -155,8 +156,6 @@
         let choice = waiting::wait_for_room(gateway, call, trail)
             .await
             .map_err(|end| FailedAttempt::new(AttemptEnd::NotSent, &end))?;
-        // It may have been quarantined while it waited.
-        quarantine::begin_send(gateway, call).map_err(FailedAttempt::quarantined)?;
         trail.tried.push(choice.key);
         match attempt(gateway, call, trail, &choice, after).await {
             Ok(attempt) => return Ok(attempt),
@@ -221,7 +220,7 @@
             upstream.health.silent(now)
         }
         AttemptEnd::Failed | AttemptEnd::Refused => upstream.health.failed(now),
-        AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Moved => false,
+        AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Withheld | AttemptEnd::Moved => false,
     };
     let end = failed.end.to_string();
     gateway
@@ -296,13 +295,10 @@
     after: Option<u64>,
 ) -> Result<OpenAttempt, FailedAttempt> {
     let not_sent = |reason: &dyn std::fmt::Display| FailedAttempt::new(AttemptEnd::NotSent, reason);
-    let Some((id, address)) = gateway
-        .registry
-        .borrow()
-        .get(choice.key)
-        .map(|upstream| (upstream.entry.id.clone(), upstream.entry.address))
-    else {
-        return Err(not_sent(&"the upstream is gone"));
+    let (id, address) = {
+        let registry = gateway.registry.borrow();
+        let upstream = gate::check(&registry, choice.key).map_err(withheld)?;
+        (upstream.entry.id.clone(), upstream.entry.address)
     };
     let work = WorkShare::begin(gateway, call, choice);
     let mut channel = if let Some(channel) =
@@ -324,6 +320,7 @@
     if now >= call.deadline {
         return Err(not_sent(&"the deadline has passed"));
     }
+    pass_gate(gateway, call, choice.key)?;
     let time_left = call.deadline.saturating_sub(now);
     let keeper = choice.fetch_from;
     let fetch_from = keeper.and_then(|keeper| address_of(gateway, keeper));
@@ -367,6 +364,16 @@
     }
 }
 
+/// The last look before a call is sent: what became known since its upstream was chosen.
+fn pass_gate(gateway: &Gateway, call: &Call, key: UpstreamKey) -> Result<(), FailedAttempt> {
+    gate::check(&gateway.registry.borrow(), key).map_err(withheld)?;
+    quarantine::begin_send(gateway, call).map_err(FailedAttempt::quarantined)
+}
+
+fn withheld(error: GateError) -> FailedAttempt {
+    FailedAttempt::new(AttemptEnd::Withheld, &error)
+}
+
 fn connect_end(error: &ChannelError) -> AttemptEnd {
     match error {
         ChannelError::Refused(source) if source.kind() == ErrorKind::ConnectionRefused => {
@@ -378,12 +385,11 @@
     }
 }
 
+/// Where other upstreams may fetch from this one.
 fn address_of(gateway: &Gateway, key: UpstreamKey) -> Option<SocketAddr> {
-    gateway
-        .registry
-        .borrow()
-        .get(key)
-        .map(|upstream| upstream.entry.address)
+    let registry = gateway.registry.borrow();
+    let upstream = gate::check(&registry, key).ok()?;
+    Some(upstream.entry.address)
 }
 
 fn count_send(gateway: &Gateway, call: &Call, trail: &mut CallTrail) {
--- a/daemon/tests/gateway/departures.rs
+++ b/daemon/tests/gateway/departures.rs
@@ -7,7 +7,7 @@
 use monsoonbank_standin::scripted::ScriptStep::Send;
 use tokio::time::{Instant, sleep};
 
-use crate::world::{World, answer_head, events, good, request, script, send};
+use crate::world::{World, answer_head, events, good, request, script, send, until, upstream_id};
 
 /// Time after such an answer in which calls may still be sent.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -110,3 +110,38 @@
     a_stream_says_that_its_upstream_leaves: ["east"], "resume", Stream, 1;
     a_refusal_says_that_the_only_upstream_leaves: ["east"], "safe", Refusal, 0;
 }
+
+// Guards against each node that learns by calls of its own that an upstream leaves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_departure_that_an_answer_announces_is_told_to_other_nodes() {
+    let world = World::start(
+        &["east", "east", "west"],
+        vec![leaving(LeavingAnswer::Good), good()],
+    )
+    .await;
+    until("an answer says so", async || {
+        world.send(&request("/safe/x", "a1", "")).await;
+        !world.upstreams[0].calls().is_empty()
+    })
+    .await;
+    for node in &world.nodes {
+        until("the node knows", async || {
+            let state = node.state().await;
+            let upstreams = state["upstreams"].as_array().expect("upstreams");
+            upstreams
+                .iter()
+                .any(|upstream| upstream["id"] == upstream_id(0) && !upstream["left"].is_null())
+        })
+        .await;
+    }
+}
+
+// Guards against callers that are not told when to come back if all upstreams of a pool leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_are_refused_as_not_run_once_the_only_upstream_leaves() {
+    let world = World::start(&["east"], vec![leaving(LeavingAnswer::Good)]).await;
+    assert_eq!(world.send(&request("/safe/x", "a1", "")).await.status, 200);
+    let answer = world.send(&request("/once/x", "a2", "")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.has("retry-after"), "{}", answer.head);
+}
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod duty;
 pub mod entries;
 pub mod fleet;
+pub mod gate;
 pub mod health;
 pub mod heartbeat;
 pub mod lag;
--- a/kernel/src/gateway/outcome.rs
+++ b/kernel/src/gateway/outcome.rs
@@ -8,6 +8,9 @@
     /// Nothing was sent: no connection came about.
     #[display("not_sent")]
     NotSent,
+    /// Nothing was sent: the upstream or the call's content may get no calls any more.
+    #[display("withheld")]
+    Withheld,
     /// Nothing was sent: nothing listens at the upstream's address.
     #[display("unreachable")]
     Unreachable,
@@ -59,7 +62,7 @@
 
     /// Whether anything reached the upstream.
     pub fn was_sent(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Unreachable)
+        !matches!(self, Self::NotSent | Self::Withheld | Self::Unreachable)
     }
 }
 
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -59,9 +59,12 @@
 /// Why an upstream takes nothing new.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum LeavingCause {
-    /// It said so.
+    /// Its entry says so.
     #[display("draining")]
     Draining,
+    /// An answer of it says so.
+    #[display("announced")]
+    Announced,
     /// Its entry is gone.
     #[display("removed")]
     Removed,
@@ -112,6 +115,20 @@
     next_key: u32,
 }
 
+impl Upstream {
+    /// Notes that it takes nothing new. Gives whether that is news: a lapsed entry may come back, so any
+    /// other cause takes the place of that one.
+    fn leave(&mut self, cause: LeavingCause) -> bool {
+        if self.left.is_some_and(|left| left != LeavingCause::Lapsed) {
+            return false;
+        }
+        let is_news = self.left != Some(cause);
+        self.left = Some(cause);
+        self.lapsed_at = None;
+        is_news
+    }
+}
+
 impl UpstreamRegistry {
     /// Takes a change in. `trusted` says that the registry has been well for long enough that a
     /// missing entry means that its upstream leaves. Gives the upstreams whose state changed.
@@ -135,14 +152,23 @@
     pub fn departed(&mut self, hash: u64, now: Duration) -> Option<UpstreamKey> {
         let key = self.by_hash(hash)?;
         let upstream = self.upstreams.get_mut(&key)?;
-        if upstream.left.is_some() {
+        if !upstream.leave(LeavingCause::Removed) {
             return None;
         }
-        upstream.left = Some(LeavingCause::Removed);
         self.note_departure(key, now);
         Some(key)
     }
 
+    /// Takes in that an answer of an upstream says that it leaves. Gives whether that is news.
+    pub fn announced(&mut self, key: UpstreamKey, now: Duration) -> bool {
+        let upstream = self.upstreams.get_mut(&key);
+        let is_news = upstream.is_some_and(|upstream| upstream.leave(LeavingCause::Announced));
+        if is_news {
+            self.note_departure(key, now);
+        }
+        is_news
+    }
+
     /// Hashes of the ids of upstreams that began to leave a moment ago, the newest first.
     pub fn departures(&self, now: Duration) -> Vec<u64> {
         let fresh = |(at, _): &&(Duration, u64)| *at + DEPARTURE_AGE > now;
@@ -160,7 +186,7 @@
         // An entry that only lapsed may come back.
         if matches!(
             upstream.left,
-            Some(LeavingCause::Draining | LeavingCause::Removed)
+            Some(LeavingCause::Draining | LeavingCause::Announced | LeavingCause::Removed)
         ) {
             self.departures.push_back((now, upstream.entry.run_hash()));
             if self.departures.len() > MOST_DEPARTURES {
@@ -192,12 +218,8 @@
             upstream.entry = entry;
             return vec![key];
         }
-        if entry.leaving && upstream.left.is_none() {
-            upstream.left = Some(LeavingCause::Draining);
-            upstream.entry = entry;
-            return vec![key];
-        }
-        let changed = upstream.entry != entry;
+        let leaves = entry.leaving && upstream.leave(LeavingCause::Draining);
+        let changed = leaves || upstream.entry != entry;
         upstream.entry = entry;
         if changed { vec![key] } else { Vec::new() }
     }
@@ -212,8 +234,7 @@
         let mut changed = vec![key];
         for (other_key, other) in &mut self.upstreams {
             let same_place = other.entry.address == entry.address && other.entry.pool == entry.pool;
-            if other.left.is_none() && (other.entry.id == entry.id || same_place) {
-                other.left = Some(LeavingCause::Replaced);
+            if (other.entry.id == entry.id || same_place) && other.leave(LeavingCause::Replaced) {
                 changed.push(*other_key);
             }
         }
@@ -246,7 +267,7 @@
             upstream.lapsed_at.get_or_insert(now);
             return Some(key);
         }
-        upstream.left = Some(LeavingCause::Removed);
+        upstream.leave(LeavingCause::Removed);
         Some(key)
     }
 
@@ -273,8 +294,7 @@
                 continue;
             };
             if now >= returned_at.max(lapsed_at) + RETURN_GRACE {
-                upstream.lapsed_at = None;
-                upstream.left = Some(LeavingCause::Lapsed);
+                upstream.leave(LeavingCause::Lapsed);
                 gone.push(*key);
             }
         }
@@ -284,7 +304,7 @@
     /// Notes that another upstream answers at this one's address.
     pub fn replaced(&mut self, key: UpstreamKey) {
         if let Some(upstream) = self.upstreams.get_mut(&key) {
-            upstream.left.get_or_insert(LeavingCause::Replaced);
+            upstream.leave(LeavingCause::Replaced);
         }
     }
 
--- a/kernel/tests/gateway/outcome.rs
+++ b/kernel/tests/gateway/outcome.rs
@@ -17,6 +17,7 @@
 
 steps! {
     a_call_that_was_not_sent_goes_elsewhere: NotSent, AtMostOnce, false, true => Retry;
+    a_call_that_was_withheld_goes_elsewhere: Withheld, AtMostOnce, false, true => Retry;
     a_refused_call_goes_elsewhere: Refused, AtMostOnce, false, true => Retry;
     a_refused_call_without_room_has_not_run: Refused, AtMostOnce, false, false => NotRun;
     a_lost_answer_is_never_sent_again: Lost, AtMostOnce, true, true => Unknown;
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::cache::CacheMoment;
+use monsoonbank_kernel::gateway::gate::{self, GateError};
 use monsoonbank_kernel::gateway::prompt::{PromptPart, PromptShape};
 use monsoonbank_kernel::gateway::registry::{
     LeavingCause, RegistryChange, UpstreamEntry, UpstreamRegistry,
@@ -218,3 +219,61 @@
     registry.apply(RegistryChange::Removed("i-1".into()), false, SECOND);
     assert!(registry.departures(SECOND).is_empty());
 }
+
+// Guards against an upstream whose answers say that it leaves, and whose entry still says that it is ready.
+#[test]
+fn an_announced_departure_sticks_whatever_the_entry_says() {
+    let mut registry = UpstreamRegistry::default();
+    put(&mut registry, "a", 1, false);
+    let key = registry.key("a").expect("known");
+    assert!(registry.announced(key, SECOND));
+    assert!(!registry.announced(key, SECOND));
+    put(&mut registry, "a", 1, false);
+    assert!(usable(&registry).is_empty());
+    assert_eq!(registry.departures(SECOND).len(), 1);
+}
+
+// Guards against a lapsed entry that comes back after its upstream has announced that it leaves.
+#[test]
+fn an_announced_departure_outlasts_a_lapse() {
+    for announced_first in [true, false] {
+        let mut registry = UpstreamRegistry::default();
+        put(&mut registry, "a", 1, false);
+        let key = registry.key("a").expect("known");
+        registry.apply(RegistryChange::Removed("a".into()), false, START);
+        if announced_first {
+            registry.announced(key, SECOND);
+        }
+        registry.settle(START, SECOND * 5);
+        assert_eq!(!announced_first, registry.announced(key, SECOND * 6));
+        put(&mut registry, "a", 1, false);
+        assert!(usable(&registry).is_empty());
+    }
+}
+
+// Guards against a new run under an old id that gets no calls, as the run before it left.
+#[test]
+fn a_new_run_has_not_left() {
+    let mut registry = UpstreamRegistry::default();
+    put(&mut registry, "a", 1, false);
+    let key = registry.key("a").expect("known");
+    registry.announced(key, SECOND);
+    let run = UpstreamEntry {
+        born: Some(7),
+        ..entry("a", 1, false)
+    };
+    registry.apply(RegistryChange::Put(run), true, SECOND);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+// Guards against a call that was chosen for an upstream before that left, and is sent after.
+#[test]
+fn the_gate_stops_what_was_chosen_before_the_upstream_left() {
+    let mut registry = UpstreamRegistry::default();
+    put(&mut registry, "a", 1, false);
+    let key = registry.key("a").expect("known");
+    assert!(gate::check(&registry, key).is_ok());
+    registry.announced(key, SECOND);
+    let refused = gate::check(&registry, key).err();
+    assert_eq!(refused, Some(GateError::Left(LeavingCause::Announced)));
+}
