--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod input;
 mod leaving;
 mod limits;
+mod pauses;
 mod peers;
 mod store;
 mod streams;
