--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -19,6 +19,7 @@
 use monsoonbank_kernel::gateway::spread::SpreadNews;
 use monsoonbank_platform::answer::{self, AnswerKind};
 use monsoonbank_platform::head::{self, UpstreamOrder};
+use thiserror::Error;
 
 use crate::gateway::Gateway;
 use crate::gateway::channels::{self, ChannelError, UpstreamChannel};
@@ -58,6 +59,17 @@
     pub response: Response<Incoming>,
 }
 
+/// Why a call is not sent to the upstream that was chosen for it.
+#[derive(Clone, Copy, Debug, Error)]
+enum WithheldError {
+    /// The upstream wants no call.
+    #[error("{0}")]
+    Upstream(#[from] GateError),
+    /// The call's content is quarantined.
+    #[error("{0}")]
+    Content(#[from] QuarantineError),
+}
+
 /// An attempt that gave no answer to pass on.
 pub struct FailedAttempt {
     /// How it ended.
@@ -92,9 +104,13 @@
         }
     }
 
-    fn quarantined(error: QuarantineError) -> Self {
+    fn withheld(error: WithheldError) -> Self {
+        let pause = match error {
+            WithheldError::Upstream(_) => None,
+            WithheldError::Content(quarantine) => Some(quarantine.pause),
+        };
         Self {
-            pause: Some(error.pause),
+            pause,
             ..Self::new(AttemptEnd::Withheld, &error)
         }
     }
@@ -152,7 +168,7 @@
     after: Option<u64>,
 ) -> Result<OpenAttempt, FailedAttempt> {
     loop {
-        quarantine::check(gateway, call).map_err(FailedAttempt::quarantined)?;
+        quarantine::check(gateway, call).map_err(|error| FailedAttempt::withheld(error.into()))?;
         let choice = waiting::wait_for_room(gateway, call, trail)
             .await
             .map_err(|end| FailedAttempt::new(AttemptEnd::NotSent, &end))?;
@@ -297,7 +313,8 @@
     let not_sent = |reason: &dyn std::fmt::Display| FailedAttempt::new(AttemptEnd::NotSent, reason);
     let (id, address) = {
         let registry = gateway.registry.borrow();
-        let upstream = gate::check(&registry, choice.key).map_err(withheld)?;
+        let upstream = gate::check(&registry, choice.key)
+            .map_err(|error| FailedAttempt::withheld(error.into()))?;
         (upstream.entry.id.clone(), upstream.entry.address)
     };
     let work = WorkShare::begin(gateway, call, choice);
@@ -320,7 +337,7 @@
     if now >= call.deadline {
         return Err(not_sent(&"the deadline has passed"));
     }
-    pass_gate(gateway, call, choice.key)?;
+    pass_gate(gateway, call, choice.key).map_err(FailedAttempt::withheld)?;
     let time_left = call.deadline.saturating_sub(now);
     let keeper = choice.fetch_from;
     let fetch_from = keeper.and_then(|keeper| address_of(gateway, keeper));
@@ -365,13 +382,10 @@
 }
 
 /// The last look before a call is sent: what became known since its upstream was chosen.
-fn pass_gate(gateway: &Gateway, call: &Call, key: UpstreamKey) -> Result<(), FailedAttempt> {
-    gate::check(&gateway.registry.borrow(), key).map_err(withheld)?;
-    quarantine::begin_send(gateway, call).map_err(FailedAttempt::quarantined)
-}
-
-fn withheld(error: GateError) -> FailedAttempt {
-    FailedAttempt::new(AttemptEnd::Withheld, &error)
+fn pass_gate(gateway: &Gateway, call: &Call, key: UpstreamKey) -> Result<(), WithheldError> {
+    gate::check(&gateway.registry.borrow(), key)?;
+    quarantine::begin_send(gateway, call)?;
+    Ok(())
 }
 
 fn connect_end(error: &ChannelError) -> AttemptEnd {
