Leave upstreams alone for as long as they ask

Callers' upstreams saw: engines that had turned a node's call away with 503 and asked it for 3 s of rest got three calls from it in that time (two allowed).

Cause: a refusal was counted as a failure whatever it said; only the third in a row started a rest, of half a second. The class: a demand of a peer taken for a measurement.

Ruled out: retries alone (first attempts arrive too), and a pause that a good answer ends (there was none).

Change: the pause is kept for the upstream's run at the node that was asked, the longest wins. The gate knows it, for each choice, for sources of KV memory and last before each send. A pool in which all pause for longer than a call would wait refuses it at once and says when the first opens, the most urgent first. Nothing is told to other nodes, so it costs no bytes.

--- a/cli/src/why.rs
+++ b/cli/src/why.rs
@@ -91,6 +91,8 @@
         "{crashes} upstreams broke off under calls with its content {content}, which are no longer sent; it did not run"
     )]
     Quarantined { content: Box<str>, crashes: u64 },
+    #[display("all upstreams of {pool} had asked for a pause; it did not run")]
+    Paused { pool: Box<str> },
     #[display("{upstream} did not take it ({end}: {reason}); it did not run")]
     NotTaken {
         upstream: Box<str>,
@@ -140,6 +142,7 @@
             Self::NoRoom { .. } => "no room",
             Self::TooLate { .. } => "too late",
             Self::Quarantined { .. } => "quarantined",
+            Self::Paused { .. } => "pool paused",
             Self::NotTaken { .. } => "not taken",
             Self::NotCarried => "node leaving",
             Self::Failed { .. } => "upstream failed",
@@ -215,6 +218,11 @@
             crashes: number(line, "crashes"),
         };
     }
+    if let Some(line) = last("pool_paused") {
+        return CallCause::Paused {
+            pool: text(line, "pool"),
+        };
+    }
     if let Some(line) = last("too_late") {
         return CallCause::TooLate {
             events: number(line, "expected_events"),
--- a/cli/tests/tool/main.rs
+++ b/cli/tests/tool/main.rs
@@ -23,6 +23,7 @@
 
 golden!(why_no_room, "why", "c1", "--logs", LINES);
 golden!(why_quarantined, "why", "c7", "--logs", LINES);
+golden!(why_pool_paused, "why", "c8", "--logs", LINES);
 golden!(why_too_late, "why", "c6", "--logs", LINES);
 golden!(why_answer_lost, "why", "c2", "--logs", LINES);
 golden!(why_stream_cut, "why", "c3", "--logs", LINES);
--- a/daemon/src/gateway/caches.rs
+++ b/daemon/src/gateway/caches.rs
@@ -87,10 +87,11 @@
         return Vec::new();
     };
     let registry = gateway.registry.borrow();
+    let now = gateway.now();
     let is_engine = |pool: &str| rules.pool(pool).is_some_and(|pool| pool.engine.is_some());
     registry
         .iter()
-        .filter(|(key, _)| gate::check(&registry, *key).is_ok() && !asked.contains(key))
+        .filter(|(key, _)| gate::check(&registry, *key, now).is_ok() && !asked.contains(key))
         .filter(|(_, upstream)| upstream.entry.zone == gateway.settings.zone)
         .filter(|(_, upstream)| is_engine(&upstream.entry.pool))
         .map(|(key, upstream)| EngineAddress {
@@ -123,7 +124,7 @@
 
 async fn list(gateway: &Gateway, engine: EngineAddress) -> Result<Vec<PromptPart>, ListError> {
     let mut channel = channels::open(engine.key, engine.address).await?;
-    gate::check(&gateway.registry.borrow(), engine.key)?;
+    gate::check(&gateway.registry.borrow(), engine.key, gateway.now())?;
     let request = cache::list_request(&engine.address.to_string())?;
     let answer = tokio::time::timeout(ANSWER_TIME, channel.sender.send_request(request)).await;
     let answer = answer.map_err(|_| ListError::TimedOut)??;
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -230,6 +230,16 @@
         /// Whether an upstream had room in the end.
         found: bool,
     },
+    /// All upstreams of a pool asked for a pause, so a call to it is refused at once.
+    PoolPaused {
+        /// The call.
+        call: &'a str,
+        /// The pool.
+        pool: &'a str,
+        /// Time until the first that the call was not sent to wants calls again, in ms; none if it was
+        /// sent to all.
+        opens_ms: Option<u64>,
+    },
     /// A call that is late is not sent, since its stream would not end in its time.
     TooLate {
         /// The call.
--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -172,6 +172,7 @@
                 "resting": upstream.health.resting(now),
                 "failures": upstream.health.failures(),
                 "limit_per_s": upstream.throttle.limit(),
+                "pause_ms": upstream.pause.left(now).map(millis),
             })
         })
         .collect();
--- a/daemon/src/gateway/notices.rs
+++ b/daemon/src/gateway/notices.rs
@@ -1,5 +1,7 @@
 //! Takes in what upstreams say of themselves in the heads of their answers.
 
+use std::time::Duration;
+
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_platform::answer::{AnswerHead, AnswerKind, UpstreamNotices};
 
@@ -28,14 +30,19 @@
         }
     }
     if let Some(pause) = notices.pause {
-        gateway.metrics.count_notice("pause");
-        let registry = gateway.registry.borrow();
-        let Some(upstream) = registry.get(key) else {
-            return;
-        };
-        gateway.decisions.line(&Decision::PauseAsked {
-            upstream: &upstream.entry.id,
-            pause_ms: millis(pause),
-        });
+        take_pause(gateway, key, pause);
     }
 }
+
+fn take_pause(gateway: &Gateway, key: UpstreamKey, pause: Duration) {
+    gateway.metrics.count_notice("pause");
+    let mut registry = gateway.registry.borrow_mut();
+    let Some(upstream) = registry.get_mut(key) else {
+        return;
+    };
+    upstream.pause.ask(pause, gateway.now());
+    gateway.decisions.line(&Decision::PauseAsked {
+        upstream: &upstream.entry.id,
+        pause_ms: millis(pause),
+    });
+}
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -38,6 +38,11 @@
 const MOST_CONNECTS: usize = 8;
 /// What a refused caller is told to wait: about the time in which a full engine frees slots.
 const BUSY_PAUSE: Duration = Duration::from_millis(400);
+/// Longest time that a caller is told to wait: upstreams may be added before a long pause ends.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+/// What a caller is told to wait longer for each rank, where a whole pool pauses: the most urgent come back
+/// first.
+const RANK_PAUSE: Duration = Duration::from_millis(100);
 
 /// What a call has been through.
 #[derive(Debug, Default)]
@@ -80,7 +85,7 @@
     pub answer: Option<Reply>,
     /// Whether the upstream's connection broke under it.
     pub broke: bool,
-    /// What the caller is told to wait; as long as for a full pool if none.
+    /// What the caller is told to wait; as long as for a full or pausing pool if none.
     pub pause: Option<Duration>,
 }
 
@@ -313,7 +318,7 @@
     let not_sent = |reason: &dyn std::fmt::Display| FailedAttempt::new(AttemptEnd::NotSent, reason);
     let (id, address) = {
         let registry = gateway.registry.borrow();
-        let upstream = gate::check(&registry, choice.key)
+        let upstream = gate::check(&registry, choice.key, gateway.now())
             .map_err(|error| FailedAttempt::withheld(error.into()))?;
         (upstream.entry.id.clone(), upstream.entry.address)
     };
@@ -383,7 +388,7 @@
 
 /// The last look before a call is sent: what became known since its upstream was chosen.
 fn pass_gate(gateway: &Gateway, call: &Call, key: UpstreamKey) -> Result<(), WithheldError> {
-    gate::check(&gateway.registry.borrow(), key)?;
+    gate::check(&gateway.registry.borrow(), key, gateway.now())?;
     quarantine::begin_send(gateway, call)?;
     Ok(())
 }
@@ -402,7 +407,7 @@
 /// Where other upstreams may fetch from this one.
 fn address_of(gateway: &Gateway, key: UpstreamKey) -> Option<SocketAddr> {
     let registry = gateway.registry.borrow();
-    let upstream = gate::check(&registry, key).ok()?;
+    let upstream = gate::check(&registry, key, gateway.now()).ok()?;
     Some(upstream.entry.address)
 }
 
@@ -485,6 +490,15 @@
     }
 }
 
+/// What the caller of a refused call is told to wait.
+fn pool_pause(gateway: &Gateway, call: &Call) -> Duration {
+    let registry = gateway.registry.borrow();
+    let Some(left) = gate::opens_in(&registry, &call.pool, &[], gateway.now()) else {
+        return BUSY_PAUSE;
+    };
+    left.clamp(BUSY_PAUSE, LONGEST_PAUSE) + RANK_PAUSE * u32::from(call.tier)
+}
+
 fn give_up(
     gateway: &Gateway,
     mut watch: CallWatch,
@@ -504,7 +518,12 @@
         }
         None => (
             CallOutcome::NotRun,
-            reply::not_run(&failed.reason, failed.pause.unwrap_or(BUSY_PAUSE)),
+            reply::not_run(
+                &failed.reason,
+                failed
+                    .pause
+                    .unwrap_or_else(|| pool_pause(gateway, watch.call())),
+            ),
         ),
     };
     watch.status = reply.status().as_u16();
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::choice::UpstreamChoice;
+use monsoonbank_kernel::gateway::gate;
 use monsoonbank_kernel::gateway::rules::AnswerForm;
 use monsoonbank_kernel::gateway::waiting::WaitRank;
 
@@ -55,6 +56,9 @@
     /// There is no upstream at all, or none with room in time.
     #[display("no upstream has room")]
     NoRoom,
+    /// All upstreams want a pause that is longer than it may wait.
+    #[display("all upstreams asked for a pause")]
+    Paused,
     /// Its stream would not end in the time that is left.
     #[display("its stream would not end in time")]
     TooLate,
@@ -85,6 +89,21 @@
     true
 }
 
+/// Whether no upstream wants calls, nor will before the call has waited long enough.
+fn pauses_beyond(gateway: &Gateway, call: &Call, trail: &CallTrail, until: Duration) -> bool {
+    let now = gateway.now();
+    let opens_in = gate::opens_in(&gateway.registry.borrow(), &call.pool, &trail.tried, now);
+    let Some(opens_in) = opens_in.filter(|opens_in| now.saturating_add(*opens_in) >= until) else {
+        return false;
+    };
+    gateway.decisions.line(&Decision::PoolPaused {
+        call: &call.head.id,
+        pool: &call.pool,
+        opens_ms: (opens_in < Duration::MAX).then(|| millis(opens_in)),
+    });
+    true
+}
+
 /// How long a call that comes to wait now may do so: for its part of the time that is left, and no
 /// longer than its caller waits for an event that is then sent.
 fn waits_until(gateway: &Gateway, call: &Call) -> Duration {
@@ -116,13 +135,16 @@
             None => first.tier <= call.tier,
         })
     };
+    let until = waits_until(gateway, call);
+    if pauses_beyond(gateway, call, trail, until) {
+        return Err(WaitEnd::Paused);
+    }
     if !blocked(None)
         && let Some(choice) = relay::choose(gateway, call, trail)
     {
         return Ok(choice);
     }
     let since = gateway.now();
-    let until = waits_until(gateway, call);
     let rank =
         gateway
             .waiting
@@ -139,6 +161,10 @@
             found = Err(WaitEnd::TooLate);
             break;
         }
+        if pauses_beyond(gateway, call, trail, until) {
+            found = Err(WaitEnd::Paused);
+            break;
+        }
         let notice = gateway.room_notice.notified();
         let _ = tokio::time::timeout(LOOK_PAUSE, notice).await;
         if !blocked(Some(rank)) {
--- a/daemon/tests/gateway/pauses.rs
+++ b/daemon/tests/gateway/pauses.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use monsoonbank_standin::raw::RawRequest;
 use monsoonbank_standin::scripted::AnswerScript;
 use monsoonbank_standin::scripted::ScriptStep::Send;
 use tokio::time::{Instant, sleep};
 
-use crate::world::{RawAnswer, World, request, script, send};
+use crate::world::{RawAnswer, World, good, good_answer, request, script, send, until};
 
 /// The pause that upstreams ask for.
 const PAUSE: Duration = Duration::from_secs(3);
@@ -19,17 +20,20 @@
 /// Time between two calls.
 const CALL_PAUSE: Duration = Duration::from_millis(50);
 
-/// Refuses all calls and asks for a pause.
+/// A refusal that asks for a pause.
+fn refusal(request: &RawRequest) -> Vec<u8> {
+    let id = request.header("x-attempt-id");
+    let text = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\n\
+         Retry-After: {}\r\nContent-Length: 0\r\n\r\n",
+        PAUSE.as_secs()
+    );
+    text.into_bytes()
+}
+
+/// Refuses all calls and asks for pauses.
 fn pausing() -> AnswerScript {
-    script(|request, _| {
-        let id = request.header("x-attempt-id");
-        let text = format!(
-            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\n\
-             Retry-After: {}\r\nContent-Length: 0\r\n\r\n",
-            PAUSE.as_secs()
-        );
-        vec![Send(text.into_bytes())]
-    })
+    script(|request, _| vec![Send(refusal(request))])
 }
 
 /// Sends calls to all nodes in turn for a while; the ids begin with the node's number.
@@ -97,3 +101,79 @@
     all_upstreams_ask_two_nodes_for_pauses: ["east", "west"], "safe", 3;
     upstreams_ask_for_pauses_where_calls_may_run_once: ["east"], "once", 2;
 }
+
+// Guards against callers that are held, or told to come back while all upstreams still pause.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_told_at_once_when_a_pausing_pool_opens() {
+    let world = World::start(&["east"], vec![pausing()]).await;
+    assert_eq!(world.send(&request("/safe/x", "0-1", "")).await.status, 503);
+    let asked = Instant::now();
+    let answer = world.send(&request("/once/x", "0-2", "")).await;
+    assert!(
+        asked.elapsed() < Duration::from_millis(400),
+        "{:?}",
+        asked.elapsed()
+    );
+    assert_eq!(answer.status, 503);
+    let told = retry_after(&answer);
+    assert!((2.0..=4.0).contains(&told), "{told}");
+    assert_eq!(world.arrivals(), 1);
+    let line = |line: &serde_json::Value| line["event"] == "pool_paused" && line["call"] == "0-2";
+    until("the refusal is written down", async || {
+        world.nodes[0].lines().iter().any(line)
+    })
+    .await;
+}
+
+fn retry_after(answer: &RawAnswer) -> f64 {
+    let head = answer.head.to_ascii_lowercase();
+    let value = head
+        .split("retry-after: ")
+        .nth(1)
+        .and_then(|rest| rest.lines().next());
+    value
+        .and_then(|value| value.trim().parse().ok())
+        .expect("seconds")
+}
+
+// Guards against a pause that keeps away the calls of nodes that were not asked for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_pause_binds_only_the_node_that_was_asked_for_it() {
+    let upstream = script(|request, _| {
+        if request.header("x-attempt-id").starts_with("0-") {
+            vec![Send(refusal(request))]
+        } else {
+            vec![Send(good_answer(request))]
+        }
+    });
+    let world = World::start(&["east", "east"], vec![upstream]).await;
+    assert_eq!(world.send(&request("/safe/x", "0-1", "")).await.status, 503);
+    sleep(NOTICE_TIME).await;
+    let other = world.nodes[1].address(4000);
+    let answer = send(other, request("/safe/y", "1-1", "").as_bytes()).await;
+    assert_eq!(answer.status, 200);
+}
+
+// Guards against a pool whose calls are refused although another upstream has room.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_go_to_upstreams_that_want_them() {
+    let world = World::start(&["east"], vec![pausing(), good()]).await;
+    let answers = send_load(&world, "safe").await;
+    assert!(answers.iter().all(|answer| answer.status == 200));
+}
+
+// Guards against an upstream that gets nothing after its pause has ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_gets_calls_again_after_its_pause() {
+    let upstream = script(|request, number| {
+        vec![Send(if number == 0 {
+            refusal(request)
+        } else {
+            good_answer(request)
+        })]
+    });
+    let world = World::start(&["east"], vec![upstream]).await;
+    assert_eq!(world.send(&request("/safe/x", "0-1", "")).await.status, 503);
+    sleep(PAUSE + NOTICE_TIME).await;
+    assert_eq!(world.send(&request("/safe/x", "0-2", "")).await.status, 200);
+}
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod outcome;
 pub mod pace;
 pub mod partition;
+pub mod pause;
 pub mod prompt;
 pub mod registry;
 pub mod reports;
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::cache::CacheMoment;
+use crate::gateway::gate;
 use crate::gateway::load::{TOKENS_PER_MS, WorkCount};
 use crate::gateway::partition::{self, UpstreamOption};
 use crate::gateway::prompt::PromptShape;
@@ -108,8 +109,7 @@
 
 /// The cheapest upstream that takes new work, if there is any.
 pub fn choose(registry: &UpstreamRegistry, input: &ChoiceInput) -> Option<UpstreamChoice> {
-    let all: Vec<UpstreamOption> = registry
-        .usable(input.pool)
+    let all: Vec<UpstreamOption> = gate::open_upstreams(registry, input.pool, input.now)
         .map(|(key, upstream)| UpstreamOption {
             key,
             upstream,
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
+use crate::gateway::pause::UpstreamPause;
 use crate::gateway::throttle::UpstreamThrottle;
 
 /// An upstream that this process has heard of; never used again for another one.
@@ -91,6 +92,8 @@
     pub health: UpstreamHealth,
     /// The limit that it named.
     pub throttle: UpstreamThrottle,
+    /// The pause that it asked this node for.
+    pub pause: UpstreamPause,
 }
 
 /// Time that an entry, which lapsed while the registry was away, has to come back after the
@@ -252,6 +255,7 @@
             load: UpstreamLoad::default(),
             health: UpstreamHealth::default(),
             throttle: UpstreamThrottle::default(),
+            pause: UpstreamPause::default(),
         };
         self.upstreams.insert(key, upstream);
         changed
--- a/kernel/tests/gateway/choice.rs
+++ b/kernel/tests/gateway/choice.rs
@@ -377,3 +377,19 @@
         assert!(most_held(tier) >= most_held(tier + 1) + 2 * 6000, "{tier}");
     }
 }
+
+// Guards against an upstream that asked for a pause and is chosen, or has to give away KV memory, all the same.
+#[test]
+fn a_pausing_upstream_is_neither_chosen_nor_fetched_from() {
+    let mut registry = registry(&["east", "east"], 10);
+    let key = registry.key("i-1").expect("known");
+    let upstream = registry.get_mut(key).expect("known");
+    upstream.load.part_read(7, NOW);
+    upstream.pause.ask(Duration::from_secs(3), NOW);
+    let prompt = shared(7);
+    let choice = choose(&registry, &input(&prompt, false)).expect("a choice");
+    assert_eq!(
+        (choice.key, choice.fetch_from),
+        (registry.key("i-0").expect("known"), None)
+    );
+}
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod duty;
 mod engines;
 mod fleet;
+mod gate;
 mod health;
 mod lag;
 mod limit_fuzz;
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::cache::CacheMoment;
-use monsoonbank_kernel::gateway::gate::{self, GateError};
 use monsoonbank_kernel::gateway::prompt::{PromptPart, PromptShape};
 use monsoonbank_kernel::gateway::registry::{
     LeavingCause, RegistryChange, UpstreamEntry, UpstreamRegistry,
@@ -265,15 +264,3 @@
     registry.apply(RegistryChange::Put(run), true, SECOND);
     assert_eq!(usable(&registry), ["a"]);
 }
-
-// Guards against a call that was chosen for an upstream before that left, and is sent after.
-#[test]
-fn the_gate_stops_what_was_chosen_before_the_upstream_left() {
-    let mut registry = UpstreamRegistry::default();
-    put(&mut registry, "a", 1, false);
-    let key = registry.key("a").expect("known");
-    assert!(gate::check(&registry, key).is_ok());
-    registry.announced(key, SECOND);
-    let refused = gate::check(&registry, key).err();
-    assert_eq!(refused, Some(GateError::Left(LeavingCause::Announced)));
-}
