Let upstreams of the own interface say in any answer that they leave

The cause of the calls to a leaving engine stands in the product's own interface too: leaving was read from load reports, the host list and operators, and from no answer. A plain service gives no load report, so it had no way of its own.

The stand-in service can say so now; the new test had its service run calls on after it had said so, and passes with the change: the header x-leaving of any answer is taken as a load report that says the same.

--- a/daemon/src/upstreams.rs
+++ b/daemon/src/upstreams.rs
@@ -21,6 +21,8 @@
 
 /// Header by which an upstream says that it did not run a request that it refuses.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
+/// Header by which an upstream says in any answer that it takes nothing new.
+pub const LEAVING_HEADER: &str = "x-leaving";
 /// Header that names the attempt to the upstream.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The kernel is told of progress each time this many tokens have come.
@@ -114,6 +116,7 @@
             return AttemptEnd::Broken { tokens: 0 };
         }
     };
+    take_notices(running, start, &response);
     if refused(&response) {
         return AttemptEnd::Refused;
     }
@@ -124,6 +127,15 @@
     }
 }
 
+/// Takes in what the upstream says of itself in the head of an answer.
+fn take_notices(running: &RunningAttempt, start: &AttemptStart, response: &Response) {
+    if response.headers().contains_key(LEAVING_HEADER) {
+        let upstream = start.upstream;
+        log::info!("upstream={upstream} event=leaving_announced");
+        running.shared.event(Event::UpstreamAnnounced(upstream));
+    }
+}
+
 fn refused(response: &Response) -> bool {
     response.headers().contains_key(NOT_RUN_HEADER)
         || response.status() == StatusCode::TOO_MANY_REQUESTS
--- /dev/null
+++ b/daemon/tests/notices.rs
@@ -0,0 +1,36 @@
+//! What upstreams of the product's own interface say of themselves in their answers.
+
+mod common;
+
+use std::time::Duration;
+
+use common::TestFleet;
+use monsoonbank_standin::faults::ServiceFaults;
+use serde_json::json;
+
+/// Time for which a call is given to arrive at the service.
+const ARRIVAL_TIME: Duration = Duration::from_millis(300);
+
+/// Posts to the plain service, and leaves if there is no answer soon. Gives the answer's status.
+async fn try_post(fleet: &TestFleet, node: usize) -> Option<u16> {
+    let body = json!({});
+    let answer = fleet.post(node, "/services/gate/passes/7", &body);
+    let answer = tokio::time::timeout(ARRIVAL_TIME, answer).await.ok()?;
+    Some(answer.status().as_u16())
+}
+
+// Guards against calls to a service whose answers say that it leaves: a service tells it nowhere else.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_whose_answer_says_that_it_leaves_gets_nothing_more() {
+    let fleet = TestFleet::start(2, 1).await;
+    assert_eq!(try_post(&fleet, 0).await, Some(200));
+    fleet.service.set_faults(ServiceFaults {
+        leaving: true,
+        ..ServiceFaults::default()
+    });
+    assert_eq!(try_post(&fleet, 0).await, Some(200));
+    for node in [0, 1, 0, 1] {
+        assert_ne!(try_post(&fleet, node).await, Some(200));
+    }
+    assert_eq!(fleet.service.runs(), 2);
+}
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -53,6 +53,8 @@
         /// The report.
         report: LoadReport,
     },
+    /// An answer of the upstream says that it leaves.
+    UpstreamAnnounced(UpstreamId),
     /// A poll of the upstream's load failed.
     UpstreamUnreachable(UpstreamId),
     /// The upstream told that its cache holds, or no longer holds, a prefix.
--- a/kernel/src/membership.rs
+++ b/kernel/src/membership.rs
@@ -262,6 +262,7 @@
             Event::UpstreamReported { upstream, report } => {
                 self.upstream_report(*upstream, report.leaving, context);
             }
+            Event::UpstreamAnnounced(upstream) => self.upstream_report(*upstream, true, context),
             _ => return,
         }
         if self.is_publishable(event, context.now) {
--- a/standin/src/reply.rs
+++ b/standin/src/reply.rs
@@ -13,6 +13,9 @@
 /// Says that the request did not run.
 pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 
+/// Says that the upstream that answers is leaving.
+pub(crate) const LEAVING: HeaderName = HeaderName::from_static("x-leaving");
+
 /// A plain answer: status and JSON body.
 pub(crate) struct JsonReply {
     /// The status.
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use salvo::http::StatusCode;
+use salvo::http::{HeaderValue, StatusCode};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response};
 use serde_json::{Value, json};
 use tokio::sync::Semaphore;
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::faults::{CrashFault, ServiceFaults};
-use crate::reply::{JsonReply, read_json, read_text};
+use crate::reply::{JsonReply, LEAVING, read_json, read_text};
 use crate::server::{HttpServer, lock};
 
 /// What a service is like.
@@ -166,7 +166,12 @@
             change_faults(&self.service, request).await.write(response);
             return;
         }
-        if lock(&self.service.state).faults.refuse {
+        let faults = lock(&self.service.state).faults;
+        if faults.leaving {
+            let value = HeaderValue::from_static("true");
+            response.headers_mut().insert(LEAVING, value);
+        }
+        if faults.refuse {
             lock(&self.service.state).refused += 1;
             JsonReply::not_run(StatusCode::SERVICE_UNAVAILABLE, "refused").write(response);
             return;
