Leave upstreams of the own interface alone for as long as they ask

The cause of the calls in an asked pause stands in the product's own interface too: a refusal was a slight failure whatever it said, and Retry-After was not read.

With the change the upstream is out of service until the time that it named, and is then probed as after an ejection; waiting work that cannot start before the whole pool opens is refused at once and told when that is.

--- a/daemon/src/upstreams.rs
+++ b/daemon/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! Attempts at upstreams: sends the request, passes the answer's pieces on, tells how it ended.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -8,7 +9,7 @@
 use monsoonbank_kernel::config::{PoolKind, Upstream};
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::{AttemptId, NodeId};
-use reqwest::header::{CONTENT_TYPE, HeaderValue};
+use reqwest::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use reqwest::{Method, Response, StatusCode};
 use serde_json::Value;
 use tokio_util::sync::CancellationToken;
@@ -118,6 +119,7 @@
     };
     take_notices(running, start, &response);
     if refused(&response) {
+        take_pause(running, start, &response);
         return AttemptEnd::Refused;
     }
     match kind {
@@ -136,6 +138,25 @@
     }
 }
 
+/// Takes in for how long an upstream that refused a call wants none.
+fn take_pause(running: &RunningAttempt, start: &AttemptStart, response: &Response) {
+    let Some(value) = response.headers().get(RETRY_AFTER) else {
+        return;
+    };
+    let seconds = text(value).and_then(|text| text.trim().parse().ok());
+    let seconds = seconds.filter(|seconds: &f64| seconds.is_finite() && *seconds > 0.0);
+    let upstream = start.upstream;
+    let Some(seconds) = seconds else {
+        log::debug!("upstream={upstream} event=bad_pause value={value:?}");
+        return;
+    };
+    let pause = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+    log::info!("upstream={upstream} event=pause_asked seconds={seconds}");
+    running
+        .shared
+        .event(Event::UpstreamPaused { upstream, pause });
+}
+
 fn refused(response: &Response) -> bool {
     response.headers().contains_key(NOT_RUN_HEADER)
         || response.status() == StatusCode::TOO_MANY_REQUESTS
--- a/daemon/tests/notices.rs
+++ b/daemon/tests/notices.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::TestFleet;
 use monsoonbank_standin::faults::ServiceFaults;
@@ -11,6 +11,9 @@
 /// Time for which a call is given to arrive at the service.
 const ARRIVAL_TIME: Duration = Duration::from_millis(300);
 
+/// Time between two calls.
+const CALL_PAUSE: Duration = Duration::from_millis(20);
+
 /// Posts to the plain service, and leaves if there is no answer soon. Gives the answer's status.
 async fn try_post(fleet: &TestFleet, node: usize) -> Option<u16> {
     let body = json!({});
@@ -34,3 +37,27 @@
     }
     assert_eq!(fleet.service.runs(), 2);
 }
+
+// Guards against calls to a service that has refused one and named a time for which it wants none.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_that_asks_for_a_pause_gets_nothing_until_it_ends() {
+    let fleet = TestFleet::start(2, 1).await;
+    assert_eq!(try_post(&fleet, 0).await, Some(200));
+    fleet.service.set_faults(ServiceFaults {
+        refuse: true,
+        pause_ms: Some(3_000),
+        ..ServiceFaults::default()
+    });
+    let asked = Instant::now();
+    let mut number = 0;
+    while asked.elapsed() < Duration::from_secs(2) {
+        try_post(&fleet, number % 2).await;
+        number += 1;
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+    let refused = fleet.service.refused();
+    assert!(refused <= 1, "{refused} calls");
+    fleet.service.set_faults(ServiceFaults::default());
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(try_post(&fleet, 0).await, Some(200));
+}
--- a/kernel/src/dispatch.rs
+++ b/kernel/src/dispatch.rs
@@ -399,6 +399,7 @@
                 return;
             }
             Event::UpstreamLeaving(_) => state.upstream_leaves(upstream),
+            Event::UpstreamPaused { pause, .. } => state.pause(context.now, upstream, *pause),
             _ => {}
         }
         self.fill(pool, context);
@@ -434,6 +435,7 @@
             }
             Event::AttemptEnded { attempt, end } => self.ended(*attempt, *end, context),
             Event::UpstreamReported { upstream, .. }
+            | Event::UpstreamPaused { upstream, .. }
             | Event::CacheChanged { upstream, .. }
             | Event::UpstreamUnreachable(upstream)
             | Event::UpstreamLeaving(upstream) => self.on_upstream(event, *upstream, context),
--- a/kernel/src/dispatch/admission.rs
+++ b/kernel/src/dispatch/admission.rs
@@ -39,7 +39,7 @@
             return;
         }
         self.enqueue(now, key, held);
-        self.bound(held.work.spec.tier, arena, out);
+        self.bound(now, held.work.spec.tier, arena, out);
     }
 
     fn objection(&self, now: Duration, held: &HeldWork) -> Option<Refusal> {
@@ -50,19 +50,19 @@
         let slack = held.latest_start.checked_sub(now);
         let late = match slack {
             None if self.waiting_to(tier) < self.free_slots() => return None,
-            None => return self.late(tier),
+            None => return self.late(now, tier),
             Some(slack) if slack > LONG_SLACK || !self.settings.early_refusal => return None,
             Some(_) if self.lower_can_give(tier) => return None,
             Some(slack) => self.wait(held)? > slack.mul_f64(DOUBT),
         };
-        late.then(|| self.refusal(RefusalReason::Overloaded, tier))
+        late.then(|| self.refusal(now, RefusalReason::Overloaded, tier))
     }
 
     /// The refusal of work that is late, unless a lower tier holds slots beyond its floor: then the
     /// lower tier gives way first, and the work runs late.
-    fn late(&self, tier: Tier) -> Option<Refusal> {
+    fn late(&self, now: Duration, tier: Tier) -> Option<Refusal> {
         let refusable = self.slots() == 0 || !self.lower_can_give(tier);
-        refusable.then(|| self.refusal(RefusalReason::Deadline, tier))
+        refusable.then(|| self.refusal(now, RefusalReason::Deadline, tier))
     }
 
     /// Whether a lower tier holds slots beyond its floor.
@@ -72,12 +72,13 @@
         lower.any(|(_, state)| state.above_floor(slots) > 0)
     }
 
-    fn refusal(&self, reason: RefusalReason, tier: Tier) -> Refusal {
+    fn refusal(&self, now: Duration, reason: RefusalReason, tier: Tier) -> Refusal {
         let backlog: u64 = self.tiers.range(..=tier).map(|(_, t)| t.queue.cost()).sum();
         let wait = self.time_for(tier, backlog).unwrap_or(RETRY_AFTER.0);
+        let closed = self.opens_at().unwrap_or(now).saturating_sub(now);
         Refusal {
             reason,
-            retry_after: wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+            retry_after: wait.max(closed).clamp(RETRY_AFTER.0, RETRY_AFTER.1),
         }
     }
 
@@ -143,13 +144,14 @@
     /// Refuses waiting work whose last moment to start has passed, unless it is all that could use
     /// a free slot: then it runs late, before work of lower tiers.
     pub(super) fn expire(&mut self, now: Duration, arena: &WorkArena, out: &mut Vec<Decision>) {
+        let horizon = self.opens_at().map_or(now, |opens_at| opens_at.max(now));
         let mut next = self.tiers.keys().next_back().copied();
         while let Some(tier) = next {
-            while let Some(key) = self.first_late(now, tier) {
+            while let Some(key) = self.first_late(horizon, tier) {
                 if self.waiting_to(tier) <= self.free_slots() {
                     break;
                 }
-                let Some(refusal) = self.late(tier) else {
+                let Some(refusal) = self.late(now, tier) else {
                     break;
                 };
                 self.dequeue(key, &arena[key]);
@@ -159,6 +161,16 @@
         }
     }
 
+    /// When the first upstream is probed, if all that may get work are out of service.
+    fn opens_at(&self) -> Option<Duration> {
+        let engines = self.engines.values();
+        let mut engines = engines.filter(|engine| engine.owned && !engine.leaving);
+        let first = engines.next()?.health.probed_at()?;
+        engines.try_fold(first, |opens_at, engine| {
+            Some(opens_at.min(engine.health.probed_at()?))
+        })
+    }
+
     fn first_late(&self, now: Duration, tier: Tier) -> Option<WorkKey> {
         let (latest, key) = self.tiers.get(&tier)?.expiry.first()?;
         (*latest < now).then_some(*key)
@@ -166,7 +178,7 @@
 
     /// Keeps a tier's queue within its bound: the workspace that was served most gives up its last
     /// call.
-    fn bound(&mut self, tier: Tier, arena: &WorkArena, out: &mut Vec<Decision>) {
+    fn bound(&mut self, now: Duration, tier: Tier, arena: &WorkArena, out: &mut Vec<Decision>) {
         let Some(state) = self.tiers.get(&tier) else {
             return;
         };
@@ -176,7 +188,7 @@
         let Some(key) = state.queue.last().filter(|key| !arena[*key].begun()) else {
             return;
         };
-        let refusal = self.refusal(RefusalReason::Overloaded, tier);
+        let refusal = self.refusal(now, RefusalReason::Overloaded, tier);
         self.dequeue(key, &arena[key]);
         out.push(Decision::Refuse(key, refusal));
     }
--- a/kernel/src/dispatch/health.rs
+++ b/kernel/src/dispatch/health.rs
@@ -130,6 +130,24 @@
         was_in_service
     }
 
+    /// Takes it out of service until a time that it named.
+    pub fn pause(&mut self, until: Duration) {
+        let until = match self.state {
+            HealthState::Ejected { until: earlier } => earlier.max(until),
+            _ => until,
+        };
+        self.strikes = 0;
+        self.state = HealthState::Ejected { until };
+    }
+
+    /// When it is probed, if it is out of service.
+    pub fn probed_at(&self) -> Option<Duration> {
+        match self.state {
+            HealthState::Ejected { until } => Some(until),
+            _ => None,
+        }
+    }
+
     /// Puts it in service.
     pub fn admit(&mut self, now: Duration) {
         self.state = HealthState::Healthy;
--- a/kernel/src/dispatch/runs.rs
+++ b/kernel/src/dispatch/runs.rs
@@ -323,6 +323,13 @@
         }
     }
 
+    /// An upstream wants nothing for a while.
+    pub fn pause(&mut self, now: Duration, upstream: UpstreamId, pause: Duration) {
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.health.pause(now.saturating_add(pause));
+        }
+    }
+
     /// Lets time pass for the upstreams' health.
     pub fn tick(&mut self, now: Duration) {
         for engine in self.engines.values_mut() {
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -55,6 +55,13 @@
     },
     /// An answer of the upstream says that it leaves.
     UpstreamAnnounced(UpstreamId),
+    /// The upstream refused a call and wants none from this node for a while.
+    UpstreamPaused {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// For how long.
+        pause: Duration,
+    },
     /// A poll of the upstream's load failed.
     UpstreamUnreachable(UpstreamId),
     /// The upstream told that its cache holds, or no longer holds, a prefix.
--- a/kernel/tests/dispatch/failures.rs
+++ b/kernel/tests/dispatch/failures.rs
@@ -271,3 +271,37 @@
         Some(AttemptEnd::Cancelled { tokens: 0 })
     );
 });
+
+// Guards against calls to an upstream that asked for a pause, at a node that has another.
+case!(
+    a_pausing_upstream_gets_nothing_until_it_opens,
+    world = (2, 2),
+    {
+        let upstream = upstream_id(1);
+        let pause = Duration::from_secs(10);
+        world.tell(Event::UpstreamPaused { upstream, pause });
+        for _ in 0..5 {
+            world.offer(ask(1));
+        }
+        assert!(world.runs.values().all(|run| run.upstream != upstream));
+        world.pass(pause + ms(1_000));
+        assert!(world.runs.values().any(|run| run.upstream == upstream));
+    }
+);
+
+// Guards against calls that are held though their whole pool wants none for longer than they may wait.
+case!(a_pausing_pool_refuses_what_cannot_wait, world = (1, 1), {
+    let pause = Duration::from_mins(1);
+    world.tell(Event::UpstreamPaused {
+        upstream: upstream_id(1),
+        pause,
+    });
+    let attempt = world.offer(Ask {
+        left: ms(500),
+        ..ask(1)
+    });
+    let Some(ReturnReason::Refused { retry_after, .. }) = world.returned(attempt) else {
+        panic!("{:?}", world.returned(attempt));
+    };
+    assert!(retry_after >= Some(pause - ms(1_000)), "{retry_after:?}");
+});
--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -58,6 +58,8 @@
     pub slow_ms: u64,
     /// Every request is refused without being run.
     pub refuse: bool,
+    /// Refusals ask for a pause of this many milliseconds.
+    pub pause_ms: Option<u64>,
     /// Every answer says that the service is leaving.
     pub leaving: bool,
     /// This many of the next requests run, and then their connection drops without an answer.
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use salvo::http::header::RETRY_AFTER;
 use salvo::http::{HeaderValue, StatusCode};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response};
 use serde_json::{Value, json};
@@ -172,6 +173,10 @@
             response.headers_mut().insert(LEAVING, value);
         }
         if faults.refuse {
+            if let Some(pause) = faults.pause_ms {
+                let value = HeaderValue::from(pause.div_ceil(1000));
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
             lock(&self.service.state).refused += 1;
             JsonReply::not_run(StatusCode::SERVICE_UNAVAILABLE, "refused").write(response);
             return;
@@ -251,6 +256,11 @@
         lock(&self.service.state).by_body.clone()
     }
 
+    /// Requests that were refused.
+    pub fn refused(&self) -> u64 {
+        lock(&self.service.state).refused
+    }
+
     /// Runs in all.
     pub fn runs(&self) -> u64 {
         lock(&self.service.state).runs
