Take in and compare a registry without looking through it for each entry

At 3,000 upstreams each entry that came looked through all others, each listed id was searched in a list, each heartbeat sent or received worked the digest out anew, and each change ranked the nodes of the zone to see whether to tell it at once. Places have an index, ids a set, the digest is kept until a run comes or leaves, and a batch of changes is told once.

--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -201,26 +201,21 @@
 
 /// Takes another node's entries in: an upstream that left there has left.
 fn take_entries(gateway: &Gateway, entries: Vec<(UpstreamEntry, bool)>) {
-    let mut view = gateway.store.get();
-    for (entry, left) in entries {
-        let id = entry.id.clone();
-        let known = gateway.registry.borrow().key(&id).is_some();
+    let change = |(entry, left): (UpstreamEntry, bool)| {
         if !left {
-            follow::take_change(gateway, RegistryChange::Put(entry), true);
-        } else if !known {
-            // It left before this node heard of it; known as left, it makes the digests agree.
-            follow::take_change(
-                gateway,
-                RegistryChange::Put(UpstreamEntry {
-                    leaving: true,
-                    ..entry
-                }),
-                true,
-            );
-        } else {
-            follow::take_change(gateway, RegistryChange::Removed(id), true);
+            return RegistryChange::Put(entry);
         }
-    }
+        if gateway.registry.borrow().key(&entry.id).is_some() {
+            return RegistryChange::Removed(entry.id);
+        }
+        // It left before this node heard of it; known as left, it makes the digests agree.
+        RegistryChange::Put(UpstreamEntry {
+            leaving: true,
+            ..entry
+        })
+    };
+    follow::take_changes(gateway, entries.into_iter().map(change), true);
+    let mut view = gateway.store.get();
     view.registry_known = true;
     gateway.store.set(view);
 }
--- a/daemon/src/gateway/follow.rs
+++ b/daemon/src/gateway/follow.rs
@@ -397,32 +397,38 @@
 }
 
 fn take_entries(gateway: &Gateway, records: &[KeyedRecord], trusted: bool) {
-    for record in records {
+    let changes = records.iter().filter_map(|record| {
         let id = String::from_utf8_lossy(&record.key);
-        let change = match &record.value {
-            None => RegistryChange::Removed(id.into()),
-            Some(value) => match entry::decode(&id, value) {
-                Ok(entry) => RegistryChange::Put(entry),
-                Err(error) => {
-                    log::warn!("the entry of upstream {id} is malformed: {error}");
-                    continue;
-                }
-            },
+        let Some(value) = &record.value else {
+            return Some(RegistryChange::Removed(id.into()));
         };
-        take_change(gateway, change, trusted);
-    }
+        match entry::decode(&id, value) {
+            Ok(entry) => Some(RegistryChange::Put(entry)),
+            Err(error) => {
+                log::warn!("the entry of upstream {id} is malformed: {error}");
+                None
+            }
+        }
+    });
+    take_changes(gateway, changes, trusted);
 }
 
-/// Takes a change of the registry in and writes down what it changes.
-pub fn take_change(gateway: &Gateway, change: RegistryChange, trusted: bool) {
-    let changed = gateway
-        .registry
-        .borrow_mut()
-        .apply(change, trusted, gateway.now());
-    if !changed.is_empty() && gateway.is_reader() {
+/// Takes changes of the registry in and writes down what they change.
+pub fn take_changes(
+    gateway: &Gateway,
+    changes: impl IntoIterator<Item = RegistryChange>,
+    trusted: bool,
+) {
+    let now = gateway.now();
+    let mut upstreams = Vec::new();
+    for change in changes {
+        let keys = gateway.registry.borrow_mut().apply(change, trusted, now);
+        upstreams.extend(keys);
+    }
+    if !upstreams.is_empty() && gateway.is_reader() {
         gateway.tell(SpreadNews::All);
     }
-    for key in changed {
+    for key in upstreams {
         upstream_changed(gateway, key);
     }
 }
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -1,7 +1,8 @@
 //! Upstreams as the platform's registry tells them, by incarnation.
 
+use std::cell::Cell;
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -107,12 +108,15 @@
 const MOST_DEPARTURES: usize = 24;
 
 /// Every upstream that this process has heard of. `keys` and `hashes` lead to the newest run of each
-/// id; calls at an older one still end there.
+/// id, `places` to the newest of a pool at an address; calls at an older one still end there.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     upstreams: BTreeMap<UpstreamKey, Upstream>,
     keys: BTreeMap<Box<str>, UpstreamKey>,
     hashes: BTreeMap<u64, UpstreamKey>,
+    places: BTreeMap<(SocketAddr, Box<str>), UpstreamKey>,
+    /// The digest, until a run comes or leaves.
+    digest: Cell<Option<u64>>,
     pools: BTreeMap<Box<str>, Vec<UpstreamKey>>,
     departures: VecDeque<(Duration, u64)>,
     next_key: u32,
@@ -148,6 +152,9 @@
         for key in &changed {
             self.note_departure(*key, now);
         }
+        if !changed.is_empty() {
+            self.digest.set(None);
+        }
         changed
     }
 
@@ -158,6 +165,7 @@
         if !upstream.leave(LeavingCause::Removed) {
             return None;
         }
+        self.digest.set(None);
         self.note_departure(key, now);
         Some(key)
     }
@@ -167,6 +175,7 @@
         let upstream = self.upstreams.get_mut(&key);
         let is_news = upstream.is_some_and(|upstream| upstream.leave(LeavingCause::Announced));
         if is_news {
+            self.digest.set(None);
             self.note_departure(key, now);
         }
         is_news
@@ -235,15 +244,17 @@
         let key = UpstreamKey(self.next_key);
         self.next_key += 1;
         let mut changed = vec![key];
-        for (other_key, other) in &mut self.upstreams {
-            let same_place = other.entry.address == entry.address && other.entry.pool == entry.pool;
-            if (other.entry.id == entry.id || same_place) && other.leave(LeavingCause::Replaced) {
-                changed.push(*other_key);
+        // Those before the newest of the same id or place have left already.
+        let place = (entry.address, entry.pool.clone());
+        let older_run = self.keys.insert(entry.id.clone(), key);
+        let older_there = self.places.insert(place, key);
+        for older_key in older_run.into_iter().chain(older_there) {
+            let older = self.upstreams.get_mut(&older_key);
+            if older.is_some_and(|older| older.leave(LeavingCause::Replaced)) {
+                changed.push(older_key);
             }
         }
-        if let Some(older) = self.keys.insert(entry.id.clone(), key)
-            && let Some(older) = self.upstreams.get(&older)
-        {
+        if let Some(older) = older_run.and_then(|older| self.upstreams.get(&older)) {
             self.hashes.remove(&older.entry.run_hash());
         }
         self.hashes.insert(entry.run_hash(), key);
@@ -277,16 +288,21 @@
 
     /// Treats every upstream that is not among `ids` as removed.
     pub fn retain(&mut self, ids: &[Box<str>], trusted: bool, now: Duration) -> Vec<UpstreamKey> {
+        let ids: BTreeSet<&str> = ids.iter().map(|id| &**id).collect();
         let missing: Vec<Box<str>> = self
             .keys
             .keys()
-            .filter(|id| !ids.contains(id))
+            .filter(|id| !ids.contains(&***id))
             .cloned()
             .collect();
-        missing
+        let changed: Vec<UpstreamKey> = missing
             .iter()
             .filter_map(|id| self.remove(id, trusted, now))
-            .collect()
+            .collect();
+        if !changed.is_empty() {
+            self.digest.set(None);
+        }
+        changed
     }
 
     /// Gives up upstreams that lapsed and did not come back in time after `returned_at`, when the
@@ -302,6 +318,9 @@
                 gone.push(*key);
             }
         }
+        if !gone.is_empty() {
+            self.digest.set(None);
+        }
         gone
     }
 
@@ -309,6 +328,7 @@
     pub fn replaced(&mut self, key: UpstreamKey) {
         if let Some(upstream) = self.upstreams.get_mut(&key) {
             upstream.leave(LeavingCause::Replaced);
+            self.digest.set(None);
         }
     }
 
@@ -343,6 +363,15 @@
     /// Stands for the newest run of each upstream and whether it has left; the same on nodes that
     /// know the same.
     pub fn digest(&self) -> u64 {
+        if let Some(digest) = self.digest.get() {
+            return digest;
+        }
+        let digest = self.count_digest();
+        self.digest.set(Some(digest));
+        digest
+    }
+
+    fn count_digest(&self) -> u64 {
         let mark = |upstream: &Upstream| {
             let left = [u8::from(upstream.left.is_some())];
             xxh3_64_with_seed(&left, upstream.entry.run_hash()) >> 32
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -264,3 +264,38 @@
     registry.apply(RegistryChange::Put(run), true, SECOND);
     assert_eq!(usable(&registry), ["a"]);
 }
+
+// Guards against a digest that stays behind what it stands for, so that nodes never learn what they lack.
+#[test]
+fn the_digest_follows_every_change() {
+    let mut registry = UpstreamRegistry::default();
+    let mut seen = vec![registry.digest()];
+    let mut differs = |registry: &UpstreamRegistry, what: &str| {
+        let digest = registry.digest();
+        assert!(!seen.contains(&digest), "{what}");
+        seen.push(digest);
+    };
+    for (id, port) in [("a", 1), ("b", 2), ("c", 3), ("d", 4), ("e", 5)] {
+        put(&mut registry, id, port, false);
+        differs(&registry, id);
+    }
+    let key = |registry: &UpstreamRegistry, id: &str| registry.key(id).expect("known");
+    let a = key(&registry, "a");
+    registry.announced(a, START);
+    differs(&registry, "announced");
+    let b = registry.get(key(&registry, "b")).expect("known");
+    registry.departed(b.entry.run_hash(), START);
+    differs(&registry, "departed");
+    let c = key(&registry, "c");
+    registry.replaced(c);
+    differs(&registry, "replaced");
+    registry.retain(
+        &["a".into(), "b".into(), "c".into(), "e".into()],
+        true,
+        START,
+    );
+    differs(&registry, "not listed");
+    registry.apply(RegistryChange::Removed("e".into()), false, START);
+    registry.settle(START, SECOND * 3);
+    differs(&registry, "lapsed");
+}
