Pass on the upstreams that another node knows differently, not the whole registry

A node whose digest differed fetched the registry whole, some 0.3 MB at 3,000 upstreams (worked out), whenever one came or left. Ids fall into 128 buckets; the asking node sends a digest of each (1 kB), the other answers with the buckets that differ. Without digests, as from older nodes, all is sent.

--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -1,6 +1,7 @@
 //! Answers checks, lookups, operators and other nodes: small questions with small answers.
 
 use std::convert::Infallible;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,7 +33,11 @@
 /// Name in its query of the digest of the text that the other node has.
 const BASE_NAME: &str = "base=";
 /// Path of the registry, for other nodes.
-pub const REGISTRY_PATH: &str = "/registry";
+const REGISTRY_PATH: &str = "/registry";
+/// Name in its query of the digests of what the other node knows, as numbers of eight digits.
+const KNOWN_NAME: &str = "known=";
+/// Digits of such a number.
+const KNOWN_DIGITS: usize = 8;
 /// Path of the contents of calls that upstreams crashed under, for other nodes.
 pub const CRASH_PATH: &str = "/crashes";
 /// Said to who asks before there is any.
@@ -74,7 +79,7 @@
         names::LOOKUP_PATH => addresses(gateway, lookup::caller_zone(query)),
         CONFIGURATION_PATH => configuration(gateway),
         PATCH_PATH => patch(gateway, query),
-        REGISTRY_PATH => registry(gateway),
+        REGISTRY_PATH => registry(gateway, query),
         CRASH_PATH => cbor_reply(&gateway.crashes.borrow().settled(gateway.now())),
         "/metrics" => reply::whole(StatusCode::OK, gateway.metrics.text()),
         "/state" => state(gateway),
@@ -141,10 +146,30 @@
     }
 }
 
-fn registry(gateway: &Gateway) -> Reply {
+/// Path and query with which a node asks for the entries that it knows differently.
+pub fn registry_target(known: &[u32]) -> String {
+    let mut target = format!("{REGISTRY_PATH}?{KNOWN_NAME}");
+    for digest in known {
+        // Writing to a string does not fail.
+        let _ = write!(target, "{digest:0KNOWN_DIGITS$x}");
+    }
+    target
+}
+
+/// The digests in such a query; none if there are none, or if they are malformed.
+fn known_digests(query: &str) -> Vec<u32> {
+    let text = query.strip_prefix(KNOWN_NAME).unwrap_or_default();
+    let numbers = text.as_bytes().chunks(KNOWN_DIGITS).map(|digits| {
+        let digits = std::str::from_utf8(digits).ok()?;
+        u32::from_str_radix(digits, 16).ok()
+    });
+    numbers.collect::<Option<_>>().unwrap_or_default()
+}
+
+fn registry(gateway: &Gateway, query: &str) -> Reply {
     let registry = gateway.registry.borrow();
     let entries: Vec<(UpstreamEntry, bool)> = registry
-        .newest()
+        .differing(&known_digests(query))
         .map(|upstream| (upstream.entry.clone(), upstream.left.is_some()))
         .collect();
     cbor_reply(&entries)
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -171,7 +171,8 @@
     }
     if lacking.entries {
         let source = FetchSource::new(peer, address, FetchPart::Registry);
-        let Some(entries) = fetch(gateway, source, desk::REGISTRY_PATH).await else {
+        let target = desk::registry_target(&gateway.registry.borrow().bucket_digests());
+        let Some(entries) = fetch(gateway, source, &target).await else {
             return;
         };
         take_entries(gateway, entries);
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
@@ -107,6 +107,9 @@
 /// Departures that are told at once, five bytes each. More are learnt with the whole registry.
 const MOST_DEPARTURES: usize = 24;
 
+/// Buckets of ids that nodes compare: of 10,000 upstreams some 80 are in each, about 8 kB on the wire.
+const DIGEST_BUCKETS: usize = 128;
+
 /// Every upstream that this process has heard of. `keys` and `hashes` lead to the newest run of each
 /// id, `places` to the newest of a pool at an address; calls at an older one still end there.
 #[derive(Clone, Debug, Default)]
@@ -123,6 +126,17 @@
 }
 
 impl Upstream {
+    /// Stands for its run and whether that has left.
+    fn mark(&self) -> u32 {
+        let left = [u8::from(self.left.is_some())];
+        (xxh3_64_with_seed(&left, self.entry.run_hash()) >> 32) as u32
+    }
+
+    /// The bucket that its id falls in.
+    fn bucket(&self) -> usize {
+        xxh3_64(self.entry.id.as_bytes()) as usize % DIGEST_BUCKETS
+    }
+
     /// Notes that it takes nothing new. Gives whether that is news: a lapsed entry may come back, so any
     /// other cause takes the place of that one.
     fn leave(&mut self, cause: LeavingCause) -> bool {
@@ -372,12 +386,28 @@
     }
 
     fn count_digest(&self) -> u64 {
-        let mark = |upstream: &Upstream| {
-            let left = [u8::from(upstream.left.is_some())];
-            xxh3_64_with_seed(&left, upstream.entry.run_hash()) >> 32
-        };
         self.newest()
-            .fold(0, |digest, upstream| digest ^ mark(upstream))
+            .fold(0, |digest, upstream| digest ^ u64::from(upstream.mark()))
+    }
+
+    /// The same for each bucket of ids, so that two nodes find out what they know differently.
+    pub fn bucket_digests(&self) -> Vec<u32> {
+        let mut digests = vec![0; DIGEST_BUCKETS];
+        for upstream in self.newest() {
+            digests[upstream.bucket()] ^= upstream.mark();
+        }
+        digests
+    }
+
+    /// The newest run of each upstream in the buckets that a node with these digests knows differently; of
+    /// all if they are not as many as this one's.
+    pub fn differing(&self, known: &[u32]) -> impl Iterator<Item = &Upstream> {
+        let own = self.bucket_digests();
+        let differs = |bucket: usize| known.get(bucket) != Some(&own[bucket]);
+        let differs: Vec<bool> = (0..DIGEST_BUCKETS).map(differs).collect();
+        let comparable = known.len() == DIGEST_BUCKETS;
+        self.newest()
+            .filter(move |upstream| !comparable || differs[upstream.bucket()])
     }
 
     /// The newest run of each upstream.
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -299,3 +299,38 @@
     registry.settle(START, SECOND * 3);
     differs(&registry, "lapsed");
 }
+
+/// The ids that a node sends to another one that knows less or something else.
+fn sent(from: &UpstreamRegistry, to: &UpstreamRegistry) -> usize {
+    from.differing(&to.bucket_digests()).count()
+}
+
+// Guards against a registry that is passed on whole whenever one upstream comes or leaves.
+#[test]
+fn nodes_pass_on_the_upstreams_that_they_know_differently() {
+    const COUNT: u16 = 3_000;
+    let mut full = UpstreamRegistry::default();
+    for port in 1..=COUNT {
+        put(&mut full, &format!("u{port}"), port, false);
+    }
+    let empty = UpstreamRegistry::default();
+    assert_eq!(sent(&full, &empty), usize::from(COUNT));
+    assert_eq!(sent(&full, &full), 0);
+    assert_eq!(full.differing(&[]).count(), usize::from(COUNT));
+    let mut newer = full.clone();
+    let key = newer.key("u7").expect("known");
+    newer.announced(key, START);
+    let few = sent(&newer, &full);
+    assert!((1..=usize::from(COUNT) / 50).contains(&few), "{few}");
+    let changes: Vec<RegistryChange> = newer
+        .differing(&full.bucket_digests())
+        .map(|upstream| match upstream.left {
+            Some(_) => RegistryChange::Removed(upstream.entry.id.clone()),
+            None => RegistryChange::Put(upstream.entry.clone()),
+        })
+        .collect();
+    for change in changes {
+        full.apply(change, true, START);
+    }
+    assert_eq!(full.digest(), newer.digest());
+}
