--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -1,8 +1,9 @@
 //! A node that passes calls on unchanged: everything it holds, and how it starts and stops.
 //!
 //! A call is read by `listener`, matched by `intake`, sent by `relay` through `channels`, and its
-//! stream is passed on by `stream`. `follow` reads the platform's store, `peers` talks with the
-//! other nodes, `desk` answers lookups and checks, `caches` asks engines what they keep.
+//! stream is passed on by `stream`; `notices` takes in what answers say of upstreams. `follow` reads the
+//! platform's store, `peers` talks with the other nodes, `desk` answers lookups and checks, `caches` asks
+//! engines what they keep.
 
 pub mod caches;
 pub mod channels;
