Send a few large answers to other nodes at a time, compressed

Fleets of 300 nodes and 3,000 upstreams took 30 s to serve again after all were killed. Nodes that start together ask the few that have the registry for it, all at once. Each waits for 125 kB a second, so that of more than ten on a link of 10 Mbit/s none gets its answer whole, all ask again, and the link carries what no one takes.

Answers are compressed, eight large ones are sent at a time, others are refused at once and asked of those who have one by then.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod exchange;
 pub mod follow;
+pub mod frame;
 pub mod intake;
 pub mod limits;
 pub mod listener;
@@ -126,6 +127,8 @@
     pub speak_notice: tokio::sync::Notify,
     /// Whether something is being fetched from another node.
     pub fetching: Cell<bool>,
+    /// Large answers that are being sent to other nodes.
+    pub transfers: Cell<usize>,
     /// The newest version that any node told, and how fetching it goes.
     pub lag: Cell<VersionLag>,
     /// The store's newest era that any answer showed; none before the first answer.
@@ -310,6 +313,7 @@
         news: Cell::default(),
         speak_notice: tokio::sync::Notify::new(),
         fetching: Cell::new(false),
+        transfers: Cell::new(0),
         lag: Cell::default(),
         store_era: Cell::new(None),
         unix_start: Cell::new(duties::host_time().saturating_sub(clock.now())),
--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -2,15 +2,19 @@
 
 use std::convert::Infallible;
 use std::fmt::Write;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::{Either, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use monsoonbank_kernel::gateway::registry::UpstreamEntry;
 use monsoonbank_platform::{lookup, names};
@@ -20,7 +24,7 @@
 
 use crate::gateway::decisions::millis;
 use crate::gateway::reply::{self, Reply};
-use crate::gateway::{Gateway, peers};
+use crate::gateway::{Gateway, frame, peers};
 
 /// How long callers may use a lookup's answer.
 pub const LOOKUP_LIFE: Duration = Duration::from_secs(2);
@@ -40,6 +44,13 @@
 const KNOWN_DIGITS: usize = 8;
 /// Path of the contents of calls that upstreams crashed under, for other nodes.
 pub const CRASH_PATH: &str = "/crashes";
+/// Large answers that are sent to other nodes at a time: what a link of 10 Mbit/s carries at the least pace
+/// at which an answer is waited for, and a little less.
+const MOST_TRANSFERS: usize = 8;
+/// Entries whose answer is large; known before it is written, which takes a host's time.
+const MANY_ENTRIES: usize = 512;
+/// Bytes of a large answer that are handed over at a time; what is no larger goes at once.
+const PIECE_BYTES: usize = 16 << 10;
 /// Said to who asks before there is any.
 const NO_CONFIGURATION: &str = "no configuration yet";
 
@@ -71,7 +82,7 @@
     }
 }
 
-fn answer(gateway: &Gateway, request: &Request<Incoming>) -> Reply {
+fn answer(gateway: &Rc<Gateway>, request: &Request<Incoming>) -> Reply {
     let query = request.uri().query().unwrap_or_default();
     match request.uri().path() {
         names::READY_PATH if gateway.is_ready() => reply::whole(StatusCode::OK, ""),
@@ -80,7 +91,7 @@
         CONFIGURATION_PATH => configuration(gateway),
         PATCH_PATH => patch(gateway, query),
         REGISTRY_PATH => registry(gateway, query),
-        CRASH_PATH => cbor_reply(&gateway.crashes.borrow().settled(gateway.now())),
+        CRASH_PATH => cbor_reply(gateway, &gateway.crashes.borrow().settled(gateway.now())),
         "/metrics" => reply::whole(StatusCode::OK, gateway.metrics.text()),
         "/state" => state(gateway),
         _ => reply::failure(StatusCode::NOT_FOUND, "no such question"),
@@ -120,13 +131,13 @@
     format!("{PATCH_PATH}{base}")
 }
 
-fn patch(gateway: &Gateway, query: &str) -> Reply {
+fn patch(gateway: &Rc<Gateway>, query: &str) -> Reply {
     let base = query
         .strip_prefix(BASE_NAME)
         .and_then(|digest| u64::from_str_radix(digest, 16).ok());
     let mut texts = gateway.texts.borrow_mut();
     match texts.patch_from(base) {
-        Ok(Some(patch)) => cbor_reply(patch),
+        Ok(Some(patch)) => cbor_reply(gateway, patch),
         Ok(None) => reply::failure(StatusCode::NOT_FOUND, NO_CONFIGURATION),
         Err(error) => {
             log::warn!("a patch cannot be made: {error}");
@@ -135,17 +146,73 @@
     }
 }
 
-fn cbor_reply(value: &impl Serialize) -> Reply {
+/// An answer to another node. A large one is refused while many are being sent: each of them would come too
+/// slowly to be waited for, and who has one passes it on.
+fn cbor_reply(gateway: &Rc<Gateway>, value: &impl Serialize) -> Reply {
     let mut body = Vec::new();
-    match ciborium::into_writer(value, &mut body) {
-        Ok(()) => reply::whole(StatusCode::OK, body),
+    let framed = ciborium::into_writer(value, &mut body)
+        .map_err(io::Error::other)
+        .and_then(|()| frame::compress(&body));
+    let framed = match framed {
+        Ok(framed) => Bytes::from(framed),
         Err(error) => {
             log::warn!("an answer to a node cannot be written: {error}");
-            reply::failure(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string())
+            return reply::failure(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string());
         }
+    };
+    if framed.len() <= PIECE_BYTES {
+        return reply::whole(StatusCode::OK, framed);
+    }
+    match TransferPermit::take(gateway) {
+        Some(permit) => in_pieces(framed, permit),
+        None => busy(),
     }
 }
 
+fn busy() -> Reply {
+    reply::failure(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "many answers are being sent",
+    )
+}
+
+/// Leave to send a large answer, until it is dropped.
+struct TransferPermit {
+    gateway: Rc<Gateway>,
+}
+
+impl TransferPermit {
+    fn take(gateway: &Rc<Gateway>) -> Option<Self> {
+        let transfers = gateway.transfers.get();
+        if transfers >= MOST_TRANSFERS {
+            return None;
+        }
+        gateway.transfers.set(transfers + 1);
+        Some(Self {
+            gateway: gateway.clone(),
+        })
+    }
+}
+
+impl Drop for TransferPermit {
+    fn drop(&mut self) {
+        let transfers = &self.gateway.transfers;
+        transfers.set(transfers.get().saturating_sub(1));
+    }
+}
+
+/// An answer that is handed over as the connection takes it, so that the permit lasts as long.
+fn in_pieces(bytes: Bytes, permit: TransferPermit) -> Reply {
+    let pieces = futures_util::stream::unfold((bytes, permit), |(mut rest, permit)| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        let piece = rest.split_to(rest.len().min(PIECE_BYTES));
+        Some((Ok(Frame::data(piece)), (rest, permit)))
+    });
+    Response::new(Either::Right(StreamBody::new(pieces.boxed_local())))
+}
+
 /// Path and query with which a node asks for the entries that it knows differently.
 pub fn registry_target(known: &[u32]) -> String {
     let mut target = format!("{REGISTRY_PATH}?{KNOWN_NAME}");
@@ -166,13 +233,16 @@
     numbers.collect::<Option<_>>().unwrap_or_default()
 }
 
-fn registry(gateway: &Gateway, query: &str) -> Reply {
+fn registry(gateway: &Rc<Gateway>, query: &str) -> Reply {
     let registry = gateway.registry.borrow();
     let entries: Vec<(UpstreamEntry, bool)> = registry
         .differing(&known_digests(query))
         .map(|upstream| (upstream.entry.clone(), upstream.left.is_some()))
         .collect();
-    cbor_reply(&entries)
+    if entries.len() > MANY_ENTRIES && gateway.transfers.get() >= MOST_TRANSFERS {
+        return busy();
+    }
+    cbor_reply(gateway, &entries)
 }
 
 /// All that the node believes, for operators.
--- a/daemon/src/gateway/exchange.rs
+++ b/daemon/src/gateway/exchange.rs
@@ -10,7 +10,7 @@
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use monsoonbank_kernel::gateway::crashes::CrashReport;
 use monsoonbank_kernel::gateway::fleet::FleetPeer;
@@ -25,7 +25,7 @@
 
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::patch::{self, TextPatch};
-use crate::gateway::{Gateway, desk, follow, quarantine};
+use crate::gateway::{Gateway, desk, follow, frame, quarantine};
 
 /// Time in which a node has to begin its answer, and longest pause within it. A weak host that takes in
 /// thousands of rules does nothing else for a third of a second.
@@ -53,9 +53,12 @@
     /// No answer came in time.
     #[error("no answer in time")]
     TimedOut,
-    /// The node has nothing to give.
-    #[error("the node has nothing to give")]
-    Nothing,
+    /// The node has nothing to give, or sends to many others.
+    #[error("the node answered {0}")]
+    Refused(StatusCode),
+    /// The answer is not compressed as expected.
+    #[error("{0}")]
+    Frame(io::Error),
     /// The answer is not in the expected form.
     #[error("{0}")]
     Malformed(#[from] ciborium::de::Error<io::Error>),
@@ -252,7 +255,7 @@
         gateway.piece_came();
     };
     let fetched = exchange(source.address, target, on_piece).await;
-    let fetched = fetched.and_then(|bytes| Ok(ciborium::from_reader(&bytes[..])?));
+    let fetched = fetched.and_then(|bytes| decode(&bytes));
     let outcome = if fetched.is_ok() { "used" } else { "wasted" };
     gateway.metrics.count_learnt("nodes", outcome, received);
     match fetched {
@@ -270,6 +273,11 @@
     }
 }
 
+fn decode<T: DeserializeOwned>(framed: &[u8]) -> Result<T, FetchError> {
+    let bytes = frame::decompress(framed).map_err(FetchError::Frame)?;
+    Ok(ciborium::from_reader(&bytes[..])?)
+}
+
 async fn exchange(
     address: SocketAddr,
     path: &str,
@@ -278,7 +286,7 @@
     let beginning = tokio::time::timeout(FETCH_SILENCE, begin(address, path)).await;
     let (response, _connection) = beginning.map_err(|_| FetchError::TimedOut)??;
     if !response.status().is_success() {
-        return Err(FetchError::Nothing);
+        return Err(FetchError::Refused(response.status()));
     }
     Ok(body::read_whole(response.into_body(), FETCH_SILENCE, on_piece).await?)
 }
--- a/daemon/tests/gateway/thin.rs
+++ b/daemon/tests/gateway/thin.rs
@@ -8,16 +8,21 @@
 //! bytes came, 0.61 MB at most; strong hosts failed only when one change was of 1.56 MB; and as all
 //! that lagged read the store, it answered none, not even for registries of some kB.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use monsoonbank_kernel::gateway::heartbeat::NodeHeartbeat;
+use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamRegistry};
+use monsoonbank_platform::entry;
 use monsoonbank_standin::keyed::StoreMood;
 use monsoonbank_standin::link::ThinLink;
 use serde_json::{Value, json};
+use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
-use crate::heartbeats::pretend_reader;
+use crate::heartbeats::{encode, heartbeat, pretend_reader, strong};
 use crate::world::{NodeProcess, World, configuration, good, until};
 
 /// The thinnest link of a host that is served.
@@ -158,3 +163,72 @@
     assert!(took < IN_FORCE, "{took:?}");
     assert!(carried < CHANGE_BYTES, "{carried} bytes");
 }
+
+/// Upstreams of a large fleet.
+const UPSTREAMS: u64 = 3_000;
+/// Nodes that start together and have one node to learn from.
+const STARTING: usize = 24;
+
+/// Writes the entries of a large fleet, with ids as a platform draws them. Gives the digest of the registry
+/// that they make.
+fn register_many(world: &World) -> u64 {
+    let mut registry = UpstreamRegistry::default();
+    for index in 0..UPSTREAMS {
+        let id = format!(
+            "i-{:010x}",
+            (index + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 24
+        );
+        let [.., high, low] = index.to_be_bytes();
+        let entry = json!({ "service": "model", "address": format!("10.9.{high}.{low}:8000"),
+            "zone": format!("zone-{}", index % 3), "version": "v1", "slots": 64, "state": "ready",
+            "coldLeftMs": 0, "sequence": 1, "born": 1_790_000_000_000_u64 + index });
+        let bytes = entry.to_string().into_bytes();
+        world.store.put("keyed.servers", &id, &bytes);
+        let entry = entry::decode(&id, &bytes).expect("an entry");
+        registry.apply(RegistryChange::Put(entry), true, Duration::ZERO);
+    }
+    registry.digest()
+}
+
+/// Says five times a second that a node has the configuration and a registry, and can be asked at `peers`.
+async fn pretend_source(to: SocketAddr, peers: SocketAddr, registry_digest: u64) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let heartbeat = NodeHeartbeat {
+        version: 1,
+        registry_digest,
+        ..strong(heartbeat("a-reader", peers))
+    };
+    let bytes = encode(&heartbeat);
+    loop {
+        socket.send_to(&bytes, to).await.expect("sent");
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+// Guards against nodes that start together, ask one for all upstreams, and each get them too slowly to wait.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_that_start_together_learn_a_large_registry_from_one() {
+    let world = World::start(&["east"], Vec::new()).await;
+    let digest = register_many(&world);
+    until("the strong node knows them", async || {
+        let state = world.nodes[0].state().await;
+        state["upstreams"].as_array().map_or(0, Vec::len) as u64 == UPSTREAMS
+    })
+    .await;
+    let link = ThinLink::new(MEGABITS);
+    let source = link.relay(world.nodes[0].address(4010)).await;
+    let source = source.expect("a port");
+    let no_store = SocketAddr::new(source.ip(), 1);
+    let nodes: Vec<NodeProcess> = (0..STARTING)
+        .map(|_| World::lonely_node(no_store))
+        .collect();
+    let started = Instant::now();
+    for node in &nodes {
+        tokio::spawn(pretend_source(node.address(4010), source, digest));
+    }
+    for node in &nodes {
+        node.ready().await;
+    }
+    let took = started.elapsed();
+    assert!(took < READY, "{took:?}");
+}
