Let answers that nobody takes no longer hold up others

Found by reading: a node that froze while it took a large answer kept its place among the eight that are sent at a time for as long as its connection lived; eight of them would have kept the registry from all others. After 10 s, in which the largest comes at the least pace, an answer no longer counts.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -49,6 +49,7 @@
 use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
 use monsoonbank_kernel::gateway::rules::RuleTable;
 use monsoonbank_kernel::gateway::spread::SpreadNews;
+use monsoonbank_kernel::gateway::transfers::TransferList;
 use monsoonbank_kernel::gateway::waiting::WaitList;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -128,7 +129,7 @@
     /// Whether something is being fetched from another node.
     pub fetching: Cell<bool>,
     /// Large answers that are being sent to other nodes.
-    pub transfers: Cell<usize>,
+    pub transfers: RefCell<TransferList>,
     /// The newest version that any node told, and how fetching it goes.
     pub lag: Cell<VersionLag>,
     /// The store's newest era that any answer showed; none before the first answer.
@@ -313,7 +314,7 @@
         news: Cell::default(),
         speak_notice: tokio::sync::Notify::new(),
         fetching: Cell::new(false),
-        transfers: Cell::new(0),
+        transfers: RefCell::default(),
         lag: Cell::default(),
         store_era: Cell::new(None),
         unix_start: Cell::new(duties::host_time().saturating_sub(clock.now())),
--- a/daemon/src/gateway/desk.rs
+++ b/daemon/src/gateway/desk.rs
@@ -17,6 +17,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use monsoonbank_kernel::gateway::registry::UpstreamEntry;
+use monsoonbank_kernel::gateway::transfers::TransferKey;
 use monsoonbank_platform::{lookup, names};
 use serde::Serialize;
 use serde_json::json;
@@ -44,9 +45,6 @@
 const KNOWN_DIGITS: usize = 8;
 /// Path of the contents of calls that upstreams crashed under, for other nodes.
 pub const CRASH_PATH: &str = "/crashes";
-/// Large answers that are sent to other nodes at a time: what a link of 10 Mbit/s carries at the least pace
-/// at which an answer is waited for, and a little less.
-const MOST_TRANSFERS: usize = 8;
 /// Entries whose answer is large; known before it is written, which takes a host's time.
 const MANY_ENTRIES: usize = 512;
 /// Bytes of a large answer that are handed over at a time; what is no larger goes at once.
@@ -179,25 +177,20 @@
 /// Leave to send a large answer, until it is dropped.
 struct TransferPermit {
     gateway: Rc<Gateway>,
+    key: TransferKey,
 }
 
 impl TransferPermit {
     fn take(gateway: &Rc<Gateway>) -> Option<Self> {
-        let transfers = gateway.transfers.get();
-        if transfers >= MOST_TRANSFERS {
-            return None;
-        }
-        gateway.transfers.set(transfers + 1);
-        Some(Self {
-            gateway: gateway.clone(),
-        })
+        let key = gateway.transfers.borrow_mut().begin(gateway.now())?;
+        let gateway = gateway.clone();
+        Some(Self { gateway, key })
     }
 }
 
 impl Drop for TransferPermit {
     fn drop(&mut self) {
-        let transfers = &self.gateway.transfers;
-        transfers.set(transfers.get().saturating_sub(1));
+        self.gateway.transfers.borrow_mut().end(self.key);
     }
 }
 
@@ -239,7 +232,7 @@
         .differing(&known_digests(query))
         .map(|upstream| (upstream.entry.clone(), upstream.left.is_some()))
         .collect();
-    if entries.len() > MANY_ENTRIES && gateway.transfers.get() >= MOST_TRANSFERS {
+    if entries.len() > MANY_ENTRIES && gateway.transfers.borrow().is_full(gateway.now()) {
         return busy();
     }
     cbor_reply(gateway, &entries)
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -28,5 +28,6 @@
 pub mod scaling;
 pub mod spread;
 pub mod throttle;
+pub mod transfers;
 pub mod usage;
 pub mod waiting;
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -22,5 +22,6 @@
 mod spread;
 mod surge;
 mod throttle;
+mod transfers;
 mod usage;
 mod waiting;
--- /dev/null
+++ b/kernel/tests/gateway/transfers.rs
@@ -0,0 +1,35 @@
+//! Large answers to other nodes, a few at a time.
+
+use std::time::Duration;
+
+use monsoonbank_kernel::gateway::transfers::{TransferKey, TransferList};
+
+const S: Duration = Duration::from_secs(1);
+
+fn begin_all(list: &mut TransferList, now: Duration) -> Vec<TransferKey> {
+    std::iter::from_fn(|| list.begin(now)).collect()
+}
+
+// Guards against so many answers at once that each comes too slowly to be waited for.
+#[test]
+fn answers_begin_as_others_end() {
+    let mut list = TransferList::default();
+    let begun = begin_all(&mut list, S);
+    assert_eq!(begun.len(), 8);
+    assert!(list.is_full(S));
+    list.end(begun[3]);
+    assert_eq!(begin_all(&mut list, S).len(), 1);
+}
+
+// Guards against frozen nodes that take no answer and keep all others from theirs for good.
+#[test]
+fn answers_that_nobody_takes_no_longer_count() {
+    let mut list = TransferList::default();
+    let stuck = begin_all(&mut list, S);
+    assert!(begin_all(&mut list, S * 10).is_empty());
+    assert_eq!(begin_all(&mut list, S * 11).len(), 8);
+    for key in stuck {
+        list.end(key);
+    }
+    assert!(list.is_full(S * 11));
+}
