--- a/daemon/src/gateway/frame.rs
+++ b/daemon/src/gateway/frame.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read};
 
-/// zstd's fastest usual level: an entry of the registry takes a sixth of its bytes, mostly its id.
+/// zstd's fastest usual level.
 const LEVEL: i32 = 1;
 /// Largest answer that a frame may give, in bytes; as large as any answer that is taken.
 const MOST_BYTES: u64 = 16 << 20;
