Consider the first upstreams of a large pool, and more while they are busy

Cause: each selection weighed every upstream of the pool, and each round of heartbeats, each lookup and each reply went through all of them.

Change: upstreams of each pool and zone have an order on which all nodes agree. The first 64 of the node's zone and 128 of the others are considered, and those in use; four times as many while the chosen one is busy. Registries keep a list of active upstreams and their digests up to date instead of computing them.

Result: at most 256 of 10,000 candidates (kernel test large_pool); pools of up to 64 upstreams a zone are chosen from as before.

--- a/daemon/src/gateway/caches.rs
+++ b/daemon/src/gateway/caches.rs
@@ -9,6 +9,7 @@
 
 use futures_util::future::join_all;
 use hyper::StatusCode;
+use monsoonbank_kernel::gateway::choice;
 use monsoonbank_kernel::gateway::eligibility::{self, EligibilityError};
 use monsoonbank_kernel::gateway::prompt::PromptPart;
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
@@ -83,22 +84,20 @@
     }
 }
 
-/// Returns engines of this node's availability zone that have not been queried. What others cache
-/// is fetched once they are used.
+/// Returns engines of this node's availability zone that calls go to first and that have not been
+/// queried. What others cache is fetched once they are used.
 fn engines_to_query(gateway: &Gateway, queried: &BTreeSet<UpstreamKey>) -> Vec<EngineAddress> {
     let Some(rules) = gateway.rules() else {
         return Vec::new();
     };
     let registry = gateway.registry.borrow();
     let now = gateway.now();
-    let is_engine = |pool: &str| rules.pool(pool).is_some_and(|pool| pool.engine.is_some());
-    registry
-        .iter()
+    let pools = rules.pools().filter(|pool| pool.engine.is_some());
+    pools
+        .flat_map(|pool| choice::preferred(&registry, &pool.name, &gateway.settings.zone))
         .filter(|(key, _)| {
             eligibility::check(&registry, *key, now).is_ok() && !queried.contains(key)
         })
-        .filter(|(_, upstream)| upstream.entry.zone == gateway.settings.zone)
-        .filter(|(_, upstream)| is_engine(&upstream.entry.pool))
         .map(|(key, upstream)| EngineAddress {
             key,
             address: upstream.entry.address,
--- a/daemon/src/gateway/fetch.rs
+++ b/daemon/src/gateway/fetch.rs
@@ -176,7 +176,7 @@
     }
     if missing.entries {
         let source = FetchSource::new(peer, address, FetchPart::Registry);
-        let target = endpoints::registry_target(&gateway.registry.borrow().bucket_digests());
+        let target = endpoints::registry_target(gateway.registry.borrow().bucket_digests());
         let Some(entries) = fetch(gateway, source, &target).await else {
             return;
         };
--- a/daemon/src/gateway/limits.rs
+++ b/daemon/src/gateway/limits.rs
@@ -40,7 +40,8 @@
 /// Returns the most recent reports, for the next heartbeat.
 pub fn recent_reports(registry: &UpstreamRegistry, now: Duration) -> Vec<LimitReport> {
     let report = |upstream: &Upstream| upstream.throttle.report(upstream.entry.run_hash(), now);
-    let mut reports: Vec<LimitReport> = registry.newest().filter_map(report).collect();
+    let active = registry.active().map(|(_, upstream)| upstream);
+    let mut reports: Vec<LimitReport> = active.filter_map(report).collect();
     reports.sort_by_key(|report| Reverse(report.age_ms));
     reports.split_off(reports.len().saturating_sub(MAX_REPORTS))
 }
@@ -51,7 +52,7 @@
     let limited: Vec<UpstreamKey> = gateway
         .registry
         .borrow()
-        .iter()
+        .active()
         .filter(|(_, upstream)| upstream.throttle.limit().is_some())
         .map(|(key, _)| key)
         .collect();
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -70,7 +70,7 @@
     let now = gateway.now();
     let registry = gateway.registry.borrow();
     let work = registry
-        .iter()
+        .active()
         .filter(|(_, upstream)| upstream.load.own().calls > 0)
         .map(|(_, upstream)| WorkReport {
             run: upstream.entry.run_hash(),
@@ -79,7 +79,7 @@
         })
         .collect();
     let failing = registry
-        .iter()
+        .active()
         .filter(|(_, upstream)| upstream.health.reports_failing(now))
         .map(|(_, upstream)| upstream.entry.run_hash())
         .collect();
@@ -179,6 +179,7 @@
         let gateway = self.gateway.clone();
         let now = gateway.now();
         gateway.fleet.borrow_mut().expire(now);
+        gateway.registry.borrow_mut().expire_active(now);
         gateway.compare_clocks();
         limits::update_shares(&gateway);
         let mut own = own_heartbeat(&gateway);
--- a/kernel/src/gateway/cache.rs
+++ b/kernel/src/gateway/cache.rs
@@ -38,6 +38,8 @@
     /// Tokens that calls of all nodes added to the cache.
     total_tokens: u64,
     others_tokens: BTreeMap<Box<str>, u64>,
+    /// Time of the last use of any part.
+    used_at: Option<Duration>,
 }
 
 impl PromptCache {
@@ -77,6 +79,7 @@
             prefilled_at: cached.map_or(prefilled_at, |old| old.prefilled_at.min(prefilled_at)),
             total_at_use: self.total_tokens,
         };
+        self.used_at = self.used_at.max(Some(moment.now));
         self.parts.insert(part, new);
         if self.parts.len() > MAX_PARTS {
             let oldest = moment.now.saturating_sub(MAX_AGE);
@@ -87,6 +90,11 @@
         cached.is_none()
     }
 
+    /// Whether any part may still be cached.
+    pub fn is_used(&self, now: Duration) -> bool {
+        self.used_at.is_some_and(|at| at + MAX_AGE > now)
+    }
+
     /// Number of tokens of the prompt's shared parts that the engine has cached or will have
     /// prefilled before a call that is sent now: a part is cached together with all before it.
     pub fn cached_tokens(&self, prompt: &PromptShape, moment: CacheMoment) -> u32 {
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -13,7 +13,7 @@
 use crate::gateway::load::{TOKENS_PER_MS, WorkCount};
 use crate::gateway::partition::{self, UpstreamCandidate};
 use crate::gateway::prompt::PromptShape;
-use crate::gateway::registry::{Upstream, UpstreamKey, UpstreamRegistry};
+use crate::gateway::registry::{CandidateWindow, Upstream, UpstreamKey, UpstreamRegistry};
 
 /// Delay in ms that each call in a batch adds to the others: it lengthens each of some hundred
 /// steps by a few hundredths of a ms.
@@ -49,6 +49,16 @@
 /// Cost of the upstream that this node ranks last. Nodes rank upstreams differently, so that they
 /// do not all select the same cheapest one between two heartbeats.
 const RANK_COST: f64 = 100.0;
+/// Number of upstreams of the node's own availability zone that are considered first.
+const NEAR_CANDIDATES: usize = 64;
+/// Number of upstreams of all other zones together that are considered first.
+const FAR_CANDIDATES: usize = 128;
+/// Minimum number of upstreams of each other zone that are considered.
+const MIN_FAR_CANDIDATES: usize = 8;
+/// Factor by which more upstreams are considered while the selected one is busy.
+const WINDOW_GROWTH: usize = 4;
+/// Wait for other calls' work from which on an upstream counts as busy: a quarter of the target.
+const BUSY_COST: f64 = 250.0;
 
 /// Origin and requirements of a call, as input to the selection of an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -112,25 +122,85 @@
 
 /// Selects the cheapest upstream that accepts new calls and has capacity for this one; `None` if
 /// there is none. Upstreams that are backed off are used only if no healthy one has capacity.
+///
+/// In a large pool the first upstreams of each availability zone are considered, and further ones
+/// while these are busy.
 pub fn choose(registry: &UpstreamRegistry, input: &ChoiceInput) -> Option<UpstreamChoice> {
-    let all: Vec<UpstreamCandidate> =
-        eligibility::eligible_upstreams(registry, input.pool, input.now)
-            .map(|(key, upstream)| UpstreamCandidate {
-                key,
-                upstream,
-                total: upstream.load.total(input.now) + upstream.load.own() * input.silent_senders,
-                backed_off: upstream.health.is_backed_off(input.now),
-            })
-            .collect();
+    let mut window = first_window(registry.zone_count(input.pool));
+    let largest = registry.usable_count(input.pool);
+    while window.near < largest {
+        let candidates = candidates(registry, input, window);
+        let is_whole = candidates.len() >= largest;
+        let found = choose_among(&candidates, input, is_whole);
+        let is_busy = |choice: &UpstreamChoice| {
+            let chosen = candidates.iter().find(|one| one.key == choice.key);
+            chosen.is_none_or(|chosen| wait_cost(input, chosen.total, 0.0) > BUSY_COST)
+        };
+        if is_whole || found.is_some_and(|choice| !is_busy(&choice)) {
+            return found;
+        }
+        window.near *= WINDOW_GROWTH;
+        window.far *= WINDOW_GROWTH;
+    }
+    let whole = CandidateWindow {
+        near: largest,
+        far: largest,
+    };
+    choose_among(&candidates(registry, input, whole), input, true)
+}
+
+/// Upstreams of a pool in an availability zone that calls of the zone's nodes go to first.
+pub fn preferred<'a>(
+    registry: &'a UpstreamRegistry,
+    pool: &str,
+    zone: &str,
+) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
+    registry.first(pool, zone, NEAR_CANDIDATES)
+}
+
+/// Upstreams that are considered first if a pool has upstreams in this many availability zones.
+fn first_window(zones: usize) -> CandidateWindow {
+    let others = zones.saturating_sub(1).max(1);
+    CandidateWindow {
+        near: NEAR_CANDIDATES,
+        far: (FAR_CANDIDATES / others).max(MIN_FAR_CANDIDATES),
+    }
+}
+
+fn candidates<'a>(
+    registry: &'a UpstreamRegistry,
+    input: &ChoiceInput,
+    window: CandidateWindow,
+) -> Vec<UpstreamCandidate<'a>> {
+    let eligible =
+        eligibility::eligible_candidates(registry, input.pool, input.zone, window, input.now);
+    let candidates = eligible
+        .into_iter()
+        .map(|(key, upstream)| UpstreamCandidate {
+            key,
+            upstream,
+            total: upstream.load.total(input.now) + upstream.load.own() * input.silent_senders,
+            backed_off: upstream.health.is_backed_off(input.now),
+        });
+    candidates.collect()
+}
+
+/// Selects the cheapest of some upstreams. Those that are backed off are used only if these are all
+/// upstreams of the pool.
+fn choose_among(
+    all: &[UpstreamCandidate],
+    input: &ChoiceInput,
+    is_whole: bool,
+) -> Option<UpstreamChoice> {
     let reserved = if input.cache_tokens > 0 {
-        partition::reserved_for_tight(&all)
+        partition::reserved_for_tight(all)
     } else {
         BTreeSet::new()
     };
-    let source = fetch_source(&all, input);
-    let known_tokens = known_tokens(&all, input);
+    let source = fetch_source(all, input);
+    let known_tokens = known_tokens(all, input);
     let home = if known_tokens == 0 {
-        home_upstream(&all, &reserved, input)
+        home_upstream(all, &reserved, input)
     } else {
         None
     };
@@ -155,6 +225,9 @@
             .map(|(_, choice)| choice)
             .min_by(|one, other| one.cost.total_cmp(&other.cost))
     };
+    if !is_whole {
+        return cheapest(&healthy);
+    }
     if healthy.is_empty() {
         return cheapest(&backed_off);
     }
--- a/kernel/src/gateway/eligibility.rs
+++ b/kernel/src/gateway/eligibility.rs
@@ -2,11 +2,12 @@
 //! selected and again immediately before each send, since the state may change while a connection
 //! is opened.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use thiserror::Error;
 
-use crate::gateway::registry::{LeavingCause, Upstream, UpstreamKey, UpstreamRegistry};
+use crate::gateway::registry::{CandidateWindow, LeavingCause, Upstream, UpstreamKey, UpstreamRegistry};
 
 /// Reason why a request is not sent to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -52,6 +53,20 @@
     usable.filter(move |(_, upstream)| upstream.pause.left(now).is_none())
 }
 
+/// Upstreams of a pool that requests may be sent to now, of those that calls of a node in `zone`
+/// are likely to go to.
+pub fn eligible_candidates<'a>(
+    registry: &'a UpstreamRegistry,
+    pool: &str,
+    zone: &str,
+    window: CandidateWindow,
+    now: Duration,
+) -> BTreeMap<UpstreamKey, &'a Upstream> {
+    let mut candidates = registry.candidates(pool, zone, window);
+    candidates.retain(|_, upstream| upstream.pause.left(now).is_none());
+    candidates
+}
+
 /// Time until the first upstream of a pool that is not among `tried` accepts requests again after a
 /// pause. `None` if one accepts them now, or if none requested a pause; the maximum duration if all
 /// that requested one were tried.
--- a/kernel/src/gateway/load.rs
+++ b/kernel/src/gateway/load.rs
@@ -132,6 +132,16 @@
         fresh.fold(self.own, |sum, (_, count)| sum + *count)
     }
 
+    /// Whether a node has calls there, or may find parts of prompts cached there.
+    pub fn is_used(&self, now: Duration) -> bool {
+        let others = self.others.values();
+        self.own.calls > 0
+            || self.cache.is_used(now)
+            || others
+                .filter(|(at, _)| *at + REPORT_TTL > now)
+                .any(|(_, count)| count.calls > 0)
+    }
+
     /// Records that a call with this prompt part was sent: the part is cached once the prompts
     /// queued before it are prefilled. Returns whether it was not known to be cached.
     pub fn record_part_sent(&mut self, part: u64, now: Duration) -> bool {
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -1,6 +1,8 @@
 //! Upstreams of the platform's registry, by run.
 
-use std::cell::Cell;
+mod digest;
+mod order;
+
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -12,6 +14,8 @@
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
 use crate::gateway::pause::UpstreamPause;
+use crate::gateway::registry::digest::{BucketDigests, DIGEST_BUCKETS};
+use crate::gateway::registry::order::UpstreamOrder;
 use crate::gateway::throttle::UpstreamThrottle;
 
 /// Identifies one run of an upstream within this process; never reused.
@@ -110,9 +114,14 @@
 /// whole registry.
 const MAX_DEPARTURES: usize = 24;
 
-/// Number of buckets of ids that nodes compare: each contains some 80 of 10,000 upstreams, about 8
-/// kB on the wire.
-const DIGEST_BUCKETS: usize = 128;
+/// Number of upstreams of a pool that are considered for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CandidateWindow {
+    /// Number of upstreams of the node's own availability zone.
+    pub near: usize,
+    /// Number of upstreams of each other zone.
+    pub far: usize,
+}
 
 /// Every upstream that this process has learned of. `keys` and `hashes` map to the newest run of
 /// each id, `places` to the newest run of a pool at an address; calls at an older run still end
@@ -123,9 +132,14 @@
     keys: BTreeMap<Box<str>, UpstreamKey>,
     hashes: BTreeMap<u64, UpstreamKey>,
     places: BTreeMap<(SocketAddr, Box<str>), UpstreamKey>,
-    /// Cached digest; cleared whenever a run is added or leaves.
-    digest: Cell<Option<u64>>,
-    pools: BTreeMap<Box<str>, Vec<UpstreamKey>>,
+    /// Digests of the newest run of each id and of whether it left.
+    digests: BucketDigests,
+    order: UpstreamOrder,
+    /// Upstreams that were used recently, or that another node reported on: all others have no
+    /// state beside their entry.
+    active: BTreeSet<UpstreamKey>,
+    /// Upstreams whose entries expired during an outage of the registry, or did so earlier.
+    lapsed: BTreeSet<UpstreamKey>,
     departures: VecDeque<(Duration, u64)>,
     next_key: u32,
 }
@@ -142,6 +156,14 @@
         xxh3_64(self.entry.id.as_bytes()) as usize % DIGEST_BUCKETS
     }
 
+    /// Whether this node or others use it, or know more of it than its entry.
+    fn is_active(&self, now: Duration) -> bool {
+        self.load.is_used(now)
+            || self.health.reports_failing(now)
+            || self.throttle.is_known()
+            || self.pause.left(now).is_some()
+    }
+
     /// Records that it accepts no new calls. Returns whether that is a change. A lapsed entry may
     /// return, so any other cause replaces that one.
     fn leave(&mut self, cause: LeavingCause) -> bool {
@@ -171,9 +193,6 @@
         for key in &changed {
             self.record_departure(*key, now);
         }
-        if !changed.is_empty() {
-            self.digest.set(None);
-        }
         changed
     }
 
@@ -181,21 +200,17 @@
     /// that is a change.
     pub fn receive_departure(&mut self, hash: u64, now: Duration) -> Option<UpstreamKey> {
         let key = self.by_hash(hash)?;
-        let upstream = self.upstreams.get_mut(&key)?;
-        if !upstream.leave(LeavingCause::Removed) {
+        if !self.leave(key, LeavingCause::Removed) {
             return None;
         }
-        self.digest.set(None);
         self.record_departure(key, now);
         Some(key)
     }
 
     /// Records that an upstream announced in an answer that it leaves. Returns whether that is new.
     pub fn record_announcement(&mut self, key: UpstreamKey, now: Duration) -> bool {
-        let upstream = self.upstreams.get_mut(&key);
-        let is_change = upstream.is_some_and(|upstream| upstream.leave(LeavingCause::Announced));
+        let is_change = self.leave(key, LeavingCause::Announced);
         if is_change {
-            self.digest.set(None);
             self.record_departure(key, now);
         }
         is_change
@@ -242,16 +257,18 @@
         if (&entry.pool, entry.address) != (&upstream.entry.pool, upstream.entry.address) {
             return Vec::new();
         }
-        upstream.lapsed_at = None;
-        if upstream.left == Some(LeavingCause::Lapsed) && !entry.leaving {
-            upstream.left = None;
+        let changed = self.update(key, |upstream| {
+            upstream.lapsed_at = None;
+            let returns = upstream.left == Some(LeavingCause::Lapsed) && !entry.leaving;
+            if returns {
+                upstream.left = None;
+            }
+            let leaves = entry.leaving && upstream.leave(LeavingCause::Draining);
+            let differs = upstream.entry != entry;
             upstream.entry = entry;
-            return vec![key];
-        }
-        let leaves = entry.leaving && upstream.leave(LeavingCause::Draining);
-        let changed = leaves || upstream.entry != entry;
-        upstream.entry = entry;
-        if changed { vec![key] } else { Vec::new() }
+            returns || leaves || differs
+        });
+        if changed == Some(true) { vec![key] } else { Vec::new() }
     }
 
     /// Adds a run, without any load or cache of earlier ones. Returns it and the runs that it
@@ -264,19 +281,19 @@
         let mut changed = vec![key];
         // Older runs of the same id or place have already left.
         let place = (entry.address, entry.pool.clone());
-        let older_run = self.keys.insert(entry.id.clone(), key);
+        let older_run = self.keys.get(&entry.id).copied();
+        if let Some(older) = older_run.and_then(|older| self.upstreams.get(&older)) {
+            self.hashes.remove(&older.entry.run_hash());
+            self.digests.toggle(older.bucket(), older.state_hash());
+        }
+        self.keys.insert(entry.id.clone(), key);
         let older_there = self.places.insert(place, key);
         for older_key in older_run.into_iter().chain(older_there) {
-            let older = self.upstreams.get_mut(&older_key);
-            if older.is_some_and(|older| older.leave(LeavingCause::Replaced)) {
+            if self.leave(older_key, LeavingCause::Replaced) {
                 changed.push(older_key);
             }
         }
-        if let Some(older) = older_run.and_then(|older| self.upstreams.get(&older)) {
-            self.hashes.remove(&older.entry.run_hash());
-        }
         self.hashes.insert(entry.run_hash(), key);
-        self.pools.entry(entry.pool.clone()).or_default().push(key);
         let upstream = Upstream {
             left: entry.leaving.then_some(LeavingCause::Draining),
             entry,
@@ -286,10 +303,48 @@
             throttle: UpstreamThrottle::default(),
             pause: UpstreamPause::default(),
         };
+        self.digests
+            .toggle(upstream.bucket(), upstream.state_hash());
+        if upstream.left.is_none() {
+            self.order.insert(&upstream.entry, key);
+        }
         self.upstreams.insert(key, upstream);
         changed
     }
 
+    /// Changes an upstream's state, and the digests and the order with it. Returns the result of
+    /// `change`; `None` if the key is unknown.
+    fn update<T>(
+        &mut self,
+        key: UpstreamKey,
+        change: impl FnOnce(&mut Upstream) -> T,
+    ) -> Option<T> {
+        let upstream = self.upstreams.get_mut(&key)?;
+        let old_hash = upstream.state_hash();
+        let had_left = upstream.left.is_some();
+        let changed = change(upstream);
+        let has_left = upstream.left.is_some();
+        if had_left == has_left {
+            return Some(changed);
+        }
+        if self.keys.get(&upstream.entry.id) == Some(&key) {
+            self.digests.toggle(upstream.bucket(), old_hash);
+            self.digests
+                .toggle(upstream.bucket(), upstream.state_hash());
+        }
+        if has_left {
+            self.order.remove(&upstream.entry, key);
+        } else {
+            self.order.insert(&upstream.entry, key);
+        }
+        Some(changed)
+    }
+
+    /// Records that an upstream accepts no new calls. Returns whether that is a change.
+    fn leave(&mut self, key: UpstreamKey, cause: LeavingCause) -> bool {
+        self.update(key, |upstream| upstream.leave(cause)) == Some(true)
+    }
+
     fn remove(&mut self, id: &str, trusted: bool, now: Duration) -> Option<UpstreamKey> {
         let key = *self.keys.get(id)?;
         let upstream = self.upstreams.get_mut(&key)?;
@@ -298,9 +353,10 @@
         }
         if !trusted {
             upstream.lapsed_at.get_or_insert(now);
+            self.lapsed.insert(key);
             return Some(key);
         }
-        upstream.leave(LeavingCause::Removed);
+        self.leave(key, LeavingCause::Removed);
         Some(key)
     }
 
@@ -314,49 +370,104 @@
             .filter(|id| !ids.contains(&***id))
             .cloned()
             .collect();
-        let changed: Vec<UpstreamKey> = missing
+        missing
             .iter()
             .filter_map(|id| self.remove(id, trusted, now))
-            .collect();
-        if !changed.is_empty() {
-            self.digest.set(None);
-        }
-        changed
+            .collect()
     }
 
     /// Marks upstreams as left whose entries expired and did not return in time after
     /// `returned_at`, when the registry recovered. Returns them.
     pub fn expire_lapsed(&mut self, returned_at: Duration, now: Duration) -> Vec<UpstreamKey> {
-        let mut lapsed = Vec::new();
-        for (key, upstream) in &mut self.upstreams {
-            let Some(lapsed_at) = upstream.lapsed_at else {
-                continue;
-            };
-            if now >= returned_at.max(lapsed_at) + RETURN_GRACE {
-                upstream.leave(LeavingCause::Lapsed);
-                lapsed.push(*key);
-            }
-        }
-        if !lapsed.is_empty() {
-            self.digest.set(None);
+        let due = |upstream: &Upstream| {
+            let lapsed_at = upstream.lapsed_at;
+            lapsed_at.is_some_and(|at| now >= returned_at.max(at) + RETURN_GRACE)
+        };
+        let upstreams = &self.upstreams;
+        self.lapsed.retain(|key| {
+            let upstream = upstreams.get(key);
+            upstream.is_some_and(|upstream| upstream.lapsed_at.is_some())
+        });
+        let mut gone: Vec<UpstreamKey> = self.lapsed.iter().copied().collect();
+        gone.retain(|key| upstreams.get(key).is_some_and(due));
+        for key in &gone {
+            self.leave(*key, LeavingCause::Lapsed);
         }
-        lapsed
+        gone
     }
 
     /// Records that another upstream answers at this one's address.
     pub fn record_replacement(&mut self, key: UpstreamKey) {
-        if let Some(upstream) = self.upstreams.get_mut(&key) {
-            upstream.leave(LeavingCause::Replaced);
-            self.digest.set(None);
-        }
+        self.leave(key, LeavingCause::Replaced);
     }
 
     /// Upstreams of a pool that accept new calls.
     pub fn usable(&self, pool: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        let keys = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
-        keys.iter()
-            .filter_map(|key| self.upstreams.get(key).map(|upstream| (*key, upstream)))
-            .filter(|(_, upstream)| upstream.left.is_none())
+        let keys = self.order.pool(pool);
+        keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
+    }
+
+    /// Upstreams of a pool that a call is likely to go to: the first of each availability zone in
+    /// the order on which all nodes agree, as many as the window has of `zone` and of each other
+    /// one, and those that were used recently.
+    pub fn candidates(
+        &self,
+        pool: &str,
+        zone: &str,
+        window: CandidateWindow,
+    ) -> BTreeMap<UpstreamKey, &Upstream> {
+        let first = self.order.zones(pool).into_iter().flat_map(|other| {
+            let count = if other == zone {
+                window.near
+            } else {
+                window.far
+            };
+            self.order.first(pool, other, count)
+        });
+        let active = self.active.iter().copied();
+        let candidates = first.chain(active).filter_map(|key| {
+            let upstream = self.upstreams.get(&key)?;
+            Some((key, upstream))
+        });
+        candidates
+            .filter(|(_, upstream)| upstream.left.is_none() && &*upstream.entry.pool == pool)
+            .collect()
+    }
+
+    /// First upstreams of a pool in an availability zone, in the order on which all nodes agree.
+    pub fn first(
+        &self,
+        pool: &str,
+        zone: &str,
+        count: usize,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let keys = self.order.first(pool, zone, count);
+        keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
+    }
+
+    /// Number of upstreams of a pool that accept new calls.
+    pub fn usable_count(&self, pool: &str) -> usize {
+        self.order.len(pool)
+    }
+
+    /// Number of availability zones in which a pool has upstreams that accept new calls.
+    pub fn zone_count(&self, pool: &str) -> usize {
+        self.order.zones(pool).len()
+    }
+
+    /// Upstreams that were used recently, or that another node reported on.
+    pub fn active(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let active = self.active.iter();
+        active.filter_map(|key| self.upstreams.get(key).map(|upstream| (*key, upstream)))
+    }
+
+    /// Ends the list of active upstreams for those that are no longer used.
+    pub fn expire_active(&mut self, now: Duration) {
+        let upstreams = &self.upstreams;
+        self.active.retain(|key| {
+            let upstream = upstreams.get(key);
+            upstream.is_some_and(|upstream| upstream.is_active(now))
+        });
     }
 
     /// State of an upstream; `None` if the key is unknown.
@@ -364,9 +475,12 @@
         self.upstreams.get(&key)
     }
 
-    /// Mutable state of an upstream; `None` if the key is unknown.
+    /// Mutable state of an upstream, which counts as active from now on; `None` if the key is
+    /// unknown.
     pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
-        self.upstreams.get_mut(&key)
+        let upstream = self.upstreams.get_mut(&key)?;
+        self.active.insert(key);
+        Some(upstream)
     }
 
     /// Newest run of the upstream with this id; `None` if the id is unknown.
@@ -382,27 +496,12 @@
     /// Digest of the newest run of each upstream and of whether it has left; equal on nodes with
     /// the same information.
     pub fn digest(&self) -> u64 {
-        if let Some(digest) = self.digest.get() {
-            return digest;
-        }
-        let digest = self.compute_digest();
-        self.digest.set(Some(digest));
-        digest
-    }
-
-    fn compute_digest(&self) -> u64 {
-        self.newest().fold(0, |digest, upstream| {
-            digest ^ u64::from(upstream.state_hash())
-        })
+        self.digests.total()
     }
 
     /// Digest of each bucket of ids, so that two nodes can find the buckets in which they differ.
-    pub fn bucket_digests(&self) -> Vec<u32> {
-        let mut digests = vec![0; DIGEST_BUCKETS];
-        for upstream in self.newest() {
-            digests[upstream.bucket()] ^= upstream.state_hash();
-        }
-        digests
+    pub fn bucket_digests(&self) -> &[u32] {
+        self.digests.buckets()
     }
 
     /// Newest run of each upstream in the buckets whose digests differ from those in `known`; all
--- a/kernel/src/gateway/throttle.rs
+++ b/kernel/src/gateway/throttle.rs
@@ -97,6 +97,11 @@
         self.advertised?.per_second
     }
 
+    /// Whether the upstream has advertised a limit, or the end of one.
+    pub fn is_known(&self) -> bool {
+        self.advertised.is_some()
+    }
+
     /// Whether the upstream advertised the limit recently.
     pub fn is_confirmed(&self, now: Duration) -> bool {
         self.advertised
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod gossip;
 mod health;
 mod lag;
+mod large_pool;
 mod limit_fuzz;
 mod outcome;
 mod pace;
