Ask each seed until it answers, less and less often

Cause: a starting node stopped asking seeds as soon as it knew one other node. And all nodes of a fleet that starts asked every 0.1 s, faster than one seed can answer a thousand.

Change: a node asks each seed that has not answered for 10 s after its start; the interval doubles up to 0.8 s. A heartbeat to many nodes is encoded once.

Result: three and thirty nodes know a late seed within a second (kernel test gossip, late_seed).

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::gossip::{
-    self, GossipRound, GossipSchedule, GossipUrgency, ReplyReason, SeedChoice,
+    self, GossipRound, GossipSchedule, GossipUrgency, ReplyReason,
 };
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
 use tokio::net::UdpSocket;
@@ -47,6 +47,7 @@
         .iter()
         .map(|seed| SocketAddr::new(seed.ip(), port));
     let seeds: BTreeSet<SocketAddr> = seeds.filter(|seed| *seed != address).collect();
+    gateway.fleet.borrow_mut().set_seeds(seeds.iter().copied());
     tokio::task::spawn_local(listen(gateway.clone(), socket.clone()));
     tokio::task::spawn_local(send_rounds(HeartbeatSender::new(gateway, socket, seeds)));
     Ok(())
@@ -114,7 +115,15 @@
     heartbeat
 }
 
-async fn send(gateway: &Gateway, socket: &UdpSocket, to: SocketAddr, heartbeat: &NodeHeartbeat) {
+async fn send(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    recipients: &[SocketAddr],
+    heartbeat: &NodeHeartbeat,
+) {
+    if recipients.is_empty() {
+        return;
+    }
     let mut bytes = Vec::with_capacity(256);
     if let Err(error) = ciborium::into_writer(heartbeat, &mut bytes) {
         log::warn!("cannot encode a heartbeat: {error}");
@@ -123,9 +132,11 @@
     if bytes.len() > MAX_BYTES {
         log::debug!("a heartbeat of {} bytes may be fragmented", bytes.len());
     }
-    gateway.metrics.heartbeat_bytes.inc_by(bytes.len() as u64);
-    if let Err(error) = socket.send_to(&bytes, to).await {
-        log::debug!("cannot send a heartbeat to {to}: {error}");
+    for recipient in recipients {
+        gateway.metrics.heartbeat_bytes.inc_by(bytes.len() as u64);
+        if let Err(error) = socket.send_to(&bytes, recipient).await {
+            log::debug!("cannot send a heartbeat to {recipient}: {error}");
+        }
     }
 }
 
@@ -133,9 +144,7 @@
 struct HeartbeatSender {
     gateway: Rc<Gateway>,
     socket: Rc<UdpSocket>,
-    seeds: BTreeSet<SocketAddr>,
-    seed_turn: usize,
-    spread: GossipSchedule,
+    schedule: GossipSchedule,
     /// Prompt parts that have not been sent to nodes of other availability zones.
     far_parts: BTreeSet<(u32, u64, u64)>,
     /// Time at which usage counts were last sent.
@@ -148,31 +157,15 @@
         Self {
             gateway: gateway.clone(),
             socket,
-            seeds,
-            seed_turn: 0,
-            spread: GossipSchedule::default(),
+            schedule: GossipSchedule::new(seeds),
             far_parts: BTreeSet::new(),
             usage_at: Duration::ZERO,
             usage: UsageSender::default(),
         }
     }
 
-    async fn send_all(&self, to: &[SocketAddr], heartbeat: &NodeHeartbeat) {
-        for to in to {
-            send(&self.gateway, &self.socket, *to, heartbeat).await;
-        }
-    }
-
-    fn select_seeds(&mut self, choice: SeedChoice) -> Vec<SocketAddr> {
-        match choice {
-            SeedChoice::None => Vec::new(),
-            SeedChoice::Next => {
-                self.seed_turn = (self.seed_turn + 1) % self.seeds.len().max(1);
-                let next = self.seeds.iter().nth(self.seed_turn);
-                next.copied().into_iter().collect()
-            }
-            SeedChoice::All => self.seeds.iter().copied().collect(),
-        }
+    async fn send_all(&self, recipients: &[SocketAddr], heartbeat: &NodeHeartbeat) {
+        send(&self.gateway, &self.socket, recipients, heartbeat).await;
     }
 
     async fn round(&mut self) {
@@ -189,7 +182,7 @@
             now,
         };
         let plan = self
-            .spread
+            .schedule
             .plan(&mut gateway.fleet.borrow_mut(), &own, round);
         if !plan.zone.is_empty() {
             let idle = NodeHeartbeat {
@@ -215,8 +208,7 @@
             self.send_all(&plan.far, &own).await;
         }
         own.parts = Vec::new();
-        let seeds = self.select_seeds(plan.seeds);
-        self.send_all(&seeds, &own).await;
+        self.send_all(&plan.seeds, &own).await;
         if now >= self.usage_at + usage::send_interval(&gateway) {
             self.usage_at = now;
             self.send_usage(own).await;
@@ -319,7 +311,7 @@
             work: None,
             ..own_heartbeat(gateway)
         };
-        send(gateway, socket, card.peers, &answer).await;
+        send(gateway, socket, &[card.peers], &answer).await;
     }
 }
 
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -86,6 +86,8 @@
     own: NodeCard,
     started_at: Duration,
     peers: BTreeMap<Box<str>, FleetPeer>,
+    /// Addresses of other nodes that a starting node asks first and has not heard from.
+    unheard_seeds: BTreeSet<SocketAddr>,
     store_answered_at: Option<Duration>,
 }
 
@@ -101,10 +103,27 @@
             own,
             started_at: now,
             peers: BTreeMap::new(),
+            unheard_seeds: BTreeSet::new(),
             store_answered_at: None,
         }
     }
 
+    /// Sets the addresses of the seeds, which a starting node asks first.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.unheard_seeds = seeds.into_iter().collect();
+        self.unheard_seeds.remove(&self.own.peers);
+    }
+
+    /// Addresses of the seeds that this node has not heard from since its start.
+    pub fn unheard_seeds(&self) -> &BTreeSet<SocketAddr> {
+        &self.unheard_seeds
+    }
+
+    /// Time since the start of this node.
+    pub fn uptime(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.started_at)
+    }
+
     /// Card of this node, as its heartbeats contain it.
     pub fn own(&self) -> &NodeCard {
         &self.own
@@ -134,6 +153,7 @@
         for card in std::mem::take(&mut heartbeat.cards) {
             self.receive_card(card, now);
         }
+        self.unheard_seeds.remove(&heartbeat.card.peers);
         heartbeat.parts = Vec::new();
         heartbeat.usage = Vec::new();
         heartbeat.crashes = Vec::new();
--- a/kernel/src/gateway/gossip.rs
+++ b/kernel/src/gateway/gossip.rs
@@ -18,9 +18,18 @@
 const IDLE_TICK: Duration = Duration::from_millis(200);
 /// The same interval on a node with calls: about as often as a busy engine starts and ends one.
 const BUSY_TICK: Duration = Duration::from_millis(50);
-/// The same interval on a node that knows no other live one: when all nodes start at once, seeds
-/// may begin to listen after its first request.
+/// The same interval on a node that asks the seeds: when all nodes start at once, seeds may begin
+/// to listen after its first request.
 const SEEK_TICK: Duration = Duration::from_millis(100);
+/// Longest interval between two requests to seeds. The interval doubles after some requests without
+/// an answer: a thousand nodes that start at once would otherwise ask a slow seed faster than it
+/// answers.
+const MAX_SEEK_INTERVAL: Duration = Duration::from_millis(800);
+/// Number of requests to seeds after which the interval between them doubles.
+const SEEK_REQUESTS: u32 = 3;
+/// Time after its start until which a node asks each seed that has not answered. Two nodes of a
+/// fleet that starts may know only each other, and the seeds the others.
+const SEEK_PERIOD: Duration = Duration::from_secs(10);
 /// Tolerance for late timers: a heartbeat that is due within it is not deferred to the next check.
 const TICK_SLACK: Duration = Duration::from_millis(20);
 
@@ -93,32 +102,22 @@
     /// Nodes of other zones that receive its work at upstreams.
     pub far: Vec<SocketAddr>,
     /// Seeds that receive a heartbeat too.
-    pub seeds: SeedChoice,
+    pub seeds: Vec<SocketAddr>,
     /// Cards of nodes that the heartbeats to the zone contain.
     pub zone_cards: Vec<NodeCard>,
     /// Cards of hubs that all other heartbeats contain.
     pub hub_cards: Vec<NodeCard>,
 }
 
-/// Selection of the seeds that receive a heartbeat.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum SeedChoice {
-    /// No seed, as no heartbeat to them is due.
-    #[default]
-    None,
-    /// The next one in turn, since all nodes of a starting fleet ask the seeds repeatedly.
-    Next,
-    /// Every seed in the settings.
-    All,
-}
-
 /// Times and receivers of a node's last heartbeats.
 #[derive(Clone, Debug, Default)]
 pub struct GossipSchedule {
     near_at: Option<Duration>,
     zone_at: Option<Duration>,
     far_at: Option<Duration>,
+    seeds: Vec<SocketAddr>,
     seeds_at: Option<Duration>,
+    seek_requests: u32,
     zone_turn: usize,
     far_turn: usize,
     hubs: Vec<Box<str>>,
@@ -126,6 +125,14 @@
 }
 
 impl GossipSchedule {
+    /// Creates the schedule of a node that starts and asks these seeds for other nodes.
+    pub fn new(seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
+        Self {
+            seeds: seeds.into_iter().collect(),
+            ..Self::default()
+        }
+    }
+
     /// Determines the heartbeats that are due. `own` is the node's own state.
     pub fn plan(
         &mut self,
@@ -168,16 +175,7 @@
         if sends_work_far && is_due(&mut self.far_at, far_interval, now) {
             plan.far = self.far_nodes(fleet, round);
         }
-        let is_seeking = is_seeking(fleet, now);
-        let seed_interval = if is_seeking { SEEK_TICK } else { SEED_INTERVAL };
-        let is_first = self.seeds_at.is_none();
-        if (is_hub || is_seeking) && is_due(&mut self.seeds_at, seed_interval, now) {
-            plan.seeds = if is_seeking && !is_first {
-                SeedChoice::Next
-            } else {
-                SeedChoice::All
-            };
-        }
+        plan.seeds = self.due_seeds(fleet, is_hub, now);
         if is_hub {
             plan.hub_cards = hub_cards(fleet, now);
         }
@@ -186,6 +184,34 @@
         plan
     }
 
+    /// Seeds that a heartbeat to is due: at the start each, then those that have not answered, one
+    /// after another; at intervals all, if this node is a hub.
+    fn due_seeds(&mut self, fleet: &FleetView, is_hub: bool, now: Duration) -> Vec<SocketAddr> {
+        let is_seeking = is_seeking(fleet, now);
+        let interval = if is_seeking {
+            let doublings = self.seek_requests / SEEK_REQUESTS;
+            MAX_SEEK_INTERVAL.min(SEEK_TICK * 2_u32.saturating_pow(doublings))
+        } else {
+            SEED_INTERVAL
+        };
+        let is_first = self.seeds_at.is_none();
+        if !(is_hub || is_seeking) || !is_due(&mut self.seeds_at, interval, now) {
+            return Vec::new();
+        }
+        if !is_seeking || is_first {
+            return self.seeds.clone();
+        }
+        self.seek_requests += 1;
+        let unheard: Vec<SocketAddr> = fleet.unheard_seeds().iter().copied().collect();
+        let asked = if unheard.is_empty() {
+            &self.seeds
+        } else {
+            &unheard
+        };
+        let turn = self.seek_requests as usize % asked.len().max(1);
+        asked.get(turn).copied().into_iter().collect()
+    }
+
     /// Records the hubs of the node's zone. Returns whether they changed.
     fn update_hubs(&mut self, fleet: &FleetView, now: Duration) -> bool {
         let hubs = fleet.hubs(&fleet.own().zone, now);
@@ -270,9 +296,11 @@
     advertisable.into_iter().filter(is_hub).collect()
 }
 
-/// Whether a node knows no other live one, so that it asks the seeds for cards.
+/// Whether a node asks the seeds for cards: it knows no other live node, or it started lately and
+/// not all seeds have answered.
 pub fn is_seeking(fleet: &FleetView, now: Duration) -> bool {
-    fleet.live(now).next().is_none()
+    let has_unheard = !fleet.unheard_seeds().is_empty();
+    has_unheard && fleet.uptime(now) < SEEK_PERIOD || fleet.live(now).next().is_none()
 }
 
 /// Reasons why a node's heartbeat may need a reply.
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -110,7 +110,7 @@
     pub store_age_ms: Option<u64>,
     /// Digest of the upstreams that it knows and of those that left.
     pub registry_digest: u64,
-    /// Whether it knows no other live node and asks for the cards of others.
+    /// Whether it starts, or knows no other live node, and asks for the cards of others.
     pub seeking: bool,
     /// Whether it is a reply, which needs no reply itself.
     pub is_reply: bool,
--- a/kernel/tests/gateway/gossip.rs
+++ b/kernel/tests/gateway/gossip.rs
@@ -12,7 +12,7 @@
 use monsoonbank_kernel::gateway::entries::entries;
 use monsoonbank_kernel::gateway::fleet::FleetView;
 use monsoonbank_kernel::gateway::gossip::{
-    self, GossipPlan, GossipRound, GossipSchedule, GossipUrgency, ReplyReason, SeedChoice,
+    self, GossipPlan, GossipRound, GossipSchedule, GossipUrgency, ReplyReason,
 };
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
 use monsoonbank_kernel::gateway::load::WorkCount;
@@ -73,6 +73,21 @@
     SocketAddr::from(([10, 0, high, low], 7000))
 }
 
+/// Addresses of the seeds that a node asks.
+fn seeds(index: usize) -> impl Iterator<Item = SocketAddr> {
+    (0..SEEDS).filter(move |seed| *seed != index).map(address)
+}
+
+fn starting_view(card: &NodeCard, now: Duration) -> FleetView {
+    let mut view = FleetView::new(card.clone(), now);
+    view.set_seeds((0..SEEDS).map(address));
+    view
+}
+
+fn starting_schedule(index: usize) -> GossipSchedule {
+    GossipSchedule::new(seeds(index))
+}
+
 impl ModelFleet {
     /// Nodes of at least five zones, each with three of large capacity, that start within 0.3 s.
     fn new(count: usize, seed: u64) -> Self {
@@ -92,10 +107,10 @@
                     state: NodeState::Ready,
                 };
                 ModelNode {
-                    view: FleetView::new(card.clone(), Duration::ZERO),
+                    view: starting_view(&card, Duration::ZERO),
                     card,
                     up: true,
-                    schedule: GossipSchedule::default(),
+                    schedule: starting_schedule(index),
                     tick_at: Duration::from_millis(random.random_range(0..300)),
                     version: 0,
                     urgency: GossipUrgency::None,
@@ -238,16 +253,8 @@
         for to in near.iter().chain(&far) {
             self.send(index, *to, &own);
         }
-        let asked = match seeds {
-            SeedChoice::None => 0..0,
-            SeedChoice::Next => {
-                let next = (now.as_millis() / 100) as usize % SEEDS;
-                next..next + 1
-            }
-            SeedChoice::All => 0..SEEDS,
-        };
-        for seed in asked.filter(|seed| *seed != index) {
-            self.send(index, address(seed), &own);
+        for seed in seeds {
+            self.send(index, seed, &own);
         }
     }
 
@@ -282,8 +289,8 @@
         for index in indices {
             let node = &mut self.nodes[index];
             node.card.incarnation += 1;
-            node.view = FleetView::new(node.card.clone(), now);
-            node.schedule = GossipSchedule::default();
+            node.view = starting_view(&node.card, now);
+            node.schedule = starting_schedule(index);
             node.version = 0;
             node.up = true;
             node.tick_at = now + Duration::from_millis(self.random.random_range(0..300));
@@ -514,3 +521,37 @@
     let sent: usize = fleet.costs.iter().map(|cost| cost.sent).sum();
     assert!(sent - idle <= 5 * 295, "{sent} against {idle}");
 }
+
+/// Each case gives the number of nodes of a fleet whose first seed begins to listen late, after
+/// others have found each other. It has to learn of the fleet soon, as the fleet of it.
+macro_rules! late_seed {
+    ($($name:ident: $count:literal, $late:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in 0..8 {
+                let mut fleet = ModelFleet::new($count, 40 + seed);
+                fleet.stop(std::iter::once(0));
+                fleet.run($late);
+                fleet.start(std::iter::once(0));
+                fleet.run(SECOND);
+                let now = fleet.now;
+                let known = fleet.nodes[0].view.live(now).count();
+                assert!(known >= 2, "seed {seed}: the first seed knows {known}");
+                let late = &fleet.nodes[0].card;
+                let unaware = fleet.nodes[1..].iter().filter(|node| {
+                    let mut live = node.view.live(now);
+                    node.card.zone == late.zone
+                        && node.view.is_hub(now)
+                        && !live.any(|peer| peer.heartbeat.card.name == late.name)
+                });
+                assert_eq!(unaware.count(), 0, "seed {seed}");
+            }
+        }
+    )*};
+}
+
+late_seed! {
+    three_nodes_find_a_seed_that_listens_late: 3, SECOND / 4;
+    three_nodes_find_a_seed_that_listens_a_second_late: 3, SECOND;
+    thirty_nodes_find_a_seed_that_listens_late: 30, SECOND / 4;
+}
