Let nodes with few calls know only the preferred upstreams

Cause: every node held and exchanged all upstreams: 10,000 entries at each start of each of 985 nodes, of which some fifteen get nearly all calls.

Change: in a fleet with more upstreams than are preferred, only hubs, entries, readers of the store and holders of duties know all. The others know the first of each pool and zone, compare a digest with their hubs and replace the buckets of ids that differ; a node that finds no capacity fetches all. Encoded answers are kept for nodes that ask the same, and a node sends as many large answers at a time as its link carries.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod reply;
 pub mod reports;
 pub mod scaling;
+pub mod scope;
 pub mod settings;
 pub mod stream;
 pub mod sync;
@@ -61,8 +62,10 @@
 use crate::gateway::connections::ConnectionPool;
 use crate::gateway::decisions::{Decision, DecisionLog};
 use crate::gateway::duties::DutyState;
+use crate::gateway::frame::AnswerCache;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::patch::ConfigurationHistory;
+use crate::gateway::scope::RegistryScope;
 use crate::gateway::settings::GatewaySettings;
 
 /// Recent reachability of the platform's store.
@@ -72,8 +75,6 @@
     pub failed_at: Option<Duration>,
     /// Time of the first successful call after the last failure.
     pub recovered_at: Duration,
-    /// Whether the registry has been loaded, from the store or from another node.
-    pub registry_loaded: bool,
 }
 
 /// The state of a node. It belongs to one thread, so `Cell` and `RefCell` suffice.
@@ -89,6 +90,10 @@
     pub texts: RefCell<ConfigurationHistory>,
     /// Upstreams that this node has learned of, with its state for each.
     pub registry: RefCell<UpstreamRegistry>,
+    /// Part of the registry that has been loaded.
+    pub scope: Cell<RegistryScope>,
+    /// Time until which this node knows all upstreams, whatever its role.
+    pub whole_until: Cell<Duration>,
     /// The other nodes, as their heartbeats report them.
     pub fleet: RefCell<FleetView>,
     /// Digests of the contents of calls under which upstreams crashed.
@@ -129,6 +134,8 @@
     pub heartbeat_notify: tokio::sync::Notify,
     /// Whether a fetch from another node is running.
     pub fetching: Cell<bool>,
+    /// Encoded answers that other nodes are likely to ask for again.
+    pub answers: RefCell<AnswerCache>,
     /// Large answers that are being sent to other nodes.
     pub transfers: RefCell<TransferList>,
     /// Newest configuration version that any node has advertised, and the progress of fetching it.
@@ -153,7 +160,17 @@
     pub fn is_ready(&self) -> bool {
         self.leaving_since.get().is_none()
             && self.table.borrow().is_some()
-            && self.store_health.get().registry_loaded
+            && self.knows_upstreams()
+    }
+
+    /// Returns whether upstreams have been loaded, from the store or from another node.
+    pub fn knows_upstreams(&self) -> bool {
+        self.scope.get() != RegistryScope::Nothing
+    }
+
+    /// Returns whether all upstreams have been loaded.
+    pub fn knows_all_upstreams(&self) -> bool {
+        self.scope.get() == RegistryScope::Whole
     }
 
     /// Returns the lifecycle state that this node advertises.
@@ -304,6 +321,8 @@
         table: RefCell::default(),
         texts: RefCell::default(),
         registry: RefCell::default(),
+        scope: Cell::default(),
+        whole_until: Cell::default(),
         fleet: RefCell::new(FleetView::new(own, clock.now())),
         crashes: RefCell::default(),
         budgets: RefCell::default(),
@@ -321,7 +340,8 @@
         urgency: Cell::default(),
         heartbeat_notify: tokio::sync::Notify::new(),
         fetching: Cell::new(false),
-        transfers: RefCell::default(),
+        answers: RefCell::default(),
+        transfers: RefCell::new(TransferList::new(settings.limits.link_mbps)),
         lag: Cell::default(),
         store_era: Cell::new(None),
         unix_start: Cell::new(duties::host_time().saturating_sub(clock.now())),
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -51,6 +51,13 @@
         /// Time since a node first advertised this or a newer version, in ms; `None` if none did.
         lag_ms: Option<u64>,
     },
+    /// All upstreams of the registry were loaded, or the preferred ones, or all others forgotten.
+    RegistryLoaded {
+        /// `whole` or `preferred`.
+        scope: &'a str,
+        /// Number of known upstreams that accept new calls.
+        upstreams: usize,
+    },
     /// A configuration was rejected; the previous one stays in force.
     ConfigurationRejected {
         /// `store`, or the name of the node that it was fetched from.
--- a/daemon/src/gateway/endpoints.rs
+++ b/daemon/src/gateway/endpoints.rs
@@ -16,12 +16,13 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use monsoonbank_kernel::gateway::registry::UpstreamEntry;
+use monsoonbank_kernel::gateway::registry::{Upstream, UpstreamEntry};
 use monsoonbank_kernel::gateway::transfers::TransferKey;
 use monsoonbank_platform::{lookup, names};
 use serde::Serialize;
 use serde_json::json;
 use tokio::net::TcpListener;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::decisions::millis;
 use crate::gateway::reply::{self, Reply};
@@ -44,6 +45,8 @@
 const KNOWN_NAME: &str = "known=";
 /// Hexadecimal digits of each digest.
 const KNOWN_DIGITS: usize = 8;
+/// Path of the preferred upstreams, for other nodes that know no others.
+const PREFERRED_PATH: &str = "/registry/preferred";
 /// Path of the reports of crashes and quarantined contents, for other nodes.
 pub const CRASH_PATH: &str = "/crashes";
 /// Number of entries above which an answer counts as large. It is checked before encoding, which
@@ -91,6 +94,7 @@
         CONFIGURATION_PATH => configuration(gateway),
         PATCH_PATH => patch(gateway, query),
         REGISTRY_PATH => registry(gateway, query),
+        PREFERRED_PATH => preferred(gateway, query),
         CRASH_PATH => cbor_reply(
             gateway,
             &gateway.crashes.borrow().decided_reports(gateway.now()),
@@ -154,17 +158,47 @@
 /// Builds a compressed CBOR answer to another node. A large answer is refused while many are being
 /// sent: each of them would arrive too slowly, and a node that already has it can pass it on.
 fn cbor_reply(gateway: &Rc<Gateway>, value: &impl Serialize) -> Reply {
+    match encode(value) {
+        Ok(framed) => framed_reply(gateway, framed),
+        Err(error) => encoding_failure(&error),
+    }
+}
+
+fn encode(value: &impl Serialize) -> io::Result<Bytes> {
     let mut body = Vec::new();
-    let framed = ciborium::into_writer(value, &mut body)
-        .map_err(io::Error::other)
-        .and_then(|()| frame::compress(&body));
-    let framed = match framed {
-        Ok(framed) => Bytes::from(framed),
-        Err(error) => {
-            log::warn!("cannot encode an answer to another node: {error}");
-            return reply::failure(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string());
+    ciborium::into_writer(value, &mut body).map_err(io::Error::other)?;
+    frame::compress(&body).map(Bytes::from)
+}
+
+fn encoding_failure(error: &io::Error) -> Reply {
+    log::warn!("cannot encode an answer to another node: {error}");
+    reply::failure(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string())
+}
+
+/// Answers with a value that other nodes are likely to ask for again. `state` is a digest of the
+/// state that the value depends on.
+fn shared_reply<T: Serialize>(
+    gateway: &Rc<Gateway>,
+    question: &str,
+    state: u64,
+    value: impl FnOnce() -> T,
+) -> Reply {
+    let digest = xxh3_64_with_seed(question.as_bytes(), state);
+    let known = gateway.answers.borrow().get(digest);
+    if let Some(framed) = known {
+        return framed_reply(gateway, framed);
+    }
+    match encode(&value()) {
+        Ok(framed) => {
+            let mut answers = gateway.answers.borrow_mut();
+            answers.put(digest, framed.clone());
+            framed_reply(gateway, framed)
         }
-    };
+        Err(error) => encoding_failure(&error),
+    }
+}
+
+fn framed_reply(gateway: &Rc<Gateway>, framed: Bytes) -> Reply {
     if framed.len() <= PIECE_BYTES {
         return reply::whole(StatusCode::OK, framed);
     }
@@ -215,7 +249,17 @@
 
 /// Returns the path and query that request the entries that differ from those with these digests.
 pub fn registry_target(known: &[u32]) -> String {
-    let mut target = format!("{REGISTRY_PATH}?{KNOWN_NAME}");
+    known_target(REGISTRY_PATH, known)
+}
+
+/// Returns the path and query that request the preferred upstreams that differ from those with
+/// these digests.
+pub fn preferred_target(known: &[u32]) -> String {
+    known_target(PREFERRED_PATH, known)
+}
+
+fn known_target(path: &str, known: &[u32]) -> String {
+    let mut target = format!("{path}?{KNOWN_NAME}");
     for digest in known {
         // Writing to a string cannot fail.
         let _ = write!(target, "{digest:0KNOWN_DIGITS$x}");
@@ -235,14 +279,27 @@
 
 fn registry(gateway: &Rc<Gateway>, query: &str) -> Reply {
     let registry = gateway.registry.borrow();
-    let entries: Vec<(UpstreamEntry, bool)> = registry
-        .differing(&known_digests(query))
-        .map(|upstream| (upstream.entry.clone(), upstream.left.is_some()))
-        .collect();
-    if entries.len() > MANY_ENTRIES && gateway.transfers.borrow().is_full(gateway.now()) {
+    let known = known_digests(query);
+    let is_large = registry.differing(&known).nth(MANY_ENTRIES).is_some();
+    if is_large && gateway.transfers.borrow().is_full(gateway.now()) {
         return busy();
     }
-    cbor_reply(gateway, &entries)
+    shared_reply(gateway, query, registry.digest(), || {
+        let differing = registry.differing(&known);
+        let entry = |upstream: &Upstream| (upstream.entry.clone(), upstream.left.is_some());
+        differing.map(entry).collect::<Vec<(UpstreamEntry, bool)>>()
+    })
+}
+
+fn preferred(gateway: &Rc<Gateway>, query: &str) -> Reply {
+    if !gateway.knows_all_upstreams() {
+        return reply::failure(StatusCode::NOT_FOUND, "not all upstreams are known");
+    }
+    let registry = gateway.registry.borrow();
+    let question = format!("{PREFERRED_PATH}{query}");
+    shared_reply(gateway, &question, registry.digest(), || {
+        registry.preferred_part(&known_digests(query))
+    })
 }
 
 /// Dumps the node's view of upstreams and nodes as JSON, for operators.
--- a/daemon/src/gateway/fetch.rs
+++ b/daemon/src/gateway/fetch.rs
@@ -15,7 +15,7 @@
 use monsoonbank_kernel::gateway::crashes::CrashReport;
 use monsoonbank_kernel::gateway::fleet::FleetPeer;
 use monsoonbank_kernel::gateway::heartbeat::NodeHeartbeat;
-use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamEntry};
+use monsoonbank_kernel::gateway::registry::{PreferredPart, RegistryChange, UpstreamEntry};
 use monsoonbank_platform::body::{self, BodyError};
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -25,6 +25,7 @@
 
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::patch::{self, ConfigurationPatch};
+use crate::gateway::scope::{self, RegistryScope};
 use crate::gateway::{Gateway, endpoints, frame, quarantine, sync};
 
 /// Time within which a node has to begin its answer, and the longest pause within it. A weak host
@@ -97,27 +98,50 @@
 #[derive(Clone, Copy, Debug)]
 struct MissingParts {
     rules: bool,
-    entries: bool,
+    /// Part of the registry, if any is missing.
+    entries: Option<RegistryScope>,
     crashes: bool,
 }
 
 impl MissingParts {
     fn any(self) -> bool {
-        self.rules || self.entries || self.crashes
+        self.rules || self.entries.is_some() || self.crashes
     }
 }
 
 fn missing_parts(gateway: &Gateway, heartbeat: &NodeHeartbeat) -> MissingParts {
-    let reads_store = gateway.is_reader() && !gateway.store_suspect();
-    let differs = heartbeat.registry_digest != gateway.registry.borrow().digest();
-    let unknown = !gateway.store_health.get().registry_loaded && heartbeat.registry_digest != 0;
-    let trusted = heartbeat.store_reachable && accepts_entries_of(gateway, heartbeat);
     let crash_digest = gateway.crashes.borrow().digest();
     MissingParts {
         crashes: heartbeat.crash_digest != 0 && heartbeat.crash_digest != crash_digest,
         rules: heartbeat.version > gateway.version(),
-        entries: differs && trusted && !reads_store || unknown,
+        entries: missing_entries(gateway, heartbeat),
+    }
+}
+
+/// Returns the part of the registry to fetch from a node that knows all upstreams; `None` if this
+/// node has the same part.
+fn missing_entries(gateway: &Gateway, heartbeat: &NodeHeartbeat) -> Option<RegistryScope> {
+    if heartbeat.registry_digest == 0 {
+        return None;
     }
+    let wanted = match heartbeat.preferred_digest {
+        Some(_) if !scope::needs_whole(gateway) => RegistryScope::Preferred,
+        _ => RegistryScope::Whole,
+    };
+    let is_loaded = match wanted {
+        RegistryScope::Whole => gateway.knows_all_upstreams(),
+        RegistryScope::Preferred | RegistryScope::Nothing => gateway.knows_upstreams(),
+    };
+    let registry = gateway.registry.borrow();
+    let differs = match (wanted, heartbeat.preferred_digest) {
+        // Other upstreams are still to be forgotten.
+        (RegistryScope::Preferred, _) if gateway.knows_all_upstreams() => false,
+        (RegistryScope::Preferred, Some(digest)) => digest != registry.usable_digest(),
+        _ => heartbeat.registry_digest != registry.digest(),
+    };
+    let reads_store = gateway.is_reader() && !gateway.store_suspect();
+    let trusted = heartbeat.store_reachable && accepts_entries_of(gateway, heartbeat);
+    (!is_loaded || differs && trusted && !reads_store).then_some(wanted)
 }
 
 /// Returns whether registry entries are accepted from the sender of this heartbeat: a node of the
@@ -174,13 +198,10 @@
         };
         quarantine::merge_reports(gateway, &reports, peer);
     }
-    if missing.entries {
-        let source = FetchSource::new(peer, address, FetchPart::Registry);
-        let target = endpoints::registry_target(gateway.registry.borrow().bucket_digests());
-        let Some(entries) = fetch(gateway, source, &target).await else {
-            return;
-        };
-        merge_entries(gateway, entries);
+    if let Some(scope) = missing.entries
+        && !fetch_entries(gateway, peer, address, scope).await
+    {
+        return;
     }
     if missing.rules {
         // Another configuration may be in force when the answer arrives.
@@ -194,6 +215,42 @@
     }
 }
 
+/// Fetches a part of the registry. Returns whether that succeeded.
+async fn fetch_entries(
+    gateway: &Gateway,
+    peer: &str,
+    address: SocketAddr,
+    scope: RegistryScope,
+) -> bool {
+    let source = FetchSource::new(peer, address, FetchPart::Registry);
+    if scope == RegistryScope::Preferred {
+        let target = endpoints::preferred_target(gateway.registry.borrow().usable_digests());
+        let part = fetch::<PreferredPart>(gateway, source, &target).await;
+        return part.map(|part| merge_preferred(gateway, part)).is_some();
+    }
+    let target = endpoints::registry_target(gateway.registry.borrow().bucket_digests());
+    let entries = fetch(gateway, source, &target).await;
+    entries
+        .map(|entries| merge_entries(gateway, entries))
+        .is_some()
+}
+
+/// Replaces the upstreams that this node knows by the preferred ones of another node.
+fn merge_preferred(gateway: &Gateway, part: PreferredPart) {
+    if gateway.knows_all_upstreams() {
+        return;
+    }
+    let now = gateway.now();
+    let changed = gateway
+        .registry
+        .borrow_mut()
+        .replace_preferred(part, now);
+    for key in changed {
+        sync::upstream_changed(gateway, key);
+    }
+    scope::set(gateway, RegistryScope::Preferred);
+}
+
 /// Applies the configuration that a patch makes of `base`, and caches the patch for other nodes.
 fn apply_patch(gateway: &Gateway, peer: &str, base: Option<&[u8]>, patch: ConfigurationPatch) {
     match patch.apply(base) {
@@ -222,9 +279,7 @@
         })
     };
     sync::apply_changes(gateway, entries.into_iter().map(change), true);
-    let mut health = gateway.store_health.get();
-    health.registry_loaded = true;
-    gateway.store_health.set(health);
+    scope::set(gateway, RegistryScope::Whole);
 }
 
 /// Node, address and part of the state of a fetch.
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -17,7 +17,7 @@
 use crate::gateway::duties::host_time;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::usage::UsageSender;
-use crate::gateway::{Gateway, fetch, limits, quarantine, sync, usage};
+use crate::gateway::{Gateway, fetch, limits, quarantine, scope, sync, usage};
 
 /// Number of prompt parts in one datagram, about 16 bytes each.
 const MAX_PARTS: usize = 48;
@@ -89,11 +89,13 @@
     let answered_at = fleet.store_answered_at();
     let duties = gateway.duties.as_ref();
     let mut crashes = gateway.crashes.borrow_mut();
+    let knows_all = gateway.knows_all_upstreams();
     let mut heartbeat = NodeHeartbeat {
         version: gateway.version(),
-        store_reachable: gateway.store_health.get().registry_loaded && !gateway.store_suspect(),
+        store_reachable: gateway.knows_upstreams() && !gateway.store_suspect(),
         store_age_ms: answered_at.map(|at| millis(now.saturating_sub(at))),
-        registry_digest: registry.digest(),
+        registry_digest: if knows_all { registry.digest() } else { 0 },
+        preferred_digest: knows_all.then(|| registry.preferred_digest()).flatten(),
         seeking: gossip::is_seeking(&fleet, now),
         fleet_size: fleet.size(now),
         zone_size: if fleet.is_hub(now) {
@@ -173,6 +175,7 @@
         let now = gateway.now();
         gateway.fleet.borrow_mut().expire(now);
         gateway.registry.borrow_mut().expire_active(now);
+        scope::update(&gateway);
         gateway.compare_clocks();
         limits::update_shares(&gateway);
         let mut own = own_heartbeat(&gateway);
--- /dev/null
+++ b/daemon/src/gateway/scope.rs
@@ -0,0 +1,74 @@
+//! Determines whether this node knows all upstreams or only the preferred ones.
+//!
+//! Nodes that callers are directed to, hubs, readers of the store and holders of the duties know
+//! all. In a large fleet the other nodes know only the preferred upstreams, so that their start and
+//! their memory do not grow with the number of upstreams.
+
+use std::time::Duration;
+
+use crate::gateway::Gateway;
+use crate::gateway::decisions::Decision;
+
+/// Time for which a node that had to know all upstreams continues to: the roles of nodes change
+/// back and forth while heartbeats are lost.
+const WHOLE_TIME: Duration = Duration::from_secs(5);
+
+/// Part of the registry that a node knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "lowercase")]
+pub enum RegistryScope {
+    /// Nothing yet.
+    #[default]
+    Nothing,
+    /// The preferred upstreams.
+    Preferred,
+    /// All upstreams.
+    Whole,
+}
+
+/// Lets this node know all upstreams for a while.
+pub fn require_whole(gateway: &Gateway) {
+    gateway.whole_until.set(gateway.now() + WHOLE_TIME);
+}
+
+/// Returns whether this node has to know all upstreams.
+pub fn needs_whole(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    if now < gateway.whole_until.get() {
+        return true;
+    }
+    let fleet = gateway.fleet.borrow();
+    let holds_duties = || {
+        let duties = gateway.duties.as_ref();
+        duties.is_some_and(|duties| duties.token().is_some())
+    };
+    fleet.is_hub(now) || fleet.is_entry(now) || fleet.reads_store(now) || holds_duties()
+}
+
+/// Records that a part of the registry has been loaded.
+pub fn set(gateway: &Gateway, scope: RegistryScope) {
+    if gateway.scope.replace(scope) == scope {
+        return;
+    }
+    gateway.decisions.record(&Decision::RegistryLoaded {
+        scope: &scope.to_string(),
+        upstreams: gateway.registry.borrow().usable_total(),
+    });
+}
+
+/// Extends the time for which this node knows all upstreams while it needs them, and afterwards
+/// forgets those that are not preferred.
+pub fn update(gateway: &Gateway) {
+    // A node that knows no other takes itself for a hub.
+    let is_alone = gateway.fleet.borrow().live(gateway.now()).next().is_none();
+    let is_due = gateway.now() >= gateway.whole_until.get();
+    if is_due && !is_alone && needs_whole(gateway) {
+        require_whole(gateway);
+    }
+    let is_small = || gateway.registry.borrow().preferred_digest().is_none();
+    if gateway.scope.get() != RegistryScope::Whole || needs_whole(gateway) || is_small() {
+        return;
+    }
+    gateway.registry.borrow_mut().forget_others();
+    set(gateway, RegistryScope::Preferred);
+}
--- a/daemon/src/gateway/settings.rs
+++ b/daemon/src/gateway/settings.rs
@@ -89,6 +89,11 @@
     Autoscale,
 }
 
+/// Slowest link of a host that is supported.
+fn default_link() -> f64 {
+    10.0
+}
+
 fn default_lease() -> Duration {
     Duration::from_secs(3)
 }
@@ -146,6 +151,9 @@
     pub descriptors: usize,
     /// Processor time, in cores.
     pub cores: f64,
+    /// Bandwidth of the host's link, in Mbit/s.
+    #[serde(default = "default_link")]
+    pub link_mbps: f64,
 }
 
 /// Time limits of the node, in milliseconds in the settings file.
--- a/daemon/src/gateway/sync.rs
+++ b/daemon/src/gateway/sync.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::decisions::{Decision, millis};
+use crate::gateway::scope::{self, RegistryScope};
 
 /// Wait of a long-poll read of the configuration. A dead connection is noticed after this and
 /// `ANSWER_TIMEOUT`; each answer without records costs one call.
@@ -327,14 +328,14 @@
 
 async fn follow_registry(mut reader: StoreReader) {
     let mut position = None;
-    wait_at_start(&mut reader, |gateway| {
-        gateway.store_health.get().registry_loaded
-    })
-    .await;
+    wait_at_start(&mut reader, Gateway::knows_upstreams).await;
     loop {
-        if reader.gateway.store_health.get().registry_loaded {
+        if reader.gateway.knows_upstreams() {
             wait_for_turn(&reader.gateway, || false).await;
         }
+        if !reader.gateway.knows_all_upstreams() {
+            position = None;
+        }
         let outcome = match position {
             None => newest_registry(&mut reader).await,
             Some(from) => read_registry(&mut reader, from).await,
@@ -343,9 +344,7 @@
             Ok(next) => {
                 reader.succeeded();
                 position = next;
-                let mut health = reader.gateway.store_health.get();
-                health.registry_loaded = true;
-                reader.gateway.store_health.set(health);
+                scope::set(&reader.gateway, RegistryScope::Whole);
             }
             Err(StoreError::Expired { .. }) => {
                 reader.same_era();
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -12,6 +12,7 @@
 use crate::gateway::admission::Call;
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::relay::{self, CallProgress};
+use crate::gateway::scope;
 
 /// Fraction of a call's time for which it waits. The rest allows its caller to retry once, and the
 /// retry may wait for up to a third of it.
@@ -181,6 +182,9 @@
         }
     }
     drop(position);
+    if found == Err(WaitError::NoRoom) {
+        scope::require_whole(gateway);
+    }
     gateway.decisions.record(&Decision::Waited {
         call: &call.head.id,
         waited_ms: millis(gateway.now().saturating_sub(since)),
--- a/kernel/src/gateway/fleet/callers.rs
+++ b/kernel/src/gateway/fleet/callers.rs
@@ -58,6 +58,14 @@
         names.map(|name| short_hash(name)).collect()
     }
 
+    /// Whether callers of this node's zone are directed to it, as a hub advertises.
+    pub fn is_entry(&self, now: Duration) -> bool {
+        let own = short_hash(&self.own.name);
+        let near = self.live(now).map(|peer| &peer.heartbeat);
+        let mut near = near.filter(|heartbeat| heartbeat.card.zone == self.own.zone);
+        near.any(|heartbeat| heartbeat.entries.contains(&own))
+    }
+
     fn known_entries<'a>(
         &'a self,
         own: &'a NodeHeartbeat,
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -108,8 +108,11 @@
     pub store_reachable: bool,
     /// Time since the store answered any node, as far as it knows, in ms; `None` if it never did.
     pub store_age_ms: Option<u64>,
-    /// Digest of the upstreams that it knows and of those that left.
+    /// Digest of all upstreams and of those that left; 0 if it knows only the preferred ones.
     pub registry_digest: u64,
+    /// Digest of the preferred upstreams; `None` if all upstreams are preferred or if it does not
+    /// know all.
+    pub preferred_digest: Option<u64>,
     /// Whether it starts, or knows no other live node, and asks for the cards of others.
     pub seeking: bool,
     /// Whether it is a reply, which needs no reply itself.
@@ -153,6 +156,7 @@
             store_reachable: false,
             store_age_ms: None,
             registry_digest: 0,
+            preferred_digest: None,
             seeking: false,
             is_reply: false,
             fleet_size: 0,
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -2,10 +2,13 @@
 
 mod digest;
 mod order;
+mod preferred;
 
+use std::cell::RefCell;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -16,6 +19,8 @@
 use crate::gateway::pause::UpstreamPause;
 use crate::gateway::registry::digest::{BucketDigests, DIGEST_BUCKETS};
 use crate::gateway::registry::order::UpstreamOrder;
+pub use crate::gateway::registry::preferred::PreferredPart;
+use crate::gateway::registry::preferred::PreferredSet;
 use crate::gateway::throttle::UpstreamThrottle;
 
 /// Identifies one run of an upstream within this process; never reused.
@@ -135,6 +140,10 @@
     /// Digests of the newest run of each id and of whether it left.
     digests: BucketDigests,
     order: UpstreamOrder,
+    /// Digests of the upstreams that accept new calls.
+    usable_digests: BucketDigests,
+    /// Preferred upstreams; `None` after a change until they are asked for.
+    preferred: RefCell<Option<Rc<PreferredSet>>>,
     /// Upstreams that were used recently, or that another node reported on: all others have no
     /// state beside their entry.
     active: BTreeSet<UpstreamKey>,
@@ -151,6 +160,11 @@
         (xxh3_64_with_seed(&left, self.entry.run_hash()) >> 32) as u32
     }
 
+    /// Hash of its run, for digests of upstreams that accept new calls.
+    fn usable_hash(&self) -> u32 {
+        self.entry.run_hash() as u32
+    }
+
     /// Bucket of its id.
     fn bucket(&self) -> usize {
         xxh3_64(self.entry.id.as_bytes()) as usize % DIGEST_BUCKETS
@@ -305,13 +319,117 @@
         };
         self.digests
             .toggle(upstream.bucket(), upstream.state_hash());
-        if upstream.left.is_none() {
-            self.order.insert(&upstream.entry, key);
-        }
+        let is_usable = upstream.left.is_none();
         self.upstreams.insert(key, upstream);
+        if is_usable {
+            self.set_usable(key, true);
+        }
         changed
     }
 
+    /// Adds an upstream to those that accept new calls, or removes it from them.
+    fn set_usable(&mut self, key: UpstreamKey, usable: bool) {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return;
+        };
+        if usable {
+            self.order.insert(&upstream.entry, key);
+        } else {
+            self.order.remove(&upstream.entry, key);
+        }
+        self.usable_digests
+            .toggle(upstream.bucket(), upstream.usable_hash());
+        self.preferred.replace(None);
+    }
+
+    /// Removes an upstream and all that is known of it.
+    fn forget(&mut self, key: UpstreamKey) {
+        let upstream = self.upstreams.get(&key);
+        if upstream.is_some_and(|upstream| upstream.left.is_none()) {
+            self.set_usable(key, false);
+        }
+        let Some(upstream) = self.upstreams.remove(&key) else {
+            return;
+        };
+        let entry = &upstream.entry;
+        if self.keys.get(&entry.id) == Some(&key) {
+            self.keys.remove(&entry.id);
+            self.hashes.remove(&entry.run_hash());
+            self.digests
+                .toggle(upstream.bucket(), upstream.state_hash());
+        }
+        let place = (entry.address, entry.pool.clone());
+        if self.places.get(&place) == Some(&key) {
+            self.places.remove(&place);
+        }
+        self.active.remove(&key);
+        self.lapsed.remove(&key);
+    }
+
+    /// Replaces the upstreams of some buckets by those that a node which knows all of them prefers.
+    /// Returns the upstreams whose state changed.
+    pub fn replace_preferred(&mut self, part: PreferredPart, now: Duration) -> Vec<UpstreamKey> {
+        let listed: BTreeSet<&str> = part.entries.iter().map(|entry| &*entry.id).collect();
+        let is_other = |upstream: &Upstream| {
+            let is_listed = listed.contains(&*upstream.entry.id);
+            upstream.left.is_none() && !is_listed && part.buckets.contains(&upstream.bucket())
+        };
+        let others = self.upstreams.iter();
+        let others = others.filter(|(_, upstream)| is_other(upstream));
+        let others: Vec<UpstreamKey> = others.map(|(key, _)| *key).collect();
+        for key in others {
+            self.forget(key);
+        }
+        let entries = part.entries.into_iter();
+        entries
+            .flat_map(|entry| self.apply(RegistryChange::Put(entry), true, now))
+            .collect()
+    }
+
+    /// Removes all upstreams but the preferred ones.
+    pub fn forget_others(&mut self) {
+        let preferred = self.preferred().keys.clone();
+        let keys: Vec<UpstreamKey> = self.upstreams.keys().copied().collect();
+        for key in keys.into_iter().filter(|key| !preferred.contains(key)) {
+            self.forget(key);
+        }
+    }
+
+    fn preferred(&self) -> Rc<PreferredSet> {
+        let mut cached = self.preferred.borrow_mut();
+        let select = || PreferredSet::select(&self.order, |key| self.upstreams.get(&key));
+        cached.get_or_insert_with(|| Rc::new(select())).clone()
+    }
+
+    /// Digest of the preferred upstreams; `None` if all upstreams are preferred.
+    pub fn preferred_digest(&self) -> Option<u64> {
+        let preferred = self.preferred();
+        (preferred.keys.len() < self.order.total()).then(|| preferred.digests.total())
+    }
+
+    /// Preferred upstreams in the buckets whose digests differ from those in `known`.
+    pub fn preferred_part(&self, known: &[u32]) -> PreferredPart {
+        let preferred = self.preferred();
+        let buckets = preferred.differing_buckets(known);
+        let upstreams = preferred.keys.iter();
+        let upstreams = upstreams.filter_map(|key| self.upstreams.get(key));
+        let entries = upstreams.filter(|upstream| buckets.contains(&upstream.bucket()));
+        PreferredPart {
+            entries: entries.map(|upstream| upstream.entry.clone()).collect(),
+            buckets,
+        }
+    }
+
+    /// Digests of the upstreams that accept new calls, by bucket of ids.
+    pub fn usable_digests(&self) -> &[u32] {
+        self.usable_digests.buckets()
+    }
+
+    /// Digest of the upstreams that accept new calls.
+    pub fn usable_digest(&self) -> u64 {
+        self.usable_digests.total()
+    }
+
     /// Changes an upstream's state, and the digests and the order with it. Returns the result of
     /// `change`; `None` if the key is unknown.
     fn update<T>(
@@ -332,11 +450,7 @@
             self.digests
                 .toggle(upstream.bucket(), upstream.state_hash());
         }
-        if has_left {
-            self.order.remove(&upstream.entry, key);
-        } else {
-            self.order.insert(&upstream.entry, key);
-        }
+        self.set_usable(key, !has_left);
         Some(changed)
     }
 
@@ -445,6 +559,11 @@
         keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
     }
 
+    /// Number of upstreams that accept new calls.
+    pub fn usable_total(&self) -> usize {
+        self.order.total()
+    }
+
     /// Number of upstreams of a pool that accept new calls.
     pub fn usable_count(&self, pool: &str) -> usize {
         self.order.len(pool)
--- a/kernel/src/gateway/registry/order.rs
+++ b/kernel/src/gateway/registry/order.rs
@@ -52,12 +52,22 @@
         keys.into_iter().flatten().copied()
     }
 
+    /// Names of all pools.
+    pub fn pools(&self) -> impl Iterator<Item = &str> {
+        self.pools.keys().map(|pool| &**pool)
+    }
+
     /// Availability zones in which a pool has upstreams.
     pub fn zones(&self, pool: &str) -> Vec<&str> {
         let zones = self.pools.get(pool).map(|pool| pool.zones.keys());
         zones.into_iter().flatten().map(|zone| &**zone).collect()
     }
 
+    /// Number of upstreams of all pools.
+    pub fn total(&self) -> usize {
+        self.pools.values().map(|pool| pool.keys.len()).sum()
+    }
+
     /// Number of upstreams of a pool.
     pub fn len(&self, pool: &str) -> usize {
         self.pools.get(pool).map_or(0, |pool| pool.keys.len())
--- a/kernel/src/gateway/transfers.rs
+++ b/kernel/src/gateway/transfers.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Maximum number of concurrent large responses: what a link of 10 Mbit/s can transfer at the
-/// minimum rate that receivers wait for, and a little less.
-const MAX_TRANSFERS: usize = 8;
+/// Number of concurrent large responses for each Mbit/s of the link: as many as it can transfer at
+/// the minimum rate that receivers wait for, and a little less.
+const TRANSFERS_PER_MBPS: f64 = 0.8;
+/// Maximum number of concurrent large responses, each of which takes a descriptor and buffers.
+const MAX_TRANSFERS: f64 = 64.0;
 /// Time after which a response no longer counts: its receiver has stopped reading or is frozen.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(10);
 
@@ -14,17 +16,28 @@
 pub struct TransferKey(u64);
 
 /// Large responses that are being sent, by start time.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct TransferList {
+    limit: usize,
     started: BTreeMap<TransferKey, Duration>,
     next_key: u64,
 }
 
 impl TransferList {
+    /// Creates the list of a node whose link transfers this many Mbit/s.
+    pub fn new(link_mbps: f64) -> Self {
+        let limit = (TRANSFERS_PER_MBPS * link_mbps).clamp(1.0, MAX_TRANSFERS);
+        Self {
+            limit: limit as usize,
+            started: BTreeMap::new(),
+            next_key: 0,
+        }
+    }
+
     /// Whether no further response may start now.
     pub fn is_full(&self, now: Duration) -> bool {
         let live = |since: &&Duration| now < **since + MAX_TRANSFER_TIME;
-        self.started.values().filter(live).count() >= MAX_TRANSFERS
+        self.started.values().filter(live).count() >= self.limit
     }
 
     /// Registers the start of a response; `None` if the maximum is reached.
