Keep nodes ranked by zone, and advertise all of a large zone in time

Cause: each heartbeat ranked a node's zone anew out of all nodes it knew. Hubs advertised one card each 0.8 s, the same one at all three, so in zones of more than 75 nodes cards expired before they came again, and nodes shared upstreams' limits with different sets of nodes.

Change: the ranking is kept up to date; hubs advertise different cards, as many as pass in half of the time after which a node is forgotten.

--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -22,9 +22,9 @@
 /// The same for hubs of other zones, which send to each other in turn if there are many. A node
 /// counts as part of the fleet for as long.
 pub const FAR_SILENT_AFTER: Duration = Duration::from_secs(15);
-/// Time after which a node that no heartbeat mentions is removed. Hubs advertise all nodes of a
-/// zone of some hundred to each other node in less.
-const EXPIRED_AFTER: Duration = Duration::from_mins(1);
+/// Time after which a node that no heartbeat mentions is removed. Hubs advertise all nodes of their
+/// zone to each other node twice in it.
+pub const EXPIRED_AFTER: Duration = Duration::from_mins(1);
 /// Delay between the claims of two consecutive hubs for the duties.
 const RANK_STEP: Duration = Duration::from_millis(600);
 /// Time for which only hubs claim the duties.
@@ -86,6 +86,8 @@
     own: NodeCard,
     started_at: Duration,
     peers: BTreeMap<Box<str>, FleetPeer>,
+    /// Names of all nodes, this one included, by zone, the largest capacity first.
+    zones: BTreeMap<Box<str>, BTreeSet<(Reverse<u32>, Box<str>)>>,
     /// Addresses of other nodes that a starting node asks first and has not heard from.
     unheard_seeds: BTreeSet<SocketAddr>,
     store_answered_at: Option<Duration>,
@@ -96,13 +98,24 @@
     (Reverse(card.capacity), &card.name)
 }
 
+/// Rank of a node in its zone.
+fn zone_rank(card: &NodeCard) -> (Reverse<u32>, Box<str>) {
+    (Reverse(card.capacity), card.name.clone())
+}
+
 impl FleetView {
     /// Creates the view of a node that starts at `now` and knows no other.
     pub fn new(own: NodeCard, now: Duration) -> Self {
+        let mut zones: BTreeMap<Box<str>, BTreeSet<_>> = BTreeMap::new();
+        zones
+            .entry(own.zone.clone())
+            .or_default()
+            .insert(zone_rank(&own));
         Self {
             own,
             started_at: now,
             peers: BTreeMap::new(),
+            zones,
             unheard_seeds: BTreeSet::new(),
             store_answered_at: None,
         }
@@ -184,10 +197,35 @@
             expected_since,
             heartbeat,
         };
-        self.peers.insert(peer.heartbeat.card.name.clone(), peer);
+        self.insert(peer);
         change
     }
 
+    fn insert(&mut self, peer: FleetPeer) {
+        let card = &peer.heartbeat.card;
+        let rank = zone_rank(card);
+        let zone = card.zone.clone();
+        let older = self.peers.insert(card.name.clone(), peer);
+        if let Some(older) = older {
+            let card = &older.heartbeat.card;
+            if (&card.zone, zone_rank(card)) == (&zone, rank.clone()) {
+                return;
+            }
+            self.remove_rank(card);
+        }
+        self.zones.entry(zone).or_default().insert(rank);
+    }
+
+    fn remove_rank(&mut self, card: &NodeCard) {
+        let Some(zone) = self.zones.get_mut(&card.zone) else {
+            return;
+        };
+        zone.remove(&zone_rank(card));
+        if zone.is_empty() {
+            self.zones.remove(&card.zone);
+        }
+    }
+
     /// Processes the card of a node in another node's heartbeat.
     fn receive_card(&mut self, card: NodeCard, now: Duration) {
         if card.name == self.own.name {
@@ -207,7 +245,7 @@
                     expected_since: None,
                     heartbeat: NodeHeartbeat::new(card),
                 };
-                self.peers.insert(peer.heartbeat.card.name.clone(), peer);
+                self.insert(peer);
             }
         }
     }
@@ -225,8 +263,12 @@
     /// Removes nodes that no heartbeat has mentioned for a minute, and the work of nodes whose own
     /// heartbeats stopped half a minute ago.
     pub fn expire(&mut self, now: Duration) {
-        self.peers
-            .retain(|_, peer| peer.mentioned_at + EXPIRED_AFTER > now);
+        let is_expired = |peer: &FleetPeer| peer.mentioned_at + EXPIRED_AFTER <= now;
+        let expired = self.peers.extract_if(.., |_, peer| is_expired(peer));
+        let expired: Vec<FleetPeer> = expired.map(|(_, peer)| peer).collect();
+        for peer in expired {
+            self.remove_rank(&peer.heartbeat.card);
+        }
         for peer in self.peers.values_mut() {
             if !peer.received_within(SENDER_AGE, now) {
                 peer.heartbeat.work = None;
--- a/kernel/src/gateway/fleet/callers.rs
+++ b/kernel/src/gateway/fleet/callers.rs
@@ -14,14 +14,8 @@
     /// others, those that have many calls or are listed for callers, and the hubs.
     pub fn work_recipients(&self, near: bool, entries: &[u64], now: Duration) -> Vec<SocketAddr> {
         let in_reach = |zone: &str| (zone == &*self.own.zone) == near;
-        let zones: BTreeSet<&str> = self
-            .peers
-            .values()
-            .map(|peer| &*peer.heartbeat.card.zone)
-            .filter(|zone| in_reach(zone))
-            .collect();
+        let zones = self.zones().filter(|zone| in_reach(zone));
         let mut recipients: BTreeSet<SocketAddr> = zones
-            .iter()
             .flat_map(|zone| self.hubs(zone, now))
             .map(|card| card.peers)
             .collect();
--- a/kernel/src/gateway/fleet/hubs.rs
+++ b/kernel/src/gateway/fleet/hubs.rs
@@ -28,60 +28,55 @@
     /// Hubs of an availability zone: those with the largest capacity of its nodes that are not
     /// known to be leaving or silent.
     pub fn hubs(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
-        let mut ranked = self.ranked(zone, now);
-        ranked.truncate(HUBS);
-        ranked
+        self.ranked(zone, now).take(HUBS).collect()
     }
 
     /// Whether this node is a hub of its zone.
     pub fn is_hub(&self, now: Duration) -> bool {
-        self.rank(now).is_some_and(|rank| rank < HUBS)
+        self.hub_rank(now).is_some()
+    }
+
+    /// Rank of this node among the hubs of its zone; `None` if it is no hub.
+    pub fn hub_rank(&self, now: Duration) -> Option<usize> {
+        let hubs = self.hubs(&self.own.zone, now);
+        hubs.iter().position(|card| card.name == self.own.name)
     }
 
     /// Whether rendezvous hashing of a number selects this node among the hubs of all zones.
     pub fn is_selected_hub(&self, number: u64, now: Duration) -> bool {
         let hubs = self
             .zones()
-            .into_iter()
             .flat_map(|zone| self.hubs(zone, now));
         let drawn = hubs.max_by_key(|hub| xxh3_64_with_seed(hub.name.as_bytes(), number));
         drawn.is_some_and(|hub| hub.name == self.own.name)
     }
 
     /// Nodes of a zone that are not known to be leaving or silent, the largest capacity first.
-    pub(super) fn ranked(&self, zone: &str, now: Duration) -> Vec<&NodeCard> {
-        let is_own = zone == &*self.own.zone;
-        let age = if is_own {
+    pub(super) fn ranked(&self, zone: &str, now: Duration) -> impl Iterator<Item = &NodeCard> {
+        let age = if zone == &*self.own.zone {
             HUB_SILENT_AFTER
         } else {
             FAR_SILENT_AFTER
         };
-        let peers = self.peers.values();
-        let peers = peers
-            .filter(|peer| !peer.is_silent(age, now))
-            .map(|peer| &peer.heartbeat.card);
-        let own = is_own.then_some(&self.own);
-        let mut nodes: Vec<&NodeCard> = peers
-            .chain(own)
-            .filter(|card| &*card.zone == zone && card.state != NodeState::Leaving)
-            .collect();
-        nodes.sort_by(|one, other| (other.capacity, &one.name).cmp(&(one.capacity, &other.name)));
-        nodes
-    }
-
-    /// Rank of this node within its zone; `None` if it is leaving.
-    fn rank(&self, now: Duration) -> Option<usize> {
-        let ranked = self.ranked(&self.own.zone, now);
-        ranked.iter().position(|card| card.name == self.own.name)
+        let names = self.zones.get(zone).into_iter().flatten();
+        let cards = names.filter_map(move |(_, name)| {
+            if *name == self.own.name {
+                return Some(&self.own);
+            }
+            let peer = self.peers.get(name)?;
+            (!peer.is_silent(age, now)).then_some(&peer.heartbeat.card)
+        });
+        cards.filter(|card| card.state != NodeState::Leaving)
     }
 
     /// Whether this node reads the store. The first hub of each zone that the store answers does so
     /// for all. If the store seems to answer no node at all, the hubs try, and then further nodes
     /// one after another, since the store may reject only the hubs.
     pub fn reads_store(&self, now: Duration) -> bool {
-        let ranked = self.ranked(&self.own.zone, now);
-        let rank = ranked.iter().position(|card| card.name == self.own.name);
-        let rank = rank.unwrap_or(ranked.len());
+        let is_own = |card: &&NodeCard| card.name == self.own.name;
+        let ahead = self.ranked(&self.own.zone, now);
+        let ahead: Vec<&NodeCard> = ahead.take_while(|card| !is_own(card)).collect();
+        let rank = ahead.len();
         if rank < HUBS {
             let reads = |card: &&NodeCard| {
                 let peer = self.peers.get(&card.name);
@@ -89,7 +84,7 @@
                     peer.heartbeat.store_reachable && peer.received_within(READER_SILENT_AFTER, now)
                 })
             };
-            return !ranked[..rank].iter().any(reads);
+            return !ahead.iter().any(reads);
         }
         let unanswered_since = self.store_answered_at.unwrap_or(self.started_at);
         let steps = u32::try_from(rank - HUBS).unwrap_or(u32::MAX);
--- a/kernel/src/gateway/fleet/shares.rs
+++ b/kernel/src/gateway/fleet/shares.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::fleet::FleetView;
+use crate::gateway::heartbeat::NodeCard;
 use crate::gateway::throttle::LimitShare;
 
 /// Burst of all nodes together beyond the requests of one second, so that a small limit is not used
@@ -45,7 +46,7 @@
             };
         }
         let burst = (rate + EXTRA_BURST).floor();
-        let zones = self.zones();
+        let zones: BTreeSet<&str> = self.zones().collect();
         let others = burst - zones.len() as f64;
         if others < 0.0 {
             if home_zone(&zones, limit) != &*self.own.zone {
@@ -60,7 +61,7 @@
 
     /// This node's share of its zone's part.
     fn zone_share(&self, run: u64, rate: f64, burst: f64, now: Duration) -> LimitShare {
-        let nodes = self.ranked(&self.own.zone, now);
+        let nodes: Vec<&NodeCard> = self.ranked(&self.own.zone, now).collect();
         let hash = |name: &str| xxh3_64_with_seed(name.as_bytes(), run);
         let own = hash(&self.own.name);
         let before = nodes.iter().filter(|card| hash(&card.name) < own).count();
@@ -75,9 +76,8 @@
     }
 
     /// Availability zones of all known nodes.
-    pub(super) fn zones(&self) -> BTreeSet<&str> {
-        let peers = self.peers.values().map(|peer| &*peer.heartbeat.card.zone);
-        peers.chain(std::iter::once(&*self.own.zone)).collect()
+    pub(super) fn zones(&self) -> impl Iterator<Item = &str> {
+        self.zones.keys().map(|zone| &**zone)
     }
 
     /// Number of nodes of this node's zone as counted by its hubs, but at least the number whose
--- a/kernel/src/gateway/gossip.rs
+++ b/kernel/src/gateway/gossip.rs
@@ -11,7 +11,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::gateway::fleet::FleetView;
+use crate::gateway::fleet::{EXPIRED_AFTER, FleetView};
 use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash};
 
 /// Interval between two checks for due heartbeats, on a node without calls.
@@ -51,8 +51,9 @@
 const MAX_FAR: usize = 12;
 /// Interval between heartbeats of a hub to the seeds, which refer new nodes to the hubs.
 const SEED_INTERVAL: Duration = Duration::from_secs(4);
-/// Number of nodes, in turn, whose cards a heartbeat to the zone contains.
-const CARDS_PER_HEARTBEAT: u64 = 1;
+/// Time within which the hubs of a zone together advertise all cards to each node: half of the time
+/// after which a node that is not mentioned is removed.
+const CARDS_CYCLE: Duration = Duration::from_secs(EXPIRED_AFTER.as_secs() / 2);
 /// Time for which each heartbeat to the zone contains the cards of new hubs.
 const NEW_HUBS_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of cards in one datagram that answers a new node, some 75 bytes each.
@@ -257,11 +258,15 @@
 
     fn zone_cards(&self, fleet: &FleetView, now: Duration) -> Vec<NodeCard> {
         let advertisable = fleet.advertisable(now);
-        let cycle = (now.as_millis() / ZONE_CYCLE.as_millis()) as u64;
-        let turns = (0..CARDS_PER_HEARTBEAT.min(advertisable.len() as u64)).map(|step| {
-            let turn = cycle * CARDS_PER_HEARTBEAT + step;
-            advertisable[(turn % advertisable.len() as u64) as usize].clone()
-        });
+        // Each hub advertises other cards than the hubs beside it.
+        let hub_count = fleet.hubs(&fleet.own().zone, now).len().max(1);
+        let rank = fleet.hub_rank(now).unwrap_or(0);
+        let heartbeats = (CARDS_CYCLE.as_millis() / ZONE_CYCLE.as_millis()) as usize;
+        let count = advertisable.len().div_ceil(heartbeats * hub_count);
+        let cycle = (now.as_millis() / ZONE_CYCLE.as_millis()) as usize;
+        let first = (cycle * hub_count + rank) * count;
+        let turns = (first..first + count).map(|turn| &advertisable[turn % advertisable.len()]);
+        let turns = turns.map(|card| (*card).clone());
         let new_hubs = self
             .hubs_changed_at
             .is_some_and(|at| at + NEW_HUBS_TIME > now);
