--- a/daemon/src/gateway/fetch.rs
+++ b/daemon/src/gateway/fetch.rs
@@ -241,10 +241,7 @@
         return;
     }
     let now = gateway.now();
-    let changed = gateway
-        .registry
-        .borrow_mut()
-        .replace_preferred(part, now);
+    let changed = gateway.registry.borrow_mut().replace_preferred(part, now);
     for key in changed {
         sync::upstream_changed(gateway, key);
     }
--- a/daemon/src/gateway/scope.rs
+++ b/daemon/src/gateway/scope.rs
@@ -56,6 +56,13 @@
     });
 }
 
+/// Returns whether a node that knows all upstreams tells others which ones are preferred.
+fn offers_preferred(gateway: &Gateway) -> bool {
+    let fleet = gateway.fleet.borrow();
+    let mut live = fleet.live(gateway.now());
+    live.any(|peer| peer.heartbeat.preferred_digest.is_some())
+}
+
 /// Extends the time for which this node knows all upstreams while it needs them, and afterwards
 /// forgets those that are not preferred.
 pub fn update(gateway: &Gateway) {
@@ -65,8 +72,10 @@
     if is_due && !is_alone && needs_whole(gateway) {
         require_whole(gateway);
     }
-    let is_small = || gateway.registry.borrow().preferred_digest().is_none();
-    if gateway.scope.get() != RegistryScope::Whole || needs_whole(gateway) || is_small() {
+    if gateway.scope.get() != RegistryScope::Whole || needs_whole(gateway) {
+        return;
+    }
+    if !offers_preferred(gateway) {
         return;
     }
     gateway.registry.borrow_mut().forget_others();
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod pauses;
 mod peers;
+mod scope;
 mod store;
 mod streams;
 mod thin;
--- a/daemon/tests/gateway/thin.rs
+++ b/daemon/tests/gateway/thin.rs
@@ -168,13 +168,13 @@
 }
 
 /// Number of upstreams of a large fleet.
-const UPSTREAMS: u64 = 3_000;
+pub const UPSTREAMS: u64 = 3_000;
 /// Number of nodes that start together and have one node to fetch from.
 const STARTING: usize = 24;
 
 /// Writes the entries of a large fleet, with ids as a platform generates them. Returns the digest
 /// of the resulting registry.
-fn register_many(world: &World) -> u64 {
+pub fn register_many(world: &World) -> u64 {
     let mut registry = UpstreamRegistry::default();
     for index in 0..UPSTREAMS {
         let id = format!(
--- a/kernel/src/gateway/eligibility.rs
+++ b/kernel/src/gateway/eligibility.rs
@@ -7,7 +7,9 @@
 
 use thiserror::Error;
 
-use crate::gateway::registry::{CandidateWindow, LeavingCause, Upstream, UpstreamKey, UpstreamRegistry};
+use crate::gateway::registry::{
+    CandidateWindow, LeavingCause, Upstream, UpstreamKey, UpstreamRegistry,
+};
 
 /// Reason why a request is not sent to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -87,7 +87,7 @@
     started_at: Duration,
     peers: BTreeMap<Box<str>, FleetPeer>,
     /// Names of all nodes, this one included, by zone, the largest capacity first.
-    zones: BTreeMap<Box<str>, BTreeSet<(Reverse<u32>, Box<str>)>>,
+    zones: BTreeMap<Box<str>, BTreeSet<ZoneRank>>,
     /// Addresses of other nodes that a starting node asks first and has not heard from.
     unheard_seeds: BTreeSet<SocketAddr>,
     store_answered_at: Option<Duration>,
@@ -98,15 +98,17 @@
     (Reverse(card.capacity), &card.name)
 }
 
-/// Rank of a node in its zone.
-fn zone_rank(card: &NodeCard) -> (Reverse<u32>, Box<str>) {
+/// Sort key of a node among those of its zone.
+type ZoneRank = (Reverse<u32>, Box<str>);
+
+fn zone_rank(card: &NodeCard) -> ZoneRank {
     (Reverse(card.capacity), card.name.clone())
 }
 
 impl FleetView {
     /// Creates the view of a node that starts at `now` and knows no other.
     pub fn new(own: NodeCard, now: Duration) -> Self {
-        let mut zones: BTreeMap<Box<str>, BTreeSet<_>> = BTreeMap::new();
+        let mut zones: BTreeMap<Box<str>, BTreeSet<ZoneRank>> = BTreeMap::new();
         zones
             .entry(own.zone.clone())
             .or_default()
--- a/kernel/src/gateway/fleet/hubs.rs
+++ b/kernel/src/gateway/fleet/hubs.rs
@@ -44,9 +44,7 @@
 
     /// Whether rendezvous hashing of a number selects this node among the hubs of all zones.
     pub fn is_selected_hub(&self, number: u64, now: Duration) -> bool {
-        let hubs = self
-            .zones()
-            .flat_map(|zone| self.hubs(zone, now));
+        let hubs = self.zones().flat_map(|zone| self.hubs(zone, now));
         let drawn = hubs.max_by_key(|hub| xxh3_64_with_seed(hub.name.as_bytes(), number));
         drawn.is_some_and(|hub| hub.name == self.own.name)
     }
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -282,7 +282,11 @@
             upstream.entry = entry;
             returns || leaves || differs
         });
-        if changed == Some(true) { vec![key] } else { Vec::new() }
+        if changed == Some(true) {
+            vec![key]
+        } else {
+            Vec::new()
+        }
     }
 
     /// Adds a run, without any load or cache of earlier ones. Returns it and the runs that it
@@ -439,10 +443,10 @@
     ) -> Option<T> {
         let upstream = self.upstreams.get_mut(&key)?;
         let old_hash = upstream.state_hash();
-        let had_left = upstream.left.is_some();
+        let was_usable = upstream.left.is_none();
         let changed = change(upstream);
-        let has_left = upstream.left.is_some();
-        if had_left == has_left {
+        let is_usable = upstream.left.is_none();
+        if was_usable == is_usable {
             return Some(changed);
         }
         if self.keys.get(&upstream.entry.id) == Some(&key) {
@@ -450,7 +454,7 @@
             self.digests
                 .toggle(upstream.bucket(), upstream.state_hash());
         }
-        self.set_usable(key, !has_left);
+        self.set_usable(key, is_usable);
         Some(changed)
     }
 
--- a/kernel/src/gateway/registry/order.rs
+++ b/kernel/src/gateway/registry/order.rs
@@ -74,12 +74,7 @@
     }
 
     /// First upstreams of a pool in an availability zone, at most `count`.
-    pub fn first(
-        &self,
-        pool: &str,
-        zone: &str,
-        count: usize,
-    ) -> impl Iterator<Item = UpstreamKey> {
+    pub fn first(&self, pool: &str, zone: &str, count: usize) -> impl Iterator<Item = UpstreamKey> {
         let zone = self.pools.get(pool).and_then(|pool| pool.zones.get(zone));
         let keys = zone.map(|zone| zone.iter().take(count));
         keys.into_iter().flatten().map(|(_, key)| *key)
--- a/kernel/tests/gateway/large_pool.rs
+++ b/kernel/tests/gateway/large_pool.rs
@@ -117,8 +117,14 @@
         output_tokens: 100,
         expected_tokens: None,
         parts: [
-            PromptPart { id: 7, tokens: 5000 },
-            PromptPart { id: 9, tokens: 1000 },
+            PromptPart {
+                id: 7,
+                tokens: 5000,
+            },
+            PromptPart {
+                id: 9,
+                tokens: 1000,
+            },
         ]
         .into(),
     };
@@ -145,7 +151,10 @@
 #[test]
 fn nodes_agree_on_the_first_upstreams() {
     let one = fleet();
-    let mut entries: Vec<_> = one.newest().map(|upstream| upstream.entry.clone()).collect();
+    let mut entries: Vec<_> = one
+        .newest()
+        .map(|upstream| upstream.entry.clone())
+        .collect();
     entries.reverse();
     let mut other = UpstreamRegistry::default();
     for entry in entries {
@@ -153,7 +162,9 @@
     }
     let first = |registry: &UpstreamRegistry| -> Vec<Box<str>> {
         let first = preferred(registry, "model", "north");
-        first.map(|(_, upstream)| upstream.entry.id.clone()).collect()
+        first
+            .map(|(_, upstream)| upstream.entry.id.clone())
+            .collect()
     };
     assert_eq!(first(&one), first(&other));
     assert_eq!(one.digest(), other.digest());
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod outcome;
 mod pace;
 mod partition;
+mod preferred;
 mod registry;
 mod rules;
 mod scaling;
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -322,7 +322,7 @@
 
 /// Number of entries that a node sends to another one with fewer or different ones.
 fn sent(from: &UpstreamRegistry, to: &UpstreamRegistry) -> usize {
-    from.differing(&to.bucket_digests()).count()
+    from.differing(to.bucket_digests()).count()
 }
 
 // Guards against sending the whole registry whenever one upstream is added or leaves.
@@ -343,7 +343,7 @@
     let few = sent(&newer, &full);
     assert!((1..=usize::from(COUNT) / 50).contains(&few), "{few}");
     let changes: Vec<RegistryChange> = newer
-        .differing(&full.bucket_digests())
+        .differing(full.bucket_digests())
         .map(|upstream| match upstream.left {
             Some(_) => RegistryChange::Removed(upstream.entry.id.clone()),
             None => RegistryChange::Put(upstream.entry.clone()),
--- a/kernel/tests/gateway/transfers.rs
+++ b/kernel/tests/gateway/transfers.rs
@@ -14,7 +14,7 @@
 // up.
 #[test]
 fn responses_start_as_others_end() {
-    let mut list = TransferList::default();
+    let mut list = TransferList::new(10.0);
     let begun = begin_all(&mut list, S);
     assert_eq!(begun.len(), 8);
     assert!(list.is_full(S));
@@ -22,10 +22,17 @@
     assert_eq!(begin_all(&mut list, S).len(), 1);
 }
 
+// Guards against a strong host that serves the nodes of a large zone a few at a time.
+#[test]
+fn a_fast_link_carries_more_responses() {
+    let mut list = TransferList::new(1000.0);
+    assert_eq!(begin_all(&mut list, S).len(), 64);
+}
+
 // Guards against frozen nodes whose responses block those to all others for good.
 #[test]
 fn responses_that_are_not_received_no_longer_count() {
-    let mut list = TransferList::default();
+    let mut list = TransferList::new(10.0);
     let stuck = begin_all(&mut list, S);
     assert!(begin_all(&mut list, S * 10).is_empty());
     assert_eq!(begin_all(&mut list, S * 11).len(), 8);
