--- a/kernel/src/gateway/gossip.rs
+++ b/kernel/src/gateway/gossip.rs
@@ -33,9 +33,9 @@
 /// Tolerance for late timers: a heartbeat that is due within it is not deferred to the next check.
 const TICK_SLACK: Duration = Duration::from_millis(20);
 
-/// Interval between heartbeats of a hub without calls to the other hubs of its zone, which stop to
-/// direct callers to it if four in a row are lost.
-const HUB_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between heartbeats of a hub without calls to the other hubs of its zone, which keep on
+/// directing callers to it if two in a row are lost.
+const HUB_INTERVAL: Duration = Duration::from_millis(600);
 /// Interval between heartbeats to hubs from other nodes without calls: their state seldom changes.
 const MEMBER_INTERVAL: Duration = Duration::from_millis(800);
 /// Time within which a hub sends a heartbeat to each node of its zone. With three hubs a node
