--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::gossip::{
-    self, GossipRound, GossipSchedule, GossipUrgency, ReplyReason, SeedChoice,
+    self, GossipRound, GossipSchedule, GossipUrgency, ReplyReason,
 };
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
 use tokio::net::UdpSocket;
@@ -17,7 +17,7 @@
 use crate::gateway::duties::host_time;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::usage::UsageSender;
-use crate::gateway::{Gateway, fetch, limits, quarantine, sync, usage};
+use crate::gateway::{Gateway, fetch, limits, quarantine, scope, sync, usage};
 
 /// Number of prompt parts in one datagram, about 16 bytes each.
 const MAX_PARTS: usize = 48;
@@ -47,6 +47,7 @@
         .iter()
         .map(|seed| SocketAddr::new(seed.ip(), port));
     let seeds: BTreeSet<SocketAddr> = seeds.filter(|seed| *seed != address).collect();
+    gateway.fleet.borrow_mut().set_seeds(seeds.iter().copied());
     tokio::task::spawn_local(listen(gateway.clone(), socket.clone()));
     tokio::task::spawn_local(send_rounds(HeartbeatSender::new(gateway, socket, seeds)));
     Ok(())
@@ -70,7 +71,7 @@
     let now = gateway.now();
     let registry = gateway.registry.borrow();
     let work = registry
-        .iter()
+        .active()
         .filter(|(_, upstream)| upstream.load.own().calls > 0)
         .map(|(_, upstream)| WorkReport {
             run: upstream.entry.run_hash(),
@@ -79,7 +80,7 @@
         })
         .collect();
     let failing = registry
-        .iter()
+        .active()
         .filter(|(_, upstream)| upstream.health.reports_failing(now))
         .map(|(_, upstream)| upstream.entry.run_hash())
         .collect();
@@ -88,11 +89,13 @@
     let answered_at = fleet.store_answered_at();
     let duties = gateway.duties.as_ref();
     let mut crashes = gateway.crashes.borrow_mut();
+    let knows_all = gateway.knows_all_upstreams();
     let mut heartbeat = NodeHeartbeat {
         version: gateway.version(),
-        store_reachable: gateway.store_health.get().registry_loaded && !gateway.store_suspect(),
+        store_reachable: gateway.knows_upstreams() && !gateway.store_suspect(),
         store_age_ms: answered_at.map(|at| millis(now.saturating_sub(at))),
-        registry_digest: registry.digest(),
+        registry_digest: if knows_all { registry.digest() } else { 0 },
+        preferred_digest: knows_all.then(|| registry.preferred_digest()).flatten(),
         seeking: gossip::is_seeking(&fleet, now),
         fleet_size: fleet.size(now),
         zone_size: if fleet.is_hub(now) {
@@ -114,7 +117,15 @@
     heartbeat
 }
 
-async fn send(gateway: &Gateway, socket: &UdpSocket, to: SocketAddr, heartbeat: &NodeHeartbeat) {
+async fn send(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    recipients: &[SocketAddr],
+    heartbeat: &NodeHeartbeat,
+) {
+    if recipients.is_empty() {
+        return;
+    }
     let mut bytes = Vec::with_capacity(256);
     if let Err(error) = ciborium::into_writer(heartbeat, &mut bytes) {
         log::warn!("cannot encode a heartbeat: {error}");
@@ -123,9 +134,11 @@
     if bytes.len() > MAX_BYTES {
         log::debug!("a heartbeat of {} bytes may be fragmented", bytes.len());
     }
-    gateway.metrics.heartbeat_bytes.inc_by(bytes.len() as u64);
-    if let Err(error) = socket.send_to(&bytes, to).await {
-        log::debug!("cannot send a heartbeat to {to}: {error}");
+    for recipient in recipients {
+        gateway.metrics.heartbeat_bytes.inc_by(bytes.len() as u64);
+        if let Err(error) = socket.send_to(&bytes, recipient).await {
+            log::debug!("cannot send a heartbeat to {recipient}: {error}");
+        }
     }
 }
 
@@ -133,9 +146,7 @@
 struct HeartbeatSender {
     gateway: Rc<Gateway>,
     socket: Rc<UdpSocket>,
-    seeds: BTreeSet<SocketAddr>,
-    seed_turn: usize,
-    spread: GossipSchedule,
+    schedule: GossipSchedule,
     /// Prompt parts that have not been sent to nodes of other availability zones.
     far_parts: BTreeSet<(u32, u64, u64)>,
     /// Time at which usage counts were last sent.
@@ -148,37 +159,23 @@
         Self {
             gateway: gateway.clone(),
             socket,
-            seeds,
-            seed_turn: 0,
-            spread: GossipSchedule::default(),
+            schedule: GossipSchedule::new(seeds),
             far_parts: BTreeSet::new(),
             usage_at: Duration::ZERO,
             usage: UsageSender::default(),
         }
     }
 
-    async fn send_all(&self, to: &[SocketAddr], heartbeat: &NodeHeartbeat) {
-        for to in to {
-            send(&self.gateway, &self.socket, *to, heartbeat).await;
-        }
-    }
-
-    fn select_seeds(&mut self, choice: SeedChoice) -> Vec<SocketAddr> {
-        match choice {
-            SeedChoice::None => Vec::new(),
-            SeedChoice::Next => {
-                self.seed_turn = (self.seed_turn + 1) % self.seeds.len().max(1);
-                let next = self.seeds.iter().nth(self.seed_turn);
-                next.copied().into_iter().collect()
-            }
-            SeedChoice::All => self.seeds.iter().copied().collect(),
-        }
+    async fn send_all(&self, recipients: &[SocketAddr], heartbeat: &NodeHeartbeat) {
+        send(&self.gateway, &self.socket, recipients, heartbeat).await;
     }
 
     async fn round(&mut self) {
         let gateway = self.gateway.clone();
         let now = gateway.now();
         gateway.fleet.borrow_mut().expire(now);
+        gateway.registry.borrow_mut().expire_active(now);
+        scope::update(&gateway);
         gateway.compare_clocks();
         limits::update_shares(&gateway);
         let mut own = own_heartbeat(&gateway);
@@ -188,7 +185,7 @@
             now,
         };
         let plan = self
-            .spread
+            .schedule
             .plan(&mut gateway.fleet.borrow_mut(), &own, round);
         if !plan.zone.is_empty() {
             let idle = NodeHeartbeat {
@@ -214,8 +211,7 @@
             self.send_all(&plan.far, &own).await;
         }
         own.parts = Vec::new();
-        let seeds = self.select_seeds(plan.seeds);
-        self.send_all(&seeds, &own).await;
+        self.send_all(&plan.seeds, &own).await;
         if now >= self.usage_at + usage::send_interval(&gateway) {
             self.usage_at = now;
             self.send_usage(own).await;
@@ -318,7 +314,7 @@
             work: None,
             ..own_heartbeat(gateway)
         };
-        send(gateway, socket, card.peers, &answer).await;
+        send(gateway, socket, &[card.peers], &answer).await;
     }
 }
 
--- a/kernel/src/gateway/fleet/callers.rs
+++ b/kernel/src/gateway/fleet/callers.rs
@@ -14,14 +14,8 @@
     /// others, those that have many calls or are listed for callers, and the hubs.
     pub fn work_recipients(&self, near: bool, entries: &[u64], now: Duration) -> Vec<SocketAddr> {
         let in_reach = |zone: &str| (zone == &*self.own.zone) == near;
-        let zones: BTreeSet<&str> = self
-            .peers
-            .values()
-            .map(|peer| &*peer.heartbeat.card.zone)
-            .filter(|zone| in_reach(zone))
-            .collect();
+        let zones = self.zones().filter(|zone| in_reach(zone));
         let mut recipients: BTreeSet<SocketAddr> = zones
-            .iter()
             .flat_map(|zone| self.hubs(zone, now))
             .map(|card| card.peers)
             .collect();
@@ -58,6 +52,14 @@
         names.map(|name| short_hash(name)).collect()
     }
 
+    /// Whether callers of this node's zone are directed to it, as a hub advertises.
+    pub fn is_entry(&self, now: Duration) -> bool {
+        let own = short_hash(&self.own.name);
+        let near = self.live(now).map(|peer| &peer.heartbeat);
+        let mut near = near.filter(|heartbeat| heartbeat.card.zone == self.own.zone);
+        near.any(|heartbeat| heartbeat.entries.contains(&own))
+    }
+
     fn known_entries<'a>(
         &'a self,
         own: &'a NodeHeartbeat,
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -1,9 +1,14 @@
 //! Upstreams of the platform's registry, by run.
 
-use std::cell::Cell;
+mod digest;
+mod order;
+mod preferred;
+
+use std::cell::RefCell;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -12,6 +17,10 @@
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
 use crate::gateway::pause::UpstreamPause;
+use crate::gateway::registry::digest::{BucketDigests, DIGEST_BUCKETS};
+use crate::gateway::registry::order::UpstreamOrder;
+pub use crate::gateway::registry::preferred::PreferredPart;
+use crate::gateway::registry::preferred::PreferredSet;
 use crate::gateway::throttle::UpstreamThrottle;
 
 /// Identifies one run of an upstream within this process; never reused.
@@ -110,9 +119,14 @@
 /// whole registry.
 const MAX_DEPARTURES: usize = 24;
 
-/// Number of buckets of ids that nodes compare: each contains some 80 of 10,000 upstreams, about 8
-/// kB on the wire.
-const DIGEST_BUCKETS: usize = 128;
+/// Number of upstreams of a pool that are considered for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CandidateWindow {
+    /// Number of upstreams of the node's own availability zone.
+    pub near: usize,
+    /// Number of upstreams of each other zone.
+    pub far: usize,
+}
 
 /// Every upstream that this process has learned of. `keys` and `hashes` map to the newest run of
 /// each id, `places` to the newest run of a pool at an address; calls at an older run still end
@@ -123,9 +137,18 @@
     keys: BTreeMap<Box<str>, UpstreamKey>,
     hashes: BTreeMap<u64, UpstreamKey>,
     places: BTreeMap<(SocketAddr, Box<str>), UpstreamKey>,
-    /// Cached digest; cleared whenever a run is added or leaves.
-    digest: Cell<Option<u64>>,
-    pools: BTreeMap<Box<str>, Vec<UpstreamKey>>,
+    /// Digests of the newest run of each id and of whether it left.
+    digests: BucketDigests,
+    order: UpstreamOrder,
+    /// Digests of the upstreams that accept new calls.
+    usable_digests: BucketDigests,
+    /// Preferred upstreams; `None` after a change until they are asked for.
+    preferred: RefCell<Option<Rc<PreferredSet>>>,
+    /// Upstreams that were used recently, or that another node reported on: all others have no
+    /// state beside their entry.
+    active: BTreeSet<UpstreamKey>,
+    /// Upstreams whose entries expired during an outage of the registry, or did so earlier.
+    lapsed: BTreeSet<UpstreamKey>,
     departures: VecDeque<(Duration, u64)>,
     next_key: u32,
 }
@@ -137,11 +160,24 @@
         (xxh3_64_with_seed(&left, self.entry.run_hash()) >> 32) as u32
     }
 
+    /// Hash of its run, for digests of upstreams that accept new calls.
+    fn usable_hash(&self) -> u32 {
+        self.entry.run_hash() as u32
+    }
+
     /// Bucket of its id.
     fn bucket(&self) -> usize {
         xxh3_64(self.entry.id.as_bytes()) as usize % DIGEST_BUCKETS
     }
 
+    /// Whether this node or others use it, or know more of it than its entry.
+    fn is_active(&self, now: Duration) -> bool {
+        self.load.is_used(now)
+            || self.health.reports_failing(now)
+            || self.throttle.is_known()
+            || self.pause.left(now).is_some()
+    }
+
     /// Records that it accepts no new calls. Returns whether that is a change. A lapsed entry may
     /// return, so any other cause replaces that one.
     fn leave(&mut self, cause: LeavingCause) -> bool {
@@ -171,9 +207,6 @@
         for key in &changed {
             self.record_departure(*key, now);
         }
-        if !changed.is_empty() {
-            self.digest.set(None);
-        }
         changed
     }
 
@@ -181,21 +214,17 @@
     /// that is a change.
     pub fn receive_departure(&mut self, hash: u64, now: Duration) -> Option<UpstreamKey> {
         let key = self.by_hash(hash)?;
-        let upstream = self.upstreams.get_mut(&key)?;
-        if !upstream.leave(LeavingCause::Removed) {
+        if !self.leave(key, LeavingCause::Removed) {
             return None;
         }
-        self.digest.set(None);
         self.record_departure(key, now);
         Some(key)
     }
 
     /// Records that an upstream announced in an answer that it leaves. Returns whether that is new.
     pub fn record_announcement(&mut self, key: UpstreamKey, now: Duration) -> bool {
-        let upstream = self.upstreams.get_mut(&key);
-        let is_change = upstream.is_some_and(|upstream| upstream.leave(LeavingCause::Announced));
+        let is_change = self.leave(key, LeavingCause::Announced);
         if is_change {
-            self.digest.set(None);
             self.record_departure(key, now);
         }
         is_change
@@ -242,16 +271,22 @@
         if (&entry.pool, entry.address) != (&upstream.entry.pool, upstream.entry.address) {
             return Vec::new();
         }
-        upstream.lapsed_at = None;
-        if upstream.left == Some(LeavingCause::Lapsed) && !entry.leaving {
-            upstream.left = None;
+        let changed = self.update(key, |upstream| {
+            upstream.lapsed_at = None;
+            let returns = upstream.left == Some(LeavingCause::Lapsed) && !entry.leaving;
+            if returns {
+                upstream.left = None;
+            }
+            let leaves = entry.leaving && upstream.leave(LeavingCause::Draining);
+            let differs = upstream.entry != entry;
             upstream.entry = entry;
-            return vec![key];
+            returns || leaves || differs
+        });
+        if changed == Some(true) {
+            vec![key]
+        } else {
+            Vec::new()
         }
-        let leaves = entry.leaving && upstream.leave(LeavingCause::Draining);
-        let changed = leaves || upstream.entry != entry;
-        upstream.entry = entry;
-        if changed { vec![key] } else { Vec::new() }
     }
 
     /// Adds a run, without any load or cache of earlier ones. Returns it and the runs that it
@@ -264,19 +299,19 @@
         let mut changed = vec![key];
         // Older runs of the same id or place have already left.
         let place = (entry.address, entry.pool.clone());
-        let older_run = self.keys.insert(entry.id.clone(), key);
+        let older_run = self.keys.get(&entry.id).copied();
+        if let Some(older) = older_run.and_then(|older| self.upstreams.get(&older)) {
+            self.hashes.remove(&older.entry.run_hash());
+            self.digests.toggle(older.bucket(), older.state_hash());
+        }
+        self.keys.insert(entry.id.clone(), key);
         let older_there = self.places.insert(place, key);
         for older_key in older_run.into_iter().chain(older_there) {
-            let older = self.upstreams.get_mut(&older_key);
-            if older.is_some_and(|older| older.leave(LeavingCause::Replaced)) {
+            if self.leave(older_key, LeavingCause::Replaced) {
                 changed.push(older_key);
             }
         }
-        if let Some(older) = older_run.and_then(|older| self.upstreams.get(&older)) {
-            self.hashes.remove(&older.entry.run_hash());
-        }
         self.hashes.insert(entry.run_hash(), key);
-        self.pools.entry(entry.pool.clone()).or_default().push(key);
         let upstream = Upstream {
             left: entry.leaving.then_some(LeavingCause::Draining),
             entry,
@@ -286,10 +321,148 @@
             throttle: UpstreamThrottle::default(),
             pause: UpstreamPause::default(),
         };
+        self.digests
+            .toggle(upstream.bucket(), upstream.state_hash());
+        let is_usable = upstream.left.is_none();
         self.upstreams.insert(key, upstream);
+        if is_usable {
+            self.set_usable(key, true);
+        }
         changed
     }
 
+    /// Adds an upstream to those that accept new calls, or removes it from them.
+    fn set_usable(&mut self, key: UpstreamKey, usable: bool) {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return;
+        };
+        if usable {
+            self.order.insert(&upstream.entry, key);
+        } else {
+            self.order.remove(&upstream.entry, key);
+        }
+        self.usable_digests
+            .toggle(upstream.bucket(), upstream.usable_hash());
+        self.preferred.replace(None);
+    }
+
+    /// Removes an upstream and all that is known of it.
+    fn forget(&mut self, key: UpstreamKey) {
+        let upstream = self.upstreams.get(&key);
+        if upstream.is_some_and(|upstream| upstream.left.is_none()) {
+            self.set_usable(key, false);
+        }
+        let Some(upstream) = self.upstreams.remove(&key) else {
+            return;
+        };
+        let entry = &upstream.entry;
+        if self.keys.get(&entry.id) == Some(&key) {
+            self.keys.remove(&entry.id);
+            self.hashes.remove(&entry.run_hash());
+            self.digests
+                .toggle(upstream.bucket(), upstream.state_hash());
+        }
+        let place = (entry.address, entry.pool.clone());
+        if self.places.get(&place) == Some(&key) {
+            self.places.remove(&place);
+        }
+        self.active.remove(&key);
+        self.lapsed.remove(&key);
+    }
+
+    /// Replaces the upstreams of some buckets by those that a node which knows all of them prefers.
+    /// Returns the upstreams whose state changed.
+    pub fn replace_preferred(&mut self, part: PreferredPart, now: Duration) -> Vec<UpstreamKey> {
+        let listed: BTreeSet<&str> = part.entries.iter().map(|entry| &*entry.id).collect();
+        let is_other = |upstream: &Upstream| {
+            let is_listed = listed.contains(&*upstream.entry.id);
+            upstream.left.is_none() && !is_listed && part.buckets.contains(&upstream.bucket())
+        };
+        let others = self.upstreams.iter();
+        let others = others.filter(|(_, upstream)| is_other(upstream));
+        let others: Vec<UpstreamKey> = others.map(|(key, _)| *key).collect();
+        for key in others {
+            self.forget(key);
+        }
+        let entries = part.entries.into_iter();
+        entries
+            .flat_map(|entry| self.apply(RegistryChange::Put(entry), true, now))
+            .collect()
+    }
+
+    /// Removes all upstreams but the preferred ones.
+    pub fn forget_others(&mut self) {
+        let preferred = self.preferred().keys.clone();
+        let keys: Vec<UpstreamKey> = self.upstreams.keys().copied().collect();
+        for key in keys.into_iter().filter(|key| !preferred.contains(key)) {
+            self.forget(key);
+        }
+    }
+
+    fn preferred(&self) -> Rc<PreferredSet> {
+        let mut cached = self.preferred.borrow_mut();
+        let select = || PreferredSet::select(&self.order, |key| self.upstreams.get(&key));
+        cached.get_or_insert_with(|| Rc::new(select())).clone()
+    }
+
+    /// Digest of the preferred upstreams; `None` if all upstreams are preferred.
+    pub fn preferred_digest(&self) -> Option<u64> {
+        let preferred = self.preferred();
+        (preferred.keys.len() < self.order.total()).then(|| preferred.digests.total())
+    }
+
+    /// Preferred upstreams in the buckets whose digests differ from those in `known`.
+    pub fn preferred_part(&self, known: &[u32]) -> PreferredPart {
+        let preferred = self.preferred();
+        let buckets = preferred.differing_buckets(known);
+        let upstreams = preferred.keys.iter();
+        let upstreams = upstreams.filter_map(|key| self.upstreams.get(key));
+        let entries = upstreams.filter(|upstream| buckets.contains(&upstream.bucket()));
+        PreferredPart {
+            entries: entries.map(|upstream| upstream.entry.clone()).collect(),
+            buckets,
+        }
+    }
+
+    /// Digests of the upstreams that accept new calls, by bucket of ids.
+    pub fn usable_digests(&self) -> &[u32] {
+        self.usable_digests.buckets()
+    }
+
+    /// Digest of the upstreams that accept new calls.
+    pub fn usable_digest(&self) -> u64 {
+        self.usable_digests.total()
+    }
+
+    /// Changes an upstream's state, and the digests and the order with it. Returns the result of
+    /// `change`; `None` if the key is unknown.
+    fn update<T>(
+        &mut self,
+        key: UpstreamKey,
+        change: impl FnOnce(&mut Upstream) -> T,
+    ) -> Option<T> {
+        let upstream = self.upstreams.get_mut(&key)?;
+        let old_hash = upstream.state_hash();
+        let was_usable = upstream.left.is_none();
+        let changed = change(upstream);
+        let is_usable = upstream.left.is_none();
+        if was_usable == is_usable {
+            return Some(changed);
+        }
+        if self.keys.get(&upstream.entry.id) == Some(&key) {
+            self.digests.toggle(upstream.bucket(), old_hash);
+            self.digests
+                .toggle(upstream.bucket(), upstream.state_hash());
+        }
+        self.set_usable(key, is_usable);
+        Some(changed)
+    }
+
+    /// Records that an upstream accepts no new calls. Returns whether that is a change.
+    fn leave(&mut self, key: UpstreamKey, cause: LeavingCause) -> bool {
+        self.update(key, |upstream| upstream.leave(cause)) == Some(true)
+    }
+
     fn remove(&mut self, id: &str, trusted: bool, now: Duration) -> Option<UpstreamKey> {
         let key = *self.keys.get(id)?;
         let upstream = self.upstreams.get_mut(&key)?;
@@ -298,9 +471,10 @@
         }
         if !trusted {
             upstream.lapsed_at.get_or_insert(now);
+            self.lapsed.insert(key);
             return Some(key);
         }
-        upstream.leave(LeavingCause::Removed);
+        self.leave(key, LeavingCause::Removed);
         Some(key)
     }
 
@@ -314,49 +488,109 @@
             .filter(|id| !ids.contains(&***id))
             .cloned()
             .collect();
-        let changed: Vec<UpstreamKey> = missing
+        missing
             .iter()
             .filter_map(|id| self.remove(id, trusted, now))
-            .collect();
-        if !changed.is_empty() {
-            self.digest.set(None);
-        }
-        changed
+            .collect()
     }
 
     /// Marks upstreams as left whose entries expired and did not return in time after
     /// `returned_at`, when the registry recovered. Returns them.
     pub fn expire_lapsed(&mut self, returned_at: Duration, now: Duration) -> Vec<UpstreamKey> {
-        let mut lapsed = Vec::new();
-        for (key, upstream) in &mut self.upstreams {
-            let Some(lapsed_at) = upstream.lapsed_at else {
-                continue;
-            };
-            if now >= returned_at.max(lapsed_at) + RETURN_GRACE {
-                upstream.leave(LeavingCause::Lapsed);
-                lapsed.push(*key);
-            }
-        }
-        if !lapsed.is_empty() {
-            self.digest.set(None);
+        let due = |upstream: &Upstream| {
+            let lapsed_at = upstream.lapsed_at;
+            lapsed_at.is_some_and(|at| now >= returned_at.max(at) + RETURN_GRACE)
+        };
+        let upstreams = &self.upstreams;
+        self.lapsed.retain(|key| {
+            let upstream = upstreams.get(key);
+            upstream.is_some_and(|upstream| upstream.lapsed_at.is_some())
+        });
+        let mut gone: Vec<UpstreamKey> = self.lapsed.iter().copied().collect();
+        gone.retain(|key| upstreams.get(key).is_some_and(due));
+        for key in &gone {
+            self.leave(*key, LeavingCause::Lapsed);
         }
-        lapsed
+        gone
     }
 
     /// Records that another upstream answers at this one's address.
     pub fn record_replacement(&mut self, key: UpstreamKey) {
-        if let Some(upstream) = self.upstreams.get_mut(&key) {
-            upstream.leave(LeavingCause::Replaced);
-            self.digest.set(None);
-        }
+        self.leave(key, LeavingCause::Replaced);
     }
 
     /// Upstreams of a pool that accept new calls.
     pub fn usable(&self, pool: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        let keys = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
-        keys.iter()
-            .filter_map(|key| self.upstreams.get(key).map(|upstream| (*key, upstream)))
-            .filter(|(_, upstream)| upstream.left.is_none())
+        let keys = self.order.pool(pool);
+        keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
+    }
+
+    /// Upstreams of a pool that a call is likely to go to: the first of each availability zone in
+    /// the order on which all nodes agree, as many as the window has of `zone` and of each other
+    /// one, and those that were used recently.
+    pub fn candidates(
+        &self,
+        pool: &str,
+        zone: &str,
+        window: CandidateWindow,
+    ) -> BTreeMap<UpstreamKey, &Upstream> {
+        let first = self.order.zones(pool).into_iter().flat_map(|other| {
+            let count = if other == zone {
+                window.near
+            } else {
+                window.far
+            };
+            self.order.first(pool, other, count)
+        });
+        let active = self.active.iter().copied();
+        let candidates = first.chain(active).filter_map(|key| {
+            let upstream = self.upstreams.get(&key)?;
+            Some((key, upstream))
+        });
+        candidates
+            .filter(|(_, upstream)| upstream.left.is_none() && &*upstream.entry.pool == pool)
+            .collect()
+    }
+
+    /// First upstreams of a pool in an availability zone, in the order on which all nodes agree.
+    pub fn first(
+        &self,
+        pool: &str,
+        zone: &str,
+        count: usize,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let keys = self.order.first(pool, zone, count);
+        keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
+    }
+
+    /// Number of upstreams that accept new calls.
+    pub fn usable_total(&self) -> usize {
+        self.order.total()
+    }
+
+    /// Number of upstreams of a pool that accept new calls.
+    pub fn usable_count(&self, pool: &str) -> usize {
+        self.order.len(pool)
+    }
+
+    /// Number of availability zones in which a pool has upstreams that accept new calls.
+    pub fn zone_count(&self, pool: &str) -> usize {
+        self.order.zones(pool).len()
+    }
+
+    /// Upstreams that were used recently, or that another node reported on.
+    pub fn active(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let active = self.active.iter();
+        active.filter_map(|key| self.upstreams.get(key).map(|upstream| (*key, upstream)))
+    }
+
+    /// Ends the list of active upstreams for those that are no longer used.
+    pub fn expire_active(&mut self, now: Duration) {
+        let upstreams = &self.upstreams;
+        self.active.retain(|key| {
+            let upstream = upstreams.get(key);
+            upstream.is_some_and(|upstream| upstream.is_active(now))
+        });
     }
 
     /// State of an upstream; `None` if the key is unknown.
@@ -364,9 +598,12 @@
         self.upstreams.get(&key)
     }
 
-    /// Mutable state of an upstream; `None` if the key is unknown.
+    /// Mutable state of an upstream, which counts as active from now on; `None` if the key is
+    /// unknown.
     pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
-        self.upstreams.get_mut(&key)
+        let upstream = self.upstreams.get_mut(&key)?;
+        self.active.insert(key);
+        Some(upstream)
     }
 
     /// Newest run of the upstream with this id; `None` if the id is unknown.
@@ -382,27 +619,12 @@
     /// Digest of the newest run of each upstream and of whether it has left; equal on nodes with
     /// the same information.
     pub fn digest(&self) -> u64 {
-        if let Some(digest) = self.digest.get() {
-            return digest;
-        }
-        let digest = self.compute_digest();
-        self.digest.set(Some(digest));
-        digest
-    }
-
-    fn compute_digest(&self) -> u64 {
-        self.newest().fold(0, |digest, upstream| {
-            digest ^ u64::from(upstream.state_hash())
-        })
+        self.digests.total()
     }
 
     /// Digest of each bucket of ids, so that two nodes can find the buckets in which they differ.
-    pub fn bucket_digests(&self) -> Vec<u32> {
-        let mut digests = vec![0; DIGEST_BUCKETS];
-        for upstream in self.newest() {
-            digests[upstream.bucket()] ^= upstream.state_hash();
-        }
-        digests
+    pub fn bucket_digests(&self) -> &[u32] {
+        self.digests.buckets()
     }
 
     /// Newest run of each upstream in the buckets whose digests differ from those in `known`; all
