--- a/daemon/src/gateway/scope.rs
+++ b/daemon/src/gateway/scope.rs
@@ -13,6 +13,9 @@
 /// back and forth while heartbeats are lost.
 const WHOLE_TIME: Duration = Duration::from_secs(5);
 
+/// Time after its start until a node can tell which role it has: at first it knows too few others.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Part of the registry that a node knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "lowercase")]
@@ -38,6 +41,9 @@
         return true;
     }
     let fleet = gateway.fleet.borrow();
+    if fleet.uptime(now) < SETTLE_TIME {
+        return false;
+    }
     let holds_duties = || {
         let duties = gateway.duties.as_ref();
         duties.is_some_and(|duties| duties.token().is_some())
@@ -66,10 +72,13 @@
 /// Extends the time for which this node knows all upstreams while it needs them, and afterwards
 /// forgets those that are not preferred.
 pub fn update(gateway: &Gateway) {
+    let now = gateway.now();
+    if gateway.fleet.borrow().uptime(now) < SETTLE_TIME {
+        return;
+    }
     // A node that knows no other takes itself for a hub.
-    let is_alone = gateway.fleet.borrow().live(gateway.now()).next().is_none();
-    let is_due = gateway.now() >= gateway.whole_until.get();
-    if is_due && !is_alone && needs_whole(gateway) {
+    let is_alone = gateway.fleet.borrow().live(now).next().is_none();
+    if now >= gateway.whole_until.get() && !is_alone && needs_whole(gateway) {
         require_whole(gateway);
     }
     if gateway.scope.get() != RegistryScope::Whole || needs_whole(gateway) {
