--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -1,8 +1,11 @@
 //! Upstreams of the platform's registry, by run.
 
+mod candidates;
 mod digest;
+mod entry;
 mod order;
 mod preferred;
+mod upstream;
 
 use std::cell::RefCell;
 use std::cmp::Ordering;
@@ -11,103 +14,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
-use crate::gateway::health::UpstreamHealth;
-use crate::gateway::load::UpstreamLoad;
-use crate::gateway::pause::UpstreamPause;
+pub use crate::gateway::registry::candidates::CandidateWindow;
 use crate::gateway::registry::digest::{BucketDigests, DIGEST_BUCKETS};
+pub use crate::gateway::registry::entry::{RegistryChange, UpstreamEntry};
 use crate::gateway::registry::order::UpstreamOrder;
 pub use crate::gateway::registry::preferred::PreferredPart;
 use crate::gateway::registry::preferred::PreferredSet;
-use crate::gateway::throttle::UpstreamThrottle;
+pub use crate::gateway::registry::upstream::{LeavingCause, Upstream};
 
 /// Identifies one run of an upstream within this process; never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UpstreamKey(u32);
 
-/// Registry entry that an upstream publishes about itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamEntry {
-    /// Id of the upstream. Another run of it may have another id or the same.
-    pub id: Box<str>,
-    /// Start time of this run in Unix ms; `None` if the platform does not report it.
-    pub born: Option<u64>,
-    /// Pool that it serves.
-    pub pool: Box<str>,
-    /// Address on which it listens.
-    pub address: SocketAddr,
-    /// Availability zone that it runs in.
-    pub zone: Box<str>,
-    /// Maximum number of calls that it processes at a time.
-    pub slots: u32,
-    /// Whether it accepts no new calls.
-    pub leaving: bool,
-    /// Whether the platform may reclaim it at any time.
-    #[serde(default)]
-    pub spot: bool,
-}
-
-impl UpstreamEntry {
-    /// Hash that identifies this run of the upstream in heartbeats between nodes: 32 bits, five
-    /// bytes on the wire. Two of 10,000 upstreams collide with a probability of one in a hundred,
-    /// which only makes the selection of an upstream worse.
-    pub fn run_hash(&self) -> u64 {
-        xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0)) >> 32
-    }
-}
-
-/// A change of the registry.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RegistryChange {
-    /// An entry was added or updated.
-    Put(UpstreamEntry),
-    /// The entry with this id was removed.
-    Removed(Box<str>),
-}
-
-/// Reason why an upstream accepts no new calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub enum LeavingCause {
-    /// Its registry entry is marked as leaving.
-    #[display("draining")]
-    Draining,
-    /// One of its answers announced it.
-    #[display("announced")]
-    Announced,
-    /// Its entry was removed.
-    #[display("removed")]
-    Removed,
-    /// Its entry expired during an outage of the registry and did not return.
-    #[display("lapsed")]
-    Lapsed,
-    /// Another upstream answers at its address.
-    #[display("replaced")]
-    Replaced,
-}
-
-/// An upstream and this node's state for it.
-#[derive(Clone, Debug)]
-pub struct Upstream {
-    /// Its newest registry entry.
-    pub entry: UpstreamEntry,
-    /// Reason why it accepts no new calls; `None` if it accepts them. Never cleared for a run,
-    /// except for `Lapsed`.
-    pub left: Option<LeavingCause>,
-    /// Time since when its entry has been missing while the registry was not trusted; `None` if it
-    /// is not.
-    pub lapsed_at: Option<Duration>,
-    /// Work in flight at it.
-    pub load: UpstreamLoad,
-    /// Health, derived from its answers.
-    pub health: UpstreamHealth,
-    /// Request limit that it advertised.
-    pub throttle: UpstreamThrottle,
-    /// Pause that it requested of this node.
-    pub pause: UpstreamPause,
-}
-
 /// Time after the registry's recovery within which an entry that expired during the outage may
 /// return. The platform guarantees about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
@@ -119,15 +37,6 @@
 /// whole registry.
 const MAX_DEPARTURES: usize = 24;
 
-/// Number of upstreams of a pool that are considered for a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CandidateWindow {
-    /// Number of upstreams of the node's own availability zone.
-    pub near: usize,
-    /// Number of upstreams of each other zone.
-    pub far: usize,
-}
-
 /// Every upstream that this process has learned of. `keys` and `hashes` map to the newest run of
 /// each id, `places` to the newest run of a pool at an address; calls at an older run still end
 /// there.
@@ -153,44 +62,6 @@
     next_key: u32,
 }
 
-impl Upstream {
-    /// Hash of its run and of whether it left.
-    fn state_hash(&self) -> u32 {
-        let left = [u8::from(self.left.is_some())];
-        (xxh3_64_with_seed(&left, self.entry.run_hash()) >> 32) as u32
-    }
-
-    /// Hash of its run, for digests of upstreams that accept new calls.
-    fn usable_hash(&self) -> u32 {
-        self.entry.run_hash() as u32
-    }
-
-    /// Bucket of its id.
-    fn bucket(&self) -> usize {
-        xxh3_64(self.entry.id.as_bytes()) as usize % DIGEST_BUCKETS
-    }
-
-    /// Whether this node or others use it, or know more of it than its entry.
-    fn is_active(&self, now: Duration) -> bool {
-        self.load.is_used(now)
-            || self.health.reports_failing(now)
-            || self.throttle.is_known()
-            || self.pause.left(now).is_some()
-    }
-
-    /// Records that it accepts no new calls. Returns whether that is a change. A lapsed entry may
-    /// return, so any other cause replaces that one.
-    fn leave(&mut self, cause: LeavingCause) -> bool {
-        if self.left.is_some_and(|left| left != LeavingCause::Lapsed) {
-            return false;
-        }
-        let is_change = self.left != Some(cause);
-        self.left = Some(cause);
-        self.lapsed_at = None;
-        is_change
-    }
-}
-
 impl UpstreamRegistry {
     /// Applies a change. `trusted` means that the registry has been available for long enough that
     /// a missing entry means that its upstream left. Returns the upstreams whose state changed.
@@ -312,15 +183,7 @@
             }
         }
         self.hashes.insert(entry.run_hash(), key);
-        let upstream = Upstream {
-            left: entry.leaving.then_some(LeavingCause::Draining),
-            entry,
-            lapsed_at: None,
-            load: UpstreamLoad::default(),
-            health: UpstreamHealth::default(),
-            throttle: UpstreamThrottle::default(),
-            pause: UpstreamPause::default(),
-        };
+        let upstream = Upstream::new(entry);
         self.digests
             .toggle(upstream.bucket(), upstream.state_hash());
         let is_usable = upstream.left.is_none();
@@ -370,70 +233,6 @@
         self.lapsed.remove(&key);
     }
 
-    /// Replaces the upstreams of some buckets by those that a node which knows all of them prefers.
-    /// Returns the upstreams whose state changed.
-    pub fn replace_preferred(&mut self, part: PreferredPart, now: Duration) -> Vec<UpstreamKey> {
-        let listed: BTreeSet<&str> = part.entries.iter().map(|entry| &*entry.id).collect();
-        let is_other = |upstream: &Upstream| {
-            let is_listed = listed.contains(&*upstream.entry.id);
-            upstream.left.is_none() && !is_listed && part.buckets.contains(&upstream.bucket())
-        };
-        let others = self.upstreams.iter();
-        let others = others.filter(|(_, upstream)| is_other(upstream));
-        let others: Vec<UpstreamKey> = others.map(|(key, _)| *key).collect();
-        for key in others {
-            self.forget(key);
-        }
-        let entries = part.entries.into_iter();
-        entries
-            .flat_map(|entry| self.apply(RegistryChange::Put(entry), true, now))
-            .collect()
-    }
-
-    /// Removes all upstreams but the preferred ones.
-    pub fn forget_others(&mut self) {
-        let preferred = self.preferred().keys.clone();
-        let keys: Vec<UpstreamKey> = self.upstreams.keys().copied().collect();
-        for key in keys.into_iter().filter(|key| !preferred.contains(key)) {
-            self.forget(key);
-        }
-    }
-
-    fn preferred(&self) -> Rc<PreferredSet> {
-        let mut cached = self.preferred.borrow_mut();
-        let select = || PreferredSet::select(&self.order, |key| self.upstreams.get(&key));
-        cached.get_or_insert_with(|| Rc::new(select())).clone()
-    }
-
-    /// Digest of the preferred upstreams; `None` if all upstreams are preferred.
-    pub fn preferred_digest(&self) -> Option<u64> {
-        let preferred = self.preferred();
-        (preferred.keys.len() < self.order.total()).then(|| preferred.digests.total())
-    }
-
-    /// Preferred upstreams in the buckets whose digests differ from those in `known`.
-    pub fn preferred_part(&self, known: &[u32]) -> PreferredPart {
-        let preferred = self.preferred();
-        let buckets = preferred.differing_buckets(known);
-        let upstreams = preferred.keys.iter();
-        let upstreams = upstreams.filter_map(|key| self.upstreams.get(key));
-        let entries = upstreams.filter(|upstream| buckets.contains(&upstream.bucket()));
-        PreferredPart {
-            entries: entries.map(|upstream| upstream.entry.clone()).collect(),
-            buckets,
-        }
-    }
-
-    /// Digests of the upstreams that accept new calls, by bucket of ids.
-    pub fn usable_digests(&self) -> &[u32] {
-        self.usable_digests.buckets()
-    }
-
-    /// Digest of the upstreams that accept new calls.
-    pub fn usable_digest(&self) -> u64 {
-        self.usable_digests.total()
-    }
-
     /// Changes an upstream's state, and the digests and the order with it. Returns the result of
     /// `change`; `None` if the key is unknown.
     fn update<T>(
@@ -519,80 +318,6 @@
         self.leave(key, LeavingCause::Replaced);
     }
 
-    /// Upstreams of a pool that accept new calls.
-    pub fn usable(&self, pool: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        let keys = self.order.pool(pool);
-        keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
-    }
-
-    /// Upstreams of a pool that a call is likely to go to: the first of each availability zone in
-    /// the order on which all nodes agree, as many as the window has of `zone` and of each other
-    /// one, and those that were used recently.
-    pub fn candidates(
-        &self,
-        pool: &str,
-        zone: &str,
-        window: CandidateWindow,
-    ) -> BTreeMap<UpstreamKey, &Upstream> {
-        let first = self.order.zones(pool).into_iter().flat_map(|other| {
-            let count = if other == zone {
-                window.near
-            } else {
-                window.far
-            };
-            self.order.first(pool, other, count)
-        });
-        let active = self.active.iter().copied();
-        let candidates = first.chain(active).filter_map(|key| {
-            let upstream = self.upstreams.get(&key)?;
-            Some((key, upstream))
-        });
-        candidates
-            .filter(|(_, upstream)| upstream.left.is_none() && &*upstream.entry.pool == pool)
-            .collect()
-    }
-
-    /// First upstreams of a pool in an availability zone, in the order on which all nodes agree.
-    pub fn first(
-        &self,
-        pool: &str,
-        zone: &str,
-        count: usize,
-    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        let keys = self.order.first(pool, zone, count);
-        keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
-    }
-
-    /// Number of upstreams that accept new calls.
-    pub fn usable_total(&self) -> usize {
-        self.order.total()
-    }
-
-    /// Number of upstreams of a pool that accept new calls.
-    pub fn usable_count(&self, pool: &str) -> usize {
-        self.order.len(pool)
-    }
-
-    /// Number of availability zones in which a pool has upstreams that accept new calls.
-    pub fn zone_count(&self, pool: &str) -> usize {
-        self.order.zones(pool).len()
-    }
-
-    /// Upstreams that were used recently, or that another node reported on.
-    pub fn active(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        let active = self.active.iter();
-        active.filter_map(|key| self.upstreams.get(key).map(|upstream| (*key, upstream)))
-    }
-
-    /// Ends the list of active upstreams for those that are no longer used.
-    pub fn expire_active(&mut self, now: Duration) {
-        let upstreams = &self.upstreams;
-        self.active.retain(|key| {
-            let upstream = upstreams.get(key);
-            upstream.is_some_and(|upstream| upstream.is_active(now))
-        });
-    }
-
     /// State of an upstream; `None` if the key is unknown.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(&key)
--- /dev/null
+++ b/kernel/src/gateway/registry/entry.rs
@@ -0,0 +1,46 @@
+//! Entries of the registry, as upstreams publish them.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Registry entry that an upstream publishes about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamEntry {
+    /// Id of the upstream. Another run of it may have another id or the same.
+    pub id: Box<str>,
+    /// Start time of this run in Unix ms; `None` if the platform does not report it.
+    pub born: Option<u64>,
+    /// Pool that it serves.
+    pub pool: Box<str>,
+    /// Address on which it listens.
+    pub address: SocketAddr,
+    /// Availability zone that it runs in.
+    pub zone: Box<str>,
+    /// Maximum number of calls that it processes at a time.
+    pub slots: u32,
+    /// Whether it accepts no new calls.
+    pub leaving: bool,
+    /// Whether the platform may reclaim it at any time.
+    #[serde(default)]
+    pub spot: bool,
+}
+
+impl UpstreamEntry {
+    /// Hash that identifies this run of the upstream in heartbeats between nodes: 32 bits, five
+    /// bytes on the wire. Two of 10,000 upstreams collide with a probability of one in a hundred,
+    /// which only makes the selection of an upstream worse.
+    pub fn run_hash(&self) -> u64 {
+        xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0)) >> 32
+    }
+}
+
+/// A change of the registry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RegistryChange {
+    /// An entry was added or updated.
+    Put(UpstreamEntry),
+    /// The entry with this id was removed.
+    Removed(Box<str>),
+}
