--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -2,9 +2,10 @@
 //!
 //! `listener` reads a call, `admission` matches it to a rule, `relay` sends it through
 //! `connections` and `stream` forwards a streamed answer; `notices` applies what the heads of
-//! answers report about upstreams. `sync` reads the platform's store, `peers` exchanges heartbeats
-//! with other nodes, `fetch` copies larger state from them, `endpoints` serves lookups, checks and
-//! other nodes, and `caches` lists what engines cache.
+//! answers report about upstreams. `sync` reads the platform's store, `startup` determines when a
+//! node that starts does so, and `scope` whether it knows all upstreams. `peers` exchanges
+//! heartbeats with other nodes, `fetch` copies larger state from them, `endpoints` serves lookups,
+//! checks and other nodes, and `caches` lists what engines cache.
 
 pub mod admission;
 pub mod caches;
@@ -29,6 +30,7 @@
 pub mod scaling;
 pub mod scope;
 pub mod settings;
+pub mod startup;
 pub mod stream;
 pub mod sync;
 pub mod tracker;
--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -16,7 +16,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::admission::Call;
 use crate::gateway::decisions::{Decision, millis};
-use crate::gateway::sync;
+use crate::gateway::startup;
 
 /// Interval at which the keeper checks what has to be read or stored.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -169,7 +169,7 @@
     while gateway.leaving_since.get().is_none() {
         gateway.crashes.borrow_mut().expire(gateway.now());
         if gateway.is_reader()
-            && !sync::is_alone(&gateway)
+            && !startup::is_alone(&gateway)
             && let Err(error) = keeper.step().await
         {
             keeper.failed(&error).await;
--- a/daemon/src/gateway/sync.rs
+++ b/daemon/src/gateway/sync.rs
@@ -12,9 +12,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::gateway::Gateway;
 use crate::gateway::decisions::{Decision, millis};
 use crate::gateway::scope::{self, RegistryScope};
+use crate::gateway::{Gateway, startup};
 
 /// Wait of a long-poll read of the configuration. A dead connection is noticed after this and
 /// `ANSWER_TIMEOUT`; each answer without records costs one call.
@@ -30,26 +30,6 @@
 const MAX_DOUBLINGS: u32 = 2;
 /// Interval at which a node that does not read the store checks whether it should.
 const TURN_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which a starting node leaves the store to the seeds. They read it at once, and they and
-/// the hubs then propagate what all others need. A random delay of up to the same length is added.
-const SEED_HEAD_START: Duration = Duration::from_millis(150);
-/// Number of cores below which a host is weak: callers are directed to stronger ones first, so it
-/// leaves the store to these as well.
-const WEAK_CORES: f64 = 0.25;
-/// Factor by which weak hosts leave the store to others for longer.
-const WEAK_DELAY: f64 = 3.0;
-/// Number of pages of the registry that a starting node reads which has heard from no other. More
-/// would be too much for the store and the hosts if all nodes of a large fleet read them: whoever
-/// finds more waits for the seeds.
-const ALONE_PAGES: usize = 2;
-/// Time for which such a node waits for another one before it reads all pages. A random delay of up
-/// to the same length is added.
-const ALONE_TIME: Duration = Duration::from_secs(2);
-/// Time after which a starting node that still lacks data reads the store, even if others do. A
-/// random delay of up to the same length is added.
-const MAX_START_DELAY: Duration = Duration::from_secs(4);
-/// Interval at which a starting node checks whether other nodes have sent what it lacks.
-const START_INTERVAL: Duration = Duration::from_millis(20);
 /// First backoff after a failed call; doubles up to `MAX_BACKOFF`. Each is shortened at random by
 /// up to half.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -194,59 +174,13 @@
     }
 }
 
-/// Waits until a starting node has received what it lacks, or has to read the store for it. If all
-/// nodes start at once, a few read on behalf of all.
-async fn wait_at_start(reader: &mut StoreReader, has: impl Fn(&Gateway) -> bool) {
-    let gateway = reader.gateway.clone();
-    if is_seed(&gateway) {
-        return;
-    }
-    let started = gateway.now();
-    let is_weak = gateway.settings.limits.cores < WEAK_CORES;
-    let factor = if is_weak { WEAK_DELAY } else { 1.0 };
-    let first = started + SEED_HEAD_START.mul_f64(factor * reader.random.random_range(1.0..2.0));
-    let last = started + MAX_START_DELAY.mul_f64(reader.random.random_range(1.0..2.0));
-    while !has(&gateway) {
-        let now = gateway.now();
-        if now >= first && gateway.is_reader() || now >= last {
-            return;
-        }
-        tokio::time::sleep(START_INTERVAL).await;
-    }
-}
-
-fn is_seed(gateway: &Gateway) -> bool {
-    let own = gateway.settings.peers.ip;
-    let mut seeds = gateway.settings.peers.seeds.iter();
-    seeds.any(|seed| seed.ip() == own)
-}
-
-/// Returns whether a node started lately and has heard from no other node, while seeds should
-/// answer it.
-pub fn is_alone(gateway: &Gateway) -> bool {
-    let now = gateway.now();
-    let fleet = gateway.fleet.borrow();
-    let has_seeds = !gateway.settings.peers.seeds.is_empty() && !is_seed(gateway);
-    has_seeds && fleet.uptime(now) < ALONE_TIME && fleet.live(now).next().is_none()
-}
-
-/// Waits until a node that is alone hears from another one and receives the upstreams from it, or
-/// has to read all of them from the store.
-async fn wait_for_nodes(reader: &mut StoreReader) {
-    let gateway = reader.gateway.clone();
-    let delay = ALONE_TIME.mul_f64(reader.random.random_range(0.0..1.0));
-    while is_alone(&gateway) {
-        tokio::time::sleep(START_INTERVAL).await;
-    }
-    if gateway.fleet.borrow().live(gateway.now()).next().is_none() {
-        tokio::time::sleep(delay).await;
-    }
-    wait_at_start(reader, Gateway::knows_upstreams).await;
-}
-
 async fn follow_configuration(mut reader: StoreReader) {
     let mut position = None;
-    wait_at_start(&mut reader, |gateway| gateway.version() > 0).await;
+    let gateway = reader.gateway.clone();
+    startup::wait_at_start(&gateway, &mut reader.random, |gateway| {
+        gateway.version() > 0
+    })
+    .await;
     loop {
         let gateway = reader.gateway.clone();
         if gateway.version() > 0 {
@@ -371,7 +305,8 @@
 
 async fn follow_registry(mut reader: StoreReader) {
     let mut position = None;
-    wait_at_start(&mut reader, Gateway::knows_upstreams).await;
+    let gateway = reader.gateway.clone();
+    startup::wait_at_start(&gateway, &mut reader.random, Gateway::knows_upstreams).await;
     loop {
         if reader.gateway.knows_upstreams() {
             wait_for_turn(&reader.gateway, || false).await;
@@ -396,7 +331,7 @@
             }
             Err(StoreError::MorePages) => {
                 reader.succeeded();
-                wait_for_nodes(&mut reader).await;
+                startup::wait_for_nodes(&gateway, &mut reader.random).await;
                 continue;
             }
             Err(error) => {
@@ -411,8 +346,8 @@
 
 async fn newest_registry(reader: &mut StoreReader) -> Result<Option<u64>, StoreError> {
     let timeout = reader.timeout();
-    let max_pages = if is_alone(&reader.gateway) {
-        ALONE_PAGES
+    let max_pages = if startup::is_alone(&reader.gateway) {
+        startup::ALONE_PAGES
     } else {
         usize::MAX
     };
