--- a/daemon/tests/gateway/scope.rs
+++ b/daemon/tests/gateway/scope.rs
@@ -1,12 +1,13 @@
 //! Nodes with few calls in a fleet of thousands of upstreams.
 //!
 //! Guards against a start, a memory and a traffic of every node that grow with the number of
-//! upstreams, and against a fleet that knows too few of them after the loss of its hubs.
+//! upstreams, against nodes that all read them from the store when a fleet starts, and against a
+//! fleet that knows too few of them after the loss of its hubs.
 
 use std::time::Duration;
 
 use serde_json::Value;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::thin::{UPSTREAMS, register_many};
 use crate::world::{NodeProcess, World, good, until};
@@ -18,6 +19,17 @@
 /// Time within which a node that takes over has to know all upstreams.
 const TAKEOVER: Duration = Duration::from_secs(10);
 
+/// Number of nodes that start before their seed.
+const STARTING: usize = 10;
+/// Time by which the seed starts later, so that all others have looked for it in vain.
+const SEED_DELAY: Duration = Duration::from_millis(400);
+/// Calls to the store that read the configuration, all pages of upstreams and crash reports.
+const WHOLE_READ: usize = 18;
+/// Calls of a node that has heard from no other: the configuration and two pages.
+const ALONE_READ: usize = 3;
+/// Calls of the readers of the store for changes, within the test.
+const POLLS: usize = 10;
+
 async fn known(node: &NodeProcess) -> usize {
     let state = node.state().await;
     let upstreams = state["upstreams"].as_array().expect("a list");
@@ -98,3 +110,24 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_that_start_before_their_seed_leave_the_store_to_it() {
+    let mut world = World::start(&["east"], vec![good()]).await;
+    register_many(&world);
+    let seed = world.nodes[0].host;
+    world.nodes[0].child.kill().expect("killed");
+    world.nodes[0].child.wait().expect("ended");
+    let before = world.store.calls();
+    let start = |index| world.start_with_seeds(&format!("started-{index}"), &[seed]);
+    let started: Vec<NodeProcess> = (0..STARTING).map(start).collect();
+    sleep(SEED_DELAY).await;
+    world.nodes[0].restart();
+    for node in &started {
+        node.ready().await;
+    }
+    let calls = world.store.calls() - before;
+    // The seed reads, and one hub more if it has not heard yet that the seed does.
+    let most = 2 * WHOLE_READ + ALONE_READ * STARTING + POLLS;
+    assert!(calls <= most, "{calls} calls");
+}
--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -201,6 +201,11 @@
         NodeProcess::start("turned-away", "east", store, &seeds, "")
     }
 
+    /// Starts a node of the zone `east` with other seeds.
+    pub fn start_with_seeds(&self, name: &str, seeds: &[IpAddr]) -> NodeProcess {
+        NodeProcess::start(name, "east", self.store.address(), seeds, "")
+    }
+
     /// Starts a node with another store and without seeds.
     pub fn start_alone(store: SocketAddr) -> NodeProcess {
         NodeProcess::start("lonely", "east", store, &[], "")
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -18,6 +18,9 @@
 use crate::raw::{RawRequest, read_request, write_answer};
 use crate::server::lock;
 
+/// Maximum number of items in one page of a topic's newest records.
+const PAGE_ITEMS: usize = 200;
+
 /// Condition of the store, which determines how it answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreCondition {
@@ -216,14 +219,18 @@
         .entry(request.query("topic").into())
         .or_default();
     let encode = |bytes: &[u8]| base64::engine::general_purpose::STANDARD.encode(bytes);
-    let items: Vec<serde_json::Value> = topic
-        .newest
-        .iter()
+    let after: Vec<u8> = percent_encoding::percent_decode_str(request.query("after")).collect();
+    let mut rest = topic.newest.range(after.clone()..);
+    let items: Vec<serde_json::Value> = rest
+        .by_ref()
+        .filter(|(key, _)| **key != after)
+        .take(PAGE_ITEMS)
         .map(|(key, (offset, value))| {
             json!({ "key": String::from_utf8_lossy(key), "value": encode(value), "offset": offset })
         })
         .collect();
-    let body = json!({ "items": items, "hasMore": false, "end": topic.end() });
+    let has_more = rest.next().is_some();
+    let body = json!({ "items": items, "hasMore": has_more, "end": topic.end() });
     ("200 OK", body.to_string().into_bytes())
 }
 
