Use the upstreams of the first pages while the others are read

Calls waited meanwhile.

Change: each page is applied as it arrives; the fleet is told once, when all are there.

A daemon test reads from a store whose pages take 0.5 s each.

--- a/daemon/src/gateway/scope.rs
+++ b/daemon/src/gateway/scope.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use monsoonbank_kernel::gateway::gossip::GossipUrgency;
+
 use crate::gateway::Gateway;
 use crate::gateway::decisions::Decision;
 
@@ -60,6 +62,9 @@
         scope: &scope.to_string(),
         upstreams: gateway.registry.borrow().usable_total(),
     });
+    if scope == RegistryScope::Whole && gateway.is_reader() {
+        gateway.propagate(GossipUrgency::All);
+    }
 }
 
 /// Returns whether a node that knows all upstreams tells others which ones are preferred.
--- a/daemon/src/gateway/sync.rs
+++ b/daemon/src/gateway/sync.rs
@@ -351,14 +351,24 @@
     } else {
         usize::MAX
     };
+    let trusted = reader.trusted();
+    let gateway = reader.gateway.clone();
+    // Calls can go to the upstreams of the first pages while the others are read.
+    let is_paged = max_pages == usize::MAX;
+    let on_page = |records: &[KeyedRecord]| {
+        if is_paged {
+            apply_entries(&gateway, records, trusted);
+        }
+    };
     let newest = reader
         .client
-        .newest_within(names::UPSTREAM_TOPIC, timeout, max_pages);
+        .newest_within(names::UPSTREAM_TOPIC, timeout, max_pages, on_page);
     let snapshot = newest.await?;
     let same_era = reader.same_era();
     let trusted = reader.trusted();
-    let gateway = &reader.gateway;
-    apply_entries(gateway, &snapshot.records, trusted);
+    if !is_paged {
+        apply_entries(&gateway, &snapshot.records, trusted);
+    }
     let listed: Vec<Box<str>> = snapshot
         .records
         .iter()
@@ -370,7 +380,7 @@
         .borrow_mut()
         .retain(&listed, trusted, gateway.now());
     for key in changed {
-        upstream_changed(gateway, key);
+        upstream_changed(&gateway, key);
     }
     Ok(same_era.then_some(snapshot.end))
 }
@@ -418,7 +428,8 @@
         let keys = gateway.registry.borrow_mut().apply(change, trusted, now);
         upstreams.extend(keys);
     }
-    if !upstreams.is_empty() && gateway.is_reader() {
+    let is_loaded = gateway.knows_all_upstreams();
+    if !upstreams.is_empty() && is_loaded && gateway.is_reader() {
         gateway.propagate(GossipUrgency::All);
     }
     for key in upstreams {
--- a/daemon/tests/gateway/scope.rs
+++ b/daemon/tests/gateway/scope.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::thin::{UPSTREAMS, register_many};
-use crate::world::{NodeProcess, World, good, until};
+use crate::world::{NodeProcess, World, get, good, until};
 
 /// Number of nodes of an availability zone that are hubs.
 const HUBS: usize = 3;
@@ -131,3 +131,23 @@
     let most = HUBS * WHOLE_READ + ALONE_READ * STARTING + POLLS;
     assert!(calls <= most, "{calls} calls");
 }
+
+// Guards against a host with a slow link that serves no call until it has read thousands of
+// upstreams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_uses_the_upstreams_of_the_first_pages_while_it_reads_the_others() {
+    let world = World::start(&[], Vec::new()).await;
+    register_many(&world);
+    world.store.delay_pages(Duration::from_millis(500));
+    let node = World::start_alone(world.store.address());
+    until("it answers", async || {
+        get(node.address(4003), "/state").await.is_some()
+    })
+    .await;
+    until("it knows some upstreams", async || known(&node).await > 0).await;
+    assert!((known(&node).await as u64) < UPSTREAMS);
+    until("it knows all", async || {
+        known(&node).await as u64 == UPSTREAMS
+    })
+    .await;
+}
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -84,6 +84,8 @@
 struct StoreState {
     topics: BTreeMap<String, StoreTopic>,
     condition: StoreCondition,
+    /// Time that each page after the first takes.
+    page_delay: Duration,
     calls: usize,
     /// Incremented each time that the store is restored from an older copy.
     era: u64,
@@ -158,6 +160,11 @@
         self.shared.appended.notify_waiters();
     }
 
+    /// Delays each page of a topic's newest records after the first.
+    pub fn delay_pages(&self, delay: Duration) {
+        lock(&self.shared.state).page_delay = delay;
+    }
+
     /// Changes the condition. Delayed reads are answered immediately.
     pub fn set_condition(&self, condition: StoreCondition) {
         lock(&self.shared.state).condition = condition;
@@ -174,6 +181,10 @@
     let mut buffered = Vec::new();
     while let Ok(Some(request)) = read_request(&mut stream, &mut buffered).await {
         lock(&shared.state).calls += 1;
+        if !request.query("after").is_empty() {
+            let delay = lock(&shared.state).page_delay;
+            sleep(delay).await;
+        }
         let mut answer = answer(&request, &shared).await;
         let condition = lock(&shared.state).condition;
         match condition {
