Record how an upstream framed its answer, and what followed its last event

Cause: the line 'ended' of a stream that reached its caller cut short says answered, 53 events. It does not tell a stream that ended inside an event from one that ended between two, nor by what the end was recognized. Change: framing (length, chunks, close) and rest_bytes in that line.

--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -145,5 +145,9 @@
         first_ms: Option<u64>,
         /// Number of events that were forwarded.
         events: u64,
+        /// How the upstream framed the body; `None` if no answer was forwarded.
+        framing: Option<&'a str>,
+        /// Bytes that followed the last event of a stream.
+        rest_bytes: usize,
     },
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -87,6 +87,7 @@
     let mut reply = reply::whole(parts.status, body);
     *reply.headers_mut() = answer::end_to_end_headers(&parts.headers);
     tracker.first_piece();
+    tracker.framing = Some(answer::framing(&parts.headers));
     tracker.status = parts.status.as_u16();
     if !parts.status.is_success() {
         return Err(FailedAttempt::answered(parts.status, reply));
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -204,11 +204,12 @@
 pub fn forward(
     gateway: Rc<Gateway>,
     call: Rc<Call>,
-    tracker: CallTracker,
+    mut tracker: CallTracker,
     progress: CallProgress,
     opened: OpenStream,
 ) -> Reply {
     let status = opened.stream.parts.status;
+    tracker.framing = Some(answer::framing(&opened.stream.parts.headers));
     let headers = answer::end_to_end_headers(&opened.stream.parts.headers);
     let last_event = call.head.last_event;
     let stream = CallerStream {
@@ -250,7 +251,10 @@
                     self.tracker.events += 1;
                     return Ok(Some(event.bytes));
                 }
-                StreamPiece::Rest(rest) => return Ok(Some(rest)),
+                StreamPiece::Rest(rest) => {
+                    self.tracker.rest_bytes += rest.len();
+                    return Ok(Some(rest));
+                }
                 StreamPiece::End => {
                     self.complete();
                     return Ok(None);
@@ -314,6 +318,7 @@
         }
         match first_event(&self.gateway, &self.call, attempt).await {
             Ok(opened) => {
+                self.tracker.framing = Some(answer::framing(&opened.stream.parts.headers));
                 self.pending = Some(opened.first);
                 self.source = Some(opened.stream);
                 Ok(())
--- a/daemon/src/gateway/tracker.rs
+++ b/daemon/src/gateway/tracker.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use monsoonbank_platform::answer::BodyFraming;
+
 use crate::gateway::Gateway;
 use crate::gateway::admission::Call;
 use crate::gateway::decisions::{CallDecision, millis};
@@ -41,6 +43,10 @@
     pub first_at: Option<Duration>,
     /// Number of events that were forwarded.
     pub events: u64,
+    /// How the upstream framed the body of the answer that was forwarded last.
+    pub framing: Option<BodyFraming>,
+    /// Bytes that followed the last event of a stream.
+    pub rest_bytes: usize,
 }
 
 impl CallTracker {
@@ -60,6 +66,8 @@
             status: 0,
             first_at: None,
             events: 0,
+            framing: None,
+            rest_bytes: 0,
         }
     }
 
@@ -95,6 +103,7 @@
             .calls
             .with_label_values(&[tier.as_str(), outcome.as_str()])
             .inc();
+        let framing = self.framing.map(|framing| framing.to_string());
         let since = |at: Duration| millis(at.saturating_sub(self.call.started));
         gateway.decisions.record(CallDecision::Ended {
             call: &self.call.head.id,
@@ -103,6 +112,8 @@
             took_ms: since(gateway.now()),
             first_ms: self.first_at.map(since),
             events: self.events,
+            framing: framing.as_deref(),
+            rest_bytes: self.rest_bytes,
         });
     }
 }
