--- a/daemon/tests/gateway/streams.rs
+++ b/daemon/tests/gateway/streams.rs
@@ -3,11 +3,14 @@
 
 use std::time::Duration;
 
+use monsoonbank_standin::raw::RawRequest;
+use monsoonbank_standin::scripted::AnswerScript;
 use monsoonbank_standin::scripted::ScriptStep::{Close, Hang, Reset, Send, Wait};
 use serde_json::json;
 
 use crate::world::{
-    RawAnswer, World, chunk, configuration, event, events, request, script, stream_head, until,
+    RawAnswer, World, answer_head, chunk, configuration, event, events, request, script,
+    stream_head, until,
 };
 
 fn all_events(first: u64, last: u64) -> String {
@@ -15,9 +18,7 @@
 }
 
 /// Serves events 1 to 9; each run breaks off after three, in the middle of the next.
-fn breaks_off(
-    end: monsoonbank_standin::scripted::ScriptStep,
-) -> monsoonbank_standin::scripted::AnswerScript {
+fn breaks_off(end: monsoonbank_standin::scripted::ScriptStep) -> AnswerScript {
     script(move |request, _| {
         let from = request.header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
         let mut steps = vec![
@@ -128,6 +129,44 @@
     );
 }
 
+/// Builds the head of a stream that has neither a length nor chunks and ends with its connection.
+fn unframed_head(request: &RawRequest) -> String {
+    let more = "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+    answer_head(request.header("x-attempt-id"), more)
+}
+
+/// Answers the first run with `body` and closes the connection; a resumed run goes on to event 9.
+fn ends_with_connection(body: impl Into<String>) -> AnswerScript {
+    let body = body.into();
+    script(move |request, _| {
+        let from = request.header("last-event-id").parse::<u64>();
+        let body = from.map_or_else(|_| body.clone(), |last| all_events(last + 1, 9));
+        let sent = Send((unframed_head(request) + &body).into_bytes());
+        vec![sent, Wait(Duration::from_millis(20)), Close]
+    })
+}
+
+/// Defines a case: path, upstream, events that the caller gets, whether its answer is complete.
+macro_rules! stream_ends {
+    ($($name:ident: $path:expr, $script:expr => $events:expr, $complete:expr;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let world = World::start(&["east"], vec![$script, $script]).await;
+            let answer = world.send(&request($path, "a1", "")).await;
+            assert_eq!(answer.status, 200, "{}", answer.head);
+            assert_eq!((answer.text(), answer.complete), (all_events(1, $events), $complete));
+        }
+    )*};
+}
+
+// Guards against a stream that was broken off and reached its caller as complete.
+stream_ends! {
+    an_unframed_stream_that_ends_inside_an_event_is_cut:
+        "/stream/x", ends_with_connection(all_events(1, 3) + "id: 4\nda") => 3, false;
+    an_unframed_stream_that_ends_after_an_event_is_complete:
+        "/stream/x", ends_with_connection(all_events(1, 9)) => 9, true;
+}
+
 /// Runs a stream that stops after `silent_after` events, with another upstream that can resume it.
 /// Returns the answer and the number of calls at the second upstream.
 async fn stop_midway(path: &str, silent_after: u64, dark: bool) -> (RawAnswer, usize) {
--- a/daemon/tests/gateway/upstreams.rs
+++ b/daemon/tests/gateway/upstreams.rs
@@ -49,6 +49,10 @@
         let head = answer_head(request.header("x-attempt-id"), "Content-Length: 100\r\n\r\nhalf");
         vec![Send(head.into_bytes()), Close]
     } => 502;
+    unframed_and_reset: "once", |request| {
+        let head = answer_head(request.header("x-attempt-id"), "Connection: close\r\n\r\nhalf");
+        vec![Send(head.into_bytes()), Wait(Duration::from_millis(20)), Reset]
+    } => 502;
     other_id: "once", |_| vec![Send(answer_head("other", "Content-Length: 2\r\n\r\nno").into_bytes())] => 502;
     no_signature: "once", |request| send_text(&format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nContent-Length: 2\r\n\r\nno", request.header("x-attempt-id"))) => 502;
     encoded_body: "once", |request| {
@@ -59,6 +63,23 @@
     stream_reset_before_its_first_event: "stream", |_| vec![Reset] => 502;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unframed_answer_ends_with_its_connection() {
+    let unframed = script(|request, _| {
+        let id = request.header("x-attempt-id");
+        let head = answer_head(id, "Connection: close\r\n\r\nwhole");
+        vec![Send(head.into_bytes()), Close]
+    });
+    let world = World::start(&["east"], vec![unframed]).await;
+    for id in ["a1", "a2"] {
+        let answer = world.send(&request("/once/x", id, "")).await;
+        assert_eq!(
+            (answer.status, &*answer.text(), answer.complete),
+            (200, "whole", true)
+        );
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_upstreams_failure_is_passed_on_unchanged() {
     let fails = script(|request, _| {
