Treat a stream that ends inside an event as broken off

Cause: an answer may have neither a length nor chunks and end with its connection. Such an end was taken for the end of the stream wherever it came; the bytes after the last event were passed on, and the body was framed as complete. Class: the end of a transport taken for the end of a message. Ruled out: a break seen as an error and framed wrongly for the caller; such calls end as cut, these as answered. Change: a stream ends only between two events, however it is framed, and one without any framing has at least one. Otherwise the attempt is lost: it goes on at another upstream where it may, and is cut off elsewhere.

--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_kernel::gateway::rules::CallSafety;
+use monsoonbank_platform::answer::BodyFraming;
 use thiserror::Error;
 
 use crate::gateway::Gateway;
@@ -100,6 +101,16 @@
         }
     }
 
+    /// Creates an attempt whose answer ended before it was complete, although its framing allows that
+    /// end.
+    pub fn cut_short(framing: BodyFraming, reason: &dyn std::fmt::Display) -> Self {
+        Self {
+            // The upstream may have crashed, unless it ended the answer itself.
+            connection_lost: framing == BodyFraming::Close,
+            ..Self::new(AttemptEnd::Lost, reason)
+        }
+    }
+
     /// Creates an attempt whose connection failed with this error after the call was sent.
     pub fn broken(error: &hyper::Error) -> Self {
         Self {
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -12,7 +12,7 @@
 use monsoonbank_kernel::gateway::outcome::AttemptEnd;
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_kernel::gateway::rules::AnswerForm;
-use monsoonbank_platform::answer;
+use monsoonbank_platform::answer::{self, BodyFraming};
 
 use crate::gateway::Gateway;
 use crate::gateway::admission::Call;
@@ -31,7 +31,7 @@
 enum StreamPiece {
     /// A complete event.
     Event(RawEvent),
-    /// Bytes after the last event of a complete stream.
+    /// Line ends after the last event of a complete stream.
     Rest(Bytes),
     /// End of a complete stream.
     End,
@@ -55,6 +55,11 @@
 }
 
 impl GapClock {
+    /// Returns whether an event was recorded.
+    fn has_begun(&self) -> bool {
+        self.event_at.is_some()
+    }
+
     /// Returns the gap before an event that was asked for at `asked_at`; `None` if it is the first
     /// one or if the caller paused.
     fn record(&mut self, asked_at: Duration, now: Duration) -> Option<Duration> {
@@ -91,17 +96,35 @@
                 return Ok(StreamPiece::Event(event));
             }
             if self.ended {
-                let rest = self.splitter.remainder();
-                return Ok(if rest.is_empty() {
-                    StreamPiece::End
-                } else {
-                    StreamPiece::Rest(rest)
-                });
+                return self.last_piece();
             }
             self.read(gateway, call).await?;
         }
     }
 
+    /// Returns what follows the last event. A stream may only end between two events, and one whose
+    /// end is that of its connection must have had an event.
+    fn last_piece(&mut self) -> Result<StreamPiece, FailedAttempt> {
+        let framing = answer::framing(&self.parts.headers);
+        let rest = self.splitter.remainder();
+        if !rest.iter().all(|byte| matches!(byte, b'\r' | b'\n')) {
+            let reason = format!(
+                "the stream ended inside an event, after {} bytes",
+                rest.len()
+            );
+            return Err(FailedAttempt::cut_short(framing, &reason));
+        }
+        if framing == BodyFraming::Close && !self.gaps.has_begun() {
+            let reason = "the stream ended before its first event";
+            return Err(FailedAttempt::cut_short(framing, &reason));
+        }
+        Ok(if rest.is_empty() {
+            StreamPiece::End
+        } else {
+            StreamPiece::Rest(rest)
+        })
+    }
+
     async fn read(&mut self, gateway: &Gateway, call: &Call) -> Result<(), FailedAttempt> {
         let key = self.attempt.work.key;
         let frame = self.attempt.response.body_mut().frame();
--- a/daemon/tests/gateway/streams.rs
+++ b/daemon/tests/gateway/streams.rs
@@ -146,6 +146,18 @@
     })
 }
 
+/// Ends the chunks of a stream properly, after a part of an event.
+fn ends_chunks_early() -> AnswerScript {
+    script(|request, _| {
+        vec![
+            Send(stream_head(request)),
+            Send(events(1, 3)),
+            Send(chunk("id: 4\nda")),
+            Send(b"0\r\n\r\n".to_vec()),
+        ]
+    })
+}
+
 /// Defines a case: path, upstream, events that the caller gets, whether its answer is complete.
 macro_rules! stream_ends {
     ($($name:ident: $path:expr, $script:expr => $events:expr, $complete:expr;)*) => {$(
@@ -163,10 +175,25 @@
 stream_ends! {
     an_unframed_stream_that_ends_inside_an_event_is_cut:
         "/stream/x", ends_with_connection(all_events(1, 3) + "id: 4\nda") => 3, false;
+    an_unframed_stream_that_ends_before_a_blank_line_is_cut:
+        "/stream/x", ends_with_connection(all_events(1, 3) + "id: 4\ndata: piece 4\n") => 3, false;
+    an_unframed_stream_that_ends_inside_an_event_is_resumed:
+        "/resume/x", ends_with_connection(all_events(1, 3) + "id: 4\nda") => 9, true;
+    a_chunked_stream_that_ends_inside_an_event_is_cut:
+        "/stream/x", ends_chunks_early() => 3, false;
     an_unframed_stream_that_ends_after_an_event_is_complete:
         "/stream/x", ends_with_connection(all_events(1, 9)) => 9, true;
 }
 
+// Guards against a stream that was broken off before its first event and reached its caller as
+// complete.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unframed_stream_without_an_event_is_no_answer() {
+    let world = World::start(&["east"], vec![ends_with_connection("")]).await;
+    let answer = world.send(&request("/stream/x", "a1", "")).await;
+    assert_eq!(answer.status, 502, "{}", answer.head);
+}
+
 /// Runs a stream that stops after `silent_after` events, with another upstream that can resume it.
 /// Returns the answer and the number of calls at the second upstream.
 async fn stop_midway(path: &str, silent_after: u64, dark: bool) -> (RawAnswer, usize) {
