--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -13,6 +13,7 @@
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_kernel::gateway::rules::AnswerForm;
 use monsoonbank_platform::answer::{self, BodyFraming};
+use thiserror::Error;
 
 use crate::gateway::Gateway;
 use crate::gateway::admission::Call;
@@ -37,6 +38,20 @@
     End,
 }
 
+/// Reason why a stream whose body has ended is not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+enum StreamEndError {
+    /// Some bytes of an event had arrived.
+    #[error("the stream ended inside an event, after {bytes} bytes of it")]
+    InsideEvent {
+        /// Number of these bytes.
+        bytes: usize,
+    },
+    /// It had no event, and its end was that of its connection.
+    #[error("the stream ended before its first event")]
+    BeforeFirstEvent,
+}
+
 /// Stream of an upstream that is being read.
 struct UpstreamStream {
     parts: Parts,
@@ -96,7 +111,9 @@
                 return Ok(StreamPiece::Event(event));
             }
             if self.ended {
-                return self.last_piece();
+                let framing = answer::framing(&self.parts.headers);
+                let last = self.last_piece(framing);
+                return last.map_err(|error| FailedAttempt::cut_short(framing, &error));
             }
             self.read(gateway, call).await?;
         }
@@ -104,19 +121,13 @@
 
     /// Returns what follows the last event. A stream may only end between two events, and one whose
     /// end is that of its connection must have had an event.
-    fn last_piece(&mut self) -> Result<StreamPiece, FailedAttempt> {
-        let framing = answer::framing(&self.parts.headers);
+    fn last_piece(&mut self, framing: BodyFraming) -> Result<StreamPiece, StreamEndError> {
         let rest = self.splitter.remainder();
         if !rest.iter().all(|byte| matches!(byte, b'\r' | b'\n')) {
-            let reason = format!(
-                "the stream ended inside an event, after {} bytes",
-                rest.len()
-            );
-            return Err(FailedAttempt::cut_short(framing, &reason));
+            return Err(StreamEndError::InsideEvent { bytes: rest.len() });
         }
         if framing == BodyFraming::Close && !self.gaps.has_begun() {
-            let reason = "the stream ended before its first event";
-            return Err(FailedAttempt::cut_short(framing, &reason));
+            return Err(StreamEndError::BeforeFirstEvent);
         }
         Ok(if rest.is_empty() {
             StreamPiece::End
