Record when no connection to the upstreams of a pool comes about

Cause: of a node that was cut off from all upstreams the lines show hundreds of failed connections, one by one, and nothing tells whether the node's own link or the upstreams failed. Change: a monitor of connections by pool; lines reach_lost and reach_regained, gauge monsoonbank_unreached_pools. No decision depends on it yet.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -28,6 +28,7 @@
 pub mod patch;
 pub mod peers;
 pub mod quarantine;
+pub mod reach;
 pub mod relay;
 pub mod reply;
 pub mod reports;
@@ -58,6 +59,7 @@
 use monsoonbank_kernel::gateway::heartbeat::NodeState;
 use monsoonbank_kernel::gateway::lag::VersionLag;
 use monsoonbank_kernel::gateway::pace::{StreamKind, StreamPace};
+use monsoonbank_kernel::gateway::reach::ReachMonitor;
 use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
 use monsoonbank_kernel::gateway::returns::ReturnList;
 use monsoonbank_kernel::gateway::rules::RuleTable;
@@ -130,6 +132,8 @@
     pub shares_shown_at: Cell<Duration>,
     /// Wakes waiting calls when capacity may have become free.
     pub capacity_notify: tokio::sync::Notify,
+    /// Reachability of each pool from this node.
+    pub reach: RefCell<ReachMonitor>,
     /// Idle connections to upstreams.
     pub connections: ConnectionPool,
     /// Recent reachability of the store.
@@ -357,6 +361,7 @@
         share_names: RefCell::default(),
         shares_shown_at: Cell::default(),
         capacity_notify: tokio::sync::Notify::new(),
+        reach: RefCell::default(),
         store_health: Cell::default(),
         leaving_since: Cell::new(None),
         open_calls: Cell::new(0),
--- a/daemon/src/gateway/decisions/node.rs
+++ b/daemon/src/gateway/decisions/node.rs
@@ -55,6 +55,20 @@
         /// Availability zone of the node.
         zone: &'a str,
     },
+    /// No connection to the upstreams of a pool comes about any more.
+    ReachLost {
+        /// Name of the pool.
+        pool: &'a str,
+        /// Number of its upstreams that accept calls, as far as the node knows.
+        usable: usize,
+    },
+    /// A connection to an upstream of such a pool was established again.
+    ReachRegained {
+        /// Name of the pool.
+        pool: &'a str,
+        /// Time for which it was out of reach, in ms.
+        lost_ms: u64,
+    },
     /// A fetch from another node failed.
     FetchFailed {
         /// Name of the node.
--- a/daemon/src/gateway/liveness.rs
+++ b/daemon/src/gateway/liveness.rs
@@ -15,7 +15,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::admission::Call;
 use crate::gateway::attempt::FailedAttempt;
-use crate::gateway::connections;
+use crate::gateway::{connections, reach};
 
 /// Shortest silence after which a host is probed. A healthy engine pauses for less, and each probe
 /// costs one connection.
@@ -77,10 +77,12 @@
     opened.inc();
     match connections::open(key, entry.address).await {
         Ok(connection) => {
+            reach::record_connected(gateway, &entry.pool);
             gateway.connections.release(connection, None, gateway.now());
             true
         }
         Err(error) => {
+            reach::record_failed(gateway, &entry.pool, key);
             log::debug!("probe of the host of upstream {} failed: {error}", entry.id);
             false
         }
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -40,6 +40,8 @@
     /// Calls that wait at all nodes for pools whose slots run out, by tier and by whether they can
     /// still meet their target.
     fleet_waiting: IntGaugeVec,
+    /// Pools to whose upstreams no connection comes about.
+    pub unreached_pools: IntGauge,
     /// Calls that have not ended.
     pub open_calls: IntGauge,
     /// Number of engines that are clearly slower than their pool's median, as far as this node knows.
@@ -153,6 +155,10 @@
                 "monsoonbank_slow_engines",
                 "Engines that are clearly slower than the median of their pool",
             ),
+            unreached_pools: gauge(
+                "monsoonbank_unreached_pools",
+                "Pools to whose upstreams no connection comes about",
+            ),
             open_calls: gauge("monsoonbank_open_calls", "Calls that have not ended"),
             registry,
         }
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -21,7 +21,7 @@
 use crate::gateway::connections::{self, ConnectionError};
 use crate::gateway::decisions::{CallDecision, millis};
 use crate::gateway::work::WorkGuard;
-use crate::gateway::{liveness, notices, quarantine, waiting};
+use crate::gateway::{liveness, notices, quarantine, reach, waiting};
 
 /// Sends the call until the head of an answer to it arrives. `after` is the id of the last event
 /// that the caller has received.
@@ -76,7 +76,16 @@
             .connections_opened
             .with_label_values(&[&*call.pool])
             .inc();
-        connection.map_err(|error| FailedAttempt::new(connect_end(&error), &error))?
+        match connection {
+            Ok(connection) => {
+                reach::record_connected(gateway, &call.pool);
+                connection
+            }
+            Err(error) => {
+                reach::record_failed(gateway, &call.pool, choice.key);
+                return Err(FailedAttempt::new(connect_end(&error), &error));
+            }
+        }
     };
     let now = gateway.now();
     if now >= call.deadline {
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod partition;
 pub mod pause;
 pub mod prompt;
+pub mod reach;
 pub mod registry;
 pub mod reports;
 pub mod returns;
