--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod pauses;
 mod peers;
+mod reach;
 mod scope;
 mod store;
 mod streams;
--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -201,6 +201,15 @@
         NodeProcess::start("turned-away", "east", store, &seeds, "")
     }
 
+    /// Starts one more node, of another zone and with another store.
+    pub async fn add_with_store(&mut self, zone: &str, store: SocketAddr) {
+        let seeds: Vec<IpAddr> = self.nodes.iter().map(|node| node.host).collect();
+        let name = format!("node-{}", self.nodes.len());
+        let node = NodeProcess::start(&name, zone, store, &seeds, &self.settings);
+        node.ready().await;
+        self.nodes.push(node);
+    }
+
     /// Starts a node of the zone `east` with other seeds.
     pub fn start_with_seeds(&self, name: &str, seeds: &[IpAddr]) -> NodeProcess {
         NodeProcess::start(name, "east", self.store.address(), seeds, "")
@@ -224,9 +233,7 @@
 
     /// Writes an upstream's entry under another id, as after a restart.
     pub fn register_as(&self, index: usize, id: &str, state: &str) {
-        let address = self.upstreams[index].address();
-        let entry = json!({ "service": "model", "address": address.to_string(), "zone": "east",
-            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "sequence": 1 });
+        let entry = entry(self.upstreams[index].address(), state);
         self.store
             .put("keyed.servers", id, entry.to_string().as_bytes());
     }
@@ -256,6 +263,12 @@
     format!("i-{index}")
 }
 
+/// Builds an upstream's entry.
+pub fn entry(address: SocketAddr, state: &str) -> Value {
+    json!({ "service": "model", "address": address.to_string(), "zone": "east",
+        "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "sequence": 1 })
+}
+
 /// Builds a configuration of one host with a route of each kind.
 pub fn configuration(version: u64) -> Value {
     let route = |prefix: &str, kind: &str, attempts: u32, resume: bool| {
