Send calls through another node while this one reaches no upstream

Cause: a node judged each upstream by itself. With all of them out of reach it tried one after the other, 300 ms each, until the caller's time was over; it never drew the conclusion that its own link had failed, and had no other way. Class: a fault of the observer taken for faults of what it observes. Ruled out: other nodes being told that the upstreams fail (449 back-offs, none told). Change: three connections in a row to different upstreams of a pool that do not come about, or one while another pool is lost, put the pool out of reach. Until a connection comes about, which is tried four times a second at most, its calls go to a node that reports no such loss, of the same zone while enough of it are left, in proportion to capacity. That node admits the call by its own rules, declines it under an older configuration or without reach (421, nothing has run), and never sends it on. What may have run stays unknown; a closed connection ends the work. A heartbeat has one more field, empty unless pools are lost: replace all nodes of a fleet. Result: reach::a_call_that_may_run_once_is_served_while_upstreams_do_not_answer failed before, as did two cases beside it, and leaves the list of known failures.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -3,7 +3,8 @@
 //! `listener` reads a call, `admission` matches it to a rule, `relay` has it answered: `waiting`
 //! finds an upstream with capacity, in the order of `fairness` where workspaces share slots,
 //! `sending` sends it there through `connections`, `attempt` says how that ended, and `stream`
-//! forwards a streamed answer; `notices` applies what the heads of answers report about upstreams.
+//! forwards a streamed answer; `reach` watches whether connections come about, and `indirect` sends
+//! calls through another node while they do not; `notices` applies what the heads of answers report about upstreams.
 //! `sync` reads the platform's store, `startup` determines when a
 //! node that starts does so, and `scope` whether it knows all upstreams. `peers` exchanges
 //! heartbeats with other nodes, `fetch` copies larger state from them, `endpoints` serves lookups,
@@ -20,6 +21,7 @@
 pub mod fairness;
 pub mod fetch;
 pub mod frame;
+pub mod indirect;
 pub mod limits;
 pub mod listener;
 pub mod liveness;
@@ -47,6 +49,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -60,7 +63,7 @@
 use monsoonbank_kernel::gateway::lag::VersionLag;
 use monsoonbank_kernel::gateway::pace::{StreamKind, StreamPace};
 use monsoonbank_kernel::gateway::reach::ReachMonitor;
-use monsoonbank_kernel::gateway::registry::UpstreamRegistry;
+use monsoonbank_kernel::gateway::registry::{UpstreamKey, UpstreamRegistry};
 use monsoonbank_kernel::gateway::returns::ReturnList;
 use monsoonbank_kernel::gateway::rules::RuleTable;
 use monsoonbank_kernel::gateway::transfers::TransferList;
@@ -135,7 +138,11 @@
     /// Reachability of each pool from this node.
     pub reach: RefCell<ReachMonitor>,
     /// Idle connections to upstreams.
-    pub connections: ConnectionPool,
+    pub connections: ConnectionPool<UpstreamKey>,
+    /// Idle connections to other nodes, which carried calls.
+    pub peer_connections: ConnectionPool<SocketAddr>,
+    /// Starts the watch of pools that are out of reach.
+    pub reach_notify: tokio::sync::Notify,
     /// Recent reachability of the store.
     pub store_health: Cell<StoreHealth>,
     /// Time at which the shutdown began; `None` while the node runs normally.
@@ -343,6 +350,8 @@
         decisions: DecisionLog::start(clock, settings.name.clone()),
         metrics: GatewayMetrics::new(),
         connections: ConnectionPool::default(),
+        peer_connections: ConnectionPool::default(),
+        reach_notify: tokio::sync::Notify::new(),
         clock,
         table: RefCell::default(),
         texts: RefCell::default(),
@@ -390,6 +399,7 @@
     peers::start(&gateway).await?;
     sync::start(&gateway, u64::from_le_bytes(random));
     caches::start(&gateway);
+    reach::start(&gateway);
     duties::start(&gateway);
     quarantine::start(&gateway);
     reports::start(&gateway);
--- a/daemon/src/gateway/admission.rs
+++ b/daemon/src/gateway/admission.rs
@@ -27,9 +27,23 @@
 /// Time for a call that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Where a call came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOrigin {
+    /// From the caller itself.
+    Caller,
+    /// From another node that reaches no upstream.
+    Peer {
+        /// Number of upstreams that the other node has sent it to.
+        sends: u32,
+    },
+}
+
 /// A call that was admitted by the rules.
 #[derive(Debug)]
 pub struct Call {
+    /// Where it came from.
+    pub origin: CallOrigin,
     /// Decoded head of the request.
     pub head: CallHead,
     /// HTTP method, which is forwarded unchanged.
@@ -81,6 +95,11 @@
             tight: self.tight,
         }
     }
+
+    /// Returns a uniform number that is the same for each attempt at this call.
+    pub fn turn(&self) -> u64 {
+        id_hash(&self.head.id)
+    }
 }
 
 /// Status and reason for a request that is rejected.
@@ -100,7 +119,11 @@
 }
 
 /// Reads a request to its end and matches it to a rule. The error is the answer if it is rejected.
-pub async fn admit(gateway: &Gateway, request: Request<Incoming>) -> Result<Rc<Call>, Reply> {
+pub async fn admit(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+    origin: CallOrigin,
+) -> Result<Rc<Call>, Reply> {
     let started = gateway.now();
     let (parts, body) = request.into_parts();
     let id = head::decode_call(&parts.headers)
@@ -139,6 +162,7 @@
     });
     let first_started = first_started(gateway, content, started, head.time_left, rule);
     let call = Call {
+        origin,
         content,
         engine: rules.pool(&pool).and_then(|pool| pool.engine),
         tight: rules.is_tight(rule),
--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 
 use crate::gateway::Gateway;
-use crate::gateway::admission::Call;
+use crate::gateway::admission::{Call, CallOrigin};
 use crate::gateway::connections::UpstreamConnection;
 use crate::gateway::decisions::{CallDecision, UpstreamDecision, millis};
 use crate::gateway::quarantine::{self, QuarantineError};
@@ -34,6 +34,17 @@
     connects: usize,
 }
 
+impl CallProgress {
+    /// Creates the progress of a call that came from there.
+    pub fn new(origin: CallOrigin) -> Self {
+        let mut progress = Self::default();
+        if let CallOrigin::Peer { sends } = origin {
+            progress.history.sends = sends;
+        }
+        progress
+    }
+}
+
 /// An attempt for which the head of an answer has arrived.
 pub struct OpenAttempt {
     /// Connection that carries the answer.
@@ -155,7 +166,11 @@
             upstream.health.unanswered(now)
         }
         AttemptEnd::Failed | AttemptEnd::Refused => upstream.health.failed(now),
-        AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Withheld | AttemptEnd::Moved => false,
+        AttemptEnd::NotSent
+        | AttemptEnd::Lost
+        | AttemptEnd::Withheld
+        | AttemptEnd::Unreached
+        | AttemptEnd::Moved => false,
     };
     let end = failed.end.to_string();
     gateway
@@ -193,7 +208,8 @@
     }
 }
 
-fn may_retry(
+/// Returns whether time, attempts and the budget allow one more attempt.
+pub fn may_retry(
     gateway: &Gateway,
     call: &Call,
     progress: &mut CallProgress,
--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -1,4 +1,4 @@
-//! Connections to upstreams. Each carries one call at a time and is reused only if its last answer
+//! Connections to upstreams and other nodes. Each carries one call at a time and is reused only if its last answer
 //! was read to the end.
 
 use std::cell::RefCell;
@@ -46,30 +46,33 @@
     Broken(#[from] hyper::Error),
 }
 
-/// A connection in use by one call. Dropping it closes the connection, which makes the upstream
+/// A connection in use by one call. Dropping it closes the connection, which makes the other end
 /// abandon the call.
 #[derive(Debug)]
-pub struct UpstreamConnection {
+pub struct ClientConnection<K> {
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    key: UpstreamKey,
+    key: K,
 }
 
-impl Drop for UpstreamConnection {
+/// Connection to an upstream.
+pub type UpstreamConnection = ClientConnection<UpstreamKey>;
+
+impl<K> Drop for ClientConnection<K> {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
 #[derive(Debug)]
-struct IdleConnection {
-    connection: UpstreamConnection,
+struct IdleConnection<K> {
+    connection: ClientConnection<K>,
     since: Duration,
     announced: Option<Duration>,
 }
 
-impl IdleConnection {
+impl<K> IdleConnection<K> {
     fn is_usable(&self, safety: CallSafety, now: Duration) -> bool {
         let most = match safety {
             CallSafety::AtMostOnce => IDLE_AT_MOST_ONCE,
@@ -82,21 +85,29 @@
     }
 }
 
-/// Idle connections, by upstream.
-#[derive(Debug, Default)]
-pub struct ConnectionPool {
-    idle: RefCell<BTreeMap<UpstreamKey, Vec<IdleConnection>>>,
+/// Idle connections, by the key of their other end.
+#[derive(Debug)]
+pub struct ConnectionPool<K> {
+    idle: RefCell<BTreeMap<K, Vec<IdleConnection<K>>>>,
+}
+
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> Self {
+        Self {
+            idle: RefCell::default(),
+        }
+    }
 }
 
-impl ConnectionPool {
+impl<K: Copy + Ord> ConnectionPool<K> {
     /// Removes and returns the most recently used idle connection that is safe for a call of this
     /// kind; `None` if there is none.
     pub fn acquire(
         &self,
-        key: UpstreamKey,
+        key: K,
         safety: CallSafety,
         now: Duration,
-    ) -> Option<UpstreamConnection> {
+    ) -> Option<ClientConnection<K>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
         connections.retain(|idle| idle.is_usable(CallSafety::Idempotent, now));
@@ -110,7 +121,7 @@
     /// timeout that the upstream announced, if any.
     pub fn release(
         &self,
-        connection: UpstreamConnection,
+        connection: ClientConnection<K>,
         announced: Option<Duration>,
         now: Duration,
     ) {
@@ -123,17 +134,14 @@
         });
     }
 
-    /// Closes all idle connections to an upstream.
-    pub fn close(&self, key: UpstreamKey) {
+    /// Closes all idle connections to this end.
+    pub fn close(&self, key: K) {
         self.idle.borrow_mut().remove(&key);
     }
 }
 
-/// Opens a connection to an upstream's address.
-pub async fn open(
-    key: UpstreamKey,
-    address: SocketAddr,
-) -> Result<UpstreamConnection, ConnectionError> {
+/// Opens a connection to an address.
+pub async fn open<K>(key: K, address: SocketAddr) -> Result<ClientConnection<K>, ConnectionError> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| ConnectionError::TimedOut)??;
     set_options(&stream)?;
@@ -142,7 +150,7 @@
         // The error that ends a connection is returned to the call that waits on it.
         let _ = connection.await;
     });
-    Ok(UpstreamConnection {
+    Ok(ClientConnection {
         sender,
         task: task.abort_handle(),
         key,
--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -111,6 +111,24 @@
         /// Details of the failure.
         reason: &'a str,
     },
+    /// A call was sent to another node, since this one reaches no upstream.
+    Forwarded {
+        /// Id of the call.
+        call: &'a str,
+        /// Name of the other node.
+        peer: &'a str,
+    },
+    /// Another node gave no answer to a call.
+    ForwardFailed {
+        /// Id of the call.
+        call: &'a str,
+        /// Name of the other node.
+        peer: &'a str,
+        /// Kind of the failure.
+        end: &'a str,
+        /// Details of the failure.
+        reason: &'a str,
+    },
     /// A call was not sent because its content is quarantined.
     CallQuarantined {
         /// Id of the call.
--- a/daemon/src/gateway/endpoints.rs
+++ b/daemon/src/gateway/endpoints.rs
@@ -21,17 +21,19 @@
 use monsoonbank_platform::{lookup, names};
 use serde::Serialize;
 use serde_json::json;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::decisions::millis;
 use crate::gateway::reply::{self, Reply};
-use crate::gateway::{Gateway, frame, peers};
+use crate::gateway::{Gateway, frame, indirect, listener, peers};
 
 /// Time for which callers may cache the answer to a lookup.
 pub const LOOKUP_TTL: Duration = Duration::from_secs(2);
 /// Time limit for the head of a request, and for the idle time of its connection.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
+/// Limit of a request's head without a caller's headers, in bytes.
+const MAX_HEAD_BYTES: usize = 8192;
 /// Path of the text of the configuration in force, for operators.
 const CONFIGURATION_PATH: &str = "/configuration";
 /// Path of a patch from another node's configuration text to the one in force.
@@ -59,24 +61,46 @@
 
 /// Accepts connections and answers their requests, without end.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                std::future::ready(Ok::<_, Infallible>(answer(&gateway, &request)))
+            });
+            let connection =
+                builder(MAX_HEAD_BYTES).serve_connection(TokioIo::new(stream), service);
+            log_end(connection.await);
+        });
+    }
+}
+
+/// Accepts connections of other nodes and answers their requests, without end. These are also calls
+/// that they send here for their callers.
+pub async fn serve_nodes(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("cannot disable Nagle's algorithm on a node's connection: {error}");
+        }
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            let head_bytes = listener::head_bytes(&gateway) + MAX_HEAD_BYTES;
+            let service = service_fn(async |request| {
+                let served = indirect::serve(&gateway, request).await;
+                let reply = served.unwrap_or_else(|request| answer(&gateway, &request));
+                Ok::<_, Infallible>(reply)
+            });
+            let connection = builder(head_bytes).serve_connection(TokioIo::new(stream), service);
+            log_end(connection.await);
+        });
+    }
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let gateway = gateway.clone();
-                tokio::task::spawn_local(async move {
-                    let service = service_fn(|request| {
-                        std::future::ready(Ok::<_, Infallible>(answer(&gateway, &request)))
-                    });
-                    let connection = http1::Builder::new()
-                        .timer(TokioTimer::new())
-                        .header_read_timeout(REQUEST_TIMEOUT)
-                        .max_buf_size(8192)
-                        .serve_connection(TokioIo::new(stream), service);
-                    if let Err(error) = connection.await {
-                        log::debug!("a connection broke: {error}");
-                    }
-                });
-            }
+            Ok((stream, _)) => return stream,
             Err(error) => {
                 log::warn!("cannot accept a connection: {error}");
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -85,6 +109,21 @@
     }
 }
 
+fn builder(head_bytes: usize) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(REQUEST_TIMEOUT)
+        .max_buf_size(head_bytes);
+    builder
+}
+
+fn log_end(ended: hyper::Result<()>) {
+    if let Err(error) = ended {
+        log::debug!("a connection broke: {error}");
+    }
+}
+
 fn answer(gateway: &Rc<Gateway>, request: &Request<Incoming>) -> Reply {
     let query = request.uri().query().unwrap_or_default();
     match request.uri().path() {
--- a/daemon/src/gateway/listener.rs
+++ b/daemon/src/gateway/listener.rs
@@ -14,8 +14,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::error::NodeError;
+use crate::gateway::admission::{self, CallOrigin};
 use crate::gateway::reply::{self, Reply};
-use crate::gateway::{Gateway, admission, endpoints, relay};
+use crate::gateway::{Gateway, endpoints, relay};
 
 /// File descriptors reserved for files, upstreams, peers and the store.
 const RESERVED_DESCRIPTORS: usize = 1200;
@@ -36,12 +37,13 @@
         (listen.lookup, "lookups"),
         (listen.operators, "operators"),
         (metrics, "metrics"),
-        (gateway.settings.peer_address(), "other nodes"),
     ];
     for (address, role) in endpoints {
         let listener = bind(address, role).await?;
         tokio::task::spawn_local(endpoints::serve(gateway.clone(), listener));
     }
+    let nodes = bind(gateway.settings.peer_address(), "other nodes").await?;
+    tokio::task::spawn_local(endpoints::serve_nodes(gateway.clone(), nodes));
     Ok(())
 }
 
@@ -106,9 +108,7 @@
     }
     let bounds = gateway.rules().map(|rules| rules.bounds);
     let idle = bounds.map_or(DEFAULT_IDLE_TIMEOUT, |bounds| bounds.idle_timeout);
-    let head = bounds.map_or(MIN_HEAD_BYTES, |bounds| {
-        bounds.head_bytes.max(MIN_HEAD_BYTES)
-    });
+    let head = head_bytes(&gateway);
     let service = service_fn(|request| answer(gateway.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -124,6 +124,12 @@
     log_end(connection.await);
 }
 
+/// Returns the limit of a request's head, in bytes.
+pub fn head_bytes(gateway: &Gateway) -> usize {
+    let stated = gateway.rules().map_or(0, |rules| rules.bounds.head_bytes);
+    stated.max(MIN_HEAD_BYTES)
+}
+
 fn log_end(ended: hyper::Result<()>) {
     if let Err(error) = ended {
         log::debug!("a caller's connection broke: {error}");
@@ -132,7 +138,7 @@
 
 async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Result<Reply, Infallible> {
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let mut reply = match admission::admit(&gateway, request).await {
+    let mut reply = match admission::admit(&gateway, request, CallOrigin::Caller).await {
         Ok(call) if gateway.accepts_calls() => relay::forward(gateway.clone(), call).await,
         Ok(_) => reply::not_run("the node is leaving", Duration::ZERO),
         Err(reply) => reply,
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -19,7 +19,9 @@
 use crate::gateway::duties::host_time;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::usage::UsageSender;
-use crate::gateway::{Gateway, fairness, fetch, limits, quarantine, scope, speeds, sync, usage};
+use crate::gateway::{
+    Gateway, fairness, fetch, limits, quarantine, reach, scope, speeds, sync, usage,
+};
 
 /// Number of prompt parts in one datagram, about 16 bytes each.
 const MAX_PARTS: usize = 48;
@@ -137,6 +139,7 @@
         crashes: crashes.recent_reports(now),
         crash_digest: crashes.digest(),
         workspaces: gateway.shares.borrow().reports(now),
+        unreached: reach::lost_hashes(gateway),
         unix_ms: duties.map_or(0, |_| millis(host_time())),
         holder: duties.and_then(|duties| duties.notice(gateway)),
         ..NodeHeartbeat::new(fleet.own().clone())
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -17,10 +17,10 @@
 use crate::gateway::attempt::{self, CallProgress, FailedAttempt, OpenAttempt};
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::tracker::{CallOutcome, CallTracker};
-use crate::gateway::{liveness, quarantine, sending, stream, usage};
+use crate::gateway::{indirect, liveness, quarantine, sending, stream, usage};
 
 /// Largest answer that is buffered to be forwarded, in bytes. Plain services answer with a few kB.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// `Retry-After` of a rejected call: about the time in which a full engine frees slots.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Longest `Retry-After`, since upstreams may be added before a long pause ends.
@@ -31,10 +31,13 @@
 /// Sends a call to upstreams and returns the answer for the caller.
 pub async fn forward(gateway: Rc<Gateway>, call: Rc<Call>) -> Reply {
     let mut tracker = CallTracker::new(&gateway, &call);
-    let mut progress = CallProgress::default();
+    let mut progress = CallProgress::new(call.origin);
     loop {
         let attempt = match sending::next_attempt(&gateway, &call, &mut progress, None).await {
             Ok(attempt) => attempt,
+            Err(failed) if failed.end == AttemptEnd::Unreached => {
+                return indirect::forward(gateway, call, tracker, progress).await;
+            }
             Err(failed) => return give_up(&gateway, tracker, &progress, failed),
         };
         let key = attempt.work.key;
@@ -128,7 +131,8 @@
     returns.record_refused(call.content, attempt);
 }
 
-fn give_up(
+/// Builds the answer for a call that has no other one.
+pub fn give_up(
     gateway: &Gateway,
     mut tracker: CallTracker,
     progress: &CallProgress,
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -20,6 +20,7 @@
 use crate::gateway::attempt::{self, CallProgress, FailedAttempt, OpenAttempt, WithheldError};
 use crate::gateway::connections::{self, ConnectionError};
 use crate::gateway::decisions::{CallDecision, millis};
+use crate::gateway::waiting::WaitError;
 use crate::gateway::work::WorkGuard;
 use crate::gateway::{liveness, notices, quarantine, reach, waiting};
 
@@ -35,7 +36,7 @@
         quarantine::check(gateway, call).map_err(|error| FailedAttempt::withheld(error.into()))?;
         let choice = waiting::wait_for_capacity(gateway, call, progress)
             .await
-            .map_err(|end| FailedAttempt::new(AttemptEnd::NotSent, &end))?;
+            .map_err(|error| FailedAttempt::new(wait_end(error), &error))?;
         progress.tried.push(choice.key);
         match send(gateway, call, progress, &choice, after).await {
             Ok(attempt) => return Ok(attempt),
@@ -142,6 +143,13 @@
     Ok(())
 }
 
+fn wait_end(error: WaitError) -> AttemptEnd {
+    match error {
+        WaitError::Unreached => AttemptEnd::Unreached,
+        WaitError::NoRoom | WaitError::Paused | WaitError::TooLate => AttemptEnd::NotSent,
+    }
+}
+
 fn connect_end(error: &ConnectionError) -> AttemptEnd {
     match error {
         ConnectionError::Refused(source) if source.kind() == ErrorKind::ConnectionRefused => {
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -15,7 +15,7 @@
 use crate::gateway::admission::Call;
 use crate::gateway::attempt::CallProgress;
 use crate::gateway::decisions::{CallDecision, millis};
-use crate::gateway::{fairness, scope, speeds};
+use crate::gateway::{fairness, indirect, scope, speeds};
 
 /// Interval at which a waiting call looks for capacity without a notification, since work that
 /// other nodes finish is only visible with their next heartbeat.
@@ -52,6 +52,9 @@
     /// All upstreams asked for a pause that is longer than the call may wait.
     #[display("all upstreams asked for a pause")]
     Paused,
+    /// This node reaches no upstream of the pool, and another one may.
+    #[display("no upstream is in reach")]
+    Unreached,
     /// The call's stream is not expected to end before the deadline.
     #[display("its stream would not end in time")]
     TooLate,
@@ -221,6 +224,9 @@
     progress: &CallProgress,
 ) -> Result<UpstreamChoice, WaitError> {
     let send_by = send_by(call);
+    if indirect::is_needed(gateway, call) {
+        return Err(WaitError::Unreached);
+    }
     if cannot_finish(gateway, call, progress, send_by) {
         return Err(WaitError::TooLate);
     }
@@ -248,6 +254,10 @@
     };
     let mut found = Err(WaitError::NoRoom);
     while found.is_err() && gateway.now() < until {
+        if indirect::is_needed(gateway, call) {
+            found = Err(WaitError::Unreached);
+            break;
+        }
         if cannot_finish(gateway, call, progress, send_by) {
             found = Err(WaitError::TooLate);
             break;
--- a/daemon/tests/gateway/reach.rs
+++ b/daemon/tests/gateway/reach.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use monsoonbank_standin::keyed::KeyedStore;
-use monsoonbank_standin::scripted::AnswerScript;
+use monsoonbank_standin::scripted::ScriptStep::{self, Hang, Reset, Send, Wait};
+use monsoonbank_standin::scripted::{AnswerScript, ScriptedUpstream};
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::world::{
-    RawAnswer, World, configuration, entry, good, request, send, until, upstream_id,
+    RawAnswer, World, configuration, entry, event, events, good, request, script, send,
+    stream_head, until, upstream_id,
 };
 
 /// Number of upstreams.
@@ -150,7 +153,9 @@
 // Guards against callers that are not served because the node that they reach has lost its links to
 // all upstreams.
 served_through_another_node! {
+    a_repeatable_call_is_served_while_upstreams_do_not_answer: CutKind::Silent, "/safe/x";
     a_call_that_may_run_once_is_served_while_upstreams_do_not_answer: CutKind::Silent, "/once/x";
+    a_call_that_may_run_once_is_served_while_upstreams_refuse: CutKind::Refused, "/once/x";
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -167,3 +172,140 @@
     .await;
     cut.recorded("reach_regained").await;
 }
+
+/// Sends a stream of nine events, with a pause after the third.
+fn paused_stream(end: ScriptStep) -> AnswerScript {
+    script(move |request, _| {
+        vec![
+            Send(stream_head(request)),
+            Send(events(1, 3)),
+            Wait(Duration::from_millis(100)),
+            end.clone(),
+        ]
+    })
+}
+
+// Guards against a stream that comes through another node, breaks off there and looks complete.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_breaks_off_behind_another_node_is_cut() {
+    let cut = CutWorld::start(CutKind::Refused, paused_stream(Reset)).await;
+    let answer = cut.send(&request("/stream/x", "a1", "")).await;
+    let text: String = (1..=3).map(event).collect();
+    assert_eq!(
+        (answer.status, answer.complete, answer.text()),
+        (200, false, text)
+    );
+    assert_eq!(cut.world.arrivals(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_through_another_node_is_passed_on_whole() {
+    let ends = Send([events(4, 6), b"0\r\n\r\n".to_vec()].concat());
+    let cut = CutWorld::start(CutKind::Silent, paused_stream(ends)).await;
+    for id in ["a1", "a2"] {
+        let answer = cut.send(&request("/stream/x", id, "")).await;
+        let text: String = (1..=6).map(event).collect();
+        assert_eq!((answer.complete, answer.text()), (true, text));
+        assert!(
+            answer.has(&format!("x-response-seal: signed-{id}")),
+            "{}",
+            answer.head
+        );
+    }
+}
+
+// Guards against an upstream that works on for a caller who has left the node in front of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_leaves_ends_its_work_behind_another_node() {
+    let cut = CutWorld::start(CutKind::Refused, script(|_, _| vec![Hang])).await;
+    let mut caller = TcpStream::connect(cut.world.nodes[0].address(4000))
+        .await
+        .expect("a connection");
+    let text = request("/once/x", "a1", "");
+    caller.write_all(text.as_bytes()).await.expect("written");
+    let calls = || {
+        let upstreams = cut.world.upstreams.iter();
+        upstreams
+            .flat_map(ScriptedUpstream::calls)
+            .collect::<Vec<_>>()
+    };
+    until("the call is at an upstream", async || !calls().is_empty()).await;
+    drop(caller);
+    until("the upstream is told", async || {
+        calls().iter().all(|call| call.abandoned_at.is_some())
+    })
+    .await;
+}
+
+// Guards against a refusal that says not run for a call that ran behind another node.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_whose_answer_is_lost_behind_another_node_is_unknown() {
+    let cut = CutWorld::start(CutKind::Refused, script(|_, _| vec![Reset])).await;
+    let answer = cut.send(&request("/once/x", "a1", "")).await;
+    assert_eq!(answer.status, 502, "{}", answer.head);
+    assert_eq!(cut.world.arrivals(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_behind_another_node_is_passed_on() {
+    let refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    let refuses = script(move |_, _| vec![Send(refusal.into())]);
+    let cut = CutWorld::start(CutKind::Refused, refuses).await;
+    let answer = cut.send(&request("/once/x", "a1", "")).await;
+    assert_eq!(answer.status, 503, "{}", answer.head);
+    assert!(answer.has("retry-after: "), "{}", answer.head);
+}
+
+// Guards against nodes that pass a call around while none of them reaches an upstream.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_is_refused_in_time_if_no_node_reaches_an_upstream() {
+    let cut = CutWorld::start(CutKind::Refused, good()).await;
+    for upstream in &cut.world.upstreams {
+        upstream.stop_accepting();
+    }
+    for number in 0..3 {
+        let started = Instant::now();
+        let answer = cut
+            .send(&request("/safe/x", &format!("a{number}"), ""))
+            .await;
+        assert_eq!(answer.status, 503, "{}", answer.head);
+        assert!(
+            started.elapsed() < Duration::from_secs(3),
+            "{:?}",
+            started.elapsed()
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_cannot_send_the_headers_of_nodes() {
+    let world = World::start(&["east"], vec![good()]).await;
+    let more = "X-Monsoonbank-Version: 99\r\nX-Monsoonbank-Sends: 7\r\n";
+    let answer = world.send(&request("/safe/x", "a1", more)).await;
+    assert_eq!(answer.status, 200, "{}", answer.head);
+}
+
+/// Defines a case: the header lines of a node's request to another one, and the status that it gets.
+macro_rules! sent_by_a_node {
+    ($($name:ident: $more:literal => $status:literal;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let world = World::start(&["east"], vec![good()]).await;
+            let text = request("/safe/x", "a1", $more);
+            let answer = send(world.nodes[0].address(4010), text.as_bytes()).await;
+            assert_eq!(answer.status, $status, "{}", answer.head);
+            assert_eq!(world.arrivals(), usize::from($status == 200));
+        }
+    )*};
+}
+
+sent_by_a_node! {
+    a_node_serves_the_call_of_another: "X-Monsoonbank-Version: 1\r\nX-Monsoonbank-Sends: 0\r\n" => 200;
+    a_node_declines_a_call_of_a_newer_configuration:
+        "X-Monsoonbank-Version: 2\r\nX-Monsoonbank-Sends: 0\r\n" => 421;
+    a_node_rejects_a_call_without_its_sends: "X-Monsoonbank-Version: 1\r\n" => 400;
+    a_node_rejects_a_call_with_a_malformed_version:
+        "X-Monsoonbank-Version: x\r\nX-Monsoonbank-Sends: 0\r\n" => 400;
+    a_request_of_a_node_without_its_headers_is_no_call: "" => 404;
+}
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod hubs;
 mod queues;
+mod reach;
 mod shares;
 
 use std::cmp::Reverse;
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -154,6 +154,8 @@
     pub backlog: Vec<BacklogReport>,
     /// Recent work of workspaces at pools whose slots run out.
     pub workspaces: Vec<WorkspaceReport>,
+    /// Hashes of pools to whose upstreams it has no connection.
+    pub unreached: Vec<u64>,
 }
 
 impl NodeHeartbeat {
@@ -185,6 +187,7 @@
             speeds: Vec::new(),
             backlog: Vec::new(),
             workspaces: Vec::new(),
+            unreached: Vec::new(),
         }
     }
 
--- a/kernel/src/gateway/outcome.rs
+++ b/kernel/src/gateway/outcome.rs
@@ -15,6 +15,9 @@
     /// Nothing was sent: nothing listens at the upstream's address.
     #[display("unreachable")]
     Unreachable,
+    /// Nothing was sent: this node reaches no upstream of the pool.
+    #[display("unreached")]
+    Unreached,
     /// The upstream reported that it did not run the call.
     #[display("refused")]
     Refused,
@@ -63,7 +66,10 @@
 
     /// Whether the call was sent to the upstream in this attempt.
     pub fn was_sent(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Withheld | Self::Unreachable)
+        !matches!(
+            self,
+            Self::NotSent | Self::Withheld | Self::Unreachable | Self::Unreached
+        )
     }
 }
 
--- a/kernel/src/gateway/reach.rs
+++ b/kernel/src/gateway/reach.rs
@@ -32,14 +32,17 @@
     }
 
     /// Records that no connection to this upstream of a pool with `usable` upstreams could be
-    /// established. Returns whether the pool is out of reach from now on.
+    /// established. While another pool is out of reach, one failure is enough. Returns whether the
+    /// pool is out of reach from now on.
     pub fn failed(&mut self, pool: &str, key: UpstreamKey, usable: usize, now: Duration) -> bool {
+        let others_lost = self.lost_pools().any(|lost| lost != pool);
         let reach = self.pools.entry(pool.into()).or_default();
         if reach.lost_at.is_some() {
             return false;
         }
         reach.failed.insert(key);
-        let is_lost = reach.failed.len() >= MIN_FAILED_UPSTREAMS.min(usable.max(1));
+        let enough = MIN_FAILED_UPSTREAMS.min(usable.max(1));
+        let is_lost = others_lost || reach.failed.len() >= enough;
         reach.lost_at = is_lost.then_some(now);
         is_lost
     }
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod pace;
 mod partition;
 mod preferred;
+mod reach;
 mod registry;
 mod returns;
 mod rules;
