Keep connections to an upstream that is silent for a second or so

Cause: sent bytes could stay unacknowledged for 1.5 s, which is what a sound upstream's silence may take; the same option decides when keepalive probes give up, whatever their number. A call that may run once then ended as unknown though its upstream went on. Class: a time limit chosen for the fault alone, not for the longest sound pause. Change: 2.5 s. Result: a_silent_upstream_keeps_its_connections failed before and passes.

--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -20,8 +20,10 @@
 /// Time to establish a connection. Availability zones are 1 ms apart and an engine takes 1 ms to
 /// accept, so a host that has not answered by then is down or cut off from the network.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which sent bytes may stay unacknowledged before the connection counts as broken.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for which sent bytes may stay unacknowledged before the connection counts as broken. A sound
+/// upstream may be silent for a second or so. It also bounds keepalive probes: an idle connection
+/// breaks at the first probe that is due after this time.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Idle time after which the operating system sends a keepalive probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest idle time of a connection for a call that must not be repeated, if the upstream
