Leave a call at an upstream that is silent for a second

Cause: two refused probes of a host ended a call after 1 s of silence, so that a stream went on at another upstream while the first was still at work. Change: failed probes count once the silence has lasted 1.5 s.

--- a/daemon/src/gateway/liveness.rs
+++ b/daemon/src/gateway/liveness.rs
@@ -20,6 +20,8 @@
 /// Shortest silence after which a host is probed. A healthy engine pauses for less, and each probe
 /// costs one connection.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
+/// Silence from which on failed probes count. A sound upstream may be silent for a second or so.
+const SOUND_SILENCE: Duration = Duration::from_millis(1500);
 /// Number of probes in a row that must fail, since a single one may be lost in the network.
 const MAX_FAILED_PROBES: u32 = 2;
 
@@ -33,6 +35,7 @@
 ) -> Result<T, FailedAttempt> {
     let mut waiting = pin!(waiting);
     let silence = call.class.gap.unwrap_or(call.class.target).max(MIN_SILENCE);
+    let since = gateway.now();
     let mut failed_probes = 0;
     loop {
         let left = call.deadline.saturating_sub(gateway.now());
@@ -51,7 +54,8 @@
                 failed_probes = if reachable { 0 } else { failed_probes + 1 };
             }
         }
-        if failed_probes >= MAX_FAILED_PROBES {
+        let is_long = gateway.now().saturating_sub(since) >= SOUND_SILENCE;
+        if is_long && failed_probes >= MAX_FAILED_PROBES {
             return Err(lost("its host takes no more connections"));
         }
     }
--- a/daemon/tests/gateway/streams.rs
+++ b/daemon/tests/gateway/streams.rs
@@ -263,6 +263,32 @@
     stays_when_the_call_may_run_only_once: "/stream/x", 0, true => false, 0;
 }
 
+// Guards against a call that is taken from a sound engine which falls silent for a second and goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_stays_at_an_engine_that_is_silent_for_a_second() {
+    let pauses = script(|request, _| {
+        vec![
+            Send(stream_head(request)),
+            Send(events(1, 3)),
+            Wait(Duration::from_millis(1300)),
+            Send(events(4, 6)),
+            Send(b"0\r\n\r\n".to_vec()),
+        ]
+    });
+    let world = World::start(&["east"], vec![pauses.clone(), pauses]).await;
+    let text = request("/resume/x", "a1", "");
+    let sending = world.send(&text);
+    let silencing = async {
+        until("the call is at an upstream", async || world.arrivals() == 1).await;
+        for upstream in &world.upstreams {
+            upstream.stop_accepting();
+        }
+    };
+    let (answer, ()) = tokio::join!(sending, silencing);
+    assert!(answer.complete, "{}", answer.text());
+    assert_eq!((answer.text(), world.arrivals()), (all_events(1, 6), 1));
+}
+
 /// Builds a request for an engine's stream, with its time left and the expected tokens of the
 /// answer.
 fn engine_request(id: &str, left_ms: u64, expected: u32) -> String {
