Let an upstream that bears few refusals rest after each

Cause: a refusal told the node that got it little, and other nodes nothing, so that all kept sending to a full upstream. Class: a bound of the whole fleet that no node kept to. A refusal makes the upstream rest at the node for 0.3 s, or until a second is over once half of what it bears was refused; heartbeats tell others at once, of a node's own refusals only, so that no report circulates. Plain services of such a pool get one call a slot.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -12,6 +12,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod brittle;
 pub mod caches;
 pub mod connections;
 pub mod decisions;
--- a/daemon/src/gateway/decisions/upstream.rs
+++ b/daemon/src/gateway/decisions/upstream.rs
@@ -33,6 +33,15 @@
         /// Reason why the query failed; `None` if it succeeded.
         reason: Option<&'a str>,
     },
+    /// A brittle upstream turned a call away.
+    BrittleRefused {
+        /// Id of the upstream.
+        upstream: &'a str,
+        /// Time for which it gets no calls, in ms.
+        rest_ms: u64,
+        /// `own` if it refused a call of this node, or the name of the node that reported it.
+        source: &'a str,
+    },
     /// An upstream is backed off after failures.
     UpstreamRests {
         /// Id of the upstream.
--- a/daemon/src/gateway/notices.rs
+++ b/daemon/src/gateway/notices.rs
@@ -6,7 +6,7 @@
 use monsoonbank_platform::answer::{AnswerHead, AnswerKind, UpstreamNotices};
 
 use crate::gateway::decisions::{UpstreamDecision, millis};
-use crate::gateway::{Gateway, limits, sync};
+use crate::gateway::{Gateway, brittle, limits, sync};
 
 /// Applies the rate limit and the notices in the head of an upstream's answer.
 pub fn apply_head(gateway: &Gateway, key: UpstreamKey, head: &AnswerHead) {
@@ -17,6 +17,19 @@
         AnswerKind::NotRun if limit.is_some() => limits::record_limit(gateway, key, limit),
         AnswerKind::NotRun | AnswerKind::Moved | AnswerKind::Foreign => {}
     }
+    let refusals = head.notices.refusals;
+    match head.kind {
+        AnswerKind::Success | AnswerKind::Failure => {
+            brittle::record_notice(gateway, key, refusals);
+        }
+        AnswerKind::NotRun => {
+            if refusals.is_some() {
+                brittle::record_notice(gateway, key, refusals);
+            }
+            brittle::record_refusal(gateway, key);
+        }
+        AnswerKind::Moved | AnswerKind::Foreign => {}
+    }
     apply(gateway, key, head.notices);
 }
 
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -20,7 +20,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::usage::UsageSender;
 use crate::gateway::{
-    Gateway, fairness, fetch, limits, quarantine, reach, scope, speeds, sync, usage,
+    Gateway, brittle, fairness, fetch, limits, quarantine, reach, scope, speeds, sync, usage,
 };
 
 /// Number of prompt parts in one datagram, about 16 bytes each.
@@ -140,6 +140,7 @@
         crash_digest: crashes.digest(),
         workspaces: gateway.shares.borrow().reports(now),
         unreached: reach::lost_hashes(gateway),
+        refusals: brittle::recent_reports(&registry, now),
         unix_ms: duties.map_or(0, |_| millis(host_time())),
         holder: duties.and_then(|duties| duties.notice(gateway)),
         ..NodeHeartbeat::new(fleet.own().clone())
@@ -330,6 +331,7 @@
     merge_departures(gateway, &heartbeat, now);
     limits::merge_reports(gateway, &heartbeat.limits, &heartbeat.card.name);
     speeds::merge_reports(gateway, &heartbeat.speeds);
+    brittle::merge_reports(gateway, &heartbeat.refusals, &heartbeat.card.name);
     quarantine::merge_reports(gateway, &heartbeat.crashes, &heartbeat.card.name);
     merge_work(gateway, &heartbeat, now);
     fairness::merge(gateway, &heartbeat, now);
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway as processes, between raw callers, scripted upstreams and a store.
 
 mod backlog;
+mod brittle;
 mod caches;
 mod crashes;
 mod departures;
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -5,6 +5,7 @@
 //! gateway owns the sockets.
 
 pub mod backlog;
+pub mod brittle;
 pub mod budget;
 pub mod cache;
 pub mod capacity;
--- a/kernel/src/gateway/capacity.rs
+++ b/kernel/src/gateway/capacity.rs
@@ -35,6 +35,8 @@
 const UNDISTURBED_SHARE: f64 = 0.125;
 /// Calls per slot of a plain service, which queues a few and ends each within some ms.
 const PLAIN_CALLS_PER_SLOT: f64 = 3.0;
+/// Calls per slot of a plain service that bears few refusals and may queue none.
+const BRITTLE_CALLS_PER_SLOT: f64 = 1.0;
 
 /// Whether an upstream can accept the call without delaying or preempting others. Less urgent calls
 /// leave more capacity free.
@@ -45,7 +47,12 @@
     let total = place.candidate.total;
     let slots = f64::from(place.candidate.upstream.entry.slots);
     if input.cache_tokens == 0 {
-        return f64::from(total.calls) < slots * PLAIN_CALLS_PER_SLOT;
+        let per_slot = if place.brittle {
+            BRITTLE_CALLS_PER_SLOT
+        } else {
+            PLAIN_CALLS_PER_SLOT
+        };
+        return f64::from(total.calls) < slots * per_slot;
     }
     let disrupts =
         prefill > CHUNK_TOKENS && f64::from(total.tight_streams) >= slots * UNDISTURBED_SHARE;
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -212,6 +212,7 @@
     } else {
         BTreeSet::new()
     };
+    let brittle = is_brittle(all, input);
     let source = fetch_source(all, input);
     let known_tokens = known_tokens(all, input);
     let crowding = crowding(all, input);
@@ -234,6 +235,7 @@
                     reserved: reserved.contains(&candidate.key),
                     is_home: home == Some(candidate.key),
                     rank: own_rank(candidate.upstream, input),
+                    brittle,
                 };
                 let mut choice = evaluate(place, input, source, known_tokens);
                 choice.cost += holding_cost(candidate, input, crowding);
@@ -278,6 +280,14 @@
     pub is_home: bool,
     /// Number of sending nodes that rank before this one at this upstream.
     pub rank: usize,
+    /// Whether upstreams of the pool say that they bear few refusals.
+    pub brittle: bool,
+}
+
+/// Whether an upstream of the pool bears few refusals: then all of them may.
+fn is_brittle(all: &[UpstreamCandidate], input: &ChoiceInput) -> bool {
+    let mut states = all.iter().map(|candidate| &candidate.upstream.brittle);
+    states.any(|state| state.refusals(input.now).is_some())
 }
 
 /// Largest number of tokens of shared parts that any upstream has cached or is about to prefill.
--- a/kernel/src/gateway/choice/places.rs
+++ b/kernel/src/gateway/choice/places.rs
@@ -16,6 +16,7 @@
     };
     let all = choice::candidates(registry, input, whole);
     let reserved = partition::reserved_for_tight(&all);
+    let brittle = choice::is_brittle(&all, input);
     let usable = all
         .iter()
         .filter(|candidate| !candidate.backed_off && !input.tried.contains(&candidate.key));
@@ -24,6 +25,7 @@
         reserved: reserved.contains(&candidate.key),
         is_home: false,
         rank: choice::own_rank(candidate.upstream, input),
+        brittle,
     });
     let fits = |place: &CandidatePlace| {
         let cached = choice::cached_tokens(place.candidate, input);
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -178,6 +178,7 @@
         heartbeat.speeds = Vec::new();
         heartbeat.crashes = Vec::new();
         heartbeat.limits = Vec::new();
+        heartbeat.refusals = Vec::new();
         if let Some(age) = heartbeat.store_age() {
             let answered_at = now.saturating_sub(age);
             self.store_answered_at = self.store_answered_at.max(Some(answered_at));
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::backlog::BacklogReport;
+use crate::gateway::brittle::RefusalReport;
 use crate::gateway::crashes::CrashReport;
 use crate::gateway::fairness::WorkspaceReport;
 use crate::gateway::load::WorkCount;
@@ -156,6 +157,8 @@
     pub workspaces: Vec<WorkspaceReport>,
     /// Hashes of pools to whose upstreams it has no connection.
     pub unreached: Vec<u64>,
+    /// Recent refusals of its calls by brittle upstreams.
+    pub refusals: Vec<RefusalReport>,
 }
 
 impl NodeHeartbeat {
@@ -188,6 +191,7 @@
             backlog: Vec::new(),
             workspaces: Vec::new(),
             unreached: Vec::new(),
+            refusals: Vec::new(),
         }
     }
 
--- a/kernel/src/gateway/registry/upstream.rs
+++ b/kernel/src/gateway/registry/upstream.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::gateway::brittle::BrittleState;
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
 use crate::gateway::pause::UpstreamPause;
@@ -48,8 +49,11 @@
     pub health: UpstreamHealth,
     /// Request limit that it advertised.
     pub throttle: UpstreamThrottle,
-    /// Pause that it requested of this node.
+    /// Time for which it gets no requests: a pause that it requested of this node, or a rest after a
+    /// refusal while it is brittle.
     pub pause: UpstreamPause,
+    /// What it says of how many refusals it bears.
+    pub brittle: BrittleState,
 }
 
 impl Upstream {
@@ -63,6 +67,7 @@
             health: UpstreamHealth::default(),
             throttle: UpstreamThrottle::default(),
             pause: UpstreamPause::default(),
+            brittle: BrittleState::default(),
         }
     }
 
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions, each for the failure that it guards against.
 
 mod backlog;
+mod brittle;
 mod budget;
 mod cache;
 mod choice;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 mod api;
 mod batch;
+pub mod brittle;
 mod cache;
 mod chat;
 pub mod engine;
