Report no upstream as failing while its pool is out of reach

Cause: a node whose new connections are refused, as in one kind of cut, told all nodes that sound upstreams fail, and they backed off. Change: heartbeats leave out upstreams of pools that are out of reach. Result: reach::a_node_that_is_cut_off_reports_no_upstream_as_failing failed before and passes.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -107,8 +107,10 @@
             taken_tokens: upstream.load.cache.own_tokens(),
         })
         .collect();
+    let reach = gateway.reach.borrow();
     let failing = registry
         .active()
+        .filter(|(_, upstream)| !reach.is_lost(&upstream.entry.pool))
         .filter(|(_, upstream)| upstream.health.reports_failing(now))
         .map(|(_, upstream)| upstream.entry.run_hash())
         .collect();
--- a/daemon/tests/gateway/reach.rs
+++ b/daemon/tests/gateway/reach.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use monsoonbank_kernel::gateway::heartbeat::{NodeHeartbeat, NodeState};
 use monsoonbank_standin::keyed::KeyedStore;
 use monsoonbank_standin::scripted::ScriptStep::{self, Hang, Reset, Send, Wait};
 use monsoonbank_standin::scripted::{AnswerScript, ScriptedUpstream};
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::time::{Instant, timeout};
 
+use crate::heartbeats::{encode, heartbeat, receive_all, strong};
 use crate::world::{
     RawAnswer, World, configuration, entry, event, events, good, request, script, send,
     stream_head, until, upstream_id,
@@ -309,3 +311,31 @@
         "X-Monsoonbank-Version: x\r\nX-Monsoonbank-Sends: 0\r\n" => 400;
     a_request_of_a_node_without_its_headers_is_no_call: "" => 404;
 }
+
+// Guards against a node that is cut off and tells others that sound upstreams fail.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_is_cut_off_reports_no_upstream_as_failing() {
+    let cut = CutWorld::start(CutKind::Refused, good()).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let mut own = strong(heartbeat(
+        "listener",
+        socket.local_addr().expect("an address"),
+    ));
+    own.card.zone = "west".into();
+    own.card.state = NodeState::Starting;
+    let bytes = encode(&own);
+    let node = cut.world.nodes[0].address(4010);
+    socket.send_to(&bytes, node).await.expect("sent");
+    cut.send(&request("/safe/x", "a1", "")).await;
+    let received = receive_all(&socket).await;
+    let reports: Vec<NodeHeartbeat> = received
+        .iter()
+        .filter_map(|bytes| ciborium::from_reader(&bytes[..]).ok())
+        .filter(|heartbeat: &NodeHeartbeat| !heartbeat.unreached.is_empty())
+        .collect();
+    assert!(!reports.is_empty(), "{} heartbeats", received.len());
+    assert!(
+        reports.iter().all(|report| report.failing.is_empty()),
+        "{reports:?}"
+    );
+}
