Count no crash while the upstreams of a pool are out of reach

Cause: when a node is cut off, the connections under all its calls break, and each counted as a crash of its upstream under the call's content, of which three keep the content from all upstreams. Change: none is counted while the pool is out of reach. Result: reach::a_connection_that_breaks_while_upstreams_are_out_of_reach_is_no_crash failed before and passes; 26 tests of reach and crashes pass.

--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -142,7 +142,8 @@
 ) -> bool {
     let now = gateway.now();
     progress.history.may_have_run |= failed.end.may_have_run();
-    if failed.connection_lost {
+    // All connections of a node that is cut off break, whatever they carry.
+    if failed.connection_lost && !gateway.reach.borrow().is_lost(&call.pool) {
         report_crash(gateway, call, key);
     }
     let retry_allowed = may_retry(gateway, call, progress, failed.end, now);
--- a/daemon/tests/gateway/reach.rs
+++ b/daemon/tests/gateway/reach.rs
@@ -339,3 +339,33 @@
         "{reports:?}"
     );
 }
+
+// Guards against contents of calls that are kept from sound upstreams because the connections of a
+// node that is cut off break under them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_that_breaks_while_upstreams_are_out_of_reach_is_no_crash() {
+    let breaks = script(|_, _| vec![Wait(Duration::from_secs(1)), Reset]);
+    let world = World::start(&["east"], vec![breaks; UPSTREAMS]).await;
+    let text = request("/once/x", "a1", "");
+    let sending = world.send(&text);
+    let cutting = async {
+        until("the call is at an upstream", async || world.arrivals() == 1).await;
+        for upstream in &world.upstreams {
+            upstream.stop_accepting();
+        }
+        let call = request("/safe/x", "a2", "").replace("Ms: 2500", "Ms: 300");
+        world.send(&call).await
+    };
+    let (answer, refused) = tokio::join!(sending, cutting);
+    assert_eq!((answer.status, refused.status), (502, 503));
+    until("the end is recorded", async || {
+        let lines = world.nodes[0].lines();
+        lines
+            .iter()
+            .any(|line| line["event"] == "ended" && line["call"] == "a1")
+    })
+    .await;
+    let lines = world.nodes[0].lines();
+    assert!(lines.iter().any(|line| line["event"] == "reach_lost"));
+    assert!(lines.iter().all(|line| line["event"] != "upstream_broke"));
+}
