Probe other upstreams before a pool counts as out of reach

Cause: where calls go out on idle connections, a few upstreams that crash together are three failed connections in a row. Change: three failures in a row have two other upstreams probed at once; five, or all, put the pool out of reach.

--- a/daemon/src/gateway/reach.rs
+++ b/daemon/src/gateway/reach.rs
@@ -1,11 +1,14 @@
 //! Records whether connections to upstreams come about, and with that whether this node reaches the
 //! pools at all.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use monsoonbank_kernel::gateway::backlog;
 use monsoonbank_kernel::gateway::gossip::GossipUrgency;
+use monsoonbank_kernel::gateway::reach::ReachChange;
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
 
 use crate::gateway::decisions::{NodeDecision, millis};
@@ -13,7 +16,9 @@
 
 /// Number of pools out of reach in one heartbeat, up to nine bytes each.
 const MAX_REPORTS: usize = 8;
-/// Interval between probes of a pool that is out of reach.
+/// Number of upstreams of a pool that are probed at a time.
+const PROBES: usize = 2;
+/// Interval between probes of a pool that is or may be out of reach.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Records that a connection to an upstream of the pool was established.
@@ -32,18 +37,22 @@
 pub fn record_failed(gateway: &Gateway, pool: &str, key: UpstreamKey) {
     let usable = gateway.registry.borrow().usable_count(pool);
     let mut reach = gateway.reach.borrow_mut();
-    let is_lost = reach.failed(pool, key, usable, gateway.now());
+    let change = reach.failed(pool, key, usable, gateway.now());
     drop(reach);
-    if is_lost {
-        close_idle(gateway, pool);
-        // Calls that wait for upstreams of the pool go through other nodes.
-        gateway.capacity_notify.notify_waiters();
-        gateway.reach_notify.notify_one();
-        publish(gateway);
-        gateway
-            .decisions
-            .record(NodeDecision::ReachLost { pool, usable });
+    match change {
+        ReachChange::Unchanged => return,
+        ReachChange::Suspected => {}
+        ReachChange::Lost => {
+            close_idle(gateway, pool);
+            // Calls that wait for upstreams of the pool go through other nodes.
+            gateway.capacity_notify.notify_waiters();
+            publish(gateway);
+            gateway
+                .decisions
+                .record(NodeDecision::ReachLost { pool, usable });
+        }
     }
+    gateway.reach_notify.notify_one();
 }
 
 /// Returns the hashes of pools that are out of reach, for the next heartbeat.
@@ -53,7 +62,8 @@
     hashes.take(MAX_REPORTS).collect()
 }
 
-/// Starts the watch of pools that are out of reach: connections are tried until one comes about.
+/// Starts the watch of pools that are or may be out of reach: connections are tried until one comes
+/// about.
 pub fn start(gateway: &Rc<Gateway>) {
     tokio::task::spawn_local(watch(gateway.clone()));
 }
@@ -61,36 +71,47 @@
 async fn watch(gateway: Rc<Gateway>) {
     let mut turn = 0;
     loop {
-        let lost: Vec<Box<str>> = {
+        let suspected: Vec<Box<str>> = {
             let reach = gateway.reach.borrow();
-            reach.lost_pools().map(Into::into).collect()
+            reach.suspected_pools().map(Into::into).collect()
         };
-        if lost.is_empty() {
+        if suspected.is_empty() {
             gateway.reach_notify.notified().await;
             continue;
         }
-        for pool in lost {
-            probe(&gateway, &pool, turn).await;
+        for pool in suspected {
+            let targets = probe_targets(&gateway, &pool, turn);
+            if targets.is_empty() {
+                // Without upstreams there is nothing to reach.
+                record_connected(&gateway, &pool);
+            }
+            let probes = targets.into_iter();
+            join_all(probes.map(|(key, address)| probe(&gateway, &pool, key, address))).await;
         }
         turn += 1;
-        // A pool that is lost meanwhile is probed at once.
+        // A pool that is suspected meanwhile is probed at once.
         let _ = tokio::time::timeout(PROBE_INTERVAL, gateway.reach_notify.notified()).await;
     }
 }
 
-/// Tries a connection to one upstream of the pool, another one each turn. A pool without upstreams
-/// counts as in reach.
-async fn probe(gateway: &Gateway, pool: &str, turn: usize) {
-    let target = {
-        let registry = gateway.registry.borrow();
-        let count = registry.usable_count(pool).max(1);
-        let usable = registry.usable(pool).nth(turn % count);
-        usable.map(|(key, upstream)| (key, upstream.entry.address))
-    };
-    let Some((key, address)) = target else {
-        record_connected(gateway, pool);
-        return;
-    };
+/// Returns two upstreams of the pool, others each turn, and first those that have not failed.
+fn probe_targets(gateway: &Gateway, pool: &str, turn: usize) -> Vec<(UpstreamKey, SocketAddr)> {
+    let registry = gateway.registry.borrow();
+    let reach = gateway.reach.borrow();
+    let usable = registry.usable(pool).map(|(key, _)| key);
+    let (mut failed, mut targets): (Vec<_>, Vec<_>) =
+        usable.partition(|key| reach.has_failed(pool, *key));
+    for keys in [&mut failed, &mut targets] {
+        let shift = turn * PROBES % keys.len().max(1);
+        keys.rotate_left(shift);
+    }
+    targets.extend(failed);
+    let targets = targets.into_iter().take(PROBES);
+    let address = |key| Some((key, registry.get(key)?.entry.address));
+    targets.filter_map(address).collect()
+}
+
+async fn probe(gateway: &Gateway, pool: &str, key: UpstreamKey, address: SocketAddr) {
     let opened = &gateway.metrics.connections_opened;
     opened.with_label_values(&[pool]).inc();
     match connections::open(key, address).await {
@@ -98,7 +119,10 @@
             record_connected(gateway, pool);
             gateway.connections.release(connection, None, gateway.now());
         }
-        Err(error) => log::debug!("pool {pool} is still out of reach: {error}"),
+        Err(error) => {
+            record_failed(gateway, pool, key);
+            log::debug!("a probe of pool {pool} failed: {error}");
+        }
     }
 }
 
--- a/daemon/tests/gateway/reach.rs
+++ b/daemon/tests/gateway/reach.rs
@@ -369,3 +369,22 @@
     assert!(lines.iter().any(|line| line["event"] == "reach_lost"));
     assert!(lines.iter().all(|line| line["event"] != "upstream_broke"));
 }
+
+// Guards against a node that takes upstreams that crash together for a loss of its own link, and cuts
+// off streams that could go on elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_stays_in_reach_while_some_upstreams_are_down() {
+    let world = World::start(&["east", "west"], vec![good(); 8]).await;
+    for upstream in &world.upstreams[..3] {
+        upstream.stop_accepting();
+    }
+    for number in 0..40 {
+        let answer = world
+            .send(&request("/safe/x", &format!("a{number}"), ""))
+            .await;
+        assert_eq!(answer.status, 200, "{}", answer.head);
+    }
+    let lines = world.nodes[0].lines();
+    assert!(lines.iter().any(|line| line["event"] == "attempt_ended"));
+    assert!(lines.iter().all(|line| line["event"] != "reach_lost"));
+}
