--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod forecast;
 mod gossip;
 mod health;
+mod heartbeat;
 mod lag;
 mod large_pool;
 mod limit_fuzz;
