--- a/daemon/src/gateway/reach.rs
+++ b/daemon/src/gateway/reach.rs
@@ -14,7 +14,7 @@
 use crate::gateway::decisions::{NodeDecision, millis};
 use crate::gateway::{Gateway, connections};
 
-/// Number of pools out of reach in one heartbeat, up to nine bytes each.
+/// Number of pools out of reach in one heartbeat, five bytes each.
 const MAX_REPORTS: usize = 8;
 /// Number of upstreams of a pool that are probed at a time.
 const PROBES: usize = 2;
