Decline no call that was sent on

Cause: a node that got a call from another one, sent it to an upstream, lost the answer and then lost the pool answered 421, which promises that nothing has run; the other node could then refuse the call as not run. Change: the outcome of such a call is unknown (502).

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -41,8 +41,12 @@
                     Err(failed) if failed.end.was_sent() => {
                         return give_up(&gateway, tracker, &progress, failed);
                     }
-                    Err(_) if call.origin != CallOrigin::Caller => {
-                        return indirect::decline(tracker);
+                    Err(failed) if call.origin != CallOrigin::Caller => {
+                        return if progress.history.may_have_run {
+                            give_up(&gateway, tracker, &progress, failed)
+                        } else {
+                            indirect::decline(tracker)
+                        };
                     }
                     Err(_) => progress.here_only = true,
                 }
--- a/daemon/tests/gateway/reach.rs
+++ b/daemon/tests/gateway/reach.rs
@@ -427,3 +427,23 @@
     assert!(lines.iter().any(|line| line["event"] == "attempt_ended"));
     assert!(lines.iter().all(|line| line["event"] != "reach_lost"));
 }
+
+// Guards against a node that tells another one that a call has not run after it sent the call on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_sent_a_call_on_does_not_decline_it() {
+    let breaks = script(|_, _| vec![Wait(Duration::from_millis(500)), Reset]);
+    let world = World::start(&["east"], vec![breaks; UPSTREAMS]).await;
+    let headers = "X-Monsoonbank-Version: 1\r\nX-Monsoonbank-Sends: 0\r\n";
+    let text = request("/safe/x", "a1", headers);
+    let sending = send(world.nodes[0].address(4010), text.as_bytes());
+    let closing = async {
+        until("the call is at an upstream", async || world.arrivals() == 1).await;
+        for upstream in &world.upstreams {
+            upstream.stop_accepting();
+        }
+    };
+    let (answer, ()) = tokio::join!(sending, closing);
+    assert_eq!(answer.status, 502, "{}", answer.head);
+    let lines = world.nodes[0].lines();
+    assert!(lines.iter().any(|line| line["event"] == "reach_lost"));
+}
