Keep the software version of upstreams, and write it and resumed attempts in lines

The lines of a node said neither which version an upstream runs nor which stream a caller resumes, so the hypotheses could be told apart only with the operator's log. Change: an upstream's entry keeps its version, also between nodes; `software` in upstream_changed, sent, resumed and the state dump; `resumes` and `after` in matched.

--- a/daemon/src/gateway/admission.rs
+++ b/daemon/src/gateway/admission.rs
@@ -16,7 +16,7 @@
 use monsoonbank_kernel::gateway::rules::{
     CallClass, CallRule, EngineSpec, RuleTable, WorkspaceSpec,
 };
-use monsoonbank_platform::head::{self, CallHead};
+use monsoonbank_platform::head::{self, CallHead, ResumedAttempt};
 
 use crate::gateway::Gateway;
 use crate::gateway::decisions::{CallDecision, millis};
@@ -194,10 +194,19 @@
         left_ms: millis(timeout),
         since_first_ms: millis(started.saturating_sub(call.first_started)),
         version: rules.version,
+        resumes: named_attempt(&call.head),
+        after: call.head.last_event,
     });
     Ok(Rc::new(call))
 }
 
+fn named_attempt(head: &CallHead) -> Option<&str> {
+    match &head.resumes {
+        ResumedAttempt::Named(id) => Some(id),
+        ResumedAttempt::Missing | ResumedAttempt::Malformed => None,
+    }
+}
+
 /// Returns the time at which the caller's first attempt began: of those that this node refused, or
 /// by what the time left tells.
 fn first_started(
--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -39,6 +39,12 @@
         since_first_ms: u64,
         /// Version of the configuration that was applied to the call.
         version: u64,
+        /// Id of the attempt whose stream the caller resumes; `None` if it names none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes: Option<&'a str>,
+        /// Id of the last event that the caller has received; `None` if it names none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        after: Option<u64>,
     },
     /// A call waited for capacity.
     Waited {
@@ -81,6 +87,8 @@
         call: &'a str,
         /// Id of the upstream.
         upstream: &'a str,
+        /// Version of the upstream's software.
+        software: &'a str,
         /// Number of the attempt, from 1.
         attempt: u32,
         /// Cost of the upstream, in thousandths of the call's latency target.
@@ -146,6 +154,8 @@
         call: &'a str,
         /// Id of the upstream.
         upstream: &'a str,
+        /// Version of the upstream's software.
+        software: &'a str,
         /// Id of the last event that the caller has received; 0 if none.
         after: u64,
     },
--- a/daemon/src/gateway/decisions/upstream.rs
+++ b/daemon/src/gateway/decisions/upstream.rs
@@ -19,6 +19,8 @@
         upstream: &'a str,
         /// Pool of the upstream.
         pool: &'a str,
+        /// Version of its software.
+        software: &'a str,
         /// Reason why it accepts no new calls; `None` if it accepts them.
         left: Option<&'a str>,
         /// Whether its entry disappeared while the store was unreachable.
--- a/daemon/src/gateway/endpoints.rs
+++ b/daemon/src/gateway/endpoints.rs
@@ -353,6 +353,7 @@
             json!({
                 "id": upstream.entry.id,
                 "pool": upstream.entry.pool,
+                "software": upstream.entry.version,
                 "address": upstream.entry.address,
                 "zone": upstream.entry.zone,
                 "left": upstream.left.map(|cause| cause.to_string()),
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -57,11 +57,12 @@
     after: Option<u64>,
 ) -> Result<OpenAttempt, FailedAttempt> {
     let not_sent = |reason: &dyn std::fmt::Display| FailedAttempt::new(AttemptEnd::NotSent, reason);
-    let (id, address) = {
+    let (id, software, address) = {
         let registry = gateway.registry.borrow();
         let upstream = eligibility::check(&registry, choice.key, gateway.now())
             .map_err(|error| FailedAttempt::withheld(error.into()))?;
-        (upstream.entry.id.clone(), upstream.entry.address)
+        let entry = &upstream.entry;
+        (entry.id.clone(), entry.version.clone(), entry.address)
     };
     let work = WorkGuard::begin(gateway, call, choice);
     let mut connection = if let Some(connection) =
@@ -101,6 +102,7 @@
     gateway.decisions.record(CallDecision::Sent {
         call: &call.head.id,
         upstream: &id,
+        software: &software,
         attempt: progress.history.sends,
         cost: choice.cost as i64,
         unread: choice.prefill_tokens,
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -348,6 +348,7 @@
             self.gateway.decisions.record(CallDecision::Resumed {
                 call: &self.call.head.id,
                 upstream: &upstream.entry.id,
+                software: &upstream.entry.version,
                 after: after.unwrap_or(0),
             });
         }
--- a/daemon/src/gateway/sync.rs
+++ b/daemon/src/gateway/sync.rs
@@ -452,6 +452,7 @@
     gateway.decisions.record(UpstreamDecision::UpstreamChanged {
         upstream: &upstream.entry.id,
         pool: &upstream.entry.pool,
+        software: &upstream.entry.version,
         left: left.as_deref(),
         lapsed: upstream.lapsed_at.is_some(),
     });
--- a/kernel/benches/registry.rs
+++ b/kernel/benches/registry.rs
@@ -19,6 +19,7 @@
         pool: "model".into(),
         address: ([10, high, middle, low], 8000).into(),
         zone: "east".into(),
+        version: "v1".into(),
         slots: 64,
         leaving: false,
         spot: false,
--- a/kernel/src/gateway/registry/entry.rs
+++ b/kernel/src/gateway/registry/entry.rs
@@ -18,6 +18,8 @@
     pub address: SocketAddr,
     /// Availability zone that it runs in.
     pub zone: Box<str>,
+    /// Version of the software that it runs.
+    pub version: Box<str>,
     /// Maximum number of calls that it processes at a time.
     pub slots: u32,
     /// Whether it accepts no new calls.
--- a/kernel/tests/gateway/engines.rs
+++ b/kernel/tests/gateway/engines.rs
@@ -20,6 +20,7 @@
             pool: "model".into(),
             address: ([127, 0, 0, 1], port).into(),
             zone: (*zone).into(),
+            version: "v1".into(),
             slots,
             leaving: false,
             spot: false,
--- a/kernel/tests/gateway/preferred.rs
+++ b/kernel/tests/gateway/preferred.rs
@@ -28,6 +28,7 @@
         .into(),
         address: ([10, high, middle, low], 8000).into(),
         zone: format!("zone-{}", number % zones).into(),
+        version: "v1".into(),
         slots: 64,
         leaving: false,
         spot: false,
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -15,6 +15,7 @@
         pool: "model".into(),
         address: ([127, 0, 0, 1], port).into(),
         zone: "east".into(),
+        version: "v1".into(),
         slots: 10,
         leaving,
         spot: false,
