Test streams that go on beside a second software version

Two causes are tested, with one upstream of the version that began the streams, in another zone, and three of another version in the node's own: a stream that breaks off within its answer, and a caller that returns to another node.

--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -18,4 +18,5 @@
 mod streams;
 mod thin;
 mod upstreams;
+mod versions;
 mod world;
--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -238,6 +238,15 @@
             .put("keyed.servers", id, entry.to_string().as_bytes());
     }
 
+    /// Writes the entry of an upstream that runs this version of its software.
+    pub fn register_version(&self, index: usize, id: &str, version: &str, zone: &str) {
+        let mut entry = entry(self.upstreams[index].address(), "ready");
+        entry["version"] = version.into();
+        entry["zone"] = zone.into();
+        self.store
+            .put("keyed.servers", id, entry.to_string().as_bytes());
+    }
+
     /// Removes an upstream's entry.
     pub fn deregister(&self, index: usize) {
         self.store.put("keyed.servers", &upstream_id(index), b"");
