Go on with a stream within its answer only at the software version that began it

Cause: a broken stream was sent on to any upstream of its pool; the version in an upstream's entry was read and dropped. Class: a part of a message's meaning that is not kept beyond the place that reads it. Change: once a stream has begun, a call keeps the version of its upstream, as a hash with the pool's name, and is sent to upstreams of that version only, also to fetch cached parts of its prompt. It takes no turn among calls that may go anywhere: it would block them while only its few upstreams are full. Without an upstream of the version that it was not sent to, it is cut off at once.

--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use monsoonbank_kernel::gateway::eligibility::EligibilityError;
 use monsoonbank_kernel::gateway::gossip::GossipUrgency;
 use monsoonbank_kernel::gateway::outcome::{self, AttemptEnd, CallHistory, NextStep};
-use monsoonbank_kernel::gateway::registry::UpstreamKey;
+use monsoonbank_kernel::gateway::registry::{SoftwareKey, UpstreamKey};
 use monsoonbank_kernel::gateway::rules::CallSafety;
 use monsoonbank_platform::answer::BodyFraming;
 use thiserror::Error;
@@ -29,6 +29,8 @@
 pub struct CallProgress {
     /// Upstreams that the call was sent to or could not be sent to.
     pub tried: Vec<UpstreamKey>,
+    /// Software version that began the call's stream; `None` while it may begin anywhere.
+    pub software: Option<SoftwareKey>,
     /// Outcomes of the attempts so far.
     pub history: CallHistory,
     /// Whether it can only be sent from this node: its stream has begun, or no other node serves it.
@@ -53,6 +55,8 @@
     pub connection: UpstreamConnection,
     /// Accounting of the attempt's work at the upstream.
     pub work: WorkGuard,
+    /// Version of the upstream's software.
+    pub software: SoftwareKey,
     /// Head of the answer, with its body still to be read.
     pub response: Response<Incoming>,
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -89,6 +89,7 @@
         connection,
         work,
         response,
+        ..
     } = attempt;
     let (parts, body) = response.into_parts();
     usage::count(gateway, call, gateway.now().saturating_sub(work.since));
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -57,12 +57,11 @@
     after: Option<u64>,
 ) -> Result<OpenAttempt, FailedAttempt> {
     let not_sent = |reason: &dyn std::fmt::Display| FailedAttempt::new(AttemptEnd::NotSent, reason);
-    let (id, software, address) = {
+    let entry = {
         let registry = gateway.registry.borrow();
         let upstream = eligibility::check(&registry, choice.key, gateway.now())
             .map_err(|error| FailedAttempt::withheld(error.into()))?;
-        let entry = &upstream.entry;
-        (entry.id.clone(), entry.version.clone(), entry.address)
+        upstream.entry.clone()
     };
     let work = WorkGuard::begin(gateway, call, choice);
     let mut connection = if let Some(connection) =
@@ -72,7 +71,7 @@
     {
         connection
     } else {
-        let connection = connections::open(choice.key, address).await;
+        let connection = connections::open(choice.key, entry.address).await;
         gateway
             .metrics
             .connections_opened
@@ -97,12 +96,12 @@
     let time_left = call.deadline.saturating_sub(now);
     let source = choice.fetch_from;
     let fetch_from = source.and_then(|source| address_of(gateway, source));
-    let request = request(call, &id, fetch_from, time_left, after);
+    let request = request(call, &entry.id, fetch_from, time_left, after);
     count_send(gateway, call, progress);
     gateway.decisions.record(CallDecision::Sent {
         call: &call.head.id,
-        upstream: &id,
-        software: &software,
+        upstream: &entry.id,
+        software: &entry.version,
         attempt: progress.history.sends,
         cost: choice.cost as i64,
         unread: choice.prefill_tokens,
@@ -124,6 +123,7 @@
         AnswerKind::Success | AnswerKind::Failure => Ok(OpenAttempt {
             connection,
             work,
+            software: entry.software(),
             response,
         }),
         AnswerKind::NotRun => Err(FailedAttempt::new(AttemptEnd::Refused, &response.status())),
@@ -148,7 +148,9 @@
 fn wait_end(error: WaitError) -> AttemptEnd {
     match error {
         WaitError::Unreached => AttemptEnd::Unreached,
-        WaitError::NoRoom | WaitError::Paused | WaitError::TooLate => AttemptEnd::NotSent,
+        WaitError::NoRoom | WaitError::Paused | WaitError::TooLate | WaitError::NoVersion => {
+            AttemptEnd::NotSent
+        }
     }
 }
 
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -163,16 +163,10 @@
     call: &Call,
     attempt: OpenAttempt,
 ) -> Result<OpenStream, FailedAttempt> {
-    let OpenAttempt {
-        connection,
-        work,
-        response,
-    } = attempt;
-    let (parts, body) = response.into_parts();
+    let (parts, body) = attempt.response.into_parts();
     let attempt = OpenAttempt {
-        connection,
-        work,
         response: Response::new(body),
+        ..attempt
     };
     let mut stream = UpstreamStream {
         parts,
@@ -247,6 +241,7 @@
     let headers = answer::end_to_end_headers(&opened.stream.parts.headers);
     let last_event = call.head.last_event;
     progress.here_only = true;
+    progress.software = Some(opened.stream.attempt.software);
     let stream = CallerStream {
         gateway,
         call,
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -7,6 +7,7 @@
 use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
 use monsoonbank_kernel::gateway::eligibility;
 use monsoonbank_kernel::gateway::heartbeat;
+use monsoonbank_kernel::gateway::registry::SoftwareKey;
 use monsoonbank_kernel::gateway::returns::WAIT_FRACTION;
 use monsoonbank_kernel::gateway::rules::{AnswerForm, CallSafety};
 use monsoonbank_kernel::gateway::waiting::{self, WaitRank};
@@ -58,6 +59,9 @@
     /// The call's stream is not expected to end before the deadline.
     #[display("its stream would not end in time")]
     TooLate,
+    /// The call's stream began at a software version of which no further upstream is left.
+    #[display("no upstream of its stream's software version is left")]
+    NoVersion,
 }
 
 /// Returns whether a call has missed its target and is not expected to end before its deadline
@@ -109,6 +113,19 @@
     true
 }
 
+/// Returns whether no upstream is left to which the call was not sent and that runs the software
+/// version that began its stream.
+fn lacks_version(gateway: &Gateway, call: &Call, progress: &CallProgress) -> bool {
+    let Some(software) = progress.software else {
+        return false;
+    };
+    let registry = gateway.registry.borrow();
+    let mut untried = registry
+        .usable(&call.pool)
+        .filter(|(key, _)| !progress.tried.contains(key));
+    !untried.any(|(_, upstream)| upstream.entry.software() == software)
+}
+
 /// Returns the time until which a call may wait: for a fraction of the time that is left, and no
 /// longer than its caller waits for the first event, less the expected time of that event.
 fn waits_until(gateway: &Gateway, call: &Call) -> Duration {
@@ -129,6 +146,9 @@
     gateway: &'a Gateway,
     call: &'a Call,
     send_by: Duration,
+    /// Software version that began its stream. Such a call waits for a few upstreams only, so it takes
+    /// no turn among those that wait for any.
+    software: Option<SoftwareKey>,
     yields: PlaceYield,
 }
 
@@ -143,6 +163,9 @@
     /// Returns whether another call that waits here goes first. `rank` is the call's position, if it
     /// waits already.
     fn is_blocked(&self, rank: Option<WaitRank>) -> bool {
+        if self.software.is_some() {
+            return false;
+        }
         let now = self.gateway.now();
         let first = fairness::first(self.gateway, self.call);
         first.is_some_and(|first| match rank {
@@ -181,12 +204,13 @@
             repeatable: call.class.safety == CallSafety::Idempotent,
             cache_tokens: call.engine.map_or(0, |engine| engine.cache_tokens),
             answer: speeds::expected_answer(gateway, call),
+            software: self.software,
             tried: &progress.tried,
             now,
         };
         let registry = gateway.registry.borrow();
         let choice = choice::choose(&registry, &input);
-        if !shares_order(call) {
+        if self.software.is_some() || !shares_order(call) {
             return choice;
         }
         let Some(choice) = choice else {
@@ -227,6 +251,9 @@
     if indirect::is_needed(gateway, call, progress) {
         return Err(WaitError::Unreached);
     }
+    if lacks_version(gateway, call, progress) {
+        return Err(WaitError::NoVersion);
+    }
     if cannot_finish(gateway, call, progress, send_by) {
         return Err(WaitError::TooLate);
     }
@@ -234,6 +261,7 @@
         gateway,
         call,
         send_by,
+        software: progress.software,
         yields: PlaceYield::default(),
     };
     let until = waits_until(gateway, call);
@@ -246,18 +274,25 @@
         return Ok(choice);
     }
     let since = gateway.now();
-    let rank = fairness::join(gateway, call, send_by);
-    let position = WaitPosition {
-        gateway,
-        pool: &call.pool,
-        rank,
+    let position = match progress.software {
+        None => Some(WaitPosition {
+            gateway,
+            pool: &call.pool,
+            rank: fairness::join(gateway, call, send_by),
+        }),
+        Some(_) => None,
     };
+    let rank = position.as_ref().map(|position| position.rank);
     let mut found = Err(WaitError::NoRoom);
     while found.is_err() && gateway.now() < until {
         if indirect::is_needed(gateway, call, progress) {
             found = Err(WaitError::Unreached);
             break;
         }
+        if lacks_version(gateway, call, progress) {
+            found = Err(WaitError::NoVersion);
+            break;
+        }
         if cannot_finish(gateway, call, progress, send_by) {
             found = Err(WaitError::TooLate);
             break;
@@ -268,7 +303,7 @@
         }
         let notice = gateway.capacity_notify.notified();
         let _ = tokio::time::timeout(POLL_INTERVAL, notice).await;
-        if turn.is_blocked(Some(rank)) {
+        if turn.is_blocked(rank) {
             fairness::check_share(gateway, call);
         } else {
             found = turn.choose(progress).ok_or(WaitError::NoRoom);
--- a/daemon/tests/gateway/versions.rs
+++ b/daemon/tests/gateway/versions.rs
@@ -212,6 +212,40 @@
     assert_eq!(calls_at_second_version(&world), 0);
 }
 
+// Guards against a caller that is kept waiting for a version that no upstream runs any more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_whose_version_is_gone_is_cut_at_once() {
+    let mut scripts = vec![breaks_off()];
+    scripts.extend(vec![serves_rest(); 2]);
+    let world = World::start(&[], scripts).await;
+    world.deregister(1);
+    world.deregister(2);
+    let world = world.with_nodes(&["east"]).await;
+    all_know(&world, 1).await;
+    let text = request("/resume/x", "a1", "");
+    let sending = world.send(&text);
+    let coming = async {
+        until("the stream has begun", async || {
+            world.upstreams[BEGINNER].calls().len() == 1
+        })
+        .await;
+        world.register_version(1, "i-3", "v2", "east");
+        world.register_version(2, "i-4", "v2", "east");
+        all_know(&world, 3).await;
+    };
+    let (answer, ()) = tokio::join!(sending, coming);
+    assert!(!answer.complete, "{}", answer.text());
+    assert_eq!(answer.text(), all_events(1, BEGUN));
+    assert_eq!(world.arrivals(), 1);
+    let ended = async || {
+        let lines = world.nodes[0].lines();
+        lines.into_iter().find(|line| line["event"] == "ended")
+    };
+    until("the end is recorded", async || ended().await.is_some()).await;
+    let took = ended().await.expect("a line")["took_ms"].as_u64();
+    assert!(took.is_some_and(|took| took < 1800), "{took:?}");
+}
+
 /// Nodes that a stream begins at and is resumed at.
 #[derive(Clone, Copy, Debug)]
 struct ResumePath {
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -19,7 +19,9 @@
 use crate::gateway::load::TOKENS_PER_MS;
 use crate::gateway::partition::{self, UpstreamCandidate};
 use crate::gateway::prompt::PromptShape;
-use crate::gateway::registry::{CandidateWindow, Upstream, UpstreamKey, UpstreamRegistry};
+use crate::gateway::registry::{
+    CandidateWindow, SoftwareKey, Upstream, UpstreamKey, UpstreamRegistry,
+};
 
 /// Delay in ms that each call in a batch adds to the others at an engine of its pool's median speed:
 /// it lengthens each of some hundred steps by a few hundredths of a ms.
@@ -103,12 +105,28 @@
     pub cache_tokens: u64,
     /// Its expected answer; `None` unless the slots of the pool's engines run out.
     pub answer: Option<ExpectedAnswer>,
+    /// Software version that began its stream; `None` if the stream may begin anywhere.
+    pub software: Option<SoftwareKey>,
     /// Upstreams that the call was already sent to.
     pub tried: &'a [UpstreamKey],
     /// Time of the selection, on the monotonic clock.
     pub now: Duration,
 }
 
+impl ChoiceInput<'_> {
+    /// Whether the call may be sent to an upstream or fetch from it.
+    fn admits(&self, candidate: &UpstreamCandidate) -> bool {
+        let entry = &candidate.upstream.entry;
+        let is_same = |software| entry.software() == software;
+        self.software.is_none_or(is_same)
+    }
+
+    /// Whether the call was not sent to an upstream yet and may be.
+    fn may_try(&self, candidate: &UpstreamCandidate) -> bool {
+        !self.tried.contains(&candidate.key) && self.admits(candidate)
+    }
+}
+
 /// A selected upstream and the figures behind the selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct UpstreamChoice {
@@ -221,9 +239,7 @@
     } else {
         None
     };
-    let untried = all
-        .iter()
-        .filter(|candidate| !input.tried.contains(&candidate.key));
+    let untried = all.iter().filter(|candidate| input.may_try(candidate));
     let (backed_off, healthy): (Vec<_>, Vec<_>) =
         untried.partition(|candidate| candidate.backed_off);
     let cheapest = |candidates: &[&UpstreamCandidate]| {
@@ -315,7 +331,7 @@
 fn fetch_source(all: &[UpstreamCandidate], input: &ChoiceInput) -> Option<FetchSource> {
     let (candidate, tokens) = all
         .iter()
-        .filter(|candidate| !candidate.backed_off)
+        .filter(|candidate| !candidate.backed_off && input.admits(candidate))
         .map(|candidate| {
             let cache = &candidate.upstream.load.cache;
             let moment = cache_moment(candidate, input);
@@ -338,7 +354,9 @@
     input: &ChoiceInput,
 ) -> Option<UpstreamKey> {
     let anchor = input.prompt.shared_parts().last()?;
-    let fits = |candidate: &&UpstreamCandidate| reserved.contains(&candidate.key) == input.tight;
+    let fits = |candidate: &&UpstreamCandidate| {
+        reserved.contains(&candidate.key) == input.tight && input.admits(candidate)
+    };
     let any_in_zone = all
         .iter()
         .filter(fits)
--- a/kernel/src/gateway/choice/places.rs
+++ b/kernel/src/gateway/choice/places.rs
@@ -19,7 +19,7 @@
     let brittle = choice::is_brittle(&all, input);
     let usable = all
         .iter()
-        .filter(|candidate| !candidate.backed_off && !input.tried.contains(&candidate.key));
+        .filter(|candidate| !candidate.backed_off && input.may_try(candidate));
     let places = usable.map(|candidate| CandidatePlace {
         candidate,
         reserved: reserved.contains(&candidate.key),
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -16,7 +16,7 @@
 
 pub use crate::gateway::registry::candidates::CandidateWindow;
 use crate::gateway::registry::digest::{BucketDigests, DIGEST_BUCKETS};
-pub use crate::gateway::registry::entry::{RegistryChange, UpstreamEntry};
+pub use crate::gateway::registry::entry::{RegistryChange, SoftwareKey, UpstreamEntry};
 use crate::gateway::registry::order::UpstreamOrder;
 pub use crate::gateway::registry::preferred::PreferredPart;
 use crate::gateway::registry::preferred::PreferredSet;
--- a/kernel/src/gateway/registry/entry.rs
+++ b/kernel/src/gateway/registry/entry.rs
@@ -3,7 +3,13 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Identifies a version of a pool's software, by a hash of both names: 32 bits, five bytes on the
+/// wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareKey(u32);
 
 /// Registry entry that an upstream publishes about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +42,12 @@
     pub fn run_hash(&self) -> u64 {
         xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0)) >> 32
     }
+
+    /// Version of the software that it runs.
+    pub fn software(&self) -> SoftwareKey {
+        let pool = xxh3_64(self.pool.as_bytes());
+        SoftwareKey((xxh3_64_with_seed(self.version.as_bytes(), pool) >> 32) as u32)
+    }
 }
 
 /// A change of the registry.
--- a/kernel/tests/gateway/engines.rs
+++ b/kernel/tests/gateway/engines.rs
@@ -59,6 +59,7 @@
         repeatable: true,
         cache_tokens: 500_000,
         answer: None,
+        software: None,
         tried: &[],
         now: NOW,
     }
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod returns;
 mod rules;
 mod scaling;
+mod software;
 mod speed;
 mod surge;
 mod throttle;
