Take another version under an upstream's id for another run

A stream could go on at a software version that it did not begin at if an upstream came back under its id with another one, on a platform that does not report start times. Cause: an entry with the same id and start time replaced the one before it, with its version; nodes did not learn of that from each other, since a run's hash was made of id and start time. Change: such an entry is a new run, and the hash contains the version. An entry with another pool or address is ignored as before. Result: registry::another_version_under_an_id_is_another_run failed before and passes, with the other tests of the kernel.

--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -142,6 +142,10 @@
         if (&entry.pool, entry.address) != (&upstream.entry.pool, upstream.entry.address) {
             return Vec::new();
         }
+        // The version of a run never changes either, so this is a later run.
+        if entry.version != upstream.entry.version {
+            return self.add(entry);
+        }
         let changed = self.update(key, |upstream| {
             upstream.lapsed_at = None;
             let returns = upstream.left == Some(LeavingCause::Lapsed) && !entry.leaving;
--- a/kernel/src/gateway/registry/entry.rs
+++ b/kernel/src/gateway/registry/entry.rs
@@ -40,7 +40,8 @@
     /// bytes on the wire. Two of 10,000 upstreams collide with a probability of one in a hundred,
     /// which only makes the selection of an upstream worse.
     pub fn run_hash(&self) -> u64 {
-        xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0)) >> 32
+        let run = xxh3_64_with_seed(self.version.as_bytes(), self.born.unwrap_or(0));
+        xxh3_64_with_seed(self.id.as_bytes(), run) >> 32
     }
 
     /// Version of the software that it runs.
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -355,3 +355,29 @@
     }
     assert_eq!(full.digest(), newer.digest());
 }
+
+// Guards against an upstream that is taken for the version that ran under its id before.
+#[test]
+fn another_version_under_an_id_is_another_run() {
+    let mut registry = UpstreamRegistry::default();
+    put(&mut registry, "a", 1, false);
+    let older = registry.key("a").expect("known");
+    let digest = registry.digest();
+    let run = UpstreamEntry {
+        version: "v2".into(),
+        ..entry("a", 1, false)
+    };
+    registry.apply(RegistryChange::Put(run.clone()), true, SECOND);
+    let newer = registry.key("a").expect("known");
+    assert_ne!(older, newer);
+    let left = registry.get(older).expect("known").left;
+    assert_eq!(left, Some(LeavingCause::Replaced));
+    assert_eq!(registry.by_hash(run.run_hash()), Some(newer));
+    assert_eq!(registry.by_hash(entry("a", 1, false).run_hash()), None);
+    assert_ne!(
+        registry.digest(),
+        digest,
+        "nodes learn of it from each other"
+    );
+    assert_eq!(usable(&registry), ["a"]);
+}
