Send a caller that resumes a stream to the pool that began it

A caller whose rule shares calls among pools by weight was refused when it resumed its stream: the pool was drawn by the id of the new attempt, and no upstream of another pool runs a version of the first one. Cause: the draw did not follow the stream. Change: the pool is drawn by the id of the attempt that began the stream.

--- a/daemon/src/gateway/admission.rs
+++ b/daemon/src/gateway/admission.rs
@@ -147,7 +147,7 @@
     let rule = find_rule(&rules, &head, parts.uri.path()).map_err(rejected)?;
     let workspace = find_workspace(&rules, rule, &head).map_err(rejected)?;
     let tier = rules.tier(rule, workspace);
-    let pool: Box<str> = rule.pool(id_hash(&head.id)).into();
+    let pool: Box<str> = rule.pool(id_hash(head.first_attempt())).into();
     let timeout = head
         .time_left
         .unwrap_or(DEFAULT_TIMEOUT)
@@ -298,7 +298,7 @@
     Ok(found)
 }
 
-/// Hashes the call's id to a uniform number, which selects the pool by weight.
+/// Hashes an attempt's id to a uniform number, which selects the pool by weight.
 fn id_hash(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
--- a/daemon/tests/gateway/versions.rs
+++ b/daemon/tests/gateway/versions.rs
@@ -9,14 +9,14 @@
 use monsoonbank_standin::raw::RawRequest;
 use monsoonbank_standin::scripted::AnswerScript;
 use monsoonbank_standin::scripted::ScriptStep::{Hang, Reset, Send, Wait};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::world::{
-    NodeProcess, RawAnswer, World, chunk, event, events, good, request, script, send, stream_head,
-    until,
+    NodeProcess, RawAnswer, World, chunk, configuration, entry, event, events, good, request,
+    script, send, stream_head, until,
 };
 
 /// Number of events of a stream.
@@ -580,6 +580,60 @@
     assert_eq!(calls_at_second_version(&world), 0);
 }
 
+// Guards against a caller that returns to another of the pools that its rule shares calls among.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_in_the_pool_that_began_it() {
+    let either = script(|request, _| {
+        let last = last_event(request);
+        let mut steps = vec![Send(stream_head(request))];
+        if last == 0 {
+            steps.extend([Send(events(1, BEGUN)), Hang]);
+        } else {
+            steps.extend([Send(events(last + 1, EVENTS)), Send(chunk(""))]);
+        }
+        steps
+    });
+    let world = World::start(&[], vec![either; 2]).await;
+    let mut shared = configuration(2);
+    let routes = shared["routes"].as_array_mut().expect("routes");
+    for route in routes {
+        route["backends"] = json!([
+            { "service": "model", "weight": 1 },
+            { "service": "second", "weight": 1 },
+        ]);
+    }
+    let second = json!({ "name": "second", "healthPath": "/healthz", "maxConns": 100,
+        "protocol": "h1", "tls": false });
+    shared["services"]
+        .as_array_mut()
+        .expect("pools")
+        .push(second);
+    world.publish(&shared);
+    let mut entry = entry(world.upstreams[1].address(), "ready");
+    entry["service"] = "second".into();
+    world
+        .store
+        .put("keyed.servers", "i-1", entry.to_string().as_bytes());
+    let world = world.with_nodes(&["east"]).await;
+    all_know(&world, 2).await;
+    for id in STREAMS {
+        let stream = BegunStream::begin(&world.nodes[0], id).await;
+        let first = stream.leave();
+        let answer = resume(&world.nodes[0], &format!("{first}-again"), &first).await;
+        assert_eq!(
+            (answer.status, answer.complete),
+            (200, true),
+            "{}",
+            answer.head
+        );
+    }
+    for upstream in &world.upstreams {
+        let calls = upstream.calls();
+        let resumed = calls.iter().filter(|call| last_event(&call.request) > 0);
+        assert_eq!(resumed.count() * 2, calls.len());
+    }
+}
+
 /// Time in which a node that starts may still learn of others, and asks them.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
 
