Judge by what is left of a stream whether a late call can end in time

Callers that resumed a stream late were refused although little of it was left. Cause: the expected length was that of the whole stream. Change: the events that the caller has are subtracted. Result: streams::a_late_call_that_resumes_is_sent_if_its_rest_can_end_in_time failed before (503) and passes.

--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -80,7 +80,8 @@
     let (Some(engine), AnswerForm::Events { .. }) = (call.engine, call.class.form) else {
         return false;
     };
-    let events = call.head.prompt.expected_events(engine.event_tokens);
+    let received = call.head.last_event.unwrap_or(0) as f64;
+    let events = call.head.prompt.expected_events(engine.event_tokens) - received;
     let left = call.deadline.saturating_sub(now);
     let pace = gateway.pace(call);
     if pace.can_finish(events, left) {
--- a/daemon/tests/gateway/streams.rs
+++ b/daemon/tests/gateway/streams.rs
@@ -302,9 +302,8 @@
         .replace("X-Deadline-Ms: 2500", &format!("X-Deadline-Ms: {left_ms}"))
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_late_call_is_sent_only_if_it_can_end_at_the_pace_of_streams() {
-    // Three events, 100 ms apart.
+/// Starts a node and an engine whose streams have three events, 100 ms apart.
+async fn start_slow_engine() -> World {
     let slow = script(|request, _| {
         let pause = Wait(Duration::from_millis(100));
         let mut steps = vec![Send(stream_head(request))];
@@ -323,6 +322,12 @@
         world.nodes[0].lines().iter().any(in_force)
     })
     .await;
+    world
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_call_is_sent_only_if_it_can_end_at_the_pace_of_streams() {
+    let world = start_slow_engine().await;
     // Callers have 3 s in total, so a call with 1 s left is late.
     let fresh = world.send(&engine_request("a1", 3000, 100)).await;
     assert!(
@@ -341,3 +346,20 @@
     })
     .await;
 }
+
+// Guards against a caller whose stream is refused for the length that it had at its beginning.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_call_that_resumes_is_sent_if_its_rest_can_end_in_time() {
+    let world = start_slow_engine().await;
+    let begun = engine_request("a1", 3000, 100).replace("/stream/x", "/resume/x");
+    assert!(world.send(&begun).await.complete);
+    let resumes = |id: &str, last_event: u32| {
+        let more = format!("Resumes: a1\r\nLast-Event-Id: {last_event}\r\nContent-Length");
+        let text = engine_request(id, 1000, 100).replace("/stream/x", "/resume/x");
+        text.replace("Content-Length", &more)
+    };
+    let long = world.send(&resumes("a2", 3)).await;
+    assert_eq!(long.status, 503, "{}", long.head);
+    let short = world.send(&resumes("a3", 97)).await;
+    assert_eq!(short.status, 200, "{}", short.head);
+}
