Go on with an unnamed stream where its pool had one software version only

Cause: the version was taken from named attempts only, although a pool of one version leaves nothing to guess. Change: such a stream goes on if all upstreams of its rule's only pool that accepted calls in the rule's timeout, the longest time that a stream lasts, run one version. The node has to have known all upstreams for that long, and the store to have answered a node within 2 s. Otherwise it is refused as before. A stream that is named and not known is refused in any case. Result: versions::an_unnamed_stream_goes_on_where_there_was_one_version_only failed before (503); the cases of a version that has just left and of a node that has just started are refused. Five cases in the kernel.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -114,6 +114,8 @@
     pub registry: RefCell<UpstreamRegistry>,
     /// Part of the registry that has been loaded.
     pub scope: Cell<RegistryScope>,
+    /// Time at which that part was loaded first.
+    pub scope_since: Cell<Duration>,
     /// Time until which this node knows all upstreams, whatever its role.
     pub whole_until: Cell<Duration>,
     /// The other nodes, as their heartbeats report them.
@@ -365,6 +367,7 @@
         table: RefCell::default(),
         texts: RefCell::default(),
         registry: RefCell::default(),
+        scope_since: Cell::default(),
         scope: Cell::default(),
         whole_until: Cell::default(),
         fleet: RefCell::new(FleetView::new(own, clock.now())),
--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -161,7 +161,7 @@
     );
     let mut registry = gateway.registry.borrow_mut();
     if failed.end == AttemptEnd::Moved {
-        registry.record_replacement(key);
+        registry.record_replacement(key, now);
         gateway.registry_notify.notify_waiters();
     }
     let Some(upstream) = registry.get_mut(key) else {
--- a/daemon/src/gateway/scope.rs
+++ b/daemon/src/gateway/scope.rs
@@ -58,6 +58,7 @@
     if gateway.scope.replace(scope) == scope {
         return;
     }
+    gateway.scope_since.set(gateway.now());
     gateway.decisions.record(UpstreamDecision::RegistryLoaded {
         scope: &scope.to_string(),
         upstreams: gateway.registry.borrow().usable_total(),
--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -24,6 +24,8 @@
 /// Time for which nodes are asked. One whose share of a core is used up answers within a tenth of a
 /// second.
 const QUERY_TIME: Duration = Duration::from_millis(200);
+/// Time since the store last answered any node within which all nodes know of new upstreams.
+const REGISTRY_AGE: Duration = Duration::from_secs(2);
 /// Time after its start within which a node learns of others: until then it may know none to ask.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
 
@@ -130,7 +132,7 @@
     }
     let since = gateway.now();
     let found = match &call.head.resumes {
-        ResumedAttempt::Missing => Err(StartError::Missing),
+        ResumedAttempt::Missing => sole_version(gateway, call).ok_or(StartError::Missing),
         ResumedAttempt::Malformed => Err(StartError::Malformed),
         ResumedAttempt::Named(attempt) => find_named(gateway, StreamKey::new(attempt)).await,
     };
@@ -144,6 +146,23 @@
     found.map(Some)
 }
 
+/// Returns the software version that must have begun a call's stream, whichever attempt that was: the
+/// only one that its pool had while the stream can have begun.
+fn sole_version(gateway: &Gateway, call: &Call) -> Option<SoftwareKey> {
+    let now = gateway.now();
+    let rules = gateway.rules()?;
+    let rule = rules.find(&call.head.host, call.target.path())?;
+    let answered_at = gateway.fleet.borrow().store_answered_at()?;
+    // A stream lasts no longer than its rule allows.
+    let since = now.checked_sub(rule.class.timeout)?;
+    let is_known = rule.pools.len() == 1
+        && gateway.knows_all_upstreams()
+        && gateway.scope_since.get() <= since
+        && answered_at + REGISTRY_AGE >= now;
+    let registry = gateway.registry.borrow();
+    is_known.then(|| registry.sole_software(&call.pool, since))?
+}
+
 async fn find_named(gateway: &Gateway, stream: StreamKey) -> Result<SoftwareKey, StartError> {
     let known = || {
         let book = gateway.starts.borrow();
--- a/daemon/tests/gateway/versions.rs
+++ b/daemon/tests/gateway/versions.rs
@@ -49,6 +49,20 @@
     })
 }
 
+/// Begins streams, which stop, and serves the rest of those that are resumed.
+fn begins_and_serves_rest() -> AnswerScript {
+    script(|request, _| {
+        let last = last_event(request);
+        let mut steps = vec![Send(stream_head(request))];
+        if last == 0 {
+            steps.extend([Send(events(1, BEGUN)), Hang]);
+        } else {
+            steps.extend([Send(events(last + 1, EVENTS)), Send(chunk(""))]);
+        }
+        steps
+    })
+}
+
 /// Begins streams, which break off once other upstreams are known.
 fn breaks_off() -> AnswerScript {
     script(|request, _| {
@@ -583,17 +597,7 @@
 // Guards against a caller that returns to another of the pools that its rule shares calls among.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_goes_on_in_the_pool_that_began_it() {
-    let either = script(|request, _| {
-        let last = last_event(request);
-        let mut steps = vec![Send(stream_head(request))];
-        if last == 0 {
-            steps.extend([Send(events(1, BEGUN)), Hang]);
-        } else {
-            steps.extend([Send(events(last + 1, EVENTS)), Send(chunk(""))]);
-        }
-        steps
-    });
-    let world = World::start(&[], vec![either; 2]).await;
+    let world = World::start(&[], vec![begins_and_serves_rest(); 2]).await;
     let mut shared = configuration(2);
     let routes = shared["routes"].as_array_mut().expect("routes");
     for route in routes {
@@ -643,6 +647,7 @@
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
         async fn $name() {
             let world = start(&["east", "east", "west"], begins()).await;
+            second_version_comes(&world).await;
             sleep(SETTLE_TIME).await;
             assert_refused(&world, &world.nodes[0], $more).await;
         }
@@ -667,3 +672,59 @@
         .await;
     assert_eq!(answer.status, 200, "{}", answer.head);
 }
+
+/// Header line of a caller that does not name the attempt which began its stream.
+const UNNAMED: &str = "Last-Event-Id: 3\r\n";
+/// A little more than the timeout of the rules, which is the longest time that a stream lasts.
+const STREAM_TIME: Duration = Duration::from_millis(3200);
+
+/// Starts a node with one upstream, which has known it for longer than a stream lasts.
+async fn start_with_one_version() -> World {
+    let scripts = vec![begins_and_serves_rest(); 2];
+    let world = World::start(&[], scripts).await;
+    world.deregister(1);
+    let world = world.with_nodes(&["east"]).await;
+    sleep(STREAM_TIME).await;
+    world
+}
+
+// Guards against callers who are refused although their streams can have begun at one version only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unnamed_stream_goes_on_where_there_was_one_version_only() {
+    let world = start_with_one_version().await;
+    BegunStream::begin(&world.nodes[0], "a1").await.leave();
+    let answer = world.send(&request("/resume/x", "a2", UNNAMED)).await;
+    assert_eq!(
+        (answer.status, answer.complete),
+        (200, true),
+        "{}",
+        answer.head
+    );
+    assert_eq!(answer.text(), all_events(BEGUN + 1, EVENTS));
+}
+
+// Guards against an unnamed stream that goes on at a version which replaced its own just now.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unnamed_stream_is_refused_where_another_version_has_just_left() {
+    let world = start_with_one_version().await;
+    BegunStream::begin(&world.nodes[0], "a1").await.leave();
+    world.register_version(1, "i-1", "v2", "east");
+    knows(&world.nodes[0], 2).await;
+    world.deregister(BEGINNER);
+    knows(&world.nodes[0], 1).await;
+    assert_refused(&world, &world.nodes[0], UNNAMED).await;
+}
+
+// Guards against a node that has started too late to know which versions there were.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unnamed_stream_is_refused_at_a_node_that_has_just_started() {
+    let world = World::start(&[], vec![begins_and_serves_rest()]).await;
+    let mut long = configuration(2);
+    for route in long["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = 60_000.into();
+    }
+    world.publish(&long);
+    let world = world.with_nodes(&["east"]).await;
+    BegunStream::begin(&world.nodes[0], "a1").await.leave();
+    assert_refused(&world, &world.nodes[0], UNNAMED).await;
+}
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -72,7 +72,7 @@
         now: Duration,
     ) -> Vec<UpstreamKey> {
         let changed = match change {
-            RegistryChange::Put(entry) => self.put(entry),
+            RegistryChange::Put(entry) => self.put(entry, now),
             RegistryChange::Removed(id) => self.remove(&id, trusted, now).into_iter().collect(),
         };
         for key in &changed {
@@ -85,7 +85,7 @@
     /// that is a change.
     pub fn receive_departure(&mut self, hash: u64, now: Duration) -> Option<UpstreamKey> {
         let key = self.by_hash(hash)?;
-        if !self.leave(key, LeavingCause::Removed) {
+        if !self.leave(key, LeavingCause::Removed, now) {
             return None;
         }
         self.record_departure(key, now);
@@ -94,7 +94,7 @@
 
     /// Records that an upstream announced in an answer that it leaves. Returns whether that is new.
     pub fn record_announcement(&mut self, key: UpstreamKey, now: Duration) -> bool {
-        let is_change = self.leave(key, LeavingCause::Announced);
+        let is_change = self.leave(key, LeavingCause::Announced, now);
         if is_change {
             self.record_departure(key, now);
         }
@@ -124,17 +124,17 @@
         }
     }
 
-    fn put(&mut self, entry: UpstreamEntry) -> Vec<UpstreamKey> {
+    fn put(&mut self, entry: UpstreamEntry, now: Duration) -> Vec<UpstreamKey> {
         let known = self.keys.get(&entry.id).copied();
         let Some((key, upstream)) =
             known.and_then(|key| Some((key, self.upstreams.get_mut(&key)?)))
         else {
-            return self.add(entry);
+            return self.add(entry, now);
         };
         match entry.born.cmp(&upstream.entry.born) {
             // A late heartbeat of an older run, or an entry of another writer.
             Ordering::Less => return Vec::new(),
-            Ordering::Greater => return self.add(entry),
+            Ordering::Greater => return self.add(entry, now),
             Ordering::Equal => {}
         }
         // The pool and address of a run never change: an entry with others was not published by the
@@ -144,15 +144,16 @@
         }
         // The version of a run never changes either, so this is a later run.
         if entry.version != upstream.entry.version {
-            return self.add(entry);
+            return self.add(entry, now);
         }
         let changed = self.update(key, |upstream| {
             upstream.lapsed_at = None;
             let returns = upstream.left == Some(LeavingCause::Lapsed) && !entry.leaving;
             if returns {
                 upstream.left = None;
+                upstream.left_at = None;
             }
-            let leaves = entry.leaving && upstream.leave(LeavingCause::Draining);
+            let leaves = entry.leaving && upstream.leave(LeavingCause::Draining, now);
             let differs = upstream.entry != entry;
             upstream.entry = entry;
             returns || leaves || differs
@@ -168,7 +169,7 @@
     /// replaces: of the same id, and of the same pool at the same address. Another pool's entry for
     /// the address replaces nothing: it may be false, and an upstream rejects a call that is meant
     /// for another one.
-    fn add(&mut self, entry: UpstreamEntry) -> Vec<UpstreamKey> {
+    fn add(&mut self, entry: UpstreamEntry, now: Duration) -> Vec<UpstreamKey> {
         let key = UpstreamKey(self.next_key);
         self.next_key += 1;
         let mut changed = vec![key];
@@ -182,12 +183,12 @@
         self.keys.insert(entry.id.clone(), key);
         let older_there = self.places.insert(place, key);
         for older_key in older_run.into_iter().chain(older_there) {
-            if self.leave(older_key, LeavingCause::Replaced) {
+            if self.leave(older_key, LeavingCause::Replaced, now) {
                 changed.push(older_key);
             }
         }
         self.hashes.insert(entry.run_hash(), key);
-        let upstream = Upstream::new(entry);
+        let upstream = Upstream::new(entry, now);
         self.digests
             .toggle(upstream.bucket(), upstream.state_hash());
         let is_usable = upstream.left.is_none();
@@ -262,8 +263,8 @@
     }
 
     /// Records that an upstream accepts no new calls. Returns whether that is a change.
-    fn leave(&mut self, key: UpstreamKey, cause: LeavingCause) -> bool {
-        self.update(key, |upstream| upstream.leave(cause)) == Some(true)
+    fn leave(&mut self, key: UpstreamKey, cause: LeavingCause, now: Duration) -> bool {
+        self.update(key, |upstream| upstream.leave(cause, now)) == Some(true)
     }
 
     fn remove(&mut self, id: &str, trusted: bool, now: Duration) -> Option<UpstreamKey> {
@@ -277,7 +278,7 @@
             self.lapsed.insert(key);
             return Some(key);
         }
-        self.leave(key, LeavingCause::Removed);
+        self.leave(key, LeavingCause::Removed, now);
         Some(key)
     }
 
@@ -312,14 +313,26 @@
         let mut gone: Vec<UpstreamKey> = self.lapsed.iter().copied().collect();
         gone.retain(|key| upstreams.get(key).is_some_and(due));
         for key in &gone {
-            self.leave(*key, LeavingCause::Lapsed);
+            self.leave(*key, LeavingCause::Lapsed, now);
         }
         gone
     }
 
     /// Records that another upstream answers at this one's address.
-    pub fn record_replacement(&mut self, key: UpstreamKey) {
-        self.leave(key, LeavingCause::Replaced);
+    pub fn record_replacement(&mut self, key: UpstreamKey, now: Duration) {
+        self.leave(key, LeavingCause::Replaced, now);
+    }
+
+    /// Software version of all upstreams of a pool that accepted calls at some time since `since`, as
+    /// far as they are known here; `None` if there were none or several versions.
+    pub fn sole_software(&self, pool: &str, since: Duration) -> Option<SoftwareKey> {
+        let accepted = |upstream: &&Upstream| {
+            &*upstream.entry.pool == pool && upstream.left_at.is_none_or(|at| at >= since)
+        };
+        let mut upstreams = self.upstreams.values().filter(accepted);
+        let software = upstreams.next()?.entry.software();
+        let is_same = |upstream: &Upstream| upstream.entry.software() == software;
+        upstreams.all(is_same).then_some(software)
     }
 
     /// State of an upstream; `None` if the key is unknown.
--- a/kernel/src/gateway/registry/upstream.rs
+++ b/kernel/src/gateway/registry/upstream.rs
@@ -40,6 +40,8 @@
     /// Reason why it accepts no new calls; `None` if it accepts them. Never cleared for a run,
     /// except for `Lapsed`.
     pub left: Option<LeavingCause>,
+    /// Time at which this node learned that it accepts no new calls.
+    pub left_at: Option<Duration>,
     /// Time since when its entry has been missing while the registry was not trusted; `None` if it
     /// is not.
     pub lapsed_at: Option<Duration>,
@@ -58,9 +60,10 @@
 
 impl Upstream {
     /// Creates the state of a run of which only its entry is known.
-    pub(super) fn new(entry: UpstreamEntry) -> Self {
+    pub(super) fn new(entry: UpstreamEntry, now: Duration) -> Self {
         Self {
             left: entry.leaving.then_some(LeavingCause::Draining),
+            left_at: entry.leaving.then_some(now),
             entry,
             lapsed_at: None,
             load: UpstreamLoad::default(),
@@ -97,12 +100,13 @@
 
     /// Records that it accepts no new calls. Returns whether that is a change. A lapsed entry may
     /// return, so any other cause replaces that one.
-    pub(super) fn leave(&mut self, cause: LeavingCause) -> bool {
+    pub(super) fn leave(&mut self, cause: LeavingCause, now: Duration) -> bool {
         if self.left.is_some_and(|left| left != LeavingCause::Lapsed) {
             return false;
         }
         let is_change = self.left != Some(cause);
         self.left = Some(cause);
+        self.left_at.get_or_insert(now);
         self.lapsed_at = None;
         is_change
     }
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -308,7 +308,7 @@
     registry.receive_departure(b.entry.run_hash(), START);
     differs(&registry, "departed");
     let c = key(&registry, "c");
-    registry.record_replacement(c);
+    registry.record_replacement(c, START);
     differs(&registry, "replaced");
     registry.retain(
         &["a".into(), "b".into(), "c".into(), "e".into()],
--- a/kernel/tests/gateway/software.rs
+++ b/kernel/tests/gateway/software.rs
@@ -133,3 +133,29 @@
     let found = chosen(&registry, Some(software("model", "v1")));
     assert_eq!(found.as_deref(), Some("u5000"));
 }
+
+/// Defines a case: versions of the pool's upstreams, those that have left, the time in ms since when streams can have begun, and the version that must have begun them.
+macro_rules! sole_versions {
+    ($($name:ident: $versions:expr, $left:expr, $since:literal => $sole:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut registry = pool(&$versions);
+            let left_at = NOW + Duration::from_secs(1);
+            let left: &[&str] = &$left;
+            for id in left {
+                registry.apply(RegistryChange::Removed((*id).into()), true, left_at);
+            }
+            let since = NOW + Duration::from_millis($since);
+            assert_eq!(registry.sole_software("model", since), $sole);
+        }
+    )*};
+}
+
+// Guards against a version that is taken for the only one.
+sole_versions! {
+    no_upstream_has_no_version: [], [], 0 => None;
+    one_version_is_the_only_one: ["v1", "v1"], [], 0 => Some(software("model", "v1"));
+    two_versions_are_not_told_apart: ["v1", "v2"], [], 0 => None;
+    a_version_that_left_later_counts: ["v1", "v2"], ["u0"], 1000 => None;
+    a_version_that_left_before_does_not_count: ["v1", "v2"], ["u0"], 1001 => Some(software("model", "v2"));
+}
