Say why a caller that resumes a stream is refused

Cause: a refusal for want of a known version, or of an upstream that runs it, had no line of its own, so monsoon why named the wrong cause or none. Change: start_looked_up gives a reason, version_gone is written, and monsoon why names both. A ledger of starts is compared with an oracle over 200 random orders of messages. Result: tool::why_start_unknown and why_version_gone; starts::a_ledger_knows_what_an_oracle_knows.

--- a/cli/src/why.rs
+++ b/cli/src/why.rs
@@ -107,6 +107,12 @@
     Quarantined { content: Box<str>, crashes: u64 },
     #[display("all upstreams of {pool} had asked for a pause; it did not run")]
     Paused { pool: Box<str> },
+    #[display("the software version that began its stream is not known: {reason}; it did not run")]
+    StartUnknown { reason: Box<str> },
+    #[display(
+        "no further upstream of {pool} runs the software version that began its stream; it did not run"
+    )]
+    VersionGone { pool: Box<str> },
     #[display("{upstream} did not take it ({end}: {reason}); it did not run")]
     Rejected {
         upstream: Box<str>,
@@ -157,6 +163,8 @@
             Self::TooLate { .. } => "too late",
             Self::Quarantined { .. } => "quarantined",
             Self::Paused { .. } => "pool paused",
+            Self::StartUnknown { .. } => "stream not known",
+            Self::VersionGone { .. } => "version gone",
             Self::Rejected { .. } => "not taken",
             Self::NodeLeaving => "node leaving",
             Self::Failed { .. } => "upstream failed",
@@ -232,6 +240,16 @@
             crashes: number(line, "crashes"),
         };
     }
+    if let Some(line) = last("start_looked_up").filter(|line| line["known"] == false) {
+        return CallCause::StartUnknown {
+            reason: text(line, "reason"),
+        };
+    }
+    if let Some(line) = last("version_gone") {
+        return CallCause::VersionGone {
+            pool: text(line, "pool"),
+        };
+    }
     if let Some(line) = last("pool_paused") {
         return CallCause::Paused {
             pool: text(line, "pool"),
--- a/cli/tests/tool/main.rs
+++ b/cli/tests/tool/main.rs
@@ -20,6 +20,7 @@
 const BROKEN: &str = "cli/tests/tool/broken.yaml";
 
 const DECISION_LOG: &str = "cli/tests/tool/decisions.log";
+const RESUMPTION_LOG: &str = "cli/tests/tool/resumptions.log";
 const PAYER_LOG: &str = "cli/tests/tool/payers.log";
 
 golden!(why_no_room, "why", "c1", "--logs", DECISION_LOG);
@@ -37,6 +38,8 @@
     "--logs",
     DECISION_LOG
 );
+golden!(why_start_unknown, "why", "c1", "--logs", RESUMPTION_LOG);
+golden!(why_version_gone, "why", "c2", "--logs", RESUMPTION_LOG);
 golden!(why_unfinished, "why", "c5", "--logs", DECISION_LOG);
 golden!(why_unknown_call, "why", "c9", "--logs", DECISION_LOG);
 golden!(why_summary, "why", "--summary", "--logs", DECISION_LOG);
--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -50,11 +50,21 @@
     StartLookedUp {
         /// Id of the call.
         call: &'a str,
-        /// Whether this node or another one knew it.
+        /// Whether it is known.
         known: bool,
+        /// Reason why it is not.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reason: Option<&'a str>,
         /// Time that it took, in ms.
         took_ms: u64,
     },
+    /// No upstream that a call was not sent to is left of the software version that began its stream.
+    VersionGone {
+        /// Id of the call.
+        call: &'a str,
+        /// Name of the pool.
+        pool: &'a str,
+    },
     /// A call waited for capacity.
     Waited {
         /// Id of the call.
--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -137,10 +137,12 @@
         ResumedAttempt::Named(attempt) => find_named(gateway, StreamKey::new(attempt)).await,
     };
     let outcome = if found.is_ok() { "known" } else { "unknown" };
+    let reason = found.as_ref().err().map(StartError::to_string);
     gateway.metrics.count_resumption(outcome);
     gateway.decisions.record(CallDecision::StartLookedUp {
         call: &call.head.id,
         known: found.is_ok(),
+        reason: reason.as_deref(),
         took_ms: millis(gateway.now().saturating_sub(since)),
     });
     found.map(Some)
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -124,7 +124,14 @@
     let mut untried = registry
         .usable(&call.pool)
         .filter(|(key, _)| !progress.tried.contains(key));
-    !untried.any(|(_, upstream)| upstream.entry.software() == software)
+    if untried.any(|(_, upstream)| upstream.entry.software() == software) {
+        return false;
+    }
+    gateway.decisions.record(CallDecision::VersionGone {
+        call: &call.head.id,
+        pool: &call.pool,
+    });
+    true
 }
 
 /// Returns the time until which a call may wait: for a fraction of the time that is left, and no
--- a/kernel/tests/gateway/software.rs
+++ b/kernel/tests/gateway/software.rs
@@ -134,7 +134,8 @@
     assert_eq!(found.as_deref(), Some("u5000"));
 }
 
-/// Defines a case: versions of the pool's upstreams, those that have left, the time in ms since when streams can have begun, and the version that must have begun them.
+/// Defines a case: versions of the pool's upstreams, those that have left, the time in ms since when
+/// streams can have begun, and the version that must have begun them.
 macro_rules! sole_versions {
     ($($name:ident: $versions:expr, $left:expr, $since:literal => $sole:expr;)*) => {$(
         #[test]
--- a/kernel/tests/gateway/starts.rs
+++ b/kernel/tests/gateway/starts.rs
@@ -1,6 +1,6 @@
 //! Tests of the software versions that nodes keep of streams, in fleets of the sizes that are built for.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -94,6 +94,59 @@
     assert!((200..=221).contains(&told), "{told} in ten seconds");
 }
 
+/// What a ledger has to know: the version that each stream was recorded with first, and until when.
+#[derive(Default)]
+struct StartOracle(BTreeMap<String, (SoftwareKey, Duration)>);
+
+impl StartOracle {
+    fn record(&mut self, attempt: &str, software: SoftwareKey, until: Duration, now: Duration) {
+        self.0.retain(|_, (_, until)| *until > now);
+        let known = self
+            .0
+            .entry(attempt.to_owned())
+            .or_insert((software, until));
+        known.1 = known.1.max(until);
+    }
+
+    fn found(&self, attempt: &str, now: Duration) -> Option<SoftwareKey> {
+        let known = self.0.get(attempt).filter(|(_, until)| *until > now);
+        known.map(|(software, _)| *software)
+    }
+}
+
+// Guards against a stream that is forgotten early, kept late or given another version, in any order of
+// messages.
+#[test]
+fn a_ledger_knows_what_an_oracle_knows() {
+    for seed in 0..200 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut ledger = StartLedger::default();
+        let mut oracle = StartOracle::default();
+        let mut now = NOW;
+        for _ in 0..400 {
+            now += Duration::from_millis(random.random_range(0..2000));
+            let attempt = random.random_range(0..12).to_string();
+            let start = StreamStart {
+                software: software(["v1", "v2", "v3"][random.random_range(0..3)]),
+                ..began(&attempt, SECOND * random.random_range(0..40))
+            };
+            if random.random_bool(0.5) {
+                let until = now + SECOND * start.left_s;
+                oracle.record(&attempt, start.software, until, now);
+                ledger.record(start, now);
+            }
+            if random.random_bool(0.1) {
+                ledger.expire(now);
+            }
+            assert_eq!(
+                found(&ledger, &attempt, now),
+                oracle.found(&attempt, now),
+                "seed {seed}"
+            );
+        }
+    }
+}
+
 /// How many of the streams of nodes that were lost are found by the nodes that are left.
 struct KeptShare {
     /// Found by callers who return to the same zone; `None` if no node of it is left.
