Count only streams that are told to further keepers against their bound

Cause: the bound was used up by streams that had no further keeper. Change: it is asked for when there is one.

--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -102,15 +102,14 @@
     let timeout = call.head.time_left.unwrap_or(DEFAULT_TIMEOUT);
     let left = (call.started + timeout).saturating_sub(now);
     let start = StreamStart::new(stream, software, left);
-    let is_bounded = {
+    let keepers = gateway.fleet.borrow().start_keepers(stream, now);
+    let recipients: Vec<SocketAddr> = {
         let ledger = &mut gateway.starts.borrow_mut().ledger;
         ledger.record(start, now);
-        !ledger.may_tell_far(now)
+        let further = keepers.further.filter(|_| ledger.may_tell_further(now));
+        keepers.required.into_iter().chain(further).collect()
     };
-    let keepers = gateway.fleet.borrow().start_keepers(stream, now);
-    let further = keepers.further.filter(|_| !is_bounded);
     let message = NodeMessage::Start(StartMessage::Began(start));
-    let recipients: Vec<SocketAddr> = keepers.required.into_iter().chain(further).collect();
     send(gateway, &recipients, &message).await;
 }
 
--- a/kernel/src/gateway/starts.rs
+++ b/kernel/src/gateway/starts.rs
@@ -21,7 +21,7 @@
 const MAX_TTL: Duration = Duration::from_mins(10);
 /// Number of streams a second that are told to further keepers in other availability zones, where
 /// the hubs receive those of all nodes.
-const FAR_PER_SECOND: u32 = 20;
+const FURTHER_PER_SECOND: u32 = 20;
 
 /// Identifies a stream by a hash of the id of the caller's attempt that began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -89,8 +89,8 @@
     starts: BTreeMap<StreamKey, KnownStart>,
     /// The same streams in the order in which they expire.
     ends: BTreeSet<(Duration, StreamKey)>,
-    /// Time until which the streams told to further keepers use up `FAR_PER_SECOND`.
-    far_until: Duration,
+    /// Time until which the streams told to further keepers use up `FURTHER_PER_SECOND`.
+    further_until: Duration,
 }
 
 impl StartLedger {
@@ -128,14 +128,14 @@
     }
 
     /// Whether the start of one more stream may be told to further keepers in other zones.
-    pub fn may_tell_far(&mut self, now: Duration) -> bool {
+    pub fn may_tell_further(&mut self, now: Duration) -> bool {
         let until = self
-            .far_until
+            .further_until
             .max(now.saturating_sub(Duration::from_secs(1)));
         if until > now {
             return false;
         }
-        self.far_until = until + Duration::from_secs(1) / FAR_PER_SECOND;
+        self.further_until = until + Duration::from_secs(1) / FURTHER_PER_SECOND;
         true
     }
 
--- a/kernel/tests/gateway/starts.rs
+++ b/kernel/tests/gateway/starts.rs
@@ -89,7 +89,7 @@
 fn few_streams_a_second_are_told_to_further_keepers() {
     let mut ledger = StartLedger::default();
     let told =
-        (0..1000).filter(|step| ledger.may_tell_far(NOW + Duration::from_millis(10) * *step));
+        (0..1000).filter(|step| ledger.may_tell_further(NOW + Duration::from_millis(10) * *step));
     let told = told.count();
     assert!((200..=221).contains(&told), "{told} in ten seconds");
 }
