Go on with unnamed streams at nodes that have just started, if nodes agree on one version

Cause: a node that has known all upstreams for less than a stream can last trusted nothing, even where no node knows of a second version. Change: such a node counts all upstreams that it knows, with those that have left, and goes on if these have one version and every node that it hears has the same digest of them.

--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::message::NodeMessage;
-use monsoonbank_kernel::gateway::registry::SoftwareKey;
+use monsoonbank_kernel::gateway::registry::{SoftwareKey, UpstreamRegistry};
 use monsoonbank_kernel::gateway::rules::AnswerForm;
 use monsoonbank_kernel::gateway::starts::{StartLedger, StartMessage, StreamKey, StreamStart};
 use monsoonbank_platform::head::ResumedAttempt;
@@ -154,14 +154,30 @@
     let rules = gateway.rules()?;
     let rule = rules.find(&call.head.host, call.target.path())?;
     let answered_at = gateway.fleet.borrow().store_answered_at()?;
-    // A stream lasts no longer than its rule allows.
-    let since = now.checked_sub(rule.class.timeout)?;
-    let is_known = rule.pools.len() == 1
-        && gateway.knows_all_upstreams()
-        && gateway.scope_since.get() <= since
-        && answered_at + REGISTRY_AGE >= now;
+    let is_known =
+        rule.pools.len() == 1 && gateway.knows_all_upstreams() && answered_at + REGISTRY_AGE >= now;
+    if !is_known {
+        return None;
+    }
     let registry = gateway.registry.borrow();
-    is_known.then(|| registry.sole_software(&call.pool, since))?
+    // A stream lasts no longer than its rule allows.
+    let since = now.saturating_sub(rule.class.timeout);
+    if gateway.scope_since.get() <= since {
+        return registry.sole_software(&call.pool, since);
+    }
+    // Nodes that have been there for longer may know upstreams that have left.
+    agrees_with_peers(gateway, &registry)
+        .then(|| registry.sole_software(&call.pool, Duration::ZERO))?
+}
+
+/// Returns whether no other node knows upstreams that this one does not know.
+fn agrees_with_peers(gateway: &Gateway, registry: &UpstreamRegistry) -> bool {
+    let own = registry.digest();
+    let fleet = gateway.fleet.borrow();
+    let mut digests = fleet
+        .live(gateway.now())
+        .map(|peer| peer.heartbeat.registry_digest);
+    digests.all(|digest| digest == 0 || digest == own)
 }
 
 async fn find_named(gateway: &Gateway, stream: StreamKey) -> Result<SoftwareKey, StartError> {
