Let a stream take its turn where its pool has one software version

Cause, suspected: a stream that goes on took no turn among waiting calls, so that callers who came back went before more urgent ones that came first. That was meant for pools of several versions, where a turn would hold up calls that may go anywhere; with one version there is nothing to hold up. Change: such a call takes its turn as before unless upstreams of its pool run another version.

--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -114,6 +114,16 @@
     true
 }
 
+/// Returns whether upstreams of the call's pool run another software version than the one that began
+/// its stream.
+fn is_bound(gateway: &Gateway, call: &Call, progress: &CallProgress) -> bool {
+    let Some(software) = progress.software else {
+        return false;
+    };
+    let registry = gateway.registry.borrow();
+    registry.has_other_software(&call.pool, software)
+}
+
 /// Returns whether no upstream is left to which the call was not sent and that runs the software
 /// version that began its stream.
 fn lacks_version(gateway: &Gateway, call: &Call, progress: &CallProgress) -> bool {
@@ -154,9 +164,11 @@
     gateway: &'a Gateway,
     call: &'a Call,
     send_by: Duration,
-    /// Software version that began its stream. Such a call waits for a few upstreams only, so it takes
-    /// no turn among those that wait for any.
+    /// Software version that began its stream.
     software: Option<SoftwareKey>,
+    /// Whether it may go to a few of its pool's upstreams only. It takes no turn then: it would hold up
+    /// those that may go to any while these few are full.
+    is_bound: bool,
     yields: PlaceYield,
 }
 
@@ -171,7 +183,7 @@
     /// Returns whether another call that waits here goes first. `rank` is the call's position, if it
     /// waits already.
     fn is_blocked(&self, rank: Option<WaitRank>) -> bool {
-        if self.software.is_some() {
+        if self.is_bound {
             return false;
         }
         let now = self.gateway.now();
@@ -218,7 +230,7 @@
         };
         let registry = gateway.registry.borrow();
         let choice = choice::choose(&registry, &input);
-        if self.software.is_some() || !shares_order(call) {
+        if self.is_bound || !shares_order(call) {
             return choice;
         }
         let Some(choice) = choice else {
@@ -270,6 +282,7 @@
         call,
         send_by,
         software: progress.software,
+        is_bound: is_bound(gateway, call, progress),
         yields: PlaceYield::default(),
     };
     let until = waits_until(gateway, call);
@@ -282,14 +295,11 @@
         return Ok(choice);
     }
     let since = gateway.now();
-    let position = match progress.software {
-        None => Some(WaitPosition {
-            gateway,
-            pool: &call.pool,
-            rank: fairness::join(gateway, call, send_by),
-        }),
-        Some(_) => None,
-    };
+    let position = (!turn.is_bound).then(|| WaitPosition {
+        gateway,
+        pool: &call.pool,
+        rank: fairness::join(gateway, call, send_by),
+    });
     let rank = position.as_ref().map(|position| position.rank);
     let mut found = Err(WaitError::NoRoom);
     while found.is_err() && gateway.now() < until {
--- a/kernel/src/gateway/registry/candidates.rs
+++ b/kernel/src/gateway/registry/candidates.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::gateway::registry::{Upstream, UpstreamKey, UpstreamRegistry};
+use crate::gateway::registry::{SoftwareKey, Upstream, UpstreamKey, UpstreamRegistry};
 
 /// Number of upstreams of a pool that are considered for a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +59,12 @@
         keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
     }
 
+    /// Whether a pool has upstreams that accept new calls and run another software version.
+    pub fn has_other_software(&self, pool: &str, software: SoftwareKey) -> bool {
+        let mut upstreams = self.usable(pool);
+        upstreams.any(|(_, upstream)| upstream.entry.software() != software)
+    }
+
     /// Number of upstreams that accept new calls.
     pub fn usable_total(&self) -> usize {
         self.order.total()
--- a/kernel/tests/gateway/software.rs
+++ b/kernel/tests/gateway/software.rs
@@ -160,3 +160,26 @@
     a_version_that_left_later_counts: ["v1", "v2"], ["u0"], 1000 => None;
     a_version_that_left_before_does_not_count: ["v1", "v2"], ["u0"], 1001 => Some(software("model", "v2"));
 }
+
+/// Defines a case: versions of the pool's upstreams, those that have left, and whether a stream of
+/// version `v1` may go to a part of those that are left only.
+macro_rules! bound_streams {
+    ($($name:ident: $versions:expr, $left:expr => $bound:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut registry = pool(&$versions);
+            let left: &[&str] = &$left;
+            for id in left {
+                registry.apply(RegistryChange::Removed((*id).into()), true, NOW);
+            }
+            assert_eq!(registry.has_other_software("model", software("model", "v1")), $bound);
+        }
+    )*};
+}
+
+// Guards against streams that go before waiting calls although these may go nowhere else.
+bound_streams! {
+    a_pool_of_its_version_does_not_bind_a_stream: ["v1", "v1"], [] => false;
+    a_second_version_binds_a_stream: ["v1", "v2"], [] => true;
+    a_second_version_that_left_does_not_bind_it: ["v1", "v2"], ["u1"] => false;
+}
