Write the parts of a prompt, and how far a broken answer had come, in lines

The lines could not tell whether calls that crash engines have a part of their prompts in common or only the caller, nor which of the calls at a crashed engine had begun their answers. `matched` names the first shared parts now, and `upstream_broke` says how long ago the call was sent, whether the head of its answer had come and for how long it had been writing. No decision changes.

--- a/daemon/src/gateway/admission.rs
+++ b/daemon/src/gateway/admission.rs
@@ -19,7 +19,7 @@
 use monsoonbank_platform::head::{self, CallHead, ResumedAttempt};
 
 use crate::gateway::Gateway;
-use crate::gateway::decisions::{CallDecision, millis};
+use crate::gateway::decisions::{self, CallDecision, millis};
 use crate::gateway::reply::{self, Reply};
 
 /// `Retry-After` for callers of a node without a configuration, which is usually loaded by then.
@@ -186,6 +186,7 @@
     gateway.decisions.record(CallDecision::Matched {
         call: &call.head.id,
         content: &call.content.to_string(),
+        parts: &decisions::part_names(call.head.prompt.shared_parts()),
         rule: &rule.name,
         pool: &call.pool,
         tier,
--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -35,9 +35,22 @@
     pub history: CallHistory,
     /// Whether it can only be sent from this node: its stream has begun, or no other node serves it.
     pub here_only: bool,
+    /// How far the answer to the last attempt has come.
+    pub answer: AnswerProgress,
     connects: usize,
 }
 
+/// How far the answer to one attempt has come.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerProgress {
+    /// Time at which the call was sent.
+    pub sent_at: Duration,
+    /// Whether the head of the answer has arrived.
+    pub has_head: bool,
+    /// Time at which its first event arrived; `None` if there was none yet.
+    pub begun_at: Option<Duration>,
+}
+
 impl CallProgress {
     /// Creates the progress of a call that came from there.
     pub fn new(origin: CallOrigin) -> Self {
@@ -150,7 +163,7 @@
     progress.history.may_have_run |= failed.end.may_have_run();
     // All connections of a node that is cut off break, whatever they carry.
     if failed.connection_lost && !gateway.reach.borrow().is_lost(&call.pool) {
-        report_crash(gateway, call, key);
+        report_crash(gateway, call, key, progress.answer);
     }
     let retry_allowed = may_retry(gateway, call, progress, failed.end, now);
     let next = outcome::next_step(
@@ -204,14 +217,14 @@
     next == NextStep::Retry
 }
 
-fn report_crash(gateway: &Gateway, call: &Call, key: UpstreamKey) {
+fn report_crash(gateway: &Gateway, call: &Call, key: UpstreamKey, answer: AnswerProgress) {
     let entry = gateway
         .registry
         .borrow()
         .get(key)
         .map(|upstream| upstream.entry.clone());
     if let Some(entry) = entry {
-        quarantine::record_crash(gateway, call, &entry.id, entry.run_hash());
+        quarantine::record_crash(gateway, call, &entry, answer);
     }
 }
 
--- a/daemon/src/gateway/decisions.rs
+++ b/daemon/src/gateway/decisions.rs
@@ -18,7 +18,7 @@
 use monsoonbank_kernel::clock::{Clock, MonotonicClock};
 use serde::Serialize;
 
-pub use crate::gateway::decisions::call::CallDecision;
+pub use crate::gateway::decisions::call::{CallDecision, PartName, part_names};
 pub use crate::gateway::decisions::node::NodeDecision;
 pub use crate::gateway::decisions::store::StoreDecision;
 pub use crate::gateway::decisions::upstream::UpstreamDecision;
--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -1,6 +1,28 @@
 //! Lines about calls, from the matching rule to the outcome.
 
-use serde::Serialize;
+use derive_more::{Display, From};
+use monsoonbank_kernel::gateway::prompt::PromptPart;
+use serde::{Serialize, Serializer};
+
+/// Maximum number of parts in a line.
+const MAX_PARTS: usize = 8;
+
+/// Identifier of a prompt part, written in hexadecimal as callers do.
+#[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq)]
+#[display("{_0:x}")]
+pub struct PartName(u64);
+
+impl Serialize for PartName {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+/// Names the first of these parts.
+pub fn part_names(parts: &[PromptPart]) -> Vec<PartName> {
+    let first = parts.iter().take(MAX_PARTS);
+    first.map(|part| PartName(part.id)).collect()
+}
 
 /// Event of a line, with its fields.
 #[derive(Debug, Serialize)]
@@ -23,6 +45,9 @@
         call: &'a str,
         /// Digest of the call's content, the same for each attempt at the same call.
         content: &'a str,
+        /// First of the prompt parts that other calls may share.
+        #[serde(skip_serializing_if = "<[_]>::is_empty")]
+        parts: &'a [PartName],
         /// Name of the first matching rule.
         rule: &'a str,
         /// Pool that the rule selected for the call.
--- a/daemon/src/gateway/decisions/upstream.rs
+++ b/daemon/src/gateway/decisions/upstream.rs
@@ -108,6 +108,13 @@
         upstream: &'a str,
         /// Number of upstream runs that have crashed under this content, as far as this node knows.
         crashes: usize,
+        /// Time since the call was sent, in ms.
+        sent_ms: u64,
+        /// Whether the head of the answer had arrived.
+        head: bool,
+        /// Time since the first event arrived, in ms; `None` if there was none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        begun_ms: Option<u64>,
     },
     /// The quarantine of a content began or ended.
     QuarantineChanged {
--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -8,6 +8,7 @@
 use monsoonbank_kernel::gateway::content::ContentDigest;
 use monsoonbank_kernel::gateway::crashes::{ContentDecision, CrashChange, CrashReport};
 use monsoonbank_kernel::gateway::gossip::GossipUrgency;
+use monsoonbank_kernel::gateway::registry::UpstreamEntry;
 use monsoonbank_platform::names;
 use monsoonbank_platform::store::{KeyedRecord, StoreClient, StoreError};
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::admission::Call;
+use crate::gateway::attempt::AnswerProgress;
 use crate::gateway::decisions::{CallDecision, StoreDecision, UpstreamDecision, millis};
 use crate::gateway::startup;
 
@@ -91,9 +93,15 @@
     QuarantineError { pause }
 }
 
-/// Records that the connection to an upstream broke during a call. `run` is the hash of its run.
-pub fn record_crash(gateway: &Gateway, call: &Call, upstream: &str, run: u64) {
+/// Records that the connection to an upstream broke during a call whose answer had come this far.
+pub fn record_crash(
+    gateway: &Gateway,
+    call: &Call,
+    upstream: &UpstreamEntry,
+    answer: AnswerProgress,
+) {
     let now = gateway.now();
+    let run = upstream.run_hash();
     let change = gateway
         .crashes
         .borrow_mut()
@@ -104,8 +112,11 @@
     gateway.decisions.record(UpstreamDecision::UpstreamBroke {
         call: &call.head.id,
         content: &call.content.to_string(),
-        upstream,
+        upstream: &upstream.id,
         crashes: gateway.crashes.borrow().crashes(call.content),
+        sent_ms: millis(now.saturating_sub(answer.sent_at)),
+        head: answer.has_head,
+        begun_ms: answer.begun_at.map(|at| millis(now.saturating_sub(at))),
     });
     gateway.propagate(GossipUrgency::Calls);
     record_change(gateway, call.content, change, OWN_SOURCE);
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -17,7 +17,9 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::admission::Call;
-use crate::gateway::attempt::{self, CallProgress, FailedAttempt, OpenAttempt, WithheldError};
+use crate::gateway::attempt::{
+    self, AnswerProgress, CallProgress, FailedAttempt, OpenAttempt, WithheldError,
+};
 use crate::gateway::connections::{self, ConnectionError};
 use crate::gateway::decisions::{CallDecision, millis};
 use crate::gateway::waiting::WaitError;
@@ -98,6 +100,10 @@
     let fetch_from = source.and_then(|source| address_of(gateway, source));
     let request = request(call, &entry.id, fetch_from, time_left, after);
     count_send(gateway, call, progress);
+    progress.answer = AnswerProgress {
+        sent_at: now,
+        ..AnswerProgress::default()
+    };
     gateway.decisions.record(CallDecision::Sent {
         call: &call.head.id,
         upstream: &entry.id,
@@ -117,6 +123,7 @@
         Err(error) => return Err(FailedAttempt::broken(error.error())),
         Ok(response) => response,
     };
+    progress.answer.has_head = true;
     let head = answer::decode(response.status(), response.headers(), &call.head.id);
     notices::apply_head(gateway, choice.key, &head);
     match head.kind {
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -246,6 +246,7 @@
     let headers = answer::end_to_end_headers(&opened.stream.parts.headers);
     let last_event = call.head.last_event;
     progress.here_only = true;
+    progress.answer.begun_at = Some(gateway.now());
     progress.software = Some(opened.software());
     let stream = CallerStream {
         gateway,
@@ -355,6 +356,7 @@
         match first_event(&self.gateway, &self.call, attempt).await {
             Ok(opened) => {
                 self.tracker.framing = Some(answer::framing(&opened.stream.parts.headers));
+                self.progress.answer.begun_at = Some(self.gateway.now());
                 self.pending = Some(opened.first);
                 self.source = Some(opened.stream);
                 Ok(())
