Test calls that have only a part of their prompts in common and crash engines

A stand-in engine crashes whole, with all its connections, when it begins to write an answer on a part; calls with that part are all different.

--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod input;
 mod leaving;
 mod limits;
+mod parts;
 mod pauses;
 mod peers;
 mod reach;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod chat;
 pub mod engine;
 pub mod faults;
+pub mod fragile;
 pub mod hosts;
 pub mod keyed;
 pub mod link;
