--- a/cli/src/why.rs
+++ b/cli/src/why.rs
@@ -102,9 +102,9 @@
         left_ms: u64,
     },
     #[display(
-        "{crashes} upstreams broke off under calls with its content {content}, which are no longer sent; it did not run"
+        "{crashes} upstreams broke off under calls with its {cause}, which are no longer sent; it did not run"
     )]
-    Quarantined { content: Box<str>, crashes: u64 },
+    Quarantined { cause: Box<str>, crashes: u64 },
     #[display("all upstreams of {pool} had asked for a pause; it did not run")]
     Paused { pool: Box<str> },
     #[display("the software version that began its stream is not known: {reason}; it did not run")]
@@ -232,11 +232,20 @@
     }
 }
 
+/// Words what a refused call has in common with those that crash upstreams. Lines of earlier versions
+/// only have its content.
+fn quarantine_cause(line: &Value) -> Box<str> {
+    match line["cause"].as_str() {
+        Some(cause) => cause.replace('+', " and ").replace(':', " ").into(),
+        None => format!("content {}", text(line, "content")).into(),
+    }
+}
+
 fn not_run(lines: &[Value]) -> CallCause {
     let last = |event: &str| lines.iter().rev().find(|line| line["event"] == event);
     if let Some(line) = last("call_quarantined") {
         return CallCause::Quarantined {
-            content: text(line, "content"),
+            cause: quarantine_cause(line),
             crashes: number(line, "crashes"),
         };
     }
--- a/daemon/src/gateway/admission.rs
+++ b/daemon/src/gateway/admission.rs
@@ -11,6 +11,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode, Uri};
 use monsoonbank_kernel::gateway::content::{ContentDigest, ContentParts};
+use monsoonbank_kernel::gateway::crashes::suspect::{self, SuspectKey};
 use monsoonbank_kernel::gateway::pace::StreamKind;
 use monsoonbank_kernel::gateway::returns;
 use monsoonbank_kernel::gateway::rules::{
@@ -56,6 +57,8 @@
     pub body: Bytes,
     /// Digest of the call's content, the same for each attempt at the same call.
     pub content: ContentDigest,
+    /// What it may crash upstreams with.
+    pub suspects: Box<[SuspectKey]>,
     /// Class of the first matching rule.
     pub class: CallClass,
     /// Pool that the rule selected.
@@ -164,6 +167,7 @@
     let call = Call {
         origin,
         content,
+        suspects: suspect::suspects_of(content, &head.prompt),
         engine: rules.pool(&pool).and_then(|pool| pool.engine),
         tight: rules.is_tight(rule),
         tiers: rules.tiers(),
--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -45,10 +45,20 @@
 pub struct AnswerProgress {
     /// Time at which the call was sent.
     pub sent_at: Duration,
-    /// Whether the head of the answer has arrived.
-    pub has_head: bool,
+    /// Time at which the head of the answer arrived; `None` if it has not.
+    pub head_at: Option<Duration>,
     /// Time at which its first event arrived; `None` if there was none yet.
     pub begun_at: Option<Duration>,
+    /// Time for which it is known to have been written at its last event.
+    pub proven: Duration,
+}
+
+impl AnswerProgress {
+    /// Returns the time since the first event arrived.
+    pub fn written(&self, now: Duration) -> Duration {
+        self.begun_at
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
 }
 
 impl CallProgress {
@@ -80,9 +90,9 @@
     /// The upstream does not accept calls.
     #[error("{0}")]
     Upstream(#[from] EligibilityError),
-    /// The call's content is quarantined.
+    /// The call is quarantined.
     #[error("{0}")]
-    Content(#[from] QuarantineError),
+    Quarantine(#[from] QuarantineError),
 }
 
 /// An attempt that produced no answer to forward.
@@ -123,7 +133,7 @@
     pub fn withheld(error: WithheldError) -> Self {
         let pause = match error {
             WithheldError::Upstream(_) => None,
-            WithheldError::Content(quarantine) => Some(quarantine.pause),
+            WithheldError::Quarantine(quarantine) => Some(quarantine.pause),
         };
         Self {
             pause,
@@ -163,7 +173,7 @@
     progress.history.may_have_run |= failed.end.may_have_run();
     // All connections of a node that is cut off break, whatever they carry.
     if failed.connection_lost && !gateway.reach.borrow().is_lost(&call.pool) {
-        report_crash(gateway, call, key, progress.answer);
+        report_crash(gateway, call, key, &progress.answer);
     }
     let retry_allowed = may_retry(gateway, call, progress, failed.end, now);
     let next = outcome::next_step(
@@ -217,7 +227,7 @@
     next == NextStep::Retry
 }
 
-fn report_crash(gateway: &Gateway, call: &Call, key: UpstreamKey, answer: AnswerProgress) {
+fn report_crash(gateway: &Gateway, call: &Call, key: UpstreamKey, answer: &AnswerProgress) {
     let entry = gateway
         .registry
         .borrow()
--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -181,13 +181,15 @@
         /// Details of the failure.
         reason: &'a str,
     },
-    /// A call was not sent because its content is quarantined.
+    /// A call was not sent because it is quarantined.
     CallQuarantined {
         /// Id of the call.
         call: &'a str,
         /// Digest of the call's content.
         content: &'a str,
-        /// Number of upstream runs that have crashed under this content.
+        /// What it has in common with calls that crash upstreams, such as `part:1f3a`.
+        cause: &'a str,
+        /// Number of upstream runs that have crashed under such calls.
         crashes: usize,
         /// `Retry-After` for the caller, in ms.
         pause_ms: u64,
--- a/daemon/src/gateway/decisions/upstream.rs
+++ b/daemon/src/gateway/decisions/upstream.rs
@@ -116,13 +116,13 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         begun_ms: Option<u64>,
     },
-    /// The quarantine of a content began or ended.
+    /// The quarantine of calls began or ended.
     QuarantineChanged {
-        /// Digest of the content.
-        content: &'a str,
-        /// Whether the content is quarantined now.
+        /// What the calls have in common, such as `part:1f3a`.
+        cause: &'a str,
+        /// Whether they are quarantined now.
         quarantined: bool,
-        /// Number of upstream runs that have crashed under this content.
+        /// Number of upstream runs that have crashed under them.
         crashes: usize,
         /// `own`, `store`, or the name of the node that reported it.
         source: &'a str,
--- a/daemon/src/gateway/endpoints.rs
+++ b/daemon/src/gateway/endpoints.rs
@@ -136,7 +136,7 @@
         PREFERRED_PATH => preferred(gateway, query),
         CRASH_PATH => cbor_reply(
             gateway,
-            &gateway.crashes.borrow().decided_reports(gateway.now()),
+            &gateway.crashes.borrow().quarantine_reports(gateway.now()),
         ),
         "/metrics" => reply::whole(StatusCode::OK, gateway.metrics.text()),
         "/state" => state(gateway),
@@ -383,14 +383,14 @@
             })
         })
         .collect();
-    let reports = gateway.crashes.borrow().decided_reports(now);
+    let reports = gateway.crashes.borrow().quarantine_reports(now);
     let quarantined: Vec<serde_json::Value> = reports
         .iter()
-        .filter(|report| report.is_quarantined())
+        .filter(|report| report.quarantined)
         .map(|report| {
             json!({
-                "content": report.content.to_string(),
-                "crashes": report.runs.len(),
+                "cause": report.cause.to_string(),
+                "crashes": report.crashes,
                 "trials": report.trials,
                 "age_ms": report.age_ms,
             })
--- a/daemon/src/gateway/fetch.rs
+++ b/daemon/src/gateway/fetch.rs
@@ -12,7 +12,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use monsoonbank_kernel::gateway::crashes::CrashReport;
+use monsoonbank_kernel::gateway::crashes::QuarantineReport;
 use monsoonbank_kernel::gateway::fleet::FleetPeer;
 use monsoonbank_kernel::gateway::heartbeat::NodeHeartbeat;
 use monsoonbank_kernel::gateway::registry::{PreferredPart, RegistryChange, UpstreamEntry};
@@ -192,7 +192,8 @@
 async fn fetch_all(gateway: &Gateway, peer: &str, address: SocketAddr, missing: MissingParts) {
     if missing.crashes {
         let source = FetchSource::new(peer, address, FetchPart::Crashes);
-        let Some(reports) = fetch::<Vec<CrashReport>>(gateway, source, endpoints::CRASH_PATH).await
+        let Some(reports) =
+            fetch::<Vec<QuarantineReport>>(gateway, source, endpoints::CRASH_PATH).await
         else {
             return;
         };
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -53,7 +53,7 @@
     /// Calls that were not sent because their content is quarantined.
     pub quarantined_calls: IntCounter,
     /// Number of quarantined contents known to this node.
-    pub quarantined_contents: IntGauge,
+    pub quarantined_causes: IntGauge,
     /// Mean number of slots that this node's calls used in the last seconds, by pool and workspace:
     /// the largest uses.
     pub workspace_slots: GaugeVec,
@@ -140,9 +140,9 @@
                 "monsoonbank_quarantined_calls_total",
                 "Calls that were not sent, as upstreams crashed under such calls",
             ),
-            quarantined_contents: gauge(
-                "monsoonbank_quarantined_contents",
-                "Contents of calls that are kept from upstreams",
+            quarantined_causes: gauge(
+                "monsoonbank_quarantined_causes",
+                "Contents of calls and prompt parts that are kept from upstreams",
             ),
             store_calls: counter(
                 "monsoonbank_store_calls_total",
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -141,7 +141,7 @@
         failing,
         departures: registry.departures(now),
         limits: limits::recent_reports(&registry, now),
-        crashes: crashes.recent_reports(now),
+        crashes: crashes.recent_news(now),
         crash_digest: crashes.digest(),
         workspaces: gateway.shares.borrow().reports(now),
         unreached: reach::lost_hashes(gateway),
@@ -371,7 +371,7 @@
     limits::merge_reports(gateway, &heartbeat.limits, &heartbeat.card.name);
     speeds::merge_reports(gateway, &heartbeat.speeds);
     brittle::merge_reports(gateway, &heartbeat.refusals, &heartbeat.card.name);
-    quarantine::merge_reports(gateway, &heartbeat.crashes, &heartbeat.card.name);
+    quarantine::merge_news(gateway, &heartbeat.crashes, &heartbeat.card.name);
     merge_work(gateway, &heartbeat, now);
     fairness::merge(gateway, &heartbeat, now);
     if let Some(duties) = &gateway.duties {
--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -1,12 +1,15 @@
-//! Quarantines the contents of calls under which upstreams crash, and stores them so that a
-//! restarted fleet still rejects such calls.
+//! Quarantines calls under which upstreams crash, by their contents and the parts of their prompts, and
+//! stores that so that a restarted fleet still rejects such calls.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use monsoonbank_kernel::gateway::content::ContentDigest;
-use monsoonbank_kernel::gateway::crashes::{ContentDecision, CrashChange, CrashReport};
+use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::suspect::{CrashCause, SuspectKey};
+use monsoonbank_kernel::gateway::crashes::{
+    CrashDecision, CrashNews, QuarantineChange, QuarantineReport,
+};
 use monsoonbank_kernel::gateway::gossip::GossipUrgency;
 use monsoonbank_kernel::gateway::registry::UpstreamEntry;
 use monsoonbank_platform::names;
@@ -31,11 +34,11 @@
 /// Source in decision lines of reports that were read from the store.
 const STORE_SOURCE: &str = "store";
 
-/// Error for a call whose content is quarantined.
+/// Error for a call that is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("upstreams crashed under this call")]
 pub struct QuarantineError {
-    /// Time until the content may be sent again.
+    /// Time until such a call may be sent again.
     pub pause: Duration,
 }
 
@@ -44,11 +47,11 @@
 ///
 /// # Errors
 ///
-/// If the call's content is quarantined.
+/// If the call is quarantined.
 pub fn check(gateway: &Gateway, call: &Call) -> Result<(), QuarantineError> {
     match decide(gateway, call) {
-        ContentDecision::Admitted | ContentDecision::Trial => Ok(()),
-        ContentDecision::Quarantined { pause } => Err(refuse(gateway, call, pause)),
+        CrashDecision::Admitted | CrashDecision::Trial => Ok(()),
+        CrashDecision::Quarantined { cause, pause } => Err(refuse(gateway, call, &cause, pause)),
     }
 }
 
@@ -57,117 +60,157 @@
 ///
 /// # Errors
 ///
-/// If the call's content is quarantined.
+/// If the call is quarantined.
 pub fn begin_send(gateway: &Gateway, call: &Call) -> Result<(), QuarantineError> {
     match decide(gateway, call) {
-        ContentDecision::Admitted => Ok(()),
-        ContentDecision::Trial => {
+        CrashDecision::Admitted => Ok(()),
+        CrashDecision::Trial => {
             let now = gateway.now();
-            gateway.crashes.borrow_mut().begin_trial(call.content, now);
+            let mut ledger = gateway.crashes.borrow_mut();
+            ledger.begin_trial(&call.suspects, now);
             gateway.propagate(GossipUrgency::All);
             Ok(())
         }
-        ContentDecision::Quarantined { pause } => Err(refuse(gateway, call, pause)),
+        CrashDecision::Quarantined { cause, pause } => Err(refuse(gateway, call, &cause, pause)),
     }
 }
 
-fn decide(gateway: &Gateway, call: &Call) -> ContentDecision {
+fn decide(gateway: &Gateway, call: &Call) -> CrashDecision {
     let now = gateway.now();
-    let may_try = || {
-        gateway
-            .fleet
-            .borrow()
-            .is_selected_hub(call.content.into(), now)
-    };
-    gateway.crashes.borrow().decide(call.content, may_try, now)
+    let may_try = |hash| gateway.fleet.borrow().is_selected_hub(hash, now);
+    let ledger = gateway.crashes.borrow();
+    ledger.decide(&call.suspects, may_try, now)
 }
 
-fn refuse(gateway: &Gateway, call: &Call, pause: Duration) -> QuarantineError {
+fn refuse(gateway: &Gateway, call: &Call, cause: &CrashCause, pause: Duration) -> QuarantineError {
     gateway.metrics.quarantined_calls.inc();
     gateway.decisions.record(CallDecision::CallQuarantined {
         call: &call.head.id,
         content: &call.content.to_string(),
-        crashes: gateway.crashes.borrow().crashes(call.content),
+        cause: &cause.to_string(),
+        crashes: crashes(gateway, cause.suspects()),
         pause_ms: millis(pause),
     });
     QuarantineError { pause }
 }
 
+/// Returns the number of crashes under calls with all of these properties, as far as they are counted.
+fn crashes(gateway: &Gateway, suspects: &[SuspectKey]) -> usize {
+    let ledger = gateway.crashes.borrow();
+    let counts = suspects.iter().map(|suspect| ledger.crashes(*suspect));
+    counts.min().unwrap_or(0)
+}
+
 /// Records that the connection to an upstream broke during a call whose answer had come this far.
 pub fn record_crash(
     gateway: &Gateway,
     call: &Call,
     upstream: &UpstreamEntry,
-    answer: AnswerProgress,
+    answer: &AnswerProgress,
 ) {
     let now = gateway.now();
-    let run = upstream.run_hash();
-    let change = gateway
-        .crashes
-        .borrow_mut()
-        .record_crash(call.content, run, now);
-    if change == CrashChange::Unchanged {
+    let written = answer.written(now);
+    let suspects = call.suspects.iter().copied();
+    let report = CrashReport {
+        run: upstream.run_hash(),
+        age_ms: 0,
+        calls: vec![SuspectCall {
+            sent_ms: millis(now.saturating_sub(answer.sent_at)),
+            suspects: suspects
+                .filter(|suspect| written < suspect.window())
+                .collect(),
+        }],
+    };
+    let changes = gateway.crashes.borrow_mut().record_crash(&report, now);
+    let Some(changes) = changes else {
         return;
-    }
+    };
+    let content = SuspectKey::Content(call.content);
     gateway.decisions.record(UpstreamDecision::UpstreamBroke {
         call: &call.head.id,
         content: &call.content.to_string(),
         upstream: &upstream.id,
-        crashes: gateway.crashes.borrow().crashes(call.content),
+        crashes: gateway.crashes.borrow().crashes(content),
         sent_ms: millis(now.saturating_sub(answer.sent_at)),
-        head: answer.has_head,
+        head: answer.head_at.is_some(),
         begun_ms: answer.begun_at.map(|at| millis(now.saturating_sub(at))),
     });
     gateway.propagate(GossipUrgency::Calls);
-    record_change(gateway, call.content, change, OWN_SOURCE);
+    record_changes(gateway, &changes, OWN_SOURCE);
 }
 
-/// Records a successful answer, which may end the quarantine of the call's content.
-pub fn record_success(gateway: &Gateway, call: &Call) {
+/// Records that one more event of an answer arrived: what its call has in common with others does no
+/// harm, once the answer has gone on for long enough.
+pub fn record_event(gateway: &Gateway, call: &Call, answer: &mut AnswerProgress) {
     let now = gateway.now();
-    if gateway
-        .crashes
-        .borrow_mut()
-        .record_answer(call.content, now)
-    {
-        gateway.propagate(GossipUrgency::All);
-        record_change(gateway, call.content, CrashChange::Cleared, OWN_SOURCE);
+    let before = answer.proven;
+    answer.proven = answer.written(now);
+    let is_proven =
+        |suspect: &SuspectKey| before < suspect.window() && suspect.window() <= answer.proven;
+    let proven = call.suspects.iter().copied().filter(is_proven);
+    let proven: Vec<SuspectKey> = proven.collect();
+    if !proven.is_empty() {
+        record_answer(gateway, &proven, answer);
     }
 }
 
-/// Merges reports of another node or of the store.
-pub fn merge_reports(gateway: &Gateway, reports: &[CrashReport], source: &str) {
-    let now = gateway.now();
-    for report in reports {
-        let change = gateway.crashes.borrow_mut().receive(report, now);
-        record_change(gateway, report.content, change, source);
-    }
+/// Records a successful answer.
+pub fn record_success(gateway: &Gateway, call: &Call, answer: &AnswerProgress) {
+    record_answer(gateway, &call.suspects, answer);
 }
 
-/// Records a change of a quarantine, and propagates it at once.
-fn record_change(gateway: &Gateway, content: ContentDigest, change: CrashChange, source: &str) {
-    let is_quarantined = match change {
-        CrashChange::Unchanged | CrashChange::Updated => return,
-        CrashChange::Quarantined => true,
-        CrashChange::Cleared => false,
+/// Records an answer that went on, which may end quarantines.
+fn record_answer(gateway: &Gateway, suspects: &[SuspectKey], answer: &AnswerProgress) {
+    let Some(began_at) = answer.begun_at.or(answer.head_at) else {
+        return;
     };
-    let ledger = gateway.crashes.borrow();
+    let now = gateway.now();
+    let mut ledger = gateway.crashes.borrow_mut();
+    let changes = ledger.record_answer(suspects, began_at, now);
+    drop(ledger);
+    record_changes(gateway, &changes, OWN_SOURCE);
+}
+
+/// Merges the news of another node.
+pub fn merge_news(gateway: &Gateway, news: &CrashNews, source: &str) {
+    let now = gateway.now();
+    let changes = gateway.crashes.borrow_mut().receive(news, now);
+    record_changes(gateway, &changes, source);
+}
+
+/// Merges quarantines of another node or of the store.
+pub fn merge_reports(gateway: &Gateway, reports: &[QuarantineReport], source: &str) {
+    let now = gateway.now();
+    let mut ledger = gateway.crashes.borrow_mut();
+    let changes = ledger.receive_quarantines(reports, now);
+    drop(ledger);
+    record_changes(gateway, &changes, source);
+}
+
+/// Records changes of quarantines, and propagates them at once.
+fn record_changes(gateway: &Gateway, changes: &[QuarantineChange], source: &str) {
+    if changes.is_empty() {
+        return;
+    }
+    let quarantined = gateway.crashes.borrow().quarantined();
     gateway
         .metrics
-        .quarantined_contents
-        .set(i64::try_from(ledger.quarantined()).unwrap_or(i64::MAX));
-    gateway
-        .decisions
-        .record(UpstreamDecision::QuarantineChanged {
-            content: &content.to_string(),
-            quarantined: is_quarantined,
-            crashes: ledger.crashes(content),
-            source,
-        });
+        .quarantined_causes
+        .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+    for change in changes {
+        gateway
+            .decisions
+            .record(UpstreamDecision::QuarantineChanged {
+                cause: &change.cause.to_string(),
+                quarantined: change.quarantined,
+                crashes: change.crashes,
+                source,
+            });
+    }
     gateway.propagate(GossipUrgency::All);
 }
 
-/// Starts to read and store quarantined contents.
+/// Starts to read and store quarantines.
 pub fn start(gateway: &Rc<Gateway>) {
     let keeper = QuarantineKeeper {
         client: StoreClient::new(gateway.settings.store.address),
@@ -191,17 +234,17 @@
     }
 }
 
-/// Contents of the store's topic, as far as this node has read and written it.
+/// Quarantines in the store's topic, as far as this node has read and written it.
 struct StoredReports {
     era: u64,
     end: u64,
-    digests: BTreeMap<ContentDigest, u64>,
+    digests: BTreeMap<CrashCause, u64>,
 }
 
 /// A stored report, with the Unix time of writing, which stays valid across restarts.
 #[derive(Serialize, Deserialize)]
 struct StoredReport {
-    report: CrashReport,
+    report: QuarantineReport,
     unix_ms: u64,
 }
 
@@ -222,11 +265,11 @@
         };
         let known = self.known.insert(known);
         let now = self.gateway.now();
-        let settled = self.gateway.crashes.borrow().decided_reports(now);
-        let is_new = |report: &&CrashReport| {
-            known.digests.get(&report.content) != Some(&state_digest(report))
+        let settled = self.gateway.crashes.borrow().quarantine_reports(now);
+        let is_new = |report: &&QuarantineReport| {
+            known.digests.get(&report.cause) != Some(&state_digest(report))
         };
-        let unsaved: Vec<CrashReport> = settled.iter().filter(is_new).cloned().collect();
+        let unsaved: Vec<QuarantineReport> = settled.iter().filter(is_new).cloned().collect();
         if unsaved.is_empty() {
             return Ok(());
         }
@@ -240,7 +283,7 @@
             .await?;
         self.count("answered");
         self.gateway.observe_store_era(self.client.era());
-        let reports: Vec<CrashReport> = read
+        let reports: Vec<QuarantineReport> = read
             .records
             .iter()
             .filter_map(|record| self.decode(record))
@@ -248,7 +291,7 @@
         merge_reports(&self.gateway, &reports, STORE_SOURCE);
         let digests = reports
             .iter()
-            .map(|report| (report.content, state_digest(report)));
+            .map(|report| (report.cause.clone(), state_digest(report)));
         Ok(StoredReports {
             era: self.client.era(),
             end: read.end,
@@ -258,7 +301,7 @@
 
     /// Stores reports, unless another node has written since the last read; the next step then
     /// reads first.
-    async fn append(&mut self, reports: &[CrashReport]) -> Result<(), StoreError> {
+    async fn append(&mut self, reports: &[QuarantineReport]) -> Result<(), StoreError> {
         let Some(known) = self.known.take() else {
             return Ok(());
         };
@@ -283,13 +326,13 @@
         };
         let digests = reports
             .iter()
-            .map(|report| (report.content, state_digest(report)));
+            .map(|report| (report.cause.clone(), state_digest(report)));
         known.digests.extend(digests);
         self.known = Some(known);
         Ok(())
     }
 
-    fn encode(&self, report: &CrashReport) -> (Vec<u8>, Vec<u8>) {
+    fn encode(&self, report: &QuarantineReport) -> (Vec<u8>, Vec<u8>) {
         let stored = StoredReport {
             report: report.clone(),
             unix_ms: millis(self.gateway.unix_now()),
@@ -298,14 +341,14 @@
         if let Err(error) = ciborium::into_writer(&stored, &mut value) {
             log::error!("cannot encode the report of a quarantined call: {error}");
         }
-        (report.content.to_string().into_bytes(), value)
+        (report.cause.to_string().into_bytes(), value)
     }
 
-    fn decode(&self, record: &KeyedRecord) -> Option<CrashReport> {
+    fn decode(&self, record: &KeyedRecord) -> Option<QuarantineReport> {
         match ciborium::from_reader::<StoredReport, _>(record.value.as_deref()?) {
             Ok(stored) => {
                 let since = millis(self.gateway.unix_now()).saturating_sub(stored.unix_ms);
-                Some(CrashReport {
+                Some(QuarantineReport {
                     age_ms: stored.report.age_ms.saturating_add(since),
                     ..stored.report
                 })
@@ -334,7 +377,7 @@
 }
 
 /// Hashes the state of a report without its age, so that equal states need not be stored again.
-fn state_digest(report: &CrashReport) -> u64 {
-    let is_quarantined = u64::from(report.is_quarantined());
+fn state_digest(report: &QuarantineReport) -> u64 {
+    let is_quarantined = u64::from(report.quarantined);
     u64::from(report.round) << 16 | u64::from(report.trials) << 1 | is_quarantined
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::admission::{Call, CallOrigin};
-use crate::gateway::attempt::{self, CallProgress, FailedAttempt, OpenAttempt};
+use crate::gateway::attempt::{self, AnswerProgress, CallProgress, FailedAttempt, OpenAttempt};
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::tracker::{CallOutcome, CallTracker};
 use crate::gateway::{indirect, liveness, quarantine, sending, starts, stream, usage};
@@ -63,7 +63,10 @@
         };
         let key = attempt.work.key;
         let answered = match call.class.form {
-            AnswerForm::Whole => forward_whole(&gateway, &call, attempt, &mut tracker).await,
+            AnswerForm::Whole => {
+                let answer = progress.answer;
+                forward_whole(&gateway, &call, attempt, &mut tracker, &answer).await
+            }
             AnswerForm::Events { .. } => {
                 match stream::first_event(&gateway, &call, attempt).await {
                     Ok(opened) => {
@@ -92,6 +95,7 @@
     call: &Call,
     attempt: OpenAttempt,
     tracker: &mut CallTracker,
+    answer: &AnswerProgress,
 ) -> Result<Reply, FailedAttempt> {
     let OpenAttempt {
         connection,
@@ -121,7 +125,7 @@
     if let Some(upstream) = gateway.registry.borrow_mut().get_mut(work.key) {
         upstream.health.succeeded(now);
     }
-    quarantine::record_success(gateway, call);
+    quarantine::record_success(gateway, call, answer);
     tracker.set(CallOutcome::Answered);
     Ok(reply)
 }
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -123,7 +123,7 @@
         Err(error) => return Err(FailedAttempt::broken(error.error())),
         Ok(response) => response,
     };
-    progress.answer.has_head = true;
+    progress.answer.head_at = Some(gateway.now());
     let head = answer::decode(response.status(), response.headers(), &call.head.id);
     notices::apply_head(gateway, choice.key, &head);
     match head.kind {
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -285,6 +285,7 @@
                 StreamPiece::Event(event) => {
                     self.last_event = event.id.or(self.last_event);
                     self.tracker.events += 1;
+                    quarantine::record_event(&self.gateway, &self.call, &mut self.progress.answer);
                     return Ok(Some(event.bytes));
                 }
                 StreamPiece::Rest(rest) => {
@@ -403,7 +404,7 @@
         {
             upstream.health.succeeded(now);
         }
-        quarantine::record_success(&self.gateway, &self.call);
+        quarantine::record_success(&self.gateway, &self.call, &self.progress.answer);
         self.gateway
             .connections
             .release(source.attempt.connection, announced, now);
--- a/kernel/src/gateway/crashes.rs
+++ b/kernel/src/gateway/crashes.rs
@@ -1,115 +1,127 @@
-//! Calls whose content crashes the upstreams that run it.
+//! What crashes the upstreams that run calls with it: whole contents, and parts of prompts.
 //!
-//! A crash ends every call at the upstream, so a single crash does not show which call caused it.
-//! Content that was at three runs of upstreams when they crashed is quarantined: no node sends it
-//! any more, except for a few trials that one node makes. Nodes exchange their records and merge
-//! them as a union, so reports may arrive late, twice and in any order.
+//! Nodes tell each other of crashes and of answers that went on, and each judges by what it knows.
+//! Calls with a cause are quarantined: no node sends them any more, except for a few trials that one
+//! node makes. Quarantines are merged by their round, so reports may arrive late, twice and in any order.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+pub mod evidence;
+pub mod suspect;
+
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::gateway::content::ContentDigest;
+use crate::gateway::crashes::evidence::{CrashEvidence, CrashKey, CrashReport, millis};
+use crate::gateway::crashes::suspect::{CrashCause, SuspectKey};
 
-/// Number of crashed runs of upstreams at which content is quarantined.
-pub const QUARANTINE_CRASHES: usize = 3;
-/// Maximum number of runs recorded for each content; further ones would not change any decision.
-const MAX_RUNS: usize = 8;
-/// Times since the newest crash at which quarantined content is sent once more: if a pool lost all
-/// its upstreams at once, harmless calls are quarantined too.
+/// Times since the newest crash at which calls of a quarantined cause are sent once more: if a pool lost
+/// all its upstreams at once, harmless calls are quarantined too.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(30), Duration::from_mins(5)];
 /// Time since the newest crash after which a quarantine ends.
 const QUARANTINE_TTL: Duration = Duration::from_hours(1);
-/// Time since the newest crash after which a record below the quarantine threshold expires.
-const SUSPICION_TTL: Duration = Duration::from_mins(10);
 /// Time for which a change is sent in heartbeats: two of the longest intervals between heartbeats.
 const UPDATE_TTL: Duration = Duration::from_millis(1500);
-/// Maximum number of changes in one heartbeat, some 20 bytes each.
+/// Time for which a node repeats the crashes that it noticed itself, for nodes that were cut off.
+const OWN_TTL: Duration = Duration::from_secs(15);
+/// Interval at which it repeats them once `UPDATE_TTL` has passed.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of properties in the crashes of one heartbeat, some 12 bytes each.
+const MAX_SUSPECTS: usize = 48;
+/// Maximum number of quarantines and of answers in one heartbeat, some 30 and 16 bytes each.
 const MAX_UPDATES: usize = 8;
-/// Step by which the start of the next heartbeat's changes advances: smaller than `MAX_UPDATES`, as
-/// those closest to quarantine are in every heartbeat.
-const UPDATE_STEP: usize = MAX_UPDATES / 2;
-/// Maximum number of recorded contents.
+/// Number of crashes below which nothing is quarantined.
+const FEWEST_CRASHES: usize = 3;
+/// Time since the newest crash up to which a quarantine is ended if it turns out to be wrong.
+const REFUTAL_TIME: Duration = Duration::from_mins(1);
+/// Difference up to which two reports of the beginning of an answer are the same.
+const SAME_ANSWER: Duration = Duration::from_millis(100);
+/// Maximum number of changes that are sent to other nodes.
+const MAX_CHANGES: usize = 512;
+/// Maximum number of quarantines that are kept.
 const MAX_RECORDS: usize = 4096;
 
-/// One node's record of content during whose calls upstreams crashed, as sent to other nodes.
+/// One node's record of a quarantine, as sent to other nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
-pub struct CrashReport {
-    /// Digest of the content.
-    pub content: ContentDigest,
-    /// Number of times that its quarantine was cleared.
+pub struct QuarantineReport {
+    /// Properties of the calls.
+    pub cause: CrashCause,
+    /// Number of times that the quarantine was cleared.
     pub round: u32,
     /// Number of trials since the last clearing.
     pub trials: u8,
-    /// Hashes of the runs of upstreams that crashed during a call with it since the last clearing.
-    pub runs: BTreeSet<u64>,
+    /// Whether the calls are quarantined.
+    pub quarantined: bool,
+    /// Whether a trial was answered since the newest crash.
+    pub answered: bool,
+    /// Number of crashes that led to it.
+    pub crashes: u32,
     /// Time since the newest crash or clearing, in ms.
     pub age_ms: u64,
 }
 
-impl CrashReport {
-    /// Whether the content is quarantined.
-    pub fn is_quarantined(&self) -> bool {
-        self.runs.len() >= QUARANTINE_CRASHES
-    }
+/// Answer that shows a property to be harmless, as sent to other nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
+pub struct SoundReport {
+    /// The property.
+    pub suspect: SuspectKey,
+    /// Time since the answer began, in ms.
+    pub age_ms: u64,
 }
 
-/// Effect of a report on this node's records.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CrashChange {
-    /// The report contained nothing new, or was too old.
-    Unchanged,
-    /// The record changed, but the content is admitted or rejected as before.
-    Updated,
-    /// The content is newly quarantined.
-    Quarantined,
-    /// The quarantine ended, since a call with the content was answered successfully.
-    Cleared,
+/// Recent changes of one node's knowledge of crashes, as part of a heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
+pub struct CrashNews {
+    /// Crashes.
+    pub crashes: Vec<CrashReport>,
+    /// Answers that show suspected properties to be harmless.
+    pub sound: Vec<SoundReport>,
+    /// Quarantines that began or ended.
+    pub quarantines: Vec<QuarantineReport>,
 }
 
-/// Whether a call with given content may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ContentDecision {
-    /// The content is not quarantined; the call may be sent.
+/// A quarantine that began or ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantineChange {
+    /// Properties of the calls.
+    pub cause: CrashCause,
+    /// Whether they are quarantined now.
+    pub quarantined: bool,
+    /// Number of crashes that led to it.
+    pub crashes: usize,
+}
+
+/// Whether a call may be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CrashDecision {
+    /// The call is not quarantined and may be sent.
     Admitted,
-    /// The content is quarantined, and this node may send the call once to test whether it still
-    /// causes a crash.
+    /// The call is quarantined, and this node may send it once to test whether it still causes a
+    /// crash.
     Trial,
-    /// The content is quarantined; the call is rejected.
+    /// The call is quarantined and is rejected.
     Quarantined {
-        /// Time until the content may be sent again.
+        /// The cause that it has.
+        cause: CrashCause,
+        /// Time until calls of the cause may be sent again.
         pause: Duration,
     },
 }
 
 #[derive(Clone, Debug, Default)]
-struct ContentRecord {
+struct QuarantineRecord {
     round: u32,
     trials: u8,
-    runs: BTreeSet<u64>,
+    quarantined: bool,
+    answered: bool,
+    crashes: u32,
     changed_at: Duration,
 }
 
-impl ContentRecord {
-    fn is_quarantined(&self) -> bool {
-        self.runs.len() >= QUARANTINE_CRASHES
-    }
-
-    /// Whether all nodes have to agree on the record: the content is quarantined or was cleared.
-    fn is_decided(&self) -> bool {
-        self.is_quarantined() || self.round > 0
-    }
-
+impl QuarantineRecord {
     fn ends_at(&self) -> Duration {
-        let ttl = if self.is_decided() {
-            QUARANTINE_TTL
-        } else {
-            SUSPICION_TTL
-        };
-        self.changed_at + ttl
+        self.changed_at + QUARANTINE_TTL
     }
 
     fn trial_at(&self) -> Option<Duration> {
@@ -117,12 +129,17 @@
         Some(self.changed_at + *pause)
     }
 
+    /// Whether what is known of its crashes may show that it is wrong. Later that is forgotten in part.
+    fn is_refutable(&self, now: Duration) -> bool {
+        self.quarantined && self.changed_at + REFUTAL_TIME > now
+    }
+
     /// Merges a report and returns whether anything but the time changed.
-    fn merge(&mut self, report: &CrashReport, at: Duration) -> bool {
+    fn merge(&mut self, report: &QuarantineReport, at: Duration) -> bool {
         if report.round < self.round {
             return false;
         }
-        let before = (self.round, self.trials, self.runs.len());
+        let before = (self.round, self.trials, self.quarantined, self.crashes);
         if report.round > self.round {
             *self = Self {
                 round: report.round,
@@ -130,180 +147,433 @@
             };
         }
         self.trials = self.trials.max(report.trials);
-        self.runs.extend(&report.runs);
-        while self.runs.len() > MAX_RUNS {
-            self.runs.pop_last();
-        }
+        self.quarantined |= report.quarantined;
+        self.answered |= report.answered;
+        self.crashes = self.crashes.max(report.crashes);
         self.changed_at = self.changed_at.max(at);
-        before != (self.round, self.trials, self.runs.len())
+        before != (self.round, self.trials, self.quarantined, self.crashes)
     }
 
-    fn report(&self, content: ContentDigest, now: Duration) -> CrashReport {
-        let age = now.saturating_sub(self.changed_at);
-        CrashReport {
-            content,
+    fn report(&self, cause: &CrashCause, now: Duration) -> QuarantineReport {
+        QuarantineReport {
+            cause: cause.clone(),
             round: self.round,
             trials: self.trials,
-            runs: self.runs.clone(),
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            quarantined: self.quarantined,
+            answered: self.answered,
+            crashes: self.crashes,
+            age_ms: millis(now.saturating_sub(self.changed_at)),
         }
     }
 }
 
-/// Records of contents during whose calls upstreams crashed.
+/// A change that is sent to other nodes for a while.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum RecentChange {
+    Crash { key: CrashKey, is_own: bool },
+    Sound(SuspectKey),
+    Quarantine(CrashCause),
+}
+
+/// Crashes, answers and quarantines that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
-    records: BTreeMap<ContentDigest, ContentRecord>,
-    updates: VecDeque<(Duration, ContentDigest)>,
-    update_turn: usize,
+    evidence: CrashEvidence,
+    records: BTreeMap<CrashCause, QuarantineRecord>,
+    updates: VecDeque<(Duration, RecentChange)>,
+    repeated_at: Duration,
+    turn: usize,
     digest: u64,
 }
 
 impl CrashLedger {
-    /// Records that the connection to a run of an upstream broke during a call with this content.
-    pub fn record_crash(&mut self, content: ContentDigest, run: u64, now: Duration) -> CrashChange {
-        let known = self.records.get(&content);
-        let report = CrashReport {
-            content,
-            round: known.map_or(0, |record| record.round),
-            trials: known.map_or(0, |record| record.trials),
-            runs: BTreeSet::from([run]),
-            age_ms: 0,
+    /// Records that the connection to a run of an upstream broke during a call of this node. Returns
+    /// whether that is new, and the quarantines that it changes.
+    pub fn record_crash(
+        &mut self,
+        report: &CrashReport,
+        now: Duration,
+    ) -> Option<Vec<QuarantineChange>> {
+        let key = self.evidence.merge(report, now)?;
+        self.announce(RecentChange::Crash { key, is_own: true }, now);
+        for call in &report.calls {
+            self.postpone_trials(&call.suspects, now);
+        }
+        Some(self.judge_crash(report, now))
+    }
+
+    /// A crash under a trial, or under a call that was sent before the quarantine, delays the next trial.
+    fn postpone_trials(&mut self, suspects: &[SuspectKey], now: Duration) {
+        for (cause, mut record) in self.owned_quarantines_of(suspects, now) {
+            record.changed_at = now;
+            record.crashes += 1;
+            self.put(cause, record, now);
+        }
+    }
+
+    /// Judges again after a crash, if it may be one of several with the same cause.
+    fn judge_crash(&mut self, report: &CrashReport, now: Duration) -> Vec<QuarantineChange> {
+        let suspects = report.calls.iter().flat_map(|call| &call.suspects);
+        let mut counts = suspects.map(|suspect| self.evidence.crashes(*suspect));
+        if counts.any(|count| count >= FEWEST_CRASHES) {
+            return self.judge(now);
+        }
+        Vec::new()
+    }
+
+    /// Records that an answer to a call of this node with these properties, which began at this time,
+    /// went on. Returns the quarantines that it changes.
+    pub fn record_answer(
+        &mut self,
+        suspects: &[SuspectKey],
+        began_at: Duration,
+        now: Duration,
+    ) -> Vec<QuarantineChange> {
+        for suspect in suspects {
+            let is_new = self.evidence.sound_at(*suspect) < Some(began_at);
+            self.evidence.record_sound(*suspect, began_at);
+            if is_new && self.evidence.crashes(*suspect) > 1 {
+                self.announce(RecentChange::Sound(*suspect), now);
+            }
+        }
+        let mut changes = self.clear_answered(suspects, began_at, now);
+        if suspects
+            .iter()
+            .any(|suspect| self.may_be_refuted(*suspect, now))
+        {
+            changes.extend(self.judge(now));
+        }
+        changes
+    }
+
+    /// Whether a property is in a quarantine that an answer may show to be wrong.
+    fn may_be_refuted(&self, suspect: SuspectKey, now: Duration) -> bool {
+        let mut records = self.records.iter();
+        records
+            .any(|(cause, record)| record.is_refutable(now) && cause.suspects().contains(&suspect))
+    }
+
+    /// Clears quarantines whose calls were answered after the last crash.
+    fn clear_answered(
+        &mut self,
+        suspects: &[SuspectKey],
+        began_at: Duration,
+        now: Duration,
+    ) -> Vec<QuarantineChange> {
+        let is_answered = |(cause, record): &(&CrashCause, &QuarantineRecord)| {
+            record.quarantined && cause.applies_to(suspects) && record.changed_at < began_at
         };
-        self.receive(&report, now)
+        let answered = self.records.iter().filter(is_answered);
+        let answered: Vec<CrashCause> = answered.map(|(cause, _)| cause.clone()).collect();
+        let mut changes = Vec::new();
+        for cause in answered {
+            self.absolve(&cause, began_at);
+            changes.extend(self.clear(cause, true, now));
+        }
+        changes
     }
 
-    /// Merges another node's report.
-    pub fn receive(&mut self, report: &CrashReport, now: Duration) -> CrashChange {
+    /// Merges another node's news. Returns the quarantines that it changes.
+    pub fn receive(&mut self, news: &CrashNews, now: Duration) -> Vec<QuarantineChange> {
+        let mut is_changed = false;
+        for report in &news.crashes {
+            if let Some(key) = self.evidence.merge(report, now) {
+                is_changed |= self.evidence.weight(key) >= FEWEST_CRASHES;
+                self.announce(RecentChange::Crash { key, is_own: false }, now);
+            }
+        }
+        for report in &news.sound {
+            let began_at = now.saturating_sub(Duration::from_millis(report.age_ms));
+            // The same answer is reported with ages that differ by the time on the way.
+            let known = self.evidence.sound_at(report.suspect);
+            if known.is_none_or(|known| known + SAME_ANSWER < began_at) {
+                is_changed |= self.may_be_refuted(report.suspect, now);
+                self.evidence.record_sound(report.suspect, began_at);
+                self.announce(RecentChange::Sound(report.suspect), now);
+            }
+        }
+        let mut changes = self.receive_quarantines(&news.quarantines, now);
+        if is_changed {
+            changes.extend(self.judge(now));
+        }
+        changes
+    }
+
+    /// Merges quarantines of another node or of the store. Returns those that change.
+    pub fn receive_quarantines(
+        &mut self,
+        reports: &[QuarantineReport],
+        now: Duration,
+    ) -> Vec<QuarantineChange> {
+        let mut changes = Vec::new();
+        for report in reports {
+            changes.extend(self.receive_quarantine(report, now));
+        }
+        changes
+    }
+
+    fn receive_quarantine(
+        &mut self,
+        report: &QuarantineReport,
+        now: Duration,
+    ) -> Option<QuarantineChange> {
         let at = now.saturating_sub(Duration::from_millis(report.age_ms));
-        let mut record = self
-            .records
-            .get(&report.content)
-            .cloned()
-            .unwrap_or_default();
-        let was_quarantined = record.is_quarantined();
+        let known = self.records.get(&report.cause);
+        let mut record = known.cloned().unwrap_or_default();
+        let was_quarantined = record.quarantined;
         if !record.merge(report, at) || record.ends_at() <= now {
-            return CrashChange::Unchanged;
+            return None;
         }
-        let is_quarantined = record.is_quarantined();
-        self.put(report.content, record, now);
-        match (was_quarantined, is_quarantined) {
-            (false, true) => CrashChange::Quarantined,
-            (true, false) => CrashChange::Cleared,
-            _ => CrashChange::Updated,
+        let (quarantined, crashes) = (record.quarantined, record.crashes as usize);
+        if !quarantined && record.answered {
+            self.absolve(&report.cause, at);
         }
+        self.put(report.cause.clone(), record, now);
+        (was_quarantined != quarantined).then(|| QuarantineChange {
+            cause: report.cause.clone(),
+            quarantined,
+            crashes,
+        })
     }
 
-    /// Records that a call with this content was answered successfully. Returns whether that ends
-    /// its quarantine. The record of content that was never quarantined is removed.
-    pub fn record_answer(&mut self, content: ContentDigest, now: Duration) -> bool {
-        let Some(record) = self.records.get(&content) else {
-            return false;
+    /// Begins quarantines of what the crashes show to be causes, and ends those of what they do not.
+    fn judge(&mut self, now: Duration) -> Vec<QuarantineChange> {
+        let (causes, explained) = self.evidence.causes();
+        let mut changes = Vec::new();
+        let is_blamed = |cause: &CrashCause| {
+            let covers = |known: &CrashCause| known.applies_to(cause.suspects());
+            // Only a node that knows the crashes can tell that they have another cause.
+            causes.iter().any(covers)
+                || cause.suspects().iter().any(|suspect| {
+                    self.evidence.crashes(*suspect) < self.records[cause].crashes as usize
+                        || self.evidence.has_enough_crashes(*suspect, &explained)
+                })
         };
-        if !record.is_quarantined() {
-            if !record.is_decided() {
-                self.records.remove(&content);
-            }
-            return false;
+        let is_refuted = |(cause, record): &(&CrashCause, &QuarantineRecord)| {
+            record.is_refutable(now) && !is_blamed(cause)
+        };
+        let refuted = self.records.iter().filter(is_refuted);
+        let refuted: Vec<CrashCause> = refuted.map(|(cause, _)| cause.clone()).collect();
+        for cause in refuted {
+            changes.extend(self.clear(cause, false, now));
         }
-        let cleared = ContentRecord {
+        for cause in causes {
+            changes.extend(self.quarantine(cause, now));
+        }
+        changes
+    }
+
+    fn quarantine(&mut self, cause: CrashCause, now: Duration) -> Option<QuarantineChange> {
+        let covers = |known: &CrashCause| known.applies_to(cause.suspects());
+        let mut records = self.records.iter();
+        if records.any(|(known, record)| record.quarantined && covers(known)) {
+            return None;
+        }
+        let counts = cause.suspects().iter();
+        let crashes = counts.map(|suspect| self.evidence.crashes(*suspect)).min();
+        let crashes = crashes.unwrap_or(0);
+        let known = self.records.get(&cause);
+        let record = QuarantineRecord {
+            quarantined: true,
+            crashes: crashes as u32,
+            round: known.map_or(0, |record| record.round),
+            changed_at: now,
+            ..QuarantineRecord::default()
+        };
+        self.put(cause.clone(), record, now);
+        Some(QuarantineChange {
+            cause,
+            quarantined: true,
+            crashes,
+        })
+    }
+
+    fn clear(
+        &mut self,
+        cause: CrashCause,
+        answered: bool,
+        now: Duration,
+    ) -> Option<QuarantineChange> {
+        let record = self.records.get(&cause)?;
+        let crashes = record.crashes as usize;
+        let cleared = QuarantineRecord {
             round: record.round + 1,
+            answered,
             changed_at: now,
-            ..ContentRecord::default()
+            ..QuarantineRecord::default()
         };
-        self.put(content, cleared, now);
-        true
+        self.put(cause.clone(), cleared, now);
+        Some(QuarantineChange {
+            cause,
+            quarantined: false,
+            crashes,
+        })
     }
 
-    /// Decides whether a call with this content may be sent. `may_try` returns whether this node is
-    /// the one that makes trials. A trial is one attempt: each further one needs a new decision.
+    /// Crashes before a quarantine was cleared are no evidence any more.
+    fn absolve(&mut self, cause: &CrashCause, at: Duration) {
+        for suspect in cause.suspects() {
+            self.evidence.record_sound(*suspect, at);
+        }
+    }
+
+    /// Decides whether a call with these properties may be sent. `may_try` returns whether this node is
+    /// the one that makes trials of a cause. A trial is one attempt: each further one needs a new
+    /// decision.
     pub fn decide(
         &self,
-        content: ContentDigest,
-        may_try: impl FnOnce() -> bool,
+        suspects: &[SuspectKey],
+        may_try: impl Fn(u64) -> bool,
         now: Duration,
-    ) -> ContentDecision {
-        let Some(record) = self.records.get(&content) else {
-            return ContentDecision::Admitted;
-        };
-        if !record.is_quarantined() || record.ends_at() <= now {
-            return ContentDecision::Admitted;
-        }
-        let trial_at = record.trial_at();
-        if trial_at.is_some_and(|at| at <= now) && may_try() {
-            return ContentDecision::Trial;
-        }
-        let next = trial_at.filter(|at| *at > now);
-        let until = next.unwrap_or_else(|| record.ends_at());
-        ContentDecision::Quarantined {
-            pause: until.saturating_sub(now),
+    ) -> CrashDecision {
+        let mut decision = CrashDecision::Admitted;
+        for (cause, record) in self.quarantines_of(suspects, now) {
+            let trial_at = record.trial_at();
+            if trial_at.is_some_and(|at| at <= now) && may_try(cause_hash(cause)) {
+                decision = CrashDecision::Trial;
+                continue;
+            }
+            let next = trial_at.filter(|at| *at > now);
+            let until = next.unwrap_or_else(|| record.ends_at());
+            return CrashDecision::Quarantined {
+                cause: cause.clone(),
+                pause: until.saturating_sub(now),
+            };
         }
+        decision
     }
 
-    /// Records that a call with this content is sent as a trial.
-    pub fn begin_trial(&mut self, content: ContentDigest, now: Duration) {
-        let Some(mut record) = self.records.get(&content).cloned() else {
-            return;
+    /// Quarantines that calls with these properties fall under.
+    fn quarantines_of(
+        &self,
+        suspects: &[SuspectKey],
+        now: Duration,
+    ) -> impl Iterator<Item = (&CrashCause, &QuarantineRecord)> {
+        let of_first = |suspect: &SuspectKey| {
+            let suspect = *suspect;
+            let from = self.records.range(CrashCause::new(suspect, [])..);
+            from.take_while(move |(cause, _)| cause.first() == Some(suspect))
         };
-        record.trials += 1;
-        self.put(content, record, now);
+        suspects
+            .iter()
+            .flat_map(of_first)
+            .filter(move |(_, record)| record.quarantined && record.ends_at() > now)
+            .filter(move |(cause, _)| cause.applies_to(suspects))
     }
 
-    /// Number of runs of upstreams that crashed during a call with this content.
-    pub fn crashes(&self, content: ContentDigest) -> usize {
-        let record = self.records.get(&content);
-        record.map_or(0, |record| record.runs.len())
+    /// Records that a call with these properties is sent as a trial.
+    pub fn begin_trial(&mut self, suspects: &[SuspectKey], now: Duration) {
+        for (cause, mut record) in self.owned_quarantines_of(suspects, now) {
+            record.trials += 1;
+            self.put(cause, record, now);
+        }
     }
 
-    /// Recent changes for the next heartbeat, at most `MAX_UPDATES`: content closest to or in
-    /// quarantine first, the others in turn.
-    pub fn recent_reports(&mut self, now: Duration) -> Vec<CrashReport> {
-        while self
-            .updates
-            .front()
-            .is_some_and(|(at, _)| *at + UPDATE_TTL <= now)
-        {
-            self.updates.pop_front();
+    fn owned_quarantines_of(
+        &self,
+        suspects: &[SuspectKey],
+        now: Duration,
+    ) -> Vec<(CrashCause, QuarantineRecord)> {
+        let found = self.quarantines_of(suspects, now);
+        found
+            .map(|(cause, record)| (cause.clone(), record.clone()))
+            .collect()
+    }
+
+    /// Number of crashes under calls with this property, as far as this node knows.
+    pub fn crashes(&self, suspect: SuspectKey) -> usize {
+        self.evidence.crashes(suspect)
+    }
+
+    /// Recent changes for the next heartbeat: crashes under calls with the most crashes first, the others
+    /// in turn.
+    pub fn recent_news(&mut self, now: Duration) -> CrashNews {
+        let is_kept = |(at, change): &(Duration, RecentChange)| {
+            let ttl = match change {
+                RecentChange::Crash { is_own: true, .. } => OWN_TTL,
+                _ => UPDATE_TTL,
+            };
+            *at + ttl > now
+        };
+        self.updates.retain(is_kept);
+        let repeats = self.repeated_at + REPEAT_INTERVAL <= now;
+        if repeats {
+            self.repeated_at = now;
         }
-        let mut contents: Vec<ContentDigest> =
-            self.updates.iter().map(|(_, content)| *content).collect();
-        if contents.len() > MAX_UPDATES {
-            self.update_turn = self.update_turn.wrapping_add(UPDATE_STEP);
-            let turn = self.update_turn % contents.len();
-            contents.rotate_left(turn);
-            contents.sort_by_key(|content| Reverse(self.crashes(*content)));
+        let due = self
+            .updates
+            .iter()
+            .filter(|(at, _)| repeats || *at + UPDATE_TTL > now);
+        let mut due: Vec<RecentChange> = due.map(|(_, change)| change.clone()).collect();
+        if due.is_empty() {
+            return CrashNews::default();
         }
-        let reports = contents.into_iter().filter_map(|content| {
-            let record = self.records.get(&content)?;
-            Some(record.report(content, now))
+        self.turn = self.turn.wrapping_add(MAX_UPDATES / 2);
+        let turn = self.turn % due.len();
+        due.rotate_left(turn);
+        due.sort_by_key(|change| match change {
+            RecentChange::Crash { key, .. } => std::cmp::Reverse(self.evidence.weight(*key)),
+            RecentChange::Sound(_) | RecentChange::Quarantine(_) => std::cmp::Reverse(usize::MAX),
         });
-        reports.take(MAX_UPDATES).collect()
+        self.news(&due, now)
     }
 
-    /// Reports on contents that are quarantined or were cleared, on which all nodes have to agree.
-    pub fn decided_reports(&self, now: Duration) -> Vec<CrashReport> {
-        let decided = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.is_decided());
-        decided
-            .map(|(content, record)| record.report(*content, now))
+    fn news(&self, changes: &[RecentChange], now: Duration) -> CrashNews {
+        let mut news = CrashNews::default();
+        let mut room = MAX_SUSPECTS;
+        for change in changes {
+            match change {
+                RecentChange::Crash { key, .. } if room > 0 => {
+                    let report = self.evidence.report(*key, room, now);
+                    let Some(report) = report.filter(|report| !report.calls.is_empty()) else {
+                        continue;
+                    };
+                    let used = report.calls.iter().map(|call| call.suspects.len());
+                    room = room.saturating_sub(used.sum());
+                    news.crashes.push(report);
+                }
+                RecentChange::Sound(suspect) if news.sound.len() < MAX_UPDATES => {
+                    let began_at = self.evidence.sound_at(*suspect);
+                    news.sound.extend(began_at.map(|at| SoundReport {
+                        suspect: *suspect,
+                        age_ms: millis(now.saturating_sub(at)),
+                    }));
+                }
+                RecentChange::Quarantine(cause) if news.quarantines.len() < MAX_UPDATES => {
+                    let record = self.records.get(cause);
+                    news.quarantines
+                        .extend(record.map(|record| record.report(cause, now)));
+                }
+                RecentChange::Crash { .. }
+                | RecentChange::Sound(_)
+                | RecentChange::Quarantine(_) => {}
+            }
+        }
+        news
+    }
+
+    /// Reports on what is quarantined or was cleared, on which all nodes have to agree.
+    pub fn quarantine_reports(&self, now: Duration) -> Vec<QuarantineReport> {
+        let records = self.records.iter();
+        records
+            .map(|(cause, record)| record.report(cause, now))
             .collect()
     }
 
-    /// Digest of the quarantined and cleared contents, to compare with other nodes; 0 if none.
+    /// Digest of what is quarantined or was cleared, to compare with other nodes; 0 if nothing.
     pub fn digest(&self) -> u64 {
         self.digest
     }
 
-    /// Number of quarantined contents.
+    /// Number of quarantined causes.
     pub fn quarantined(&self) -> usize {
         let records = self.records.values();
-        records.filter(|record| record.is_quarantined()).count()
+        records.filter(|record| record.quarantined).count()
     }
 
-    /// Removes records whose quarantine or suspicion has expired.
+    /// Removes quarantines and crashes that have expired.
     pub fn expire(&mut self, now: Duration) {
+        self.evidence.expire(now);
         let count = self.records.len();
         self.records.retain(|_, record| record.ends_at() > now);
         if self.records.len() < count {
@@ -311,39 +581,65 @@
         }
     }
 
-    fn put(&mut self, content: ContentDigest, record: ContentRecord, now: Duration) {
-        let is_decided = record.is_decided();
-        let old = self.records.insert(content, record);
-        self.updates.retain(|(_, known)| *known != content);
-        self.updates.push_back((now, content));
+    fn announce(&mut self, change: RecentChange, now: Duration) {
+        let is_same = |known: &RecentChange| match (known, &change) {
+            (RecentChange::Crash { key, .. }, RecentChange::Crash { key: other, .. }) => {
+                key == other
+            }
+            _ => *known == change,
+        };
+        let known = self.updates.iter().position(|(_, known)| is_same(known));
+        let known = known.and_then(|index| self.updates.remove(index));
+        let was_own = matches!(known, Some((_, RecentChange::Crash { is_own: true, .. })));
+        let change = match change {
+            RecentChange::Crash { key, is_own } => RecentChange::Crash {
+                key,
+                is_own: is_own || was_own,
+            },
+            change => change,
+        };
+        self.updates.push_back((now, change));
+        if self.updates.len() > MAX_CHANGES {
+            self.updates.pop_front();
+        }
+    }
+
+    fn put(&mut self, cause: CrashCause, record: QuarantineRecord, now: Duration) {
+        self.records.insert(cause.clone(), record);
+        self.announce(RecentChange::Quarantine(cause), now);
         if self.records.len() > MAX_RECORDS {
             self.drop_oldest();
         }
-        if is_decided || old.is_some_and(|old| old.is_decided()) {
-            self.refresh_digest();
-        }
+        self.refresh_digest();
     }
 
     fn drop_oldest(&mut self) {
-        let age = |record: &ContentRecord| (record.is_decided(), record.changed_at);
+        let age = |record: &QuarantineRecord| (record.quarantined, record.changed_at);
         let oldest = self.records.iter().min_by_key(|(_, record)| age(record));
-        if let Some(content) = oldest.map(|(content, _)| *content) {
-            self.records.remove(&content);
-            self.refresh_digest();
+        if let Some(cause) = oldest.map(|(cause, _)| cause.clone()) {
+            self.records.remove(&cause);
         }
     }
 
     fn refresh_digest(&mut self) {
-        let hash = |(content, record): (&ContentDigest, &ContentRecord)| {
-            let is_quarantined = u64::from(record.is_quarantined());
-            let seed =
-                u64::from(record.round) << 16 | u64::from(record.trials) << 1 | is_quarantined;
-            xxh3_64_with_seed(&u64::from(*content).to_le_bytes(), seed) >> 32
+        let hash = |(cause, record): (&CrashCause, &QuarantineRecord)| {
+            let seed = u64::from(record.round) << 16
+                | u64::from(record.trials) << 1
+                | u64::from(record.quarantined);
+            xxh3_64_with_seed(&cause_hash(cause).to_le_bytes(), seed) >> 32
         };
-        let decided = self
+        self.digest = self
             .records
             .iter()
-            .filter(|(_, record)| record.is_decided());
-        self.digest = decided.map(hash).fold(0, |digest, hash| digest ^ hash);
+            .map(hash)
+            .fold(0, |digest, hash| digest ^ hash);
+    }
+}
+
+/// Uniform number for a cause, the same at all nodes.
+fn cause_hash(cause: &CrashCause) -> u64 {
+    match cause.suspects() {
+        [SuspectKey::Content(content)] => (*content).into(),
+        _ => xxh3_64(cause.to_string().as_bytes()),
     }
 }
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::gateway::crashes::CrashNews;
 pub use crate::gateway::fleet::keepers::StartKeepers;
 pub use crate::gateway::fleet::shares::SharedLimit;
 use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash};
@@ -178,7 +179,7 @@
         heartbeat.parts = Vec::new();
         heartbeat.usage = Vec::new();
         heartbeat.speeds = Vec::new();
-        heartbeat.crashes = Vec::new();
+        heartbeat.crashes = CrashNews::default();
         heartbeat.limits = Vec::new();
         heartbeat.refusals = Vec::new();
         if let Some(age) = heartbeat.store_age() {
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::backlog::BacklogReport;
 use crate::gateway::brittle::RefusalReport;
-use crate::gateway::crashes::CrashReport;
+use crate::gateway::crashes::CrashNews;
 use crate::gateway::fairness::WorkspaceReport;
 use crate::gateway::load::WorkCount;
 use crate::gateway::speed::SpeedReport;
@@ -135,9 +135,9 @@
     pub failing: Vec<u64>,
     /// Hashes of the runs of upstreams that recently began to leave.
     pub departures: Vec<u64>,
-    /// Recent changes of its records of content that crashes upstreams.
-    pub crashes: Vec<CrashReport>,
-    /// Digest of the contents that are quarantined or were cleared; 0 if there are none.
+    /// Recent changes of what it knows of crashes of upstreams and of what causes them.
+    pub crashes: CrashNews,
+    /// Digest of what is quarantined or was cleared; 0 if there is nothing.
     pub crash_digest: u64,
     /// Limits that upstreams advertised recently.
     pub limits: Vec<LimitReport>,
@@ -180,7 +180,7 @@
             work: None,
             failing: Vec::new(),
             departures: Vec::new(),
-            crashes: Vec::new(),
+            crashes: CrashNews::default(),
             crash_digest: 0,
             limits: Vec::new(),
             parts: Vec::new(),
--- a/kernel/tests/gateway/crash_fuzz.rs
+++ b/kernel/tests/gateway/crash_fuzz.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::content::ContentDigest;
-use monsoonbank_kernel::gateway::crashes::{ContentDecision, CrashLedger, CrashReport};
+use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::suspect::{CrashCause, SuspectKey};
+use monsoonbank_kernel::gateway::crashes::{CrashDecision, CrashLedger, QuarantineReport};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -25,11 +27,15 @@
 
 const CRASHING: u64 = 0;
 
+fn content(number: u64) -> SuspectKey {
+    SuspectKey::Content(ContentDigest::from(number))
+}
+
 struct CrashingFleet {
     random: Pcg64Mcg,
     ledgers: Vec<CrashLedger>,
     started_at: Vec<Duration>,
-    store: BTreeMap<ContentDigest, CrashReport>,
+    store: BTreeMap<CrashCause, QuarantineReport>,
     running: VecDeque<(Duration, usize)>,
     crashes: Vec<Duration>,
     repeats: usize,
@@ -63,12 +69,12 @@
     /// Delivers the crashing call to a node. The first node makes the trials.
     fn arrive(&mut self) {
         let node = self.any_node();
-        let content = ContentDigest::from(CRASHING);
-        let decision = self.ledgers[node].decide(content, || node == 0, self.now);
+        let suspects = [content(CRASHING)];
+        let decision = self.ledgers[node].decide(&suspects, |_| node == 0, self.now);
         match decision {
-            ContentDecision::Admitted => {}
-            ContentDecision::Trial => self.ledgers[node].begin_trial(content, self.now),
-            ContentDecision::Quarantined { .. } => return,
+            CrashDecision::Admitted => {}
+            CrashDecision::Trial => self.ledgers[node].begin_trial(&suspects, self.now),
+            CrashDecision::Quarantined { .. } => return,
         }
         self.running.push_back((self.now + RUN_TIME, node));
         let third = self.crashes.get(2);
@@ -85,43 +91,49 @@
             self.crashes.push(self.now);
             let run = self.next_run;
             self.next_run += 1;
-            self.ledgers[node].record_crash(ContentDigest::from(CRASHING), run, self.now);
+            self.crash(node, CRASHING, run);
             for _ in 0..OTHER_CALLS {
-                let innocent = ContentDigest::from(self.random.random_range(1..5000));
+                let innocent = self.random.random_range(1..5000);
                 let other = self.any_node();
-                self.ledgers[other].record_crash(innocent, run, self.now);
+                self.crash(other, innocent, run);
             }
         }
     }
 
+    fn crash(&mut self, node: usize, number: u64, run: u64) {
+        let report = CrashReport {
+            run,
+            age_ms: 0,
+            calls: vec![SuspectCall {
+                sent_ms: RUN_TIME.as_millis() as u64,
+                suspects: vec![content(number)],
+            }],
+        };
+        self.ledgers[node].record_crash(&report, self.now);
+    }
+
     fn send_heartbeats(&mut self) {
         for node in 0..self.ledgers.len() {
-            let reports = self.ledgers[node].recent_reports(self.now);
+            let news = self.ledgers[node].recent_news(self.now);
             for _ in 0..FANOUT {
                 let other = self.any_node();
                 if self.random.random_bool(LOSS) {
                     continue;
                 }
-                self.receive(other, &reports);
+                self.ledgers[other].receive(&news, self.now);
                 if self.ledgers[other].digest() != self.ledgers[node].digest() {
-                    let decided = self.ledgers[node].decided_reports(self.now);
-                    self.receive(other, &decided);
+                    let reports = self.ledgers[node].quarantine_reports(self.now);
+                    self.ledgers[other].receive_quarantines(&reports, self.now);
                 }
             }
         }
     }
 
-    fn receive(&mut self, node: usize, reports: &[CrashReport]) {
-        for report in reports {
-            self.ledgers[node].receive(report, self.now);
-        }
-    }
-
-    /// Persists a node's decided records, which nodes read when they start.
+    /// Persists a node's quarantines, which nodes read when they start.
     fn persist(&mut self) {
         let writer = self.any_node();
-        for report in self.ledgers[writer].decided_reports(self.now) {
-            self.store.insert(report.content, report);
+        for report in self.ledgers[writer].quarantine_reports(self.now) {
+            self.store.insert(report.cause.clone(), report);
         }
     }
 
@@ -130,8 +142,8 @@
             let node = self.any_node();
             self.ledgers[node] = CrashLedger::default();
             self.started_at[node] = self.now;
-            let stored: Vec<CrashReport> = self.store.values().cloned().collect();
-            self.receive(node, &stored);
+            let stored: Vec<QuarantineReport> = self.store.values().cloned().collect();
+            self.ledgers[node].receive_quarantines(&stored, self.now);
         }
     }
 
--- a/kernel/tests/gateway/crashes.rs
+++ b/kernel/tests/gateway/crashes.rs
@@ -1,54 +1,98 @@
 //! Tests of the quarantine of content, from the reports of several nodes.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::content::ContentDigest;
-use monsoonbank_kernel::gateway::crashes::{ContentDecision, CrashChange, CrashLedger};
+use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::suspect::{CrashCause, SuspectKey};
+use monsoonbank_kernel::gateway::crashes::{CrashDecision, CrashLedger, QuarantineChange};
 
 const S: Duration = Duration::from_secs(1);
+/// Time for which a call is at an upstream before that crashes.
+const RUN_TIME: Duration = Duration::from_millis(100);
 
-fn content(number: u64) -> ContentDigest {
-    ContentDigest::from(number)
+fn content(number: u64) -> SuspectKey {
+    SuspectKey::Content(ContentDigest::from(number))
 }
 
+/// A crash of a run under a call with these properties.
+fn crash_report(run: u64, suspects: &[SuspectKey]) -> CrashReport {
+    CrashReport {
+        run,
+        age_ms: 0,
+        calls: vec![SuspectCall {
+            sent_ms: RUN_TIME.as_millis() as u64,
+            suspects: suspects.to_vec(),
+        }],
+    }
+}
+
+fn crash(ledger: &mut CrashLedger, number: u64, run: u64, at: Duration) -> Vec<QuarantineChange> {
+    let report = crash_report(run, &[content(number)]);
+    ledger.record_crash(&report, at).unwrap_or_default()
+}
+
+/// Records an answer that begins and ends at this time. Returns whether that ends a quarantine.
+fn answer(ledger: &mut CrashLedger, number: u64, at: Duration) -> bool {
+    let changes = ledger.record_answer(&[content(number)], at, at);
+    changes.iter().any(|change| !change.quarantined)
+}
+
+/// A ledger that quarantines content 1 since second 1.
 fn quarantined() -> CrashLedger {
     let mut ledger = CrashLedger::default();
-    for run in 1..=3 {
-        ledger.record_crash(content(1), run, S);
+    for run in 1..=3_u32 {
+        crash(&mut ledger, 1, u64::from(run), S / 4 * (run + 1));
     }
     ledger
 }
 
+fn decide(ledger: &CrashLedger, number: u64, may_try: bool, now: Duration) -> CrashDecision {
+    ledger.decide(&[content(number)], |_| may_try, now)
+}
+
 fn may_be_sent(ledger: &CrashLedger, number: u64, now: Duration) -> bool {
-    ledger.decide(content(number), || false, now) == ContentDecision::Admitted
+    decide(ledger, number, false, now) == CrashDecision::Admitted
+}
+
+fn refused(pause: Duration) -> CrashDecision {
+    CrashDecision::Quarantined {
+        cause: CrashCause::new(content(1), []),
+        pause,
+    }
+}
+
+/// The change that content 1 is quarantined, or is not any more.
+fn change(quarantined: bool) -> Vec<QuarantineChange> {
+    vec![QuarantineChange {
+        cause: CrashCause::new(content(1), []),
+        quarantined,
+        crashes: 3,
+    }]
 }
 
 #[test]
 fn the_third_crashed_run_quarantines_content() {
     let mut ledger = CrashLedger::default();
-    assert_eq!(ledger.record_crash(content(1), 1, S), CrashChange::Updated);
-    assert_eq!(ledger.record_crash(content(1), 2, S), CrashChange::Updated);
-    assert!(may_be_sent(&ledger, 1, S));
-    assert_eq!(
-        ledger.record_crash(content(1), 3, S),
-        CrashChange::Quarantined
-    );
-    assert!(!may_be_sent(&ledger, 1, S));
-    assert!(may_be_sent(&ledger, 2, S));
+    assert!(crash(&mut ledger, 1, 1, S).is_empty());
+    assert!(crash(&mut ledger, 1, 2, S * 2).is_empty());
+    assert!(may_be_sent(&ledger, 1, S * 2));
+    assert_eq!(crash(&mut ledger, 1, 3, S * 3), change(true));
+    assert!(!may_be_sent(&ledger, 1, S * 3));
+    assert!(may_be_sent(&ledger, 2, S * 3));
 }
 
 // Guards against counting one crash several times when several nodes report it repeatedly.
 #[test]
 fn a_run_counts_once_however_often_it_is_reported() {
     let mut sender = CrashLedger::default();
-    sender.record_crash(content(1), 7, S);
-    sender.record_crash(content(1), 8, S);
+    crash(&mut sender, 1, 7, S);
+    crash(&mut sender, 1, 8, S);
     let mut ledger = CrashLedger::default();
     for _ in 0..5 {
-        for report in sender.recent_reports(S) {
-            ledger.receive(&report, S);
-        }
-        ledger.record_crash(content(1), 7, S);
+        ledger.receive(&sender.recent_news(S), S);
+        crash(&mut ledger, 1, 7, S);
     }
     assert_eq!(ledger.crashes(content(1)), 2);
     assert!(may_be_sent(&ledger, 1, S));
@@ -57,17 +101,16 @@
 // Guards against nodes that each know of one crash and continue to send the call.
 #[test]
 fn crashes_observed_by_several_nodes_add_up_in_any_order() {
-    let mut nodes: Vec<CrashLedger> = (1..=3)
+    let mut nodes: Vec<CrashLedger> = (1..=3_u32)
         .map(|run| {
             let mut ledger = CrashLedger::default();
-            ledger.record_crash(content(1), run, S);
+            crash(&mut ledger, 1, u64::from(run), S / 4 * run);
             ledger
         })
         .collect();
     for (sender, receiver) in [(0, 1), (2, 1), (1, 0), (1, 2)] {
-        for report in nodes[sender].recent_reports(S) {
-            nodes[receiver].receive(&report, S);
-        }
+        let news = nodes[sender].recent_news(S);
+        nodes[receiver].receive(&news, S);
     }
     for ledger in &mut nodes {
         assert!(!may_be_sent(ledger, 1, S));
@@ -84,9 +127,8 @@
     let known = quarantined();
     let mut ledger = CrashLedger::default();
     assert_ne!(ledger.digest(), known.digest());
-    for report in known.decided_reports(S * 2) {
-        assert_eq!(ledger.receive(&report, S * 2), CrashChange::Quarantined);
-    }
+    let reports = known.quarantine_reports(S * 2);
+    assert_eq!(ledger.receive_quarantines(&reports, S * 2), change(true));
     assert_eq!(ledger.digest(), known.digest());
     assert!(!may_be_sent(&ledger, 1, S * 2));
 }
@@ -96,27 +138,26 @@
 #[test]
 fn an_answer_between_crashes_clears_content() {
     let mut ledger = CrashLedger::default();
-    for run in 0..10 {
-        ledger.record_crash(content(1), run, S);
-        ledger.record_answer(content(1), S);
+    for run in 0..10_u32 {
+        crash(&mut ledger, 1, u64::from(run), S * run);
+        answer(&mut ledger, 1, S * run + S / 2);
     }
-    assert!(may_be_sent(&ledger, 1, S));
+    assert!(may_be_sent(&ledger, 1, S * 10));
 }
 
 #[test]
 fn one_node_tries_a_few_times_and_an_answer_ends_the_quarantine_everywhere() {
     let mut ledger = quarantined();
     let mut other = quarantined();
-    let wait = ContentDecision::Quarantined { pause: S * 29 };
-    assert_eq!(ledger.decide(content(1), || true, S * 2), wait);
-    let trial = ledger.decide(content(1), || true, S * 31);
-    assert_eq!(trial, ContentDecision::Trial);
-    ledger.begin_trial(content(1), S * 31);
+    assert_eq!(decide(&ledger, 1, true, S * 2), refused(S * 29));
+    assert_eq!(decide(&ledger, 1, true, S * 31), CrashDecision::Trial);
+    ledger.begin_trial(&[content(1)], S * 31);
     assert!(!may_be_sent(&ledger, 1, S * 31));
-    assert!(ledger.record_answer(content(1), S * 32));
-    for report in ledger.recent_reports(S * 32) {
-        assert_eq!(other.receive(&report, S * 32), CrashChange::Cleared);
-    }
+    assert!(answer(&mut ledger, 1, S * 32));
+    let news = ledger.recent_news(S * 32);
+    let cleared = other.receive(&news, S * 32);
+    assert_eq!(cleared.len(), 1);
+    assert!(!cleared[0].quarantined);
     assert!(may_be_sent(&other, 1, S * 32));
     assert_eq!(ledger.digest(), other.digest());
 }
@@ -127,10 +168,10 @@
     let mut trials = 0;
     for second in 2..3600 {
         let now = S * second;
-        if ledger.decide(content(1), || true, now) == ContentDecision::Trial {
-            ledger.begin_trial(content(1), now);
+        if decide(&ledger, 1, true, now) == CrashDecision::Trial {
+            ledger.begin_trial(&[content(1)], now);
             trials += 1;
-            ledger.record_crash(content(1), 10 + trials, now);
+            crash(&mut ledger, 1, 10 + trials, now);
         }
     }
     assert_eq!(trials, 2);
@@ -140,19 +181,17 @@
 #[test]
 fn a_trial_is_one_attempt() {
     let mut ledger = quarantined();
-    ledger.begin_trial(content(1), S * 31);
-    let again = ledger.decide(content(1), || true, S * 31);
-    assert!(matches!(again, ContentDecision::Quarantined { .. }));
+    ledger.begin_trial(&[content(1)], S * 31);
+    let again = decide(&ledger, 1, true, S * 31);
+    assert!(matches!(again, CrashDecision::Quarantined { .. }));
 }
 
 #[test]
 fn a_late_report_of_a_crash_does_not_undo_a_clearing() {
     let mut ledger = quarantined();
-    let late = ledger.recent_reports(S);
-    ledger.record_answer(content(1), S * 2);
-    for report in &late {
-        assert_eq!(ledger.receive(report, S * 2), CrashChange::Unchanged);
-    }
+    let late = ledger.recent_news(S);
+    answer(&mut ledger, 1, S * 2);
+    assert!(ledger.receive(&late, S * 2).is_empty());
     assert!(may_be_sent(&ledger, 1, S * 2));
 }
 
@@ -170,25 +209,38 @@
 #[test]
 fn content_with_more_crashes_is_reported_first_and_the_rest_in_turn() {
     let mut ledger = CrashLedger::default();
-    for number in 0..40 {
-        ledger.record_crash(content(number), 1, S);
+    for number in 0..200 {
+        crash(&mut ledger, number, number, S);
     }
-    ledger.record_crash(content(33), 2, S);
-    let mut reported = std::collections::BTreeSet::new();
-    for _ in 0..20 {
-        let reports = ledger.recent_reports(S);
-        assert!(reports.iter().any(|report| report.content == content(33)));
-        reported.extend(reports.into_iter().map(|report| report.content));
+    crash(&mut ledger, 33, 1000, S);
+    let mut reported = BTreeSet::new();
+    for _ in 0..40 {
+        let news = ledger.recent_news(S);
+        let calls = news.crashes.iter().flat_map(|report| &report.calls);
+        let contents: Vec<SuspectKey> = calls.flat_map(|call| call.suspects.clone()).collect();
+        assert!(contents.contains(&content(33)));
+        reported.extend(contents);
     }
-    assert_eq!(reported.len(), 40);
-    assert!(ledger.recent_reports(S * 3).is_empty());
+    assert_eq!(reported.len(), 200);
+    assert!(ledger.recent_news(S * 17).crashes.is_empty());
+}
+
+// Guards against crashes that only a node knows of which was cut off when they happened.
+#[test]
+fn a_node_repeats_the_crashes_that_it_noticed_for_a_while() {
+    let mut ledger = CrashLedger::default();
+    crash(&mut ledger, 1, 1, S);
+    let mut other = CrashLedger::default();
+    other.receive(&ledger.recent_news(S), S);
+    assert!(!ledger.recent_news(S * 10).crashes.is_empty());
+    assert!(other.recent_news(S * 10).crashes.is_empty());
 }
 
 #[test]
 fn memory_is_bounded_and_quarantines_stay() {
     let mut ledger = quarantined();
     for number in 2..10_000 {
-        ledger.record_crash(content(number), 1, S * 2);
+        crash(&mut ledger, number, number, S * 2);
     }
     assert!(!may_be_sent(&ledger, 1, S * 2));
     assert_eq!(ledger.crashes(content(2)), 0);
