Blame prompt parts only after other nodes' answers had time to arrive

Causes: a node judged popular parts before it heard of the cause and of answers elsewhere; a node that had never answered a part took it for unproven; crashes of two upstreams at once counted as one; a verdict was withdrawn for another, as well founded, one.

Crashes under parts count after 0.5 s, or 1 s and five times if any node had answered the part before; nodes tell of those answers as soon as a part is suspected twice; a quarantine is withdrawn for answers only; a suspect needs two or three crashes that no known cause explains.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -256,6 +256,7 @@
         limits::update_shares(&gateway);
         speeds::update(&gateway);
         fairness::update(&gateway);
+        quarantine::update(&gateway);
         let mut own = own_heartbeat(&gateway);
         count_waiting(&gateway, &own.backlog);
         let round = GossipRound {
--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -178,6 +178,13 @@
     record_changes(gateway, &changes, source);
 }
 
+/// Judges crashes again that were too new to count.
+pub fn update(gateway: &Gateway) {
+    let now = gateway.now();
+    let changes = gateway.crashes.borrow_mut().settle(now);
+    record_changes(gateway, &changes, OWN_SOURCE);
+}
+
 /// Merges quarantines of another node or of the store.
 pub fn merge_reports(gateway: &Gateway, reports: &[QuarantineReport], source: &str) {
     let now = gateway.now();
--- a/kernel/src/gateway/crashes.rs
+++ b/kernel/src/gateway/crashes.rs
@@ -13,7 +13,9 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::gateway::crashes::evidence::{CrashEvidence, CrashKey, CrashReport, millis};
+use crate::gateway::crashes::evidence::{
+    CrashEvidence, CrashKey, CrashReport, SETTLE_TIME, millis,
+};
 use crate::gateway::crashes::suspect::{CrashCause, SuspectKey};
 
 /// Times since the newest crash at which calls of a quarantined cause are sent once more: if a pool lost
@@ -182,6 +184,8 @@
     records: BTreeMap<CrashCause, QuarantineRecord>,
     updates: VecDeque<(Duration, RecentChange)>,
     repeated_at: Duration,
+    /// Time of the newest crash that is to be judged again once it has settled.
+    unsettled_at: Option<Duration>,
     turn: usize,
     digest: u64,
 }
@@ -196,12 +200,24 @@
     ) -> Option<Vec<QuarantineChange>> {
         let key = self.evidence.merge(report, now)?;
         self.announce(RecentChange::Crash { key, is_own: true }, now);
+        self.announce_sound(report, now);
         for call in &report.calls {
             self.postpone_trials(&call.suspects, now);
         }
         Some(self.judge_crash(report, now))
     }
 
+    /// Tells other nodes of answers to calls with what upstreams now crash under.
+    fn announce_sound(&mut self, report: &CrashReport, now: Duration) {
+        let suspects = report.calls.iter().flat_map(|call| &call.suspects);
+        for suspect in suspects {
+            let is_known = self.evidence.sound_at(*suspect).is_some();
+            if is_known && self.evidence.crashes(*suspect) > 1 {
+                self.announce(RecentChange::Sound(*suspect), now);
+            }
+        }
+    }
+
     /// A crash under a trial, or under a call that was sent before the quarantine, delays the next trial.
     fn postpone_trials(&mut self, suspects: &[SuspectKey], now: Duration) {
         for (cause, mut record) in self.owned_quarantines_of(suspects, now) {
@@ -216,6 +232,7 @@
         let suspects = report.calls.iter().flat_map(|call| &call.suspects);
         let mut counts = suspects.map(|suspect| self.evidence.crashes(*suspect));
         if counts.any(|count| count >= FEWEST_CRASHES) {
+            self.unsettled_at = Some(now);
             return self.judge(now);
         }
         Vec::new()
@@ -280,6 +297,7 @@
             if let Some(key) = self.evidence.merge(report, now) {
                 is_changed |= self.evidence.weight(key) >= FEWEST_CRASHES;
                 self.announce(RecentChange::Crash { key, is_own: false }, now);
+                self.announce_sound(report, now);
             }
         }
         for report in &news.sound {
@@ -294,6 +312,7 @@
         }
         let mut changes = self.receive_quarantines(&news.quarantines, now);
         if is_changed {
+            self.unsettled_at = Some(now);
             changes.extend(self.judge(now));
         }
         changes
@@ -336,21 +355,29 @@
         })
     }
 
-    /// Begins quarantines of what the crashes show to be causes, and ends those of what they do not.
+    /// Judges the crashes again that were too new to count. Returns the quarantines that it changes.
+    pub fn settle(&mut self, now: Duration) -> Vec<QuarantineChange> {
+        if self.unsettled_at.is_none_or(|at| at + SETTLE_TIME > now) {
+            return Vec::new();
+        }
+        self.unsettled_at = None;
+        self.judge(now)
+    }
+
+    /// Begins quarantines of what crashes show to be causes, and ends those of what answers show not to be.
     fn judge(&mut self, now: Duration) -> Vec<QuarantineChange> {
-        let (causes, explained) = self.evidence.causes();
+        let known = self.records.iter();
+        let known = known.filter(|(_, record)| record.quarantined);
+        let known: Vec<&CrashCause> = known.map(|(cause, _)| cause).collect();
+        let causes = self.evidence.causes(&known, now);
         let mut changes = Vec::new();
-        let is_blamed = |cause: &CrashCause| {
-            let covers = |known: &CrashCause| known.applies_to(cause.suspects());
-            // Only a node that knows the crashes can tell that they have another cause.
-            causes.iter().any(covers)
-                || cause.suspects().iter().any(|suspect| {
-                    self.evidence.crashes(*suspect) < self.records[cause].crashes as usize
-                        || self.evidence.has_enough_crashes(*suspect, &explained)
-                })
-        };
         let is_refuted = |(cause, record): &(&CrashCause, &QuarantineRecord)| {
-            record.is_refutable(now) && !is_blamed(cause)
+            // Only a node that knows the crashes can tell that they were before an answer.
+            let is_answered = |suspect: &SuspectKey| {
+                self.evidence.crashes(*suspect) >= record.crashes as usize
+                    && self.evidence.is_answered(*suspect)
+            };
+            record.is_refutable(now) && cause.suspects().iter().all(is_answered)
         };
         let refuted = self.records.iter().filter(is_refuted);
         let refuted: Vec<CrashCause> = refuted.map(|(cause, _)| cause.clone()).collect();
--- a/kernel/src/gateway/crashes/evidence.rs
+++ b/kernel/src/gateway/crashes/evidence.rs
@@ -4,6 +4,7 @@
 //! more crashes than the calls beside it, and no answer on it goes on. Crashes count once if they may be
 //! one event that took several upstreams.
 
+use std::cmp::Ordering::Equal;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -11,12 +12,27 @@
 
 use crate::gateway::crashes::suspect::{CrashCause, SuspectKey};
 
-/// Number of crashes at which content is the cause.
-const CONTENT_CRASHES: f64 = 3.0;
-/// Number of crashes at which a prompt part is the cause.
-const PART_CRASHES: f64 = 4.0;
-/// The same number for a part that upstreams answered before.
-const SOUND_PART_CRASHES: f64 = 5.0;
+/// Evidence that it takes to blame content.
+const CONTENT_THRESHOLD: BlameThreshold = BlameThreshold {
+    crashes: 3.0,
+    unexplained: 2.0,
+    settle: Duration::ZERO,
+};
+/// Evidence that it takes to blame a prompt part.
+const PART_THRESHOLD: BlameThreshold = BlameThreshold {
+    crashes: 4.0,
+    unexplained: 2.0,
+    settle: Duration::from_millis(500),
+};
+/// Evidence that it takes to blame a prompt part that upstreams answered before. Many calls have such
+/// parts, so a node may know more crashes under them than under the cause.
+const SOUND_PART_THRESHOLD: BlameThreshold = BlameThreshold {
+    crashes: 5.0,
+    unexplained: 3.0,
+    settle: SETTLE_TIME,
+};
+/// Time in which news of a crash and of answers arrives from other nodes.
+pub const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time between crashes up to which they may be one event. Nodes notice a crash some ms apart.
 const SAME_EVENT: Duration = Duration::from_millis(50);
 /// Number of upstreams up to which crashes at the same time are not taken for one event.
@@ -32,6 +48,17 @@
 /// Maximum number of properties whose last good answer is kept.
 const MAX_SOUND: usize = 4096;
 
+/// Evidence that it takes to blame a property.
+#[derive(Clone, Copy, Debug)]
+struct BlameThreshold {
+    /// Number of crashes.
+    crashes: f64,
+    /// Number of those that no other cause explains.
+    unexplained: f64,
+    /// Time for which crashes do not count, in which news of others and of answers arrives.
+    settle: Duration,
+}
+
 /// A call that was at an upstream when it crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct SuspectCall {
@@ -217,12 +244,18 @@
         self.marks.get(&suspect).map_or(0, BTreeSet::len)
     }
 
-    /// Number of crashes that count against a property, without these.
-    pub fn score(&self, suspect: SuspectKey, without: &BTreeSet<CrashKey>) -> f64 {
-        let marks = self.open_marks(suspect, without);
+    /// Number of events that these crashes come from. Crashes of several upstreams at once are one event,
+    /// of which a property explains a share.
+    fn score(&self, marks: &[CrashMark]) -> f64 {
         let mut score = 0.0;
         let mut event: Option<Duration> = None;
-        for mark in &marks {
+        for mark in marks {
+            let at_once = self.crashes_at_once(mark.at);
+            if at_once <= FEW_UPSTREAMS {
+                event = None;
+                score += 1.0;
+                continue;
+            }
             let is_same = event.is_some_and(|since| {
                 mark.at.saturating_sub(since) <= SAME_EVENT && mark.sent_at < since
             });
@@ -230,13 +263,23 @@
                 continue;
             }
             event = Some(mark.at);
-            score += self.share(&marks, mark.at);
+            let own = marks
+                .iter()
+                .filter(|other| other.at.abs_diff(mark.at) <= SAME_EVENT);
+            score += own.count() as f64 / at_once as f64;
         }
         score
     }
 
+    /// Number of upstreams that crashed at about this time.
+    fn crashes_at_once(&self, at: Duration) -> usize {
+        let first = (at.saturating_sub(SAME_EVENT), CrashKey(0));
+        let last = (at + SAME_EVENT, CrashKey(u64::MAX));
+        self.times.range(first..=last).count()
+    }
+
     /// Crashes under calls with a property since it was last answered, in order.
-    fn open_marks(&self, suspect: SuspectKey, without: &BTreeSet<CrashKey>) -> Vec<CrashMark> {
+    fn open_marks(&self, suspect: SuspectKey) -> Vec<CrashMark> {
         let sound_at = self.sound_at(suspect);
         let keys = self.marks.get(&suspect).into_iter().flatten();
         let mark = |key: &CrashKey| {
@@ -251,7 +294,6 @@
             })
         };
         let mut marks: Vec<CrashMark> = keys
-            .filter(|key| !without.contains(*key))
             .filter_map(mark)
             .filter(|mark| sound_at.is_none_or(|sound_at| mark.at > sound_at))
             .collect();
@@ -259,65 +301,86 @@
         marks
     }
 
-    /// Share of the upstreams that crashed at this time under one of the marks' calls.
-    fn share(&self, marks: &[CrashMark], at: Duration) -> f64 {
-        let window = at.saturating_sub(SAME_EVENT)..=at + SAME_EVENT;
-        let first = (*window.start(), CrashKey(0));
-        let last = (*window.end(), CrashKey(u64::MAX));
-        let all = self.times.range(first..=last).count();
-        if all <= FEW_UPSTREAMS {
-            return 1.0;
-        }
-        let own = marks.iter().filter(|mark| window.contains(&mark.at));
-        own.count() as f64 / all as f64
-    }
-
-    fn threshold(&self, suspect: SuspectKey) -> f64 {
+    fn threshold(&self, suspect: SuspectKey) -> BlameThreshold {
         match suspect {
-            SuspectKey::Content(_) => CONTENT_CRASHES,
-            SuspectKey::Part(_) if self.sound_at.contains_key(&suspect) => SOUND_PART_CRASHES,
-            SuspectKey::Part(_) => PART_CRASHES,
+            SuspectKey::Content(_) => CONTENT_THRESHOLD,
+            SuspectKey::Part(_) if self.sound_at.contains_key(&suspect) => SOUND_PART_THRESHOLD,
+            SuspectKey::Part(_) => PART_THRESHOLD,
         }
     }
 
-    /// Whether the crashes that others do not explain suffice to blame a property.
-    pub fn is_blamed(&self, suspect: SuspectKey, explained: &BTreeSet<CrashKey>) -> bool {
-        self.score(suspect, explained) >= self.threshold(suspect)
+    /// Returns the number of crashes that count against a property if it is to blame.
+    fn blame(
+        &self,
+        suspect: SuspectKey,
+        explained: &BTreeSet<CrashKey>,
+        now: Duration,
+    ) -> Option<f64> {
+        let threshold = self.threshold(suspect);
+        let until = now.saturating_sub(threshold.settle);
+        let mut marks = self.open_marks(suspect);
+        marks.retain(|mark| mark.at <= until);
+        if self.score(&marks) < threshold.crashes {
+            return None;
+        }
+        marks.retain(|mark| !explained.contains(&mark.key));
+        let unexplained = self.score(&marks);
+        (unexplained >= threshold.unexplained).then_some(unexplained)
     }
 
-    /// Whether as many crashes have no other cause as it takes to blame a property, however they came
-    /// about.
-    pub fn has_enough_crashes(&self, suspect: SuspectKey, explained: &BTreeSet<CrashKey>) -> bool {
-        let count = self.open_marks(suspect, explained).len();
-        count as f64 >= self.threshold(suspect)
+    /// Whether too few crashes are left since the last answer to blame a property, however many came
+    /// before.
+    pub fn is_answered(&self, suspect: SuspectKey) -> bool {
+        let left = self.open_marks(suspect).len();
+        (left as f64) < self.threshold(suspect).crashes
     }
 
-    /// Returns the fewest causes that explain the crashes, those of most crashes first, and the crashes
-    /// that they explain.
-    pub fn causes(&self) -> (Vec<CrashCause>, BTreeSet<CrashKey>) {
-        let mut explained = BTreeSet::new();
-        let mut causes = Vec::new();
+    /// Returns the fewest causes that explain the crashes which `known` ones do not, those of most
+    /// crashes first.
+    pub fn causes(&self, known: &[&CrashCause], now: Duration) -> Vec<CrashCause> {
+        let mut causes: Vec<CrashCause> = Vec::new();
+        let mut explained: Vec<(CrashCause, BTreeSet<CrashKey>)> = known
+            .iter()
+            .map(|cause| ((*cause).clone(), self.crashes_of(cause)))
+            .collect();
         let mut candidates: BTreeSet<SuspectKey> = self
             .marks
             .iter()
-            .filter(|(suspect, keys)| keys.len() as f64 >= self.threshold(**suspect))
+            .filter(|(suspect, keys)| keys.len() as f64 >= self.threshold(**suspect).crashes)
             .map(|(suspect, _)| *suspect)
             .collect();
         loop {
-            candidates.retain(|suspect| self.is_blamed(*suspect, &explained));
-            let most = candidates.iter().max_by(|one, other| {
-                let score = |suspect: &SuspectKey| self.score(*suspect, &explained);
-                score(one).total_cmp(&score(other))
+            let scores = candidates.iter().map(|suspect| {
+                let others = explained_by_others(*suspect, &explained);
+                (*suspect, self.blame(*suspect, &others, now))
             });
+            let scores: BTreeMap<SuspectKey, Option<f64>> = scores.collect();
+            candidates.retain(|suspect| scores[suspect].is_some());
+            let most = candidates
+                .iter()
+                .max_by(|one, other| scores[*one].partial_cmp(&scores[*other]).unwrap_or(Equal));
             let Some(suspect) = most.copied() else {
-                return (causes, explained);
+                return causes;
             };
-            let marks = self.open_marks(suspect, &explained);
-            causes.push(CrashCause::new(suspect, self.companions(suspect, &marks)));
-            explained.extend(marks.iter().map(|mark| mark.key));
+            let companions = self.companions(suspect, &self.open_marks(suspect));
+            let cause = CrashCause::new(suspect, companions);
+            candidates.retain(|suspect| !cause.suspects().contains(suspect));
+            explained.push((cause.clone(), self.crashes_of(&cause)));
+            causes.push(cause);
         }
     }
 
+    /// Crashes under calls that have all properties of a cause.
+    fn crashes_of(&self, cause: &CrashCause) -> BTreeSet<CrashKey> {
+        let keys = cause.first().and_then(|suspect| self.marks.get(&suspect));
+        let keys = keys.into_iter().flatten().copied();
+        let is_of = |key: &CrashKey| {
+            let mut calls = self.crashes[key].calls.iter();
+            calls.any(|call| cause.applies_to(&call.suspects))
+        };
+        keys.filter(is_of).collect()
+    }
+
     /// Prompt parts that were in a call with this one at each of these crashes and were not answered
     /// since the first: either may be the cause.
     fn companions(&self, suspect: SuspectKey, marks: &[CrashMark]) -> Vec<SuspectKey> {
@@ -383,6 +446,17 @@
     }
 }
 
+/// Crashes that are explained by causes without this property.
+fn explained_by_others(
+    suspect: SuspectKey,
+    explained: &[(CrashCause, BTreeSet<CrashKey>)],
+) -> BTreeSet<CrashKey> {
+    let others = explained
+        .iter()
+        .filter(|(cause, _)| !cause.suspects().contains(&suspect));
+    others.flat_map(|(_, keys)| keys).copied().collect()
+}
+
 /// Converts a duration to whole milliseconds.
 pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
