--- a/daemon/tests/gateway/reach.rs
+++ b/daemon/tests/gateway/reach.rs
@@ -19,11 +19,11 @@
 };
 
 /// Number of upstreams.
-const UPSTREAMS: usize = 4;
+pub const UPSTREAMS: usize = 4;
 
 /// How connections of the cut-off node to upstreams end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CutKind {
+pub enum CutKind {
     /// They are not answered.
     Silent,
     /// They are refused.
@@ -41,7 +41,7 @@
 
 /// A socket that keeps its address from taking connections. The port stays reserved, so that no other
 /// test gets it.
-enum DeadEnd {
+pub enum DeadEnd {
     /// Bound only: connections are refused.
     Bound { _socket: TcpSocket },
     /// Its queue of new connections is full: further ones are not answered.
@@ -53,7 +53,7 @@
 
 impl DeadEnd {
     /// Returns an address that takes no connection in this way, and what has to be kept for that.
-    async fn start(kind: CutKind) -> (SocketAddr, Self) {
+    pub async fn start(kind: CutKind) -> (SocketAddr, Self) {
         let socket = TcpSocket::new_v4().expect("a socket");
         let any = "127.0.0.1:0".parse().expect("an address");
         socket.bind(any).expect("a port");
@@ -76,7 +76,7 @@
 }
 
 /// Writes addresses that take no connection into a store, for runs of the upstreams with this number.
-async fn name_dead_ends(store: &KeyedStore, kind: CutKind, born: u64) -> Vec<DeadEnd> {
+pub async fn name_dead_ends(store: &KeyedStore, kind: CutKind, born: u64) -> Vec<DeadEnd> {
     let mut held = Vec::new();
     for index in 0..UPSTREAMS {
         let (address, dead_end) = DeadEnd::start(kind).await;
--- a/standin/src/fragile.rs
+++ b/standin/src/fragile.rs
@@ -30,7 +30,7 @@
 /// Properties of a fragile engine.
 #[derive(Clone, Debug)]
 pub struct FragileSettings {
-    /// Identifiers of the parts that crash it, as in the requests' header.
+    /// Identifiers of the parts that crash it at first, as in the requests' header.
     pub parts: BTreeSet<Box<str>>,
     /// Moment of the crash.
     pub moment: CrashMoment,
@@ -57,6 +57,7 @@
 
 struct FragileState {
     settings: FragileSettings,
+    parts: Mutex<BTreeSet<Box<str>>>,
     count: Mutex<FragileCount>,
     /// Time until which the engine is gone. Each change breaks all connections.
     down_until: watch::Sender<Option<Instant>>,
@@ -89,6 +90,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let state = Arc::new(FragileState {
+            parts: Mutex::new(settings.parts.clone()),
             settings,
             count: Mutex::default(),
             down_until: watch::channel(None).0,
@@ -118,6 +120,11 @@
         lock(&self.state.count).clone()
     }
 
+    /// Changes which parts crash it.
+    pub fn set_parts(&self, parts: &[&str]) {
+        *lock(&self.state.parts) = parts.iter().map(|part| (*part).into()).collect();
+    }
+
     /// Crashes the engine whatever it runs.
     pub fn crash(&self) {
         self.state.crash();
@@ -151,7 +158,7 @@
     request: &RawRequest,
 ) -> io::Result<()> {
     let settings = &state.settings;
-    let crashes = crashes(settings, request);
+    let crashes = crashes(&lock(&state.parts), request);
     if crashes {
         lock(&state.count).crashing.push(Instant::now());
     }
@@ -199,13 +206,13 @@
 }
 
 /// Whether any part of the prompt but the last is one that crashes the engine.
-fn crashes(settings: &FragileSettings, request: &RawRequest) -> bool {
-    let parts = request.header("x-prompt-prefix").split(',');
-    let mut ids: Vec<&str> = parts
+fn crashes(parts: &BTreeSet<Box<str>>, request: &RawRequest) -> bool {
+    let prompt = request.header("x-prompt-prefix").split(',');
+    let mut ids: Vec<&str> = prompt
         .filter_map(|part| part.trim().split(':').next())
         .collect();
     ids.pop();
-    ids.iter().any(|id| settings.parts.contains(*id))
+    ids.iter().any(|id| parts.contains(*id))
 }
 
 fn is_plain(request: &RawRequest) -> bool {
