Store crashes that do not suffice for a quarantine yet

Readers of the store keep the crashes of what is suspected twice beside the quarantines, and remove them once they are quarantined, answered or old.

parts::all_nodes_are_killed_between_the_crashes: 8 engines crashed without this, 5 at most with it.

--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantines calls under which upstreams crash, by their contents and the parts of their prompts, and
 //! stores that so that a restarted fleet still rejects such calls.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,6 +29,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Backoff after a failed call to the store.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(800);
+/// Prefix of the keys of stored crashes that led to no quarantine.
+const CRASHES_PREFIX: &str = "crashes:";
 /// Source in decision lines of reports that this node made.
 const OWN_SOURCE: &str = "own";
 /// Source in decision lines of reports that were read from the store.
@@ -171,7 +173,7 @@
     record_changes(gateway, &changes, OWN_SOURCE);
 }
 
-/// Merges the news of another node.
+/// Merges the news of another node or of the store.
 pub fn merge_news(gateway: &Gateway, news: &CrashNews, source: &str) {
     let now = gateway.now();
     let changes = gateway.crashes.borrow_mut().receive(news, now);
@@ -241,25 +243,48 @@
     }
 }
 
-/// Quarantines in the store's topic, as far as this node has read and written it.
-struct StoredReports {
+/// Records of the store's topic, as far as this node has read and written it.
+struct StoredRecords {
     era: u64,
     end: u64,
-    digests: BTreeMap<CrashCause, u64>,
+    /// Digest of each record by its key.
+    digests: BTreeMap<String, u64>,
 }
 
-/// A stored report, with the Unix time of writing, which stays valid across restarts.
+/// What is stored of one property or cause.
 #[derive(Serialize, Deserialize)]
-struct StoredReport {
-    report: QuarantineReport,
-    unix_ms: u64,
+enum StoredEvidence {
+    /// A quarantine that began or ended.
+    Quarantine(QuarantineReport),
+    /// Crashes under calls with a property that is not quarantined.
+    Crashes(SuspectKey, Vec<CrashReport>),
 }
 
-/// Reads the stored reports once, and stores new ones.
+impl StoredEvidence {
+    fn key(&self) -> String {
+        match self {
+            Self::Quarantine(report) => report.cause.to_string(),
+            Self::Crashes(suspect, _) => format!("{CRASHES_PREFIX}{suspect}"),
+        }
+    }
+
+    /// Hashes the state without its age, so that equal states need not be stored again.
+    fn digest(&self) -> u64 {
+        match self {
+            Self::Quarantine(report) => {
+                let quarantined = u64::from(report.quarantined);
+                u64::from(report.round) << 16 | u64::from(report.trials) << 1 | quarantined
+            }
+            Self::Crashes(_, crashes) => crashes.len() as u64,
+        }
+    }
+}
+
+/// Reads the stored evidence once, and stores what is new.
 struct QuarantineKeeper {
     gateway: Rc<Gateway>,
     client: StoreClient,
-    known: Option<StoredReports>,
+    known: Option<StoredRecords>,
 }
 
 impl QuarantineKeeper {
@@ -271,49 +296,64 @@
             None => self.read().await?,
         };
         let known = self.known.insert(known);
-        let now = self.gateway.now();
-        let settled = self.gateway.crashes.borrow().quarantine_reports(now);
-        let is_new = |report: &&QuarantineReport| {
-            known.digests.get(&report.cause) != Some(&state_digest(report))
+        let lasting = lasting_evidence(&self.gateway);
+        let is_new = |evidence: &&StoredEvidence| {
+            known.digests.get(&evidence.key()) != Some(&evidence.digest())
         };
-        let unsaved: Vec<QuarantineReport> = settled.iter().filter(is_new).cloned().collect();
-        if unsaved.is_empty() {
+        let unsaved: Vec<&StoredEvidence> = lasting.iter().filter(is_new).collect();
+        let keys: BTreeSet<String> = lasting.iter().map(StoredEvidence::key).collect();
+        let is_over = |key: &&String| key.starts_with(CRASHES_PREFIX) && !keys.contains(*key);
+        let over: Vec<String> = known.digests.keys().filter(is_over).cloned().collect();
+        if unsaved.is_empty() && over.is_empty() {
             return Ok(());
         }
-        self.append(&unsaved).await
+        self.append(&unsaved, &over).await
     }
 
-    async fn read(&mut self) -> Result<StoredReports, StoreError> {
+    async fn read(&mut self) -> Result<StoredRecords, StoreError> {
         let read = self
             .client
             .newest(names::CRASH_TOPIC, STORE_TIMEOUT)
             .await?;
         self.count("answered");
         self.gateway.observe_store_era(self.client.era());
-        let reports: Vec<QuarantineReport> = read
-            .records
-            .iter()
-            .filter_map(|record| self.decode(record))
-            .collect();
-        merge_reports(&self.gateway, &reports, STORE_SOURCE);
-        let digests = reports
+        let records = read.records.iter();
+        let stored: Vec<StoredEvidence> =
+            records.filter_map(|record| self.decode(record)).collect();
+        let digests = stored
             .iter()
-            .map(|report| (report.cause.clone(), state_digest(report)));
-        Ok(StoredReports {
+            .map(|evidence| (evidence.key(), evidence.digest()));
+        let digests = digests.collect();
+        let mut news = CrashNews::default();
+        for evidence in stored {
+            match evidence {
+                StoredEvidence::Quarantine(report) => news.quarantines.push(report),
+                StoredEvidence::Crashes(_, crashes) => news.crashes.extend(crashes),
+            }
+        }
+        merge_news(&self.gateway, &news, STORE_SOURCE);
+        Ok(StoredRecords {
             era: self.client.era(),
             end: read.end,
-            digests: digests.collect(),
+            digests,
         })
     }
 
-    /// Stores reports, unless another node has written since the last read; the next step then
-    /// reads first.
-    async fn append(&mut self, reports: &[QuarantineReport]) -> Result<(), StoreError> {
+    /// Stores evidence and removes that with the keys `over`, unless another node has written since the
+    /// last read; the next step then reads first.
+    async fn append(
+        &mut self,
+        evidence: &[&StoredEvidence],
+        over: &[String],
+    ) -> Result<(), StoreError> {
         let Some(known) = self.known.take() else {
             return Ok(());
         };
-        let records: Vec<(Vec<u8>, Vec<u8>)> =
-            reports.iter().map(|report| self.encode(report)).collect();
+        let stored = evidence.iter().map(|evidence| self.encode(evidence));
+        let removed = over
+            .iter()
+            .map(|key| (key.clone().into_bytes(), Vec::new()));
+        let records: Vec<(Vec<u8>, Vec<u8>)> = stored.chain(removed).collect();
         let appended = self
             .client
             .append(names::CRASH_TOPIC, known.end, &records, STORE_TIMEOUT)
@@ -327,44 +367,52 @@
             place => place?,
         };
         self.count("answered");
-        let mut known = StoredReports {
+        let mut known = StoredRecords {
             end: place.end,
             ..known
         };
-        let digests = reports
+        for key in over {
+            known.digests.remove(key);
+        }
+        let digests = evidence
             .iter()
-            .map(|report| (report.cause.clone(), state_digest(report)));
+            .map(|evidence| (evidence.key(), evidence.digest()));
         known.digests.extend(digests);
         self.known = Some(known);
         Ok(())
     }
 
-    fn encode(&self, report: &QuarantineReport) -> (Vec<u8>, Vec<u8>) {
-        let stored = StoredReport {
-            report: report.clone(),
-            unix_ms: millis(self.gateway.unix_now()),
-        };
+    fn encode(&self, evidence: &StoredEvidence) -> (Vec<u8>, Vec<u8>) {
+        let unix_ms = millis(self.gateway.unix_now());
         let mut value = Vec::new();
-        if let Err(error) = ciborium::into_writer(&stored, &mut value) {
-            log::error!("cannot encode the report of a quarantined call: {error}");
+        if let Err(error) = ciborium::into_writer(&(evidence, unix_ms), &mut value) {
+            log::error!("cannot encode evidence of crashes: {error}");
         }
-        (report.cause.to_string().into_bytes(), value)
+        (evidence.key().into_bytes(), value)
     }
 
-    fn decode(&self, record: &KeyedRecord) -> Option<QuarantineReport> {
-        match ciborium::from_reader::<StoredReport, _>(record.value.as_deref()?) {
-            Ok(stored) => {
-                let since = millis(self.gateway.unix_now()).saturating_sub(stored.unix_ms);
-                Some(QuarantineReport {
-                    age_ms: stored.report.age_ms.saturating_add(since),
-                    ..stored.report
-                })
-            }
+    fn decode(&self, record: &KeyedRecord) -> Option<StoredEvidence> {
+        let decoded = ciborium::from_reader::<(StoredEvidence, u64), _>(record.value.as_deref()?);
+        let (evidence, unix_ms) = match decoded {
+            Ok(stored) => stored,
             Err(error) => {
-                log::warn!("a stored report of a quarantined call is malformed: {error}");
-                None
+                log::warn!("stored evidence of crashes is malformed: {error}");
+                return None;
             }
-        }
+        };
+        let since = millis(self.gateway.unix_now()).saturating_sub(unix_ms);
+        Some(match evidence {
+            StoredEvidence::Quarantine(mut report) => {
+                report.age_ms = report.age_ms.saturating_add(since);
+                StoredEvidence::Quarantine(report)
+            }
+            StoredEvidence::Crashes(suspect, mut crashes) => {
+                for crash in &mut crashes {
+                    crash.age_ms = crash.age_ms.saturating_add(since);
+                }
+                StoredEvidence::Crashes(suspect, crashes)
+            }
+        })
     }
 
     async fn failed(&self, error: &StoreError) {
@@ -383,8 +431,14 @@
     }
 }
 
-/// Hashes the state of a report without its age, so that equal states need not be stored again.
-fn state_digest(report: &QuarantineReport) -> u64 {
-    let is_quarantined = u64::from(report.quarantined);
-    u64::from(report.round) << 16 | u64::from(report.trials) << 1 | is_quarantined
+/// Returns what a fleet that starts anew has to know.
+fn lasting_evidence(gateway: &Gateway) -> Vec<StoredEvidence> {
+    let now = gateway.now();
+    let ledger = gateway.crashes.borrow();
+    let quarantines = ledger.quarantine_reports(now).into_iter();
+    let suspicions = ledger.suspicions(now).into_iter();
+    quarantines
+        .map(StoredEvidence::Quarantine)
+        .chain(suspicions.map(|(suspect, crashes)| StoredEvidence::Crashes(suspect, crashes)))
+        .collect()
 }
--- a/daemon/tests/gateway/parts.rs
+++ b/daemon/tests/gateway/parts.rs
@@ -133,7 +133,7 @@
 
     /// Returns the causes of quarantines that the nodes have recorded.
     fn causes(&self) -> BTreeSet<String> {
-        let lines = self.world.nodes.iter().flat_map(|node| node.lines());
+        let lines = self.world.nodes.iter().flat_map(NodeProcess::lines);
         let changes = lines.filter(|line| line["event"] == "quarantine_changed");
         let causes = changes.filter_map(|line| line["cause"].as_str().map(str::to_owned));
         causes.collect()
@@ -333,6 +333,33 @@
     };
 }
 
+// Guards against a fleet that is killed before its crashes suffice, and forgets them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_nodes_are_killed_between_the_crashes() {
+    let settings = settings(&["bad1"], CrashMoment::AfterHead);
+    let mut world = FragileWorld::start(&["east", "west"], settings).await;
+    let mut number = 1000;
+    while world.crash_times().len() < 3 {
+        number += 1;
+        world.call("/stream/", number, &["aa11", "bad1"]).await;
+        world.replace_crashed();
+        sleep(PAUSE * 2).await;
+    }
+    sleep(PAUSE * 2).await;
+    for node in &mut world.world.nodes {
+        node.child.kill().expect("killed");
+        node.child.wait().expect("ended");
+        node.restart();
+    }
+    for node in &world.world.nodes {
+        node.ready().await;
+    }
+    sleep(PAUSE).await;
+    check(&world, "/stream/", &[&["aa11", "bad1"]]).await;
+    let crashes = world.crash_times().len();
+    assert!(crashes <= CRASHES, "{crashes} engines crashed");
+}
+
 // Guards against calls with the part that another node sends on behalf of one that reaches no engine.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn calls_that_another_node_carries() {
--- a/kernel/src/gateway/crashes.rs
+++ b/kernel/src/gateway/crashes.rs
@@ -366,9 +366,7 @@
 
     /// Begins quarantines of what crashes show to be causes, and ends those of what answers show not to be.
     fn judge(&mut self, now: Duration) -> Vec<QuarantineChange> {
-        let known = self.records.iter();
-        let known = known.filter(|(_, record)| record.quarantined);
-        let known: Vec<&CrashCause> = known.map(|(cause, _)| cause).collect();
+        let known = self.quarantined_causes();
         let causes = self.evidence.causes(&known, now);
         let mut changes = Vec::new();
         let is_refuted = |(cause, record): &(&CrashCause, &QuarantineRecord)| {
@@ -390,6 +388,18 @@
         changes
     }
 
+    fn quarantined_causes(&self) -> Vec<&CrashCause> {
+        let records = self.records.iter();
+        let quarantined = records.filter(|(_, record)| record.quarantined);
+        quarantined.map(|(cause, _)| cause).collect()
+    }
+
+    /// Crashes of each property that is suspected and not quarantined, which a fleet that starts anew has
+    /// to know.
+    pub fn suspicions(&self, now: Duration) -> BTreeMap<SuspectKey, Vec<CrashReport>> {
+        self.evidence.suspicions(&self.quarantined_causes(), now)
+    }
+
     fn quarantine(&mut self, cause: CrashCause, now: Duration) -> Option<QuarantineChange> {
         let covers = |known: &CrashCause| known.applies_to(cause.suspects());
         let mut records = self.records.iter();
--- a/kernel/src/gateway/crashes/evidence.rs
+++ b/kernel/src/gateway/crashes/evidence.rs
@@ -39,6 +39,9 @@
 const FEW_UPSTREAMS: usize = 2;
 /// Time between two reports of a crash of one run up to which they are the same crash.
 const SAME_CRASH: Duration = Duration::from_secs(1);
+/// Number of crashes from which on a property is suspected, and most of those told to nodes that start.
+const SUSPECTED: usize = 2;
+const MAX_SUSPICION: usize = 8;
 /// Time after which a crash is no evidence any more.
 const EVIDENCE_TTL: Duration = Duration::from_mins(10);
 /// Maximum number of crashes that are kept.
@@ -381,6 +384,51 @@
         keys.filter(is_of).collect()
     }
 
+    /// Crashes of properties that are suspected but not known to be causes, for a node that starts later.
+    pub fn suspicions(
+        &self,
+        known: &[&CrashCause],
+        now: Duration,
+    ) -> BTreeMap<SuspectKey, Vec<CrashReport>> {
+        let explained: BTreeSet<CrashKey> = known
+            .iter()
+            .flat_map(|cause| self.crashes_of(cause))
+            .collect();
+        let mut suspicions = BTreeMap::new();
+        let several = self
+            .marks
+            .iter()
+            .filter(|(_, keys)| keys.len() >= SUSPECTED);
+        for suspect in several.map(|(suspect, _)| *suspect) {
+            let mut marks = self.open_marks(suspect);
+            marks.retain(|mark| !explained.contains(&mark.key));
+            if self.score(&marks) >= SUSPECTED as f64 {
+                let newest = marks.iter().rev().take(MAX_SUSPICION);
+                let reports = newest.filter_map(|mark| self.mark_report(suspect, mark, now));
+                suspicions.insert(suspect, reports.collect());
+            }
+        }
+        suspicions
+    }
+
+    /// Builds the report of a crash that names only one property of one call.
+    fn mark_report(
+        &self,
+        suspect: SuspectKey,
+        mark: &CrashMark,
+        now: Duration,
+    ) -> Option<CrashReport> {
+        let crash = self.crashes.get(&mark.key)?;
+        Some(CrashReport {
+            run: crash.run,
+            age_ms: millis(now.saturating_sub(mark.at)),
+            calls: vec![SuspectCall {
+                sent_ms: millis(mark.at.saturating_sub(mark.sent_at)),
+                suspects: vec![suspect],
+            }],
+        })
+    }
+
     /// Prompt parts that were in a call with this one at each of these crashes and were not answered
     /// since the first: either may be the cause.
     fn companions(&self, suspect: SuspectKey, marks: &[CrashMark]) -> Vec<SuspectKey> {
--- a/kernel/tests/gateway/crash_days.rs
+++ b/kernel/tests/gateway/crash_days.rs
@@ -11,7 +11,9 @@
 use monsoonbank_kernel::gateway::content::ContentDigest;
 use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
 use monsoonbank_kernel::gateway::crashes::suspect::SuspectKey;
-use monsoonbank_kernel::gateway::crashes::{CrashDecision, CrashLedger, QuarantineReport};
+use monsoonbank_kernel::gateway::crashes::{
+    CrashDecision, CrashLedger, CrashNews, QuarantineReport,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -108,6 +110,8 @@
     in_touch_at: Vec<Duration>,
     cut_until: Vec<Duration>,
     store: BTreeMap<String, QuarantineReport>,
+    /// Crashes that are stored before they suffice for a quarantine, with the time of writing.
+    suspicions: (Duration, BTreeMap<SuspectKey, Vec<CrashReport>>),
     calls: BTreeMap<u64, ModelCall>,
     up: Vec<bool>,
     runs: Vec<u64>,
@@ -138,6 +142,7 @@
             in_touch_at: vec![Duration::ZERO; size.views],
             cut_until: vec![Duration::ZERO; size.views],
             store: BTreeMap::new(),
+            suspicions: (Duration::ZERO, BTreeMap::new()),
             calls: BTreeMap::new(),
             up: vec![true; size.engines],
             runs: (0..size.engines as u64).collect(),
@@ -255,6 +260,7 @@
                 self.ledgers[view] = CrashLedger::default();
                 let stored: Vec<QuarantineReport> = self.store.values().cloned().collect();
                 self.ledgers[view].receive_quarantines(&stored, self.now);
+                self.read_suspicions(view);
                 self.in_touch_at[view] = self.now + CONTACT;
             }
             ModelEvent::Cut(view) => {
@@ -264,6 +270,19 @@
         }
     }
 
+    fn read_suspicions(&mut self, view: usize) {
+        let (written_at, suspicions) = &self.suspicions;
+        let since = self.now.saturating_sub(*written_at).as_millis() as u64;
+        let mut news = CrashNews::default();
+        for report in suspicions.values().flatten() {
+            news.crashes.push(CrashReport {
+                age_ms: report.age_ms + since,
+                ..report.clone()
+            });
+        }
+        self.ledgers[view].receive(&news, self.now);
+    }
+
     fn sound_parts(&mut self) -> Vec<u64> {
         let sound: Vec<u64> = self
             .parts
@@ -381,7 +400,7 @@
         let Some(call) = self.calls.get(&key) else {
             return;
         };
-        let written = self.now - call.begins_at;
+        let written = self.now.saturating_sub(call.begins_at);
         let suspects = suspects(call.content, &call.parts);
         let proven: Vec<SuspectKey> = suspects
             .into_iter()
@@ -423,7 +442,7 @@
             run,
             age_ms: 0,
             calls: vec![SuspectCall {
-                sent_ms: (noticed - call.sent_at).as_millis() as u64,
+                sent_ms: noticed.saturating_sub(call.sent_at).as_millis() as u64,
                 suspects: suspects
                     .into_iter()
                     .filter(|suspect| written < suspect.window())
@@ -466,6 +485,7 @@
             for report in self.ledgers[writer].quarantine_reports(self.now) {
                 self.store.insert(report.cause.to_string(), report);
             }
+            self.suspicions = (self.now, self.ledgers[writer].suspicions(self.now));
         }
         self.push(self.now + NEWS_INTERVAL, ModelEvent::News);
     }
