Send a call no second time if upstreams crash under its unproven parts

A call that may be sent twice crashed two upstreams, also once its part had crashed some before. Other calls keep their retries, as nearly all parts of sound calls were answered before.

--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -175,7 +175,8 @@
     if failed.connection_lost && !gateway.reach.borrow().is_lost(&call.pool) {
         report_crash(gateway, call, key, &progress.answer);
     }
-    let retry_allowed = may_retry(gateway, call, progress, failed.end, now);
+    let retry_allowed = may_retry(gateway, call, progress, failed.end, now)
+        && !(failed.connection_lost && quarantine::is_suspected(gateway, call));
     let next = outcome::next_step(
         failed.end,
         call.class.safety,
--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -141,6 +141,12 @@
     record_changes(gateway, &changes, OWN_SOURCE);
 }
 
+/// Returns whether a call is not to be sent again after a crash, since calls like it crashed upstreams
+/// before.
+pub fn is_suspected(gateway: &Gateway, call: &Call) -> bool {
+    gateway.crashes.borrow().is_suspected(&call.suspects)
+}
+
 /// Records that one more event of an answer arrived: what its call has in common with others does no
 /// harm, once the answer has gone on for long enough.
 pub fn record_event(gateway: &Gateway, call: &Call, answer: &mut AnswerProgress) {
--- a/kernel/src/gateway/crashes.rs
+++ b/kernel/src/gateway/crashes.rs
@@ -517,6 +517,13 @@
             .collect()
     }
 
+    /// Whether a call with these properties may crash one more upstream if it is sent again, although it is
+    /// not quarantined yet.
+    pub fn is_suspected(&self, suspects: &[SuspectKey]) -> bool {
+        let mut suspects = suspects.iter();
+        suspects.any(|suspect| self.evidence.is_suspected(*suspect))
+    }
+
     /// Number of crashes under calls with this property, as far as this node knows.
     pub fn crashes(&self, suspect: SuspectKey) -> usize {
         self.evidence.crashes(suspect)
--- a/kernel/src/gateway/crashes/evidence.rs
+++ b/kernel/src/gateway/crashes/evidence.rs
@@ -384,6 +384,13 @@
         keys.filter(is_of).collect()
     }
 
+    /// Whether upstreams crashed several times under a prompt part that none has ever answered.
+    pub fn is_suspected(&self, suspect: SuspectKey) -> bool {
+        matches!(suspect, SuspectKey::Part(_))
+            && !self.sound_at.contains_key(&suspect)
+            && self.score(&self.open_marks(suspect)) >= SUSPECTED as f64
+    }
+
     /// Crashes of properties that are suspected but not known to be causes, for a node that starts later.
     pub fn suspicions(
         &self,
--- a/kernel/tests/gateway/causes.rs
+++ b/kernel/tests/gateway/causes.rs
@@ -221,6 +221,18 @@
     }
 }
 
+// Guards against retries that crash one upstream more each, and against sound calls that are not retried.
+#[test]
+fn a_part_is_suspected_after_two_crashes_unless_it_was_ever_answered() {
+    let mut ledger = CrashLedger::default();
+    ledger.record_answer(&call(1, &[1]), S, S);
+    crash(&mut ledger, 1, &[call(1, &[1, BAD])], S * 2);
+    assert!(!ledger.is_suspected(&call(2, &[1, BAD])));
+    crash(&mut ledger, 2, &[call(2, &[1, BAD])], S * 4);
+    assert!(ledger.is_suspected(&call(3, &[1, BAD])));
+    assert!(!ledger.is_suspected(&call(3, &[1])));
+}
+
 #[test]
 fn an_answered_trial_ends_the_quarantine_of_a_part_everywhere() {
     let mut ledger = CrashLedger::default();
--- a/kernel/tests/gateway/crash_days.rs
+++ b/kernel/tests/gateway/crash_days.rs
@@ -453,8 +453,11 @@
         if call.attempts > 0 {
             return;
         }
-        // Half of the calls are sent on at once, a quarter come again, a quarter do not.
+        let suspects = self::suspects(call.content, &call.parts);
+        let is_suspected = self.ledgers[call.view].is_suspected(&suspects);
+        // Half of the calls are sent on at once unless suspected, a quarter come again, a quarter do not.
         let again = match self.random.random_range(0..4) {
+            0 | 1 if is_suspected => return,
             0 | 1 => noticed,
             2 => noticed + MS * 300,
             _ => return,
