--- a/kernel/tests/gateway/heartbeat.rs
+++ b/kernel/tests/gateway/heartbeat.rs
@@ -1,16 +1,24 @@
 //! Tests of the size of heartbeats.
 
+use std::time::Duration;
+
 use monsoonbank_kernel::gateway::brittle::RefusalReport;
+use monsoonbank_kernel::gateway::content::ContentDigest;
+use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::suspect::SuspectKey;
+use monsoonbank_kernel::gateway::crashes::{CrashLedger, CrashNews};
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState};
 
 /// Most pools out of reach in one heartbeat.
 const MOST_UNREACHED: usize = 8;
 /// Most refusals in one heartbeat.
 const MOST_REFUSALS: usize = 16;
+/// Largest datagram less what a heartbeat with work at many upstreams takes, in bytes.
+const MOST_NEWS: usize = 1000;
 
-fn size(heartbeat: &NodeHeartbeat) -> usize {
+fn size(value: &impl serde::Serialize) -> usize {
     let mut bytes = Vec::new();
-    ciborium::into_writer(heartbeat, &mut bytes).expect("written");
+    ciborium::into_writer(value, &mut bytes).expect("written");
     bytes.len()
 }
 
@@ -44,3 +52,48 @@
     println!("{of_lost} B for {MOST_UNREACHED} pools, {of_refused} B for {MOST_REFUSALS} refusals");
     assert!(of_lost <= 40 && of_refused <= 260);
 }
+
+/// A ledger of many crashes at once, of calls with this number of shared parts each, half of which were
+/// answered before.
+fn busy_ledger(parts: u64) -> CrashLedger {
+    let mut ledger = CrashLedger::default();
+    for crash in 0..200_u64 {
+        let now = Duration::from_millis(crash * 100);
+        let suspects = |call: u64| {
+            let shared =
+                (0..parts).map(move |part| SuspectKey::Part(u64::MAX - part * 7 - call % 5));
+            let content = ContentDigest::from(u64::MAX - crash * 100 - call);
+            [SuspectKey::Content(content)].into_iter().chain(shared)
+        };
+        let call = |call: u64| SuspectCall {
+            sent_ms: 400,
+            suspects: suspects(call).collect(),
+        };
+        let report = CrashReport {
+            run: u64::MAX - crash,
+            age_ms: 0,
+            calls: (0..6).map(call).collect(),
+        };
+        ledger.record_crash(&report, now);
+        let answered: Vec<SuspectKey> = suspects(0).collect();
+        ledger.record_answer(&answered, now, now);
+    }
+    ledger
+}
+
+// Guards against crashes of many upstreams that make heartbeats too large for a datagram.
+#[test]
+fn news_of_crashes_fits_into_a_datagram() {
+    let empty = size(&CrashNews::default());
+    for parts in [0, 3, 32] {
+        let mut ledger = busy_ledger(parts);
+        let mut most = 0;
+        for round in 0..40 {
+            let now = Duration::from_millis(19_900 + round * 10);
+            most = most.max(size(&ledger.recent_news(now)));
+        }
+        println!("{most} B of news at most with {parts} shared parts, {empty} B without crashes");
+        assert!(most <= MOST_NEWS, "{most} B with {parts} shared parts");
+        assert!(most > empty);
+    }
+}
