Search only the newest crashes for parts that always come together

With 32 unproven parts in each of six calls, 200 crashes took a node seconds: each judgement went through all calls of all crashes for each pair of parts, and the news through all properties for each comparison. 16 crashes suffice to tell parts apart, and weights are computed once.

--- a/kernel/src/gateway/crashes.rs
+++ b/kernel/src/gateway/crashes.rs
@@ -555,7 +555,7 @@
         self.turn = self.turn.wrapping_add(MAX_UPDATES / 2);
         let turn = self.turn % due.len();
         due.rotate_left(turn);
-        due.sort_by_key(|change| match change {
+        due.sort_by_cached_key(|change| match change {
             RecentChange::Crash { key, .. } => std::cmp::Reverse(self.evidence.weight(*key)),
             RecentChange::Sound(_) | RecentChange::Quarantine(_) => std::cmp::Reverse(usize::MAX),
         });
--- a/kernel/src/gateway/crashes/evidence.rs
+++ b/kernel/src/gateway/crashes/evidence.rs
@@ -39,6 +39,8 @@
 const FEW_UPSTREAMS: usize = 2;
 /// Time between two reports of a crash of one run up to which they are the same crash.
 const SAME_CRASH: Duration = Duration::from_secs(1);
+/// Number of newest crashes that are searched for parts that always come together.
+const MAX_COMPARED: usize = 16;
 /// Number of crashes from which on a property is suspected, and most of those told to nodes that start.
 const SUSPECTED: usize = 2;
 const MAX_SUSPICION: usize = 8;
@@ -287,6 +289,9 @@
         let keys = self.marks.get(&suspect).into_iter().flatten();
         let mark = |key: &CrashKey| {
             let crash = self.crashes.get(key)?;
+            if sound_at.is_some_and(|sound_at| crash.at <= sound_at) {
+                return None;
+            }
             let calls = crash.calls.iter();
             let sent = calls.filter(|call| call.suspects.contains(&suspect));
             let sent = sent.map(|call| call.sent_ms).min()?;
@@ -296,10 +301,7 @@
                 sent_at: crash.at.saturating_sub(Duration::from_millis(sent)),
             })
         };
-        let mut marks: Vec<CrashMark> = keys
-            .filter_map(mark)
-            .filter(|mark| sound_at.is_none_or(|sound_at| mark.at > sound_at))
-            .collect();
+        let mut marks: Vec<CrashMark> = keys.filter_map(mark).collect();
         marks.sort_by_key(|mark| mark.at);
         marks
     }
@@ -444,6 +446,8 @@
         };
         let crashes: Vec<&KnownCrash> = marks
             .iter()
+            .rev()
+            .take(MAX_COMPARED)
             .filter_map(|mark| self.crashes.get(&mark.key))
             .collect();
         let calls = crashes.first().into_iter().flat_map(|crash| &crash.calls);
@@ -468,7 +472,7 @@
             std::cmp::Reverse(most.max())
         };
         let mut calls: Vec<&SuspectCall> = crash.calls.iter().collect();
-        calls.sort_by_key(|call| weight(call));
+        calls.sort_by_cached_key(|call| weight(call));
         let mut left = room;
         let fits = |call: &&SuspectCall| {
             left = left.saturating_sub(call.suspects.len());
