--- a/daemon/src/gateway/fetch.rs
+++ b/daemon/src/gateway/fetch.rs
@@ -12,7 +12,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use monsoonbank_kernel::gateway::crashes::QuarantineReport;
+use monsoonbank_kernel::gateway::crashes::quarantine::QuarantineReport;
 use monsoonbank_kernel::gateway::fleet::FleetPeer;
 use monsoonbank_kernel::gateway::heartbeat::NodeHeartbeat;
 use monsoonbank_kernel::gateway::registry::{PreferredPart, RegistryChange, UpstreamEntry};
--- a/daemon/src/gateway/quarantine.rs
+++ b/daemon/src/gateway/quarantine.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use monsoonbank_kernel::gateway::crashes::CrashDecision;
 use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::news::CrashNews;
+use monsoonbank_kernel::gateway::crashes::quarantine::{QuarantineChange, QuarantineReport};
 use monsoonbank_kernel::gateway::crashes::suspect::{CrashCause, SuspectKey};
-use monsoonbank_kernel::gateway::crashes::{
-    CrashDecision, CrashNews, QuarantineChange, QuarantineReport,
-};
 use monsoonbank_kernel::gateway::gossip::GossipUrgency;
 use monsoonbank_kernel::gateway::registry::UpstreamEntry;
 use monsoonbank_platform::names;
--- a/kernel/src/gateway/crashes.rs
+++ b/kernel/src/gateway/crashes.rs
@@ -5,95 +5,29 @@
 //! node makes. Quarantines are merged by their round, so reports may arrive late, twice and in any order.
 
 pub mod evidence;
+pub mod news;
+pub mod quarantine;
 pub mod suspect;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::gateway::crashes::evidence::{
-    CrashEvidence, CrashKey, CrashReport, SETTLE_TIME, millis,
+use crate::gateway::crashes::evidence::{CrashEvidence, CrashReport, SETTLE_TIME, millis};
+use crate::gateway::crashes::news::{
+    CrashNews, MAX_SUSPECTS, MAX_UPDATES, RecentChange, RecentChanges, SoundReport,
 };
+use crate::gateway::crashes::quarantine::{QuarantineChange, QuarantineRecord, QuarantineReport};
 use crate::gateway::crashes::suspect::{CrashCause, SuspectKey};
 
-/// Times since the newest crash at which calls of a quarantined cause are sent once more: if a pool lost
-/// all its upstreams at once, harmless calls are quarantined too.
-const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(30), Duration::from_mins(5)];
-/// Time since the newest crash after which a quarantine ends.
-const QUARANTINE_TTL: Duration = Duration::from_hours(1);
-/// Time for which a change is sent in heartbeats: two of the longest intervals between heartbeats.
-const UPDATE_TTL: Duration = Duration::from_millis(1500);
-/// Time for which a node repeats the crashes that it noticed itself, for nodes that were cut off.
-const OWN_TTL: Duration = Duration::from_secs(15);
-/// Interval at which it repeats them once `UPDATE_TTL` has passed.
-const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of properties in the crashes of one heartbeat, some 12 bytes each.
-const MAX_SUSPECTS: usize = 48;
-/// Maximum number of quarantines and of answers in one heartbeat, some 30 and 16 bytes each.
-const MAX_UPDATES: usize = 8;
 /// Number of crashes below which nothing is quarantined.
 const FEWEST_CRASHES: usize = 3;
-/// Time since the newest crash up to which a quarantine is ended if it turns out to be wrong.
-const REFUTAL_TIME: Duration = Duration::from_mins(1);
 /// Difference up to which two reports of the beginning of an answer are the same.
 const SAME_ANSWER: Duration = Duration::from_millis(100);
-/// Maximum number of changes that are sent to other nodes.
-const MAX_CHANGES: usize = 512;
 /// Maximum number of quarantines that are kept.
 const MAX_RECORDS: usize = 4096;
 
-/// One node's record of a quarantine, as sent to other nodes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
-pub struct QuarantineReport {
-    /// Properties of the calls.
-    pub cause: CrashCause,
-    /// Number of times that the quarantine was cleared.
-    pub round: u32,
-    /// Number of trials since the last clearing.
-    pub trials: u8,
-    /// Whether the calls are quarantined.
-    pub quarantined: bool,
-    /// Whether a trial was answered since the newest crash.
-    pub answered: bool,
-    /// Number of crashes that led to it.
-    pub crashes: u32,
-    /// Time since the newest crash or clearing, in ms.
-    pub age_ms: u64,
-}
-
-/// Answer that shows a property to be harmless, as sent to other nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
-pub struct SoundReport {
-    /// The property.
-    pub suspect: SuspectKey,
-    /// Time since the answer began, in ms.
-    pub age_ms: u64,
-}
-
-/// Recent changes of one node's knowledge of crashes, as part of a heartbeat.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
-pub struct CrashNews {
-    /// Crashes.
-    pub crashes: Vec<CrashReport>,
-    /// Answers that show suspected properties to be harmless.
-    pub sound: Vec<SoundReport>,
-    /// Quarantines that began or ended.
-    pub quarantines: Vec<QuarantineReport>,
-}
-
-/// A quarantine that began or ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct QuarantineChange {
-    /// Properties of the calls.
-    pub cause: CrashCause,
-    /// Whether they are quarantined now.
-    pub quarantined: bool,
-    /// Number of crashes that led to it.
-    pub crashes: usize,
-}
-
 /// Whether a call may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CrashDecision {
@@ -111,82 +45,14 @@
     },
 }
 
-#[derive(Clone, Debug, Default)]
-struct QuarantineRecord {
-    round: u32,
-    trials: u8,
-    quarantined: bool,
-    answered: bool,
-    crashes: u32,
-    changed_at: Duration,
-}
-
-impl QuarantineRecord {
-    fn ends_at(&self) -> Duration {
-        self.changed_at + QUARANTINE_TTL
-    }
-
-    fn trial_at(&self) -> Option<Duration> {
-        let pause = TRIAL_DELAYS.get(usize::from(self.trials))?;
-        Some(self.changed_at + *pause)
-    }
-
-    /// Whether what is known of its crashes may show that it is wrong. Later that is forgotten in part.
-    fn is_refutable(&self, now: Duration) -> bool {
-        self.quarantined && self.changed_at + REFUTAL_TIME > now
-    }
-
-    /// Merges a report and returns whether anything but the time changed.
-    fn merge(&mut self, report: &QuarantineReport, at: Duration) -> bool {
-        if report.round < self.round {
-            return false;
-        }
-        let before = (self.round, self.trials, self.quarantined, self.crashes);
-        if report.round > self.round {
-            *self = Self {
-                round: report.round,
-                ..Self::default()
-            };
-        }
-        self.trials = self.trials.max(report.trials);
-        self.quarantined |= report.quarantined;
-        self.answered |= report.answered;
-        self.crashes = self.crashes.max(report.crashes);
-        self.changed_at = self.changed_at.max(at);
-        before != (self.round, self.trials, self.quarantined, self.crashes)
-    }
-
-    fn report(&self, cause: &CrashCause, now: Duration) -> QuarantineReport {
-        QuarantineReport {
-            cause: cause.clone(),
-            round: self.round,
-            trials: self.trials,
-            quarantined: self.quarantined,
-            answered: self.answered,
-            crashes: self.crashes,
-            age_ms: millis(now.saturating_sub(self.changed_at)),
-        }
-    }
-}
-
-/// A change that is sent to other nodes for a while.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum RecentChange {
-    Crash { key: CrashKey, is_own: bool },
-    Sound(SuspectKey),
-    Quarantine(CrashCause),
-}
-
 /// Crashes, answers and quarantines that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
     evidence: CrashEvidence,
     records: BTreeMap<CrashCause, QuarantineRecord>,
-    updates: VecDeque<(Duration, RecentChange)>,
-    repeated_at: Duration,
+    changes: RecentChanges,
     /// Time of the newest crash that is to be judged again once it has settled.
     unsettled_at: Option<Duration>,
-    turn: usize,
     digest: u64,
 }
 
@@ -199,7 +65,8 @@
         now: Duration,
     ) -> Option<Vec<QuarantineChange>> {
         let key = self.evidence.merge(report, now)?;
-        self.announce(RecentChange::Crash { key, is_own: true }, now);
+        self.changes
+            .announce(RecentChange::Crash { key, is_own: true }, now);
         self.announce_sound(report, now);
         for call in &report.calls {
             self.postpone_trials(&call.suspects, now);
@@ -213,7 +80,7 @@
         for suspect in suspects {
             let is_known = self.evidence.sound_at(*suspect).is_some();
             if is_known && self.evidence.crashes(*suspect) > 1 {
-                self.announce(RecentChange::Sound(*suspect), now);
+                self.changes.announce(RecentChange::Sound(*suspect), now);
             }
         }
     }
@@ -250,7 +117,7 @@
             let is_new = self.evidence.sound_at(*suspect) < Some(began_at);
             self.evidence.record_sound(*suspect, began_at);
             if is_new && self.evidence.crashes(*suspect) > 1 {
-                self.announce(RecentChange::Sound(*suspect), now);
+                self.changes.announce(RecentChange::Sound(*suspect), now);
             }
         }
         let mut changes = self.clear_answered(suspects, began_at, now);
@@ -296,7 +163,8 @@
         for report in &news.crashes {
             if let Some(key) = self.evidence.merge(report, now) {
                 is_changed |= self.evidence.weight(key) >= FEWEST_CRASHES;
-                self.announce(RecentChange::Crash { key, is_own: false }, now);
+                self.changes
+                    .announce(RecentChange::Crash { key, is_own: false }, now);
                 self.announce_sound(report, now);
             }
         }
@@ -307,7 +175,8 @@
             if known.is_none_or(|known| known + SAME_ANSWER < began_at) {
                 is_changed |= self.may_be_refuted(report.suspect, now);
                 self.evidence.record_sound(report.suspect, began_at);
-                self.announce(RecentChange::Sound(report.suspect), now);
+                self.changes
+                    .announce(RecentChange::Sound(report.suspect), now);
             }
         }
         let mut changes = self.receive_quarantines(&news.quarantines, now);
@@ -532,29 +401,7 @@
     /// Recent changes for the next heartbeat: crashes under calls with the most crashes first, the others
     /// in turn.
     pub fn recent_news(&mut self, now: Duration) -> CrashNews {
-        let is_kept = |(at, change): &(Duration, RecentChange)| {
-            let ttl = match change {
-                RecentChange::Crash { is_own: true, .. } => OWN_TTL,
-                _ => UPDATE_TTL,
-            };
-            *at + ttl > now
-        };
-        self.updates.retain(is_kept);
-        let repeats = self.repeated_at + REPEAT_INTERVAL <= now;
-        if repeats {
-            self.repeated_at = now;
-        }
-        let due = self
-            .updates
-            .iter()
-            .filter(|(at, _)| repeats || *at + UPDATE_TTL > now);
-        let mut due: Vec<RecentChange> = due.map(|(_, change)| change.clone()).collect();
-        if due.is_empty() {
-            return CrashNews::default();
-        }
-        self.turn = self.turn.wrapping_add(MAX_UPDATES / 2);
-        let turn = self.turn % due.len();
-        due.rotate_left(turn);
+        let mut due = self.changes.due(now);
         due.sort_by_cached_key(|change| match change {
             RecentChange::Crash { key, .. } => std::cmp::Reverse(self.evidence.weight(*key)),
             RecentChange::Sound(_) | RecentChange::Quarantine(_) => std::cmp::Reverse(usize::MAX),
@@ -625,32 +472,9 @@
         }
     }
 
-    fn announce(&mut self, change: RecentChange, now: Duration) {
-        let is_same = |known: &RecentChange| match (known, &change) {
-            (RecentChange::Crash { key, .. }, RecentChange::Crash { key: other, .. }) => {
-                key == other
-            }
-            _ => *known == change,
-        };
-        let known = self.updates.iter().position(|(_, known)| is_same(known));
-        let known = known.and_then(|index| self.updates.remove(index));
-        let was_own = matches!(known, Some((_, RecentChange::Crash { is_own: true, .. })));
-        let change = match change {
-            RecentChange::Crash { key, is_own } => RecentChange::Crash {
-                key,
-                is_own: is_own || was_own,
-            },
-            change => change,
-        };
-        self.updates.push_back((now, change));
-        if self.updates.len() > MAX_CHANGES {
-            self.updates.pop_front();
-        }
-    }
-
     fn put(&mut self, cause: CrashCause, record: QuarantineRecord, now: Duration) {
         self.records.insert(cause.clone(), record);
-        self.announce(RecentChange::Quarantine(cause), now);
+        self.changes.announce(RecentChange::Quarantine(cause), now);
         if self.records.len() > MAX_RECORDS {
             self.drop_oldest();
         }
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::gateway::crashes::CrashNews;
+use crate::gateway::crashes::news::CrashNews;
 pub use crate::gateway::fleet::keepers::StartKeepers;
 pub use crate::gateway::fleet::shares::SharedLimit;
 use crate::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, node_hash};
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::backlog::BacklogReport;
 use crate::gateway::brittle::RefusalReport;
-use crate::gateway::crashes::CrashNews;
+use crate::gateway::crashes::news::CrashNews;
 use crate::gateway::fairness::WorkspaceReport;
 use crate::gateway::load::WorkCount;
 use crate::gateway::speed::SpeedReport;
--- a/kernel/tests/gateway/crash_days.rs
+++ b/kernel/tests/gateway/crash_days.rs
@@ -10,10 +10,10 @@
 
 use monsoonbank_kernel::gateway::content::ContentDigest;
 use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::news::CrashNews;
+use monsoonbank_kernel::gateway::crashes::quarantine::QuarantineReport;
 use monsoonbank_kernel::gateway::crashes::suspect::SuspectKey;
-use monsoonbank_kernel::gateway::crashes::{
-    CrashDecision, CrashLedger, CrashNews, QuarantineReport,
-};
+use monsoonbank_kernel::gateway::crashes::{CrashDecision, CrashLedger};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/kernel/tests/gateway/crash_fuzz.rs
+++ b/kernel/tests/gateway/crash_fuzz.rs
@@ -5,8 +5,9 @@
 
 use monsoonbank_kernel::gateway::content::ContentDigest;
 use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::quarantine::QuarantineReport;
 use monsoonbank_kernel::gateway::crashes::suspect::{CrashCause, SuspectKey};
-use monsoonbank_kernel::gateway::crashes::{CrashDecision, CrashLedger, QuarantineReport};
+use monsoonbank_kernel::gateway::crashes::{CrashDecision, CrashLedger};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/kernel/tests/gateway/crashes.rs
+++ b/kernel/tests/gateway/crashes.rs
@@ -5,8 +5,9 @@
 
 use monsoonbank_kernel::gateway::content::ContentDigest;
 use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::quarantine::QuarantineChange;
 use monsoonbank_kernel::gateway::crashes::suspect::{CrashCause, SuspectKey};
-use monsoonbank_kernel::gateway::crashes::{CrashDecision, CrashLedger, QuarantineChange};
+use monsoonbank_kernel::gateway::crashes::{CrashDecision, CrashLedger};
 
 const S: Duration = Duration::from_secs(1);
 /// Time for which a call is at an upstream before that crashes.
--- a/kernel/tests/gateway/heartbeat.rs
+++ b/kernel/tests/gateway/heartbeat.rs
@@ -4,9 +4,10 @@
 
 use monsoonbank_kernel::gateway::brittle::RefusalReport;
 use monsoonbank_kernel::gateway::content::ContentDigest;
+use monsoonbank_kernel::gateway::crashes::CrashLedger;
 use monsoonbank_kernel::gateway::crashes::evidence::{CrashReport, SuspectCall};
+use monsoonbank_kernel::gateway::crashes::news::CrashNews;
 use monsoonbank_kernel::gateway::crashes::suspect::SuspectKey;
-use monsoonbank_kernel::gateway::crashes::{CrashLedger, CrashNews};
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState};
 
 /// Most pools out of reach in one heartbeat.
