Wait for a line that a test reads after the answer

The log of that node has the line reach_lost at 804 ms, the time of the answer: lines are written up to 200 ms later, and the test read them before. It waits for the line now, which has to come as before.

--- a/daemon/tests/gateway/reach.rs
+++ b/daemon/tests/gateway/reach.rs
@@ -444,6 +444,10 @@
     };
     let (answer, ()) = tokio::join!(sending, closing);
     assert_eq!(answer.status, 502, "{}", answer.head);
-    let lines = world.nodes[0].lines();
-    assert!(lines.iter().any(|line| line["event"] == "reach_lost"));
+    // Lines are written a little later than the answer.
+    until("the loss is recorded", async || {
+        let lines = world.nodes[0].lines();
+        lines.iter().any(|line| line["event"] == "reach_lost")
+    })
+    .await;
 }
