--- a/kernel/tests/gateway/crash_days.rs
+++ b/kernel/tests/gateway/crash_days.rs
@@ -521,12 +521,13 @@
     days.and_then(|text| text.parse().ok()).unwrap_or(few)
 }
 
-fn play(size: FleetSize, days: u64) -> DaysResult {
+fn play(size: FleetSize, seeds: &[u64]) -> DaysResult {
     let mut sum = DaysResult::default();
     let threads: Vec<_> = (0..4)
         .map(|thread| {
+            let seeds: Vec<u64> = seeds.iter().copied().skip(thread).step_by(4).collect();
             std::thread::spawn(move || {
-                let seeds = (0..days).filter(move |seed| seed % 4 == thread);
+                let seeds = seeds.into_iter();
                 let results = seeds.map(|seed| (seed, ModelDay::draw(size, seed).run()));
                 results.collect::<Vec<_>>()
             })
@@ -574,13 +575,25 @@
         #[test]
         fn $name() {
             let size = FleetSize { views: $views, engines: $engines, calls: $calls };
-            let sum = play(size, days($days));
-            assert!(sum.over.is_empty(), "too many repeats on days {:?}", sum.over);
-            assert!(sum.lost.is_empty(), "sound calls lost on days {:?}", sum.lost);
+            let seeds: Vec<u64> = (0..days($days)).collect();
+            check(&play(size, &seeds));
         }
     )*};
 }
 
+fn check(sum: &DaysResult) {
+    assert!(
+        sum.over.is_empty(),
+        "too many repeats on days {:?}",
+        sum.over
+    );
+    assert!(
+        sum.lost.is_empty(),
+        "sound calls lost on days {:?}",
+        sum.lost
+    );
+}
+
 // Guards against prompt parts that go on crashing upstreams, and against sound calls that are refused with
 // them or in waves of crashes.
 days! {
@@ -588,3 +601,31 @@
     drawn_days_of_three_hundred_nodes: 15, 80, 60.0, 8;
     drawn_days_of_980_nodes: 23, 160, 100.0, 8;
 }
+
+// Guards against two parts at once, sound until then, under which all upstreams of a small pool crash at once.
+#[test]
+fn days_on_which_a_small_pool_collapses() {
+    let size = FleetSize {
+        views: 6,
+        engines: 12,
+        calls: 20.0,
+    };
+    check(&play(size, &[212, 246, 283]));
+}
+
+// Guards against a second part whose crashes nodes of a large fleet hear of too late.
+#[test]
+fn days_with_more_news_than_fits_into_heartbeats() {
+    let size = FleetSize {
+        views: 15,
+        engines: 80,
+        calls: 60.0,
+    };
+    check(&play(size, &[173, 217]));
+    let size = FleetSize {
+        views: 23,
+        engines: 160,
+        calls: 100.0,
+    };
+    check(&play(size, &[95]));
+}
