Say what a node counts when a call finds no room

Lines said that a call had waited in vain, not why: whether its pool's engines were full, counted as full, backed off or excluded could not be told apart, and four of the five hypotheses on refused urgent calls turn on it. has_capacity now names the limit that an upstream is at (the same decisions in the same order), and a call that waited in vain writes no_room with the upstreams by limit and the calls counted: its node's own, those reported, those assumed of silent nodes and those assumed unreported.

Test: room::a_call_without_room_reports_the_limits_that_closed_its_pool.

--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -1,6 +1,7 @@
 //! Lines about calls, from the matching rule to the outcome.
 
 use derive_more::{Display, From};
+use monsoonbank_kernel::gateway::choice::RoomReport;
 use monsoonbank_kernel::gateway::prompt::PromptPart;
 use serde::{Serialize, Serializer};
 
@@ -103,6 +104,25 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         yielded_ms: Option<u64>,
     },
+    /// A call waited in vain: how its pool's upstreams look to it at this node.
+    NoRoom {
+        /// Id of the call.
+        call: &'a str,
+        /// Name of the pool.
+        pool: &'a str,
+        /// Whether it can no longer meet its target.
+        late: bool,
+        /// Time for which other calls that wait here went first, in ms.
+        blocked_ms: u64,
+        /// Number of other nodes that are assumed to send calls.
+        senders: usize,
+        /// Number of nodes whose heartbeats stopped and that are assumed to have as many calls as
+        /// this one.
+        silent: u32,
+        /// Upstreams by what keeps them from accepting the call, and the calls counted there.
+        #[serde(flatten)]
+        room: &'a RoomReport,
+    },
     /// All upstreams of a pool that a call could be sent to pause for longer than it may wait, so
     /// it is rejected.
     PoolPaused {
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -41,9 +41,8 @@
     pub connections_opened: IntCounterVec,
     /// Version of the configuration in force.
     pub version: IntGauge,
-    /// Calls that wait at all nodes for pools whose slots run out, by tier and by whether they can
-    /// still meet their target.
-    fleet_waiting: IntGaugeVec,
+    /// What calls wait for, and what they leave to other nodes.
+    pub room: RoomMetrics,
     /// Pools to whose upstreams no connection comes about.
     pub unreached_pools: IntGauge,
     /// Calls that have not ended.
@@ -61,6 +60,65 @@
     pub duty_calls_missed: IntCounter,
 }
 
+/// Metrics of calls that wait for room.
+#[derive(Debug)]
+pub struct RoomMetrics {
+    /// Calls that wait at all nodes for pools whose slots run out, by tier and by whether they can
+    /// still meet their target.
+    fleet_waiting: IntGaugeVec,
+    /// Calls that waited in vain, by pool.
+    no_room_calls: IntCounterVec,
+    /// Nodes whose heartbeats stopped and that are assumed to send calls.
+    silent_senders: IntGauge,
+}
+
+impl RoomMetrics {
+    fn new(registry: &Registry) -> Self {
+        let fleet_waiting = Opts::new(
+            "monsoonbank_fleet_waiting_calls",
+            "Calls that wait at all nodes for pools whose slots run out",
+        );
+        let no_room_calls = Opts::new(
+            "monsoonbank_no_room_calls_total",
+            "Calls that waited for room in vain",
+        );
+        let silent_senders = IntGauge::new(
+            "monsoonbank_silent_senders",
+            "Nodes whose heartbeats stopped and that are assumed to send calls",
+        );
+        Self {
+            fleet_waiting: register(
+                registry,
+                IntGaugeVec::new(fleet_waiting, &["tier", "in_time"]),
+            ),
+            no_room_calls: register(registry, IntCounterVec::new(no_room_calls, &["pool"])),
+            silent_senders: register(registry, silent_senders),
+        }
+    }
+
+    /// Sets the calls that wait at all nodes.
+    pub fn set_fleet_waiting(&self, backlog: &FleetBacklog) {
+        self.fleet_waiting.reset();
+        for (tier, calls) in backlog.tiers() {
+            let tier = tier.to_string();
+            for (in_time, count) in [("true", calls.timely), ("false", calls.late)] {
+                let gauge = self.fleet_waiting.with_label_values(&[&*tier, in_time]);
+                gauge.set(count.into());
+            }
+        }
+    }
+
+    /// Sets the number of nodes whose heartbeats stopped and that are assumed to send calls.
+    pub fn set_silent_senders(&self, count: u32) {
+        self.silent_senders.set(count.into());
+    }
+
+    /// Counts a call that waited for room in a pool in vain.
+    pub fn count_no_room(&self, pool: &str) {
+        self.no_room_calls.with_label_values(&[pool]).inc();
+    }
+}
+
 /// Registers a metric whose name is a constant; panics if it is invalid or a duplicate.
 fn register<T: Collector + Clone + 'static>(
     registry: &Registry,
@@ -85,10 +143,6 @@
         let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help));
         let plain_counter =
             |name: &str, help: &str| register(&registry, IntCounter::new(name, help));
-        let fleet_waiting = Opts::new(
-            "monsoonbank_fleet_waiting_calls",
-            "Calls that wait at all nodes for pools whose slots run out",
-        );
         let first_piece = HistogramOpts::new(
             "monsoonbank_first_piece_seconds",
             "Time to the first piece of an answer",
@@ -159,10 +213,7 @@
                 "Connections to upstreams that were opened",
                 &["pool"],
             ),
-            fleet_waiting: register(
-                &registry,
-                IntGaugeVec::new(fleet_waiting, &["tier", "in_time"]),
-            ),
+            room: RoomMetrics::new(&registry),
             version: gauge("monsoonbank_configuration_version", "Version in force"),
             slow_engines: gauge(
                 "monsoonbank_slow_engines",
@@ -194,18 +245,6 @@
         self.resumptions.with_label_values(&[start]).inc();
     }
 
-    /// Sets the calls that wait at all nodes.
-    pub fn set_fleet_waiting(&self, backlog: &FleetBacklog) {
-        self.fleet_waiting.reset();
-        for (tier, calls) in backlog.tiers() {
-            let tier = tier.to_string();
-            for (in_time, count) in [("true", calls.timely), ("false", calls.late)] {
-                let gauge = self.fleet_waiting.with_label_values(&[&*tier, in_time]);
-                gauge.set(count.into());
-            }
-        }
-    }
-
     /// Records the time to the first part of an answer.
     pub fn observe_first(&self, tier: u8, took: Duration) {
         let tier = tier.to_string();
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -89,12 +89,15 @@
     reports
 }
 
-/// Counts the calls that wait in the fleet, with this node's own.
-fn count_waiting(gateway: &Gateway, own: &[BacklogReport]) {
+/// Counts the calls that wait in the fleet, with this node's own, and the senders of calls that are
+/// silent.
+fn count_fleet(gateway: &Gateway, own: &[BacklogReport]) {
     let fleet = gateway.fleet.borrow();
     let others = fleet.reports(gateway.now());
     let backlog: FleetBacklog = others.chain(own.iter().copied()).collect();
-    gateway.metrics.set_fleet_waiting(&backlog);
+    gateway.metrics.room.set_fleet_waiting(&backlog);
+    let silent = fleet.silent_senders(gateway.now());
+    gateway.metrics.room.set_silent_senders(silent);
 }
 
 /// Builds the heartbeat of this node.
@@ -258,7 +261,7 @@
         fairness::update(&gateway);
         quarantine::update(&gateway);
         let mut own = own_heartbeat(&gateway);
-        count_waiting(&gateway, &own.backlog);
+        count_fleet(&gateway, &own.backlog);
         let round = GossipRound {
             busy: gateway.open_calls.get() > 0,
             urgency: gateway.urgency.take(),
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -7,7 +7,7 @@
 use monsoonbank_kernel::gateway::choice::{self, ChoiceInput, UpstreamChoice};
 use monsoonbank_kernel::gateway::eligibility;
 use monsoonbank_kernel::gateway::heartbeat;
-use monsoonbank_kernel::gateway::registry::SoftwareKey;
+use monsoonbank_kernel::gateway::registry::{SoftwareKey, UpstreamRegistry};
 use monsoonbank_kernel::gateway::returns::WAIT_FRACTION;
 use monsoonbank_kernel::gateway::rules::{AnswerForm, CallSafety};
 use monsoonbank_kernel::gateway::waiting::{self, WaitRank};
@@ -195,14 +195,17 @@
         })
     }
 
-    /// Returns the upstream for the call; `None` if none has capacity, or if its place is left to a
-    /// call at another node.
-    fn choose(&mut self, progress: &CallProgress) -> Option<UpstreamChoice> {
+    /// Looks at the pool's upstreams for the call.
+    fn look<T>(
+        &self,
+        progress: &CallProgress,
+        look: impl FnOnce(&UpstreamRegistry, &ChoiceInput) -> T,
+    ) -> T {
         let Self { gateway, call, .. } = *self;
         let now = gateway.now();
         let fleet = gateway.fleet.borrow();
-        let pool = backlog::pool_hash(&call.pool);
         let senders = if shares_order(call) {
+            let pool = backlog::pool_hash(&call.pool);
             fleet.contender_hashes(pool, self.class(), now)
         } else {
             fleet.sender_hashes()
@@ -228,8 +231,14 @@
             tried: &progress.tried,
             now,
         };
-        let registry = gateway.registry.borrow();
-        let choice = choice::choose(&registry, &input);
+        look(&gateway.registry.borrow(), &input)
+    }
+
+    /// Returns the upstream for the call; `None` if none has capacity, or if its place is left to a
+    /// call at another node.
+    fn choose(&mut self, progress: &CallProgress) -> Option<UpstreamChoice> {
+        let Self { gateway, call, .. } = *self;
+        let choice = self.look(progress, choice::choose);
         if self.is_bound || !shares_order(call) {
             return choice;
         }
@@ -237,12 +246,14 @@
             self.yields.none_free();
             return None;
         };
+        let now = gateway.now();
         let mut waiting = gateway.waiting.borrow_mut();
-        let others = fleet.backlog(pool, now);
+        let fleet = gateway.fleet.borrow();
+        let others = fleet.backlog(backlog::pool_hash(&call.pool), now);
         if others.before(self.class()) > 0 && waiting.yields(&call.pool, now) {
             let free = FreePlaces {
                 upstream: choice.key,
-                count: choice::free_places(&registry, &input),
+                count: self.look(progress, choice::free_places),
             };
             if !self.yields.may_go(self.class(), &others, free, now) {
                 return None;
@@ -254,6 +265,25 @@
         waiting.record_sent(&call.pool, call.tier, now);
         Some(choice)
     }
+
+    /// Reports what this node counts in the pool, for a call that waited in vain.
+    fn report_no_room(&self, progress: &CallProgress, blocked: Duration) {
+        let Self { gateway, call, .. } = *self;
+        let (senders, silent, room) = self.look(progress, |registry, input| {
+            let room = choice::room_report(registry, input);
+            (input.senders.len(), input.silent_senders, room)
+        });
+        gateway.metrics.room.count_no_room(&call.pool);
+        gateway.decisions.record(CallDecision::NoRoom {
+            call: &call.head.id,
+            pool: &call.pool,
+            late: self.class().late,
+            blocked_ms: millis(blocked),
+            senders,
+            silent,
+            room: &room,
+        });
+    }
 }
 
 /// Waits until an upstream has capacity and it is the call's turn, and returns that upstream.
@@ -302,6 +332,7 @@
     });
     let rank = position.as_ref().map(|position| position.rank);
     let mut found = Err(WaitError::NoRoom);
+    let mut blocked = Duration::ZERO;
     while found.is_err() && gateway.now() < until {
         if indirect::is_needed(gateway, call, progress) {
             found = Err(WaitError::Unreached);
@@ -320,8 +351,10 @@
             break;
         }
         let notice = gateway.capacity_notify.notified();
+        let looked_at = gateway.now();
         let _ = tokio::time::timeout(POLL_INTERVAL, notice).await;
         if turn.is_blocked(rank) {
+            blocked += gateway.now().saturating_sub(looked_at);
             fairness::check_share(gateway, call);
         } else {
             found = turn.choose(progress).ok_or(WaitError::NoRoom);
@@ -329,6 +362,7 @@
     }
     drop(position);
     if found == Err(WaitError::NoRoom) {
+        turn.report_no_room(progress, blocked);
         scope::require_whole(gateway);
     }
     gateway.decisions.record(CallDecision::Waited {
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod pauses;
 mod peers;
 mod reach;
+mod room;
 mod scope;
 mod store;
 mod streams;
--- a/kernel/src/gateway/capacity.rs
+++ b/kernel/src/gateway/capacity.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::Serialize;
+
 use crate::gateway::choice::{CandidatePlace, ChoiceInput};
 
 /// Share of an engine's slots that is used. The rest is for calls that other nodes have sent and
@@ -38,11 +40,32 @@
 /// Calls per slot of a plain service that bears few refusals and may queue none.
 const BRITTLE_CALLS_PER_SLOT: f64 = 1.0;
 
-/// Whether an upstream can accept the call without delaying or preempting others. Less urgent calls
-/// leave more capacity free.
+/// Reason why an upstream cannot accept a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RoomLimit {
+    /// It asked for a pause, or this node's share of its limit is used.
+    Throttle,
+    /// The prompt would stretch the gaps of the tight streams that it is reserved for.
+    Reserve,
+    /// The prompts before this one take too long to prefill.
+    Prefill,
+    /// Its slots are taken, or left to more urgent calls.
+    Slots,
+    /// Its KV cache is taken, or left to more urgent calls.
+    Cache,
+}
+
+/// Whether an upstream can accept the call without delaying or preempting others.
 pub fn has_capacity(place: CandidatePlace, prefill: u32, input: &ChoiceInput) -> bool {
+    room_limit(place, prefill, input).is_none()
+}
+
+/// First limit that keeps an upstream from accepting the call without delaying or preempting others;
+/// `None` if it has capacity. Less urgent calls leave more capacity free.
+pub fn room_limit(place: CandidatePlace, prefill: u32, input: &ChoiceInput) -> Option<RoomLimit> {
     if !place.candidate.upstream.throttle.is_open(input.now) {
-        return false;
+        return Some(RoomLimit::Throttle);
     }
     let total = place.candidate.total;
     let slots = f64::from(place.candidate.upstream.entry.slots);
@@ -52,25 +75,27 @@
         } else {
             PLAIN_CALLS_PER_SLOT
         };
-        return f64::from(total.calls) < slots * per_slot;
+        return (f64::from(total.calls) >= slots * per_slot).then_some(RoomLimit::Slots);
     }
     let disrupts =
         prefill > CHUNK_TOKENS && f64::from(total.tight_streams) >= slots * UNDISTURBED_SHARE;
     if place.reserved && !input.tight && disrupts {
-        return false;
+        return Some(RoomLimit::Reserve);
     }
     let is_idle = total.calls == 0;
     let prefill_time = place.candidate.upstream.load.prefill_time(total);
     if !is_idle && prefill_time > prefill_limit(input) {
-        return false;
+        return Some(RoomLimit::Prefill);
+    }
+    let unreported = unreported_calls(place, input);
+    if f64::from(total.calls) + unreported >= slots * (SLOT_SHARE - reserved_slots(input)) {
+        return Some(RoomLimit::Slots);
     }
     let reserved = reserved_share(input);
     let max_held = (CACHE_SHARE - reserved) * input.cache_tokens as f64;
-    let unreported = unreported_calls(place, input);
     let held =
         f64::from(total.held_tokens) + (1.0 + unreported) * f64::from(input.prompt.prompt_tokens);
-    f64::from(total.calls) + unreported < slots * (SLOT_SHARE - reserved_slots(input))
-        && (is_idle || held < max_held)
+    (!is_idle && held >= max_held).then_some(RoomLimit::Cache)
 }
 
 /// Time that the prefill of earlier prompts may take. Prompts of a less urgent class must not wait
@@ -112,7 +137,7 @@
 /// before this one, up to a share of the slots, or, if that is more, as many for each of this
 /// node's own unreported calls as other nodes have for each of its reported ones, at most one by
 /// each sender.
-fn unreported_calls(place: CandidatePlace, input: &ChoiceInput) -> f64 {
+pub fn unreported_calls(place: CandidatePlace, input: &ChoiceInput) -> f64 {
     let load = &place.candidate.upstream.load;
     let slots = f64::from(place.candidate.upstream.entry.slots);
     let own_unreported = load.unreported_calls(input.now) as f64;
--- a/kernel/src/gateway/choice.rs
+++ b/kernel/src/gateway/choice.rs
@@ -14,7 +14,7 @@
 use crate::gateway::capacity;
 pub use crate::gateway::choice::holding::ExpectedAnswer;
 use crate::gateway::choice::holding::{crowding, holding_cost};
-pub use crate::gateway::choice::places::free_places;
+pub use crate::gateway::choice::places::{RoomReport, free_places, room_report};
 use crate::gateway::eligibility;
 use crate::gateway::load::TOKENS_PER_MS;
 use crate::gateway::partition::{self, UpstreamCandidate};
