Test that nodes whose calls have ended are not taken for silent senders

The model of the gossip gets calls for each node; the test of a few calls everywhere has them as before.

--- a/kernel/tests/gateway/gossip.rs
+++ b/kernel/tests/gateway/gossip.rs
@@ -37,6 +37,8 @@
     tick_at: Duration,
     version: u64,
     urgency: GossipUrgency,
+    /// Number of its open calls.
+    pub calls: u32,
 }
 
 /// Datagrams and bytes that one node sent and received.
@@ -47,6 +49,26 @@
     bytes: usize,
 }
 
+impl ModelNode {
+    /// Its calls, all at one upstream.
+    fn work(&self) -> Vec<WorkReport> {
+        let count = WorkCount {
+            calls: self.calls,
+            ..WorkCount::default()
+        };
+        let report = WorkReport {
+            run: 7,
+            count,
+            taken_tokens: 0,
+        };
+        if self.calls > 0 {
+            vec![report]
+        } else {
+            Vec::new()
+        }
+    }
+}
+
 pub struct ModelFleet {
     pub now: Duration,
     pub nodes: Vec<ModelNode>,
@@ -57,7 +79,6 @@
     cut: BTreeSet<Box<str>>,
     costs: Vec<NodeCost>,
     largest: usize,
-    stray_calls: bool,
 }
 
 fn zone_count(nodes: usize) -> usize {
@@ -114,6 +135,7 @@
                     tick_at: Duration::from_millis(random.random_range(0..300)),
                     version: 0,
                     urgency: GossipUrgency::None,
+                    calls: 0,
                 }
             })
             .collect();
@@ -127,7 +149,6 @@
             cut: BTreeSet::new(),
             costs: vec![NodeCost::default(); count],
             largest: 0,
-            stray_calls: false,
         }
     }
 
@@ -143,31 +164,13 @@
                 0
             },
             fleet_size: node.view.size(self.now),
-            work: Some(self.work()),
+            work: Some(node.work()),
             ..NodeHeartbeat::new(node.view.own().clone())
         };
         heartbeat.entries = node.view.entry_hashes(&heartbeat, self.now);
         heartbeat
     }
 
-    /// One call, or none.
-    fn work(&self) -> Vec<WorkReport> {
-        let count = WorkCount {
-            calls: 1,
-            ..WorkCount::default()
-        };
-        let report = WorkReport {
-            run: 7,
-            count,
-            taken_tokens: 0,
-        };
-        if self.stray_calls {
-            vec![report]
-        } else {
-            Vec::new()
-        }
-    }
-
     fn send(&mut self, from: usize, to: SocketAddr, heartbeat: &NodeHeartbeat) {
         let mut bytes = Vec::new();
         ciborium::into_writer(heartbeat, &mut bytes).expect("written");
@@ -231,9 +234,9 @@
         let mut own = self.heartbeat(index);
         let node = &mut self.nodes[index];
         node.view.expire(now);
-        node.tick_at = now + gossip::tick(&node.view, false, now);
+        node.tick_at = now + gossip::tick(&node.view, node.calls > 0, now);
         let round = GossipRound {
-            busy: self.stray_calls,
+            busy: node.calls > 0,
             urgency: std::mem::take(&mut node.urgency),
             now,
         };
@@ -292,6 +295,7 @@
             node.view = starting_view(&node.card, now);
             node.schedule = starting_schedule(index);
             node.version = 0;
+            node.calls = 0;
             node.up = true;
             node.tick_at = now + Duration::from_millis(self.random.random_range(0..300));
         }
@@ -494,7 +498,9 @@
 #[test]
 fn a_few_calls_at_every_node_do_not_thin_out_reports_among_entries() {
     let mut fleet = ModelFleet::new(295, 6);
-    fleet.stray_calls = true;
+    for node in &mut fleet.nodes {
+        node.calls = 1;
+    }
     fleet.run(SECOND * 4);
     let reader = fleet.hub(&zone_name(0));
     let own = fleet.heartbeat(reader);
@@ -506,6 +512,37 @@
     assert_eq!(near.len(), 2, "the other hubs of the zone");
 }
 
+/// Each case gives a number of nodes, and the calls that are left at those that had many for a while.
+macro_rules! load_moves {
+    ($($name:ident: $count:literal, $left:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in 0..4 {
+                let mut fleet = ModelFleet::new($count, 60 + seed);
+                fleet.run(SECOND * 3);
+                let loaded = |index: &usize| index % 3 == 0;
+                for index in (0..$count).filter(loaded) {
+                    fleet.nodes[index].calls = 20;
+                }
+                fleet.run(SECOND * 2);
+                for index in (0..$count).filter(loaded) {
+                    fleet.nodes[index].calls = $left;
+                }
+                fleet.run(SECOND * 4);
+                let now = fleet.now;
+                let silent = fleet.nodes.iter().map(|node| node.view.silent_senders(now));
+                assert_eq!(silent.max(), Some(0), "seed {seed}");
+            }
+        }
+    )*};
+}
+
+// Guards against nodes that ceased to report, since their calls ended, being taken for unreachable ones
+// that still send calls: the others left most of the upstreams' room to them and refused urgent calls.
+load_moves! {
+    ninety_nodes_whose_calls_ended_are_not_taken_for_silent_senders: 90, 0;
+}
+
 #[test]
 fn a_change_reaches_all_nodes_within_a_second_for_a_few_datagrams_each() {
     let mut fleet = ModelFleet::new(295, 5);
