Bound what upstreams may send without end

An upstream in trouble may send bytes that are no answer, in a head or a body, until the connection is closed.

Events that repeat were dropped for ever, each before the next was read, so that the call ended only with its caller; a stream now may hold 1 MiB without a new event. Heads are bounded by 64 KiB instead of some 400. An attempt that ends so is lost as any other: the connection is closed, and the call is retried if it may run again.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -12,8 +12,10 @@
 //! checks and other nodes, and `caches` lists what engines cache.
 
 pub mod admission;
+pub mod allowance;
 pub mod attempt;
 pub mod brittle;
+pub mod buffers;
 pub mod caches;
 pub mod connections;
 pub mod decisions;
@@ -78,6 +80,7 @@
 
 use crate::error::NodeError;
 use crate::gateway::admission::Call;
+use crate::gateway::buffers::AnswerBuffers;
 use crate::gateway::connections::ConnectionPool;
 use crate::gateway::decisions::{DecisionLog, NodeDecision, StoreDecision};
 use crate::gateway::duties::DutyState;
@@ -136,6 +139,8 @@
     pub speeds: RefCell<SpeedTable>,
     /// Calls that wait for capacity at an upstream.
     pub waiting: RefCell<WaitList>,
+    /// Bytes of upstreams' answers that are being read.
+    pub buffers: Rc<AnswerBuffers>,
     /// Attempts that this node refused and whose callers may come back.
     pub returns: RefCell<ReturnList>,
     /// Recent use of pools whose slots run out, by workspace.
@@ -379,6 +384,7 @@
         paces: RefCell::default(),
         speeds: RefCell::default(),
         waiting: RefCell::default(),
+        buffers: Rc::default(),
         returns: RefCell::default(),
         shares: RefCell::default(),
         share_names: RefCell::default(),
--- a/daemon/src/gateway/caches.rs
+++ b/daemon/src/gateway/caches.rs
@@ -138,6 +138,7 @@
     if !answer.status().is_success() {
         return Err(ListError::Refused(answer.status()));
     }
-    let body = body::read_to_end(answer.into_body(), ANSWER_TIMEOUT, |_| ()).await?;
+    let renew = |_| connection.allowance.renew();
+    let body = body::read_to_end(answer.into_body(), ANSWER_TIMEOUT, renew).await?;
     Ok(cache::decode_list(&body)?)
 }
--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::gateway::allowance::{BoundedStream, ReadAllowance};
+
 /// Time to establish a connection. Availability zones are 1 ms apart and an engine takes 1 ms to
 /// accept, so a host that has not answered by then is down or cut off from the network.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -31,6 +33,8 @@
 const IDLE_AT_MOST_ONCE: Duration = Duration::from_millis(1500);
 /// Longest idle time of a connection for a repeatable call, if the upstream announces no timeout.
 const IDLE_IDEMPOTENT: Duration = Duration::from_secs(4);
+/// Largest head of an answer, in bytes; also the most that is read ahead of a body.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Fraction of an announced idle timeout that is used.
 const ANNOUNCED_FRACTION: f64 = 0.5;
 
@@ -54,6 +58,8 @@
 pub struct ClientConnection<K> {
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Bytes that it may receive before the next part of an answer.
+    pub allowance: ReadAllowance,
     task: AbortHandle,
     key: K,
 }
@@ -147,13 +153,18 @@
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| ConnectionError::TimedOut)??;
     set_options(&stream)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let allowance = ReadAllowance::default();
+    let stream = BoundedStream::new(stream, allowance.clone());
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
     let task = tokio::task::spawn_local(async move {
         // The error that ends a connection is returned to the call that waits on it.
         let _ = connection.await;
     });
     Ok(ClientConnection {
         sender,
+        allowance,
         task: task.abort_handle(),
         key,
     })
--- a/daemon/src/gateway/indirect.rs
+++ b/daemon/src/gateway/indirect.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -26,9 +26,9 @@
 use crate::gateway::attempt::{self, CallProgress, FailedAttempt};
 use crate::gateway::connections::{self, ClientConnection, ConnectionError};
 use crate::gateway::decisions::CallDecision;
-use crate::gateway::relay::{self, MAX_ANSWER_BYTES};
 use crate::gateway::reply::{self, CutError, Reply};
 use crate::gateway::tracker::{CallOutcome, CallTracker};
+use crate::gateway::{buffers, relay};
 
 /// Version of the sender's configuration. A node with an older one declines the call.
 const VERSION: HeaderName = HeaderName::from_static("x-monsoonbank-version");
@@ -231,6 +231,7 @@
         }
         Err(error) => return Err(PeerError::Lost(error.error().to_string().into())),
     };
+    connection.allowance.renew();
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         return Err(PeerError::Declined);
     }
@@ -251,13 +252,13 @@
     stream: PeerStream,
 ) -> Result<PeerAnswer, PeerError> {
     let (parts, body) = stream.response.into_parts();
-    let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let reading = buffers::read_whole(&gateway.buffers, &stream.connection.allowance, body);
     let body = until_deadline(gateway, call, reading).await?;
     let body = body.map_err(|error| PeerError::Lost(error.to_string().into()))?;
     gateway
         .peer_connections
         .release(stream.connection, None, gateway.now());
-    let mut reply = reply::whole(parts.status, body.to_bytes());
+    let mut reply = reply::whole(parts.status, body);
     *reply.headers_mut() = answer::end_to_end_headers(&parts.headers);
     Ok(PeerAnswer::Whole(reply))
 }
@@ -362,6 +363,7 @@
                 log::debug!("the stream of another node broke: {error}");
                 CutError::Upstream
             })?;
+            self.connection.allowance.renew();
             if let Ok(bytes) = frame.into_data() {
                 return Ok(Some(bytes));
             }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -1,10 +1,8 @@
 //! Sends a call to upstreams until one answers or the router gives up.
 
-use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use monsoonbank_kernel::gateway::eligibility;
 use monsoonbank_kernel::gateway::outcome::AttemptEnd;
@@ -15,12 +13,11 @@
 use crate::gateway::Gateway;
 use crate::gateway::admission::{Call, CallOrigin};
 use crate::gateway::attempt::{self, AnswerProgress, CallProgress, FailedAttempt, OpenAttempt};
+use crate::gateway::buffers::{self, BufferError};
 use crate::gateway::reply::{self, Reply};
 use crate::gateway::tracker::{CallOutcome, CallTracker};
 use crate::gateway::{indirect, liveness, quarantine, sending, starts, stream, usage};
 
-/// Largest answer that is buffered to be forwarded, in bytes. Plain services answer with a few kB.
-pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// `Retry-After` of a rejected call: about the time in which a full engine frees slots.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Longest `Retry-After`, since upstreams may be added before a long pause ends.
@@ -105,10 +102,11 @@
     } = attempt;
     let (parts, body) = response.into_parts();
     usage::count(gateway, call, gateway.now().saturating_sub(work.since));
-    let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let reading = buffers::read_whole(&gateway.buffers, &connection.allowance, body);
     let body = match liveness::wait(gateway, call, work.key, reading).await? {
-        Err(error) => return Err(body_error(&*error)),
-        Ok(body) => body.to_bytes(),
+        Err(BufferError::Broken(error)) => return Err(FailedAttempt::broken(&error)),
+        Err(error) => return Err(FailedAttempt::new(AttemptEnd::Lost, &error)),
+        Ok(body) => body,
     };
     let now = gateway.now();
     gateway
@@ -130,14 +128,6 @@
     Ok(reply)
 }
 
-/// Converts the error of an answer's body that ended early or is too large.
-fn body_error(error: &(dyn Error + 'static)) -> FailedAttempt {
-    match error.downcast_ref::<hyper::Error>() {
-        Some(error) => FailedAttempt::broken(error),
-        None => FailedAttempt::new(AttemptEnd::Lost, &error),
-    }
-}
-
 /// Returns the `Retry-After` for a call that no upstream of its pool accepted.
 fn pool_retry_after(gateway: &Gateway, call: &Call) -> Duration {
     let registry = gateway.registry.borrow();
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -123,6 +123,7 @@
         Err(error) => return Err(FailedAttempt::broken(error.error())),
         Ok(response) => response,
     };
+    connection.allowance.renew();
     progress.answer.head_at = Some(gateway.now());
     let head = answer::decode(response.status(), response.headers(), &call.head.id);
     notices::apply_head(gateway, choice.key, &head);
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::admission::Call;
 use crate::gateway::attempt::{self, CallProgress, FailedAttempt, OpenAttempt};
+use crate::gateway::buffers::BufferHold;
 use crate::gateway::decisions::CallDecision;
 use crate::gateway::events::{EventSplitter, RawEvent};
 use crate::gateway::reply::{self, CutError, Reply};
@@ -57,6 +58,7 @@
     parts: Parts,
     attempt: OpenAttempt,
     splitter: EventSplitter,
+    hold: BufferHold,
     gaps: GapClock,
     ended: bool,
 }
@@ -148,13 +150,16 @@
             None => self.ended = true,
             Some(Err(error)) => return Err(FailedAttempt::broken(&error)),
             Some(Ok(frame)) => {
+                self.attempt.connection.allowance.renew();
                 let Some(bytes) = frame.data_ref() else {
                     return Ok(());
                 };
                 if !self.splitter.push(bytes) {
-                    let reason = "an event is too large";
+                    let reason = "too many bytes without a new event";
                     return Err(FailedAttempt::new(AttemptEnd::Lost, &reason));
                 }
+                let held = self.hold.set(self.splitter.held_bytes());
+                held.map_err(|error| FailedAttempt::new(AttemptEnd::Lost, &error))?;
             }
         }
         Ok(())
@@ -177,6 +182,7 @@
         parts,
         attempt,
         splitter: EventSplitter::default(),
+        hold: BufferHold::new(&gateway.buffers),
         gaps: GapClock::default(),
         ended: false,
     };
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod departures;
 mod duties;
+mod endless;
 mod heartbeats;
 mod input;
 mod leaving;
--- a/standin/src/scripted.rs
+++ b/standin/src/scripted.rs
@@ -27,6 +27,8 @@
     Reset,
     /// Never answers, and records when the router closes the connection.
     Hang,
+    /// Sends bytes again and again until the router closes the connection.
+    Repeat(Vec<u8>),
 }
 
 /// A received call.
@@ -156,5 +158,9 @@
             let _ = stream.read(&mut byte).await;
             false
         }
+        ScriptStep::Repeat(bytes) => {
+            while stream.write_all(&bytes).await.is_ok() {}
+            false
+        }
     }
 }
