--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -118,7 +118,10 @@
         senders: usize,
         /// Number of nodes whose heartbeats stopped and that are assumed to have as many calls as
         /// this one.
-        silent: u32,
+        silent: usize,
+        /// Names of the first of them.
+        #[serde(skip_serializing_if = "<[_]>::is_empty")]
+        silent_nodes: &'a [&'a str],
         /// Upstreams by what keeps them from accepting the call, and the calls counted there.
         #[serde(flatten)]
         room: &'a RoomReport,
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -109,8 +109,9 @@
     }
 
     /// Sets the number of nodes whose heartbeats stopped and that are assumed to send calls.
-    pub fn set_silent_senders(&self, count: u32) {
-        self.silent_senders.set(count.into());
+    pub fn set_silent_senders(&self, count: usize) {
+        self.silent_senders
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
     /// Counts a call that waited for room in a pool in vain.
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -96,7 +96,7 @@
     let others = fleet.reports(gateway.now());
     let backlog: FleetBacklog = others.chain(own.iter().copied()).collect();
     gateway.metrics.room.set_fleet_waiting(&backlog);
-    let silent = fleet.silent_senders(gateway.now());
+    let silent = fleet.silent_senders(gateway.now()).count();
     gateway.metrics.room.set_silent_senders(silent);
 }
 
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -22,6 +22,9 @@
 /// other nodes finish is only visible with their next heartbeat.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of nodes that a line names.
+const MAX_NAMED_NODES: usize = 8;
+
 /// A position in the list of waiting calls, released when this is dropped.
 struct WaitPosition<'a> {
     gateway: &'a Gateway,
@@ -215,7 +218,7 @@
             zone: &gateway.settings.zone,
             node: heartbeat::node_hash(&gateway.settings.name),
             senders: &senders,
-            silent_senders: fleet.silent_senders(now),
+            silent_senders: fleet.silent_senders(now).count() as u32,
             prompt: &call.head.prompt,
             target: call.class.target,
             shortest_target: call.shortest_target,
@@ -269,10 +272,13 @@
     /// Reports what this node counts in the pool, for a call that waited in vain.
     fn report_no_room(&self, progress: &CallProgress, blocked: Duration) {
         let Self { gateway, call, .. } = *self;
-        let (senders, silent, room) = self.look(progress, |registry, input| {
+        let (senders, room) = self.look(progress, |registry, input| {
             let room = choice::room_report(registry, input);
-            (input.senders.len(), input.silent_senders, room)
+            (input.senders.len(), room)
         });
+        let fleet = gateway.fleet.borrow();
+        let silent = fleet.silent_senders(gateway.now());
+        let silent: Vec<&str> = silent.map(|peer| &*peer.heartbeat.card.name).collect();
         gateway.metrics.room.count_no_room(&call.pool);
         gateway.decisions.record(CallDecision::NoRoom {
             call: &call.head.id,
@@ -280,7 +286,8 @@
             late: self.class().late,
             blocked_ms: millis(blocked),
             senders,
-            silent,
+            silent: silent.len(),
+            silent_nodes: &silent[..silent.len().min(MAX_NAMED_NODES)],
             room: &room,
         });
     }
--- a/kernel/src/gateway/fleet.rs
+++ b/kernel/src/gateway/fleet.rs
@@ -360,11 +360,10 @@
             .collect()
     }
 
-    /// Number of nodes that send calls and whose heartbeats stopped.
-    pub fn silent_senders(&self, now: Duration) -> u32 {
+    /// Nodes that send calls and whose heartbeats stopped.
+    pub fn silent_senders(&self, now: Duration) -> impl Iterator<Item = &FleetPeer> {
         let peers = self.peers.values().filter(|peer| peer.sends_calls());
-        let silent = peers.filter(|peer| !peer.received_within(SILENT_AFTER, now));
-        silent.count() as u32
+        peers.filter(move |peer| !peer.received_within(SILENT_AFTER, now))
     }
 
     /// Unix time at which this node's monotonic clock was zero: the median of the values from live
--- a/kernel/tests/gateway/fleet.rs
+++ b/kernel/tests/gateway/fleet.rs
@@ -258,10 +258,13 @@
     };
     fleet.receive_heartbeat(busy, SECOND);
     assert_eq!(
-        (fleet.sender_hashes().len(), fleet.silent_senders(SECOND)),
+        (
+            fleet.sender_hashes().len(),
+            fleet.silent_senders(SECOND).count()
+        ),
         (1, 0)
     );
-    assert_eq!(fleet.silent_senders(SECOND * 5), 1);
+    assert_eq!(fleet.silent_senders(SECOND * 5).count(), 1);
     fleet.expire(SECOND * 35);
     assert!(fleet.sender_hashes().is_empty());
 }
--- a/kernel/tests/gateway/gossip.rs
+++ b/kernel/tests/gateway/gossip.rs
@@ -37,8 +37,8 @@
     tick_at: Duration,
     version: u64,
     urgency: GossipUrgency,
-    /// Number of its open calls.
-    pub calls: u32,
+    /// Its work at upstreams.
+    pub work: Vec<WorkReport>,
 }
 
 /// Datagrams and bytes that one node sent and received.
@@ -49,26 +49,6 @@
     bytes: usize,
 }
 
-impl ModelNode {
-    /// Its calls, all at one upstream.
-    fn work(&self) -> Vec<WorkReport> {
-        let count = WorkCount {
-            calls: self.calls,
-            ..WorkCount::default()
-        };
-        let report = WorkReport {
-            run: 7,
-            count,
-            taken_tokens: 0,
-        };
-        if self.calls > 0 {
-            vec![report]
-        } else {
-            Vec::new()
-        }
-    }
-}
-
 pub struct ModelFleet {
     pub now: Duration,
     pub nodes: Vec<ModelNode>,
@@ -79,6 +59,8 @@
     cut: BTreeSet<Box<str>>,
     costs: Vec<NodeCost>,
     largest: usize,
+    /// Heartbeats that arrived, with the index of the receiver, for a test that takes them.
+    pub arrived: Vec<(usize, NodeHeartbeat)>,
 }
 
 fn zone_count(nodes: usize) -> usize {
@@ -135,7 +117,7 @@
                     tick_at: Duration::from_millis(random.random_range(0..300)),
                     version: 0,
                     urgency: GossipUrgency::None,
-                    calls: 0,
+                    work: Vec::new(),
                 }
             })
             .collect();
@@ -149,6 +131,7 @@
             cut: BTreeSet::new(),
             costs: vec![NodeCost::default(); count],
             largest: 0,
+            arrived: Vec::new(),
         }
     }
 
@@ -164,7 +147,7 @@
                 0
             },
             fleet_size: node.view.size(self.now),
-            work: Some(node.work()),
+            work: Some(node.work.clone()),
             ..NodeHeartbeat::new(node.view.own().clone())
         };
         heartbeat.entries = node.view.entry_hashes(&heartbeat, self.now);
@@ -207,6 +190,7 @@
             }
             node.tick_at = now;
         }
+        self.arrived.push((index, heartbeat.clone()));
         let change = node.view.receive_heartbeat(heartbeat.clone(), now);
         let need = ReplyReason {
             fresh: change.fresh,
@@ -234,9 +218,9 @@
         let mut own = self.heartbeat(index);
         let node = &mut self.nodes[index];
         node.view.expire(now);
-        node.tick_at = now + gossip::tick(&node.view, node.calls > 0, now);
+        node.tick_at = now + gossip::tick(&node.view, !node.work.is_empty(), now);
         let round = GossipRound {
-            busy: node.calls > 0,
+            busy: !node.work.is_empty(),
             urgency: std::mem::take(&mut node.urgency),
             now,
         };
@@ -271,6 +255,7 @@
         let end = self.now + time;
         while self.now < end {
             self.now += STEP;
+            self.arrived.clear();
             let later = self
                 .in_flight
                 .split_off(&(self.now + Duration::from_nanos(1)));
@@ -286,11 +271,20 @@
         }
     }
 
-    /// Gives these nodes as many calls.
+    /// Gives these nodes as many calls, all at one upstream.
     fn set_calls(&mut self, loaded: &[bool], calls: u32) {
+        let count = WorkCount {
+            calls,
+            ..WorkCount::default()
+        };
+        let report = WorkReport {
+            run: 7,
+            count,
+            taken_tokens: 0,
+        };
         let nodes = self.nodes.iter_mut().zip(loaded);
         for (node, _) in nodes.filter(|(_, is_loaded)| **is_loaded) {
-            node.calls = calls;
+            node.work = if calls > 0 { vec![report] } else { Vec::new() };
         }
     }
 
@@ -309,7 +303,7 @@
             node.view = starting_view(&node.card, now);
             node.schedule = starting_schedule(index);
             node.version = 0;
-            node.calls = 0;
+            node.work = Vec::new();
             node.up = true;
             node.tick_at = now + Duration::from_millis(self.random.random_range(0..300));
         }
@@ -512,9 +506,8 @@
 #[test]
 fn a_few_calls_at_every_node_do_not_thin_out_reports_among_entries() {
     let mut fleet = ModelFleet::new(295, 6);
-    for node in &mut fleet.nodes {
-        node.calls = 1;
-    }
+    let all = vec![true; fleet.nodes.len()];
+    fleet.set_calls(&all, 1);
     fleet.run(SECOND * 4);
     let reader = fleet.hub(&zone_name(0));
     let own = fleet.heartbeat(reader);
@@ -545,7 +538,7 @@
                 fleet.set_calls(&loaded, $left);
                 fleet.run(SECOND * 4);
                 let now = fleet.now;
-                let silent = fleet.nodes.iter().map(|node| node.view.silent_senders(now));
+                let silent = fleet.nodes.iter().map(|node| node.view.silent_senders(now).count());
                 assert_eq!(silent.max(), Some(0), "seed {seed}");
             }
         }
