--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -38,5 +38,6 @@
 mod throttle;
 mod transfers;
 mod urgency;
+mod urgent_days;
 mod usage;
 mod waiting;
