Use an upstream again once it writes its entry after that was missing

Cause: a missing entry (the engine left, or the store heard nothing of it for three heartbeats) was a departure for good. `put` let only `Lapsed` return, departures and fetches spread the mark without its evidence, and a node that had not known the run stored a `leaving` that the engine never wrote. Change: what an upstream states is final for its run. A missing entry counts as of a place in the store's log (era, offset) and ends with a record behind it. Nodes send these places with entries and in heartbeats and keep the greatest, so they agree in any order. A record of a copy from which the store came back is no newer evidence, unless it lies behind the removal, was appended in that era, or is still listed 2 s + trust after its begin. Answers to nodes are shared by a revision in place of the digest, which is the same again after a return. Wire: one more field of entries and heartbeats, which earlier releases ignore and which may be missing; their departures without evidence end a use only until there is some. `upstream_changed` says source, record and the place at which the entry was missing.

--- a/daemon/src/gateway/decisions/upstream.rs
+++ b/daemon/src/gateway/decisions/upstream.rs
@@ -1,5 +1,6 @@
 //! Lines about upstreams, their limits and the content that crashes them.
 
+use monsoonbank_kernel::gateway::registry::EntryRecord;
 use serde::Serialize;
 
 /// Event of a line, with its fields.
@@ -25,6 +26,15 @@
         left: Option<&'a str>,
         /// Whether its entry disappeared while the store was unreachable.
         lapsed: bool,
+        /// `store`, `answer`, or the name of the node that the news came from.
+        source: &'a str,
+        /// Newest record of its entry, as `[era, offset, is_current]`; `None` if it is not
+        /// known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        written: Option<EntryRecord>,
+        /// Where its entry was last missing, likewise; `None` if it never was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        missing: Option<EntryRecord>,
     },
     /// An engine that ran before this node started was queried for the prompt parts that it caches.
     CacheListed {
--- a/daemon/src/gateway/endpoints.rs
+++ b/daemon/src/gateway/endpoints.rs
@@ -16,7 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use monsoonbank_kernel::gateway::registry::{Upstream, UpstreamEntry};
+use monsoonbank_kernel::gateway::registry::{EntryReport, Upstream};
 use monsoonbank_kernel::gateway::transfers::TransferKey;
 use monsoonbank_platform::{lookup, names};
 use serde::Serialize;
@@ -214,8 +214,8 @@
     reply::failure(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string())
 }
 
-/// Answers with a value that other nodes are likely to ask for again. `state` is a digest of the
-/// state that the value depends on.
+/// Answers with a value that other nodes are likely to ask for again. `state` is another number
+/// whenever the state that the value depends on is.
 fn shared_reply<T: Serialize>(
     gateway: &Rc<Gateway>,
     question: &str,
@@ -323,10 +323,11 @@
     if is_large && gateway.transfers.borrow().is_full(gateway.now()) {
         return busy();
     }
-    shared_reply(gateway, query, registry.digest(), || {
+    shared_reply(gateway, query, registry.revision(), || {
         let differing = registry.differing(&known);
-        let entry = |upstream: &Upstream| (upstream.entry.clone(), upstream.left.is_some());
-        differing.map(entry).collect::<Vec<(UpstreamEntry, bool)>>()
+        differing
+            .map(Upstream::report)
+            .collect::<Vec<EntryReport>>()
     })
 }
 
@@ -336,7 +337,7 @@
     }
     let registry = gateway.registry.borrow();
     let question = format!("{PREFERRED_PATH}{query}");
-    shared_reply(gateway, &question, registry.digest(), || {
+    shared_reply(gateway, &question, registry.revision(), || {
         registry.preferred_part(&known_digests(query))
     })
 }
--- a/daemon/src/gateway/fetch.rs
+++ b/daemon/src/gateway/fetch.rs
@@ -15,7 +15,7 @@
 use monsoonbank_kernel::gateway::crashes::quarantine::QuarantineReport;
 use monsoonbank_kernel::gateway::fleet::FleetPeer;
 use monsoonbank_kernel::gateway::heartbeat::NodeHeartbeat;
-use monsoonbank_kernel::gateway::registry::{PreferredPart, RegistryChange, UpstreamEntry};
+use monsoonbank_kernel::gateway::registry::{EntryReport, PreferredPart};
 use monsoonbank_platform::body::{self, BodyError};
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -139,9 +139,13 @@
         (RegistryScope::Preferred, Some(digest)) => digest != registry.usable_digest(),
         _ => heartbeat.registry_digest != registry.digest(),
     };
-    let reads_store = gateway.is_reader() && !gateway.store_suspect();
     let trusted = heartbeat.store_reachable && accepts_entries_of(gateway, heartbeat);
-    (!is_loaded || differs && trusted && !reads_store).then_some(wanted)
+    (!is_loaded || differs && trusted && !reads_store(gateway)).then_some(wanted)
+}
+
+/// Returns whether this node learns of upstreams from the store rather than from other nodes.
+pub fn reads_store(gateway: &Gateway) -> bool {
+    gateway.is_reader() && !gateway.store_suspect()
 }
 
 /// Returns whether registry entries are accepted from the sender of this heartbeat: a node of the
@@ -227,24 +231,26 @@
     if scope == RegistryScope::Preferred {
         let target = endpoints::preferred_target(gateway.registry.borrow().usable_digests());
         let part = fetch::<PreferredPart>(gateway, source, &target).await;
-        return part.map(|part| merge_preferred(gateway, part)).is_some();
+        return part
+            .map(|part| merge_preferred(gateway, peer, part))
+            .is_some();
     }
     let target = endpoints::registry_target(gateway.registry.borrow().bucket_digests());
     let entries = fetch(gateway, source, &target).await;
     entries
-        .map(|entries| merge_entries(gateway, entries))
+        .map(|entries| merge_entries(gateway, peer, entries))
         .is_some()
 }
 
 /// Replaces the upstreams that this node knows by the preferred ones of another node.
-fn merge_preferred(gateway: &Gateway, part: PreferredPart) {
+fn merge_preferred(gateway: &Gateway, peer: &str, part: PreferredPart) {
     if gateway.knows_all_upstreams() {
         return;
     }
     let now = gateway.now();
     let changed = gateway.registry.borrow_mut().replace_preferred(part, now);
     for key in changed {
-        sync::upstream_changed(gateway, key);
+        sync::upstream_changed(gateway, key, peer);
     }
     scope::set(gateway, RegistryScope::Preferred);
 }
@@ -260,23 +266,11 @@
     }
 }
 
-/// Merges the entries of another node. An upstream that has left there has left.
-fn merge_entries(gateway: &Gateway, entries: Vec<(UpstreamEntry, bool)>) {
-    let change = |(entry, left): (UpstreamEntry, bool)| {
-        if !left {
-            return RegistryChange::Put(entry);
-        }
-        if gateway.registry.borrow().key(&entry.id).is_some() {
-            return RegistryChange::Removed(entry.id);
-        }
-        // The upstream left before this node knew it. An entry that is marked as leaving makes the
-        // digests of both nodes equal.
-        RegistryChange::Put(UpstreamEntry {
-            leaving: true,
-            ..entry
-        })
-    };
-    sync::apply_changes(gateway, entries.into_iter().map(change), true);
+/// Merges the entries of another node.
+fn merge_entries(gateway: &Gateway, peer: &str, reports: Vec<EntryReport>) {
+    let now = gateway.now();
+    let changed = gateway.registry.borrow_mut().merge(reports, now);
+    sync::upstreams_changed(gateway, changed, peer);
     scope::set(gateway, RegistryScope::Whole);
 }
 
--- a/daemon/src/gateway/notices.rs
+++ b/daemon/src/gateway/notices.rs
@@ -8,6 +8,9 @@
 use crate::gateway::decisions::{UpstreamDecision, millis};
 use crate::gateway::{Gateway, brittle, limits, sync};
 
+/// Source in decision lines of what an upstream says in an answer.
+const ANSWER_SOURCE: &str = "answer";
+
 /// Applies the rate limit and the notices in the head of an upstream's answer.
 pub fn apply_head(gateway: &Gateway, key: UpstreamKey, head: &AnswerHead) {
     let limit = head.notices.rate_limit;
@@ -42,7 +45,7 @@
             .borrow_mut()
             .record_announcement(key, gateway.now());
         if is_new {
-            sync::upstream_changed(gateway, key);
+            sync::upstream_changed(gateway, key, ANSWER_SOURCE);
         }
     }
     if let Some(pause) = notices.pause {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 };
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState, WorkReport};
 use monsoonbank_kernel::gateway::message::NodeMessage;
+use monsoonbank_kernel::gateway::registry::UpstreamKey;
 use monsoonbank_kernel::gateway::rules::PoolSpec;
 use tokio::net::UdpSocket;
 
@@ -143,6 +144,7 @@
         backlog: own_backlog(gateway),
         failing,
         departures: registry.departures(now),
+        news: Some(registry.news(now)),
         limits: limits::recent_reports(&registry, now),
         crashes: crashes.recent_news(now),
         crash_digest: crashes.digest(),
@@ -391,7 +393,7 @@
         return;
     }
     let now = gateway.now();
-    merge_departures(gateway, &heartbeat, now);
+    merge_news(gateway, &heartbeat, now);
     limits::merge_reports(gateway, &heartbeat.limits, &heartbeat.card.name);
     speeds::merge_reports(gateway, &heartbeat.speeds);
     brittle::merge_reports(gateway, &heartbeat.refusals, &heartbeat.card.name);
@@ -437,16 +439,27 @@
     }
 }
 
-fn merge_departures(gateway: &Gateway, heartbeat: &NodeHeartbeat, now: Duration) {
-    for hash in &heartbeat.departures {
-        let departed = gateway.registry.borrow_mut().receive_departure(*hash, now);
-        let Some(key) = departed else {
-            continue;
-        };
-        sync::upstream_changed(gateway, key);
-        if gateway.is_hub() {
-            gateway.propagate(GossipUrgency::All);
+fn merge_news(gateway: &Gateway, heartbeat: &NodeHeartbeat, now: Duration) {
+    let changed: Vec<UpstreamKey> = match &heartbeat.news {
+        Some(news) => {
+            let mut registry = gateway.registry.borrow_mut();
+            let changed = news.iter().map(|news| registry.receive_news(*news, now));
+            changed.collect::<Vec<_>>().concat()
+        }
+        None if fetch::reads_store(gateway) => Vec::new(),
+        None => {
+            let mut registry = gateway.registry.borrow_mut();
+            let departures = heartbeat.departures.iter();
+            departures
+                .filter_map(|hash| registry.receive_departure(*hash, now))
+                .collect()
         }
+    };
+    if !changed.is_empty() && gateway.is_hub() {
+        gateway.propagate(GossipUrgency::All);
+    }
+    for key in changed {
+        sync::upstream_changed(gateway, key, &heartbeat.card.name);
     }
 }
 
--- a/daemon/src/gateway/sync.rs
+++ b/daemon/src/gateway/sync.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use monsoonbank_kernel::clock::Clock;
 use monsoonbank_kernel::gateway::gossip::GossipUrgency;
-use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamKey};
+use monsoonbank_kernel::gateway::registry::{
+    EntryRecord, LogPlace, RETURN_GRACE, RegistryChange, UpstreamKey,
+};
 use monsoonbank_platform::store::{KeyedRecord, StoreClient, StoreError};
 use monsoonbank_platform::{configuration, entry, names};
 use rand::{RngExt, SeedableRng};
@@ -67,6 +69,12 @@
     counted_bytes: usize,
     /// Store era that the reader's offset belongs to.
     era: u64,
+    /// Time at which the reader first saw that era.
+    era_at: Duration,
+    /// End of the log when the reader first read it in that era; `None` before.
+    era_start: Option<u64>,
+    /// Newest era whose entries were confirmed; `None` if there is none.
+    confirmed: Option<u64>,
 }
 
 impl StoreReader {
@@ -81,6 +89,9 @@
             lost_since: None,
             counted_bytes: 0,
             era: 0,
+            era_at: Duration::ZERO,
+            era_start: None,
+            confirmed: None,
         }
     }
 
@@ -90,6 +101,10 @@
         let era = self.client.era();
         self.gateway.observe_store_era(era);
         let known = std::mem::replace(&mut self.era, era);
+        if known != era {
+            self.era_at = self.gateway.now();
+            self.era_start = None;
+        }
         known == era
             && self
                 .gateway
@@ -154,6 +169,24 @@
         self.counted_bytes = received;
     }
 
+    /// Returns the start of the reader's log, which ended at `end` before the first read of an era.
+    fn log_start(&mut self, end: u64) -> LogStart {
+        LogStart {
+            era: self.era,
+            offset: *self.era_start.get_or_insert(end),
+        }
+    }
+
+    /// Returns whether the store has been reachable in this era for longer than it keeps the entries
+    /// of silent upstreams.
+    fn outlasts_silence(&self) -> bool {
+        let since = self
+            .era_at
+            .max(self.gateway.store_health.get().recovered_at);
+        self.trusted()
+            && self.gateway.now() >= since + self.gateway.settings.times.trust + RETURN_GRACE
+    }
+
     /// Returns the time within which an answer that may be large has to begin.
     fn timeout(&self) -> Duration {
         ANSWER_TIMEOUT * 2_u32.pow(self.timeouts.min(MAX_DOUBLINGS))
@@ -247,7 +280,7 @@
     Ok(Some(batch.next))
 }
 
-/// Source in decision lines of configurations from the store.
+/// Source in decision lines of what was read from the store.
 const STORE_SOURCE: &str = "store";
 
 fn apply_configurations(gateway: &Gateway, records: &[KeyedRecord]) {
@@ -328,6 +361,7 @@
                 reader.succeeded();
                 position = next;
                 scope::set(&reader.gateway, RegistryScope::Whole);
+                confirm_entries(&mut reader);
             }
             Err(StoreError::Expired { .. }) => {
                 reader.same_era();
@@ -349,6 +383,20 @@
     }
 }
 
+/// Confirms the entries that the store still lists, once in each era.
+fn confirm_entries(reader: &mut StoreReader) {
+    if reader.confirmed == Some(reader.era) || !reader.outlasts_silence() {
+        return;
+    }
+    reader.confirmed = Some(reader.era);
+    let gateway = &reader.gateway;
+    let returned = gateway
+        .registry
+        .borrow_mut()
+        .confirm_era(reader.era, gateway.now());
+    upstreams_changed(gateway, returned, STORE_SOURCE);
+}
+
 async fn newest_registry(reader: &mut StoreReader) -> Result<Option<u64>, StoreError> {
     let timeout = reader.timeout();
     let max_pages = if startup::is_alone(&reader.gateway) {
@@ -360,9 +408,9 @@
     let gateway = reader.gateway.clone();
     // Calls can go to the upstreams of the first pages while the others are read.
     let is_paged = max_pages == usize::MAX;
-    let on_page = |records: &[KeyedRecord]| {
+    let on_page = |era: u64, records: &[KeyedRecord]| {
         if is_paged {
-            apply_entries(&gateway, records, trusted);
+            apply_entries(&gateway, LogStart::unknown(era), records, trusted);
         }
     };
     let newest = reader
@@ -371,8 +419,9 @@
     let snapshot = newest.await?;
     let same_era = reader.same_era();
     let trusted = reader.trusted();
+    let start = reader.log_start(snapshot.end);
     if !is_paged {
-        apply_entries(&gateway, &snapshot.records, trusted);
+        apply_entries(&gateway, start, &snapshot.records, trusted);
     }
     let listed: Vec<Box<str>> = snapshot
         .records
@@ -380,12 +429,16 @@
         .filter(|record| record.value.is_some())
         .map(|record| String::from_utf8_lossy(&record.key).into())
         .collect();
+    let at = LogPlace {
+        era: start.era,
+        offset: snapshot.end,
+    };
     let changed = gateway
         .registry
         .borrow_mut()
-        .retain(&listed, trusted, gateway.now());
+        .retain(&listed, Some(at), trusted, gateway.now());
     for key in changed {
-        upstream_changed(&gateway, key);
+        upstream_changed(&gateway, key, STORE_SOURCE);
     }
     Ok(same_era.then_some(snapshot.end))
 }
@@ -399,51 +452,78 @@
         return Ok(None);
     }
     let trusted = reader.trusted();
-    apply_entries(&reader.gateway, &batch.records, trusted);
+    let start = reader.log_start(from);
+    apply_entries(&reader.gateway, start, &batch.records, trusted);
     Ok(Some(batch.next))
 }
 
-fn apply_entries(gateway: &Gateway, records: &[KeyedRecord], trusted: bool) {
-    let changes = records.iter().filter_map(|record| {
+/// Start of a reader's log in an era of the store.
+#[derive(Clone, Copy, Debug)]
+struct LogStart {
+    era: u64,
+    /// End of the log when it was first read: records before it may be from a copy.
+    offset: u64,
+}
+
+impl LogStart {
+    /// The start of a log whose end is not known yet.
+    fn unknown(era: u64) -> Self {
+        Self {
+            era,
+            offset: u64::MAX,
+        }
+    }
+
+    fn record(self, offset: u64) -> EntryRecord {
+        EntryRecord {
+            era: self.era,
+            offset,
+            is_current: offset >= self.offset,
+        }
+    }
+}
+
+/// Applies records of the registry, which were read in a log with this start. If `trusted` is false,
+/// a missing entry is not proof that its upstream has left.
+fn apply_entries(gateway: &Gateway, start: LogStart, records: &[KeyedRecord], trusted: bool) {
+    let now = gateway.now();
+    let mut upstreams = Vec::new();
+    for record in records {
         let id = String::from_utf8_lossy(&record.key);
+        let entry_record = start.record(record.offset);
         let Some(value) = &record.value else {
-            return Some(RegistryChange::Removed(id.into()));
+            let change = RegistryChange::Removed {
+                id: id.into(),
+                at: Some(entry_record.place()),
+            };
+            upstreams.extend(gateway.registry.borrow_mut().apply(change, trusted, now));
+            continue;
         };
-        match entry::decode(&id, value) {
-            Ok(entry) => Some(RegistryChange::Put(entry)),
-            Err(error) => {
-                log::warn!("the entry of upstream {id} is malformed: {error}");
-                None
+        match entry::decode(&id, value, entry_record) {
+            Ok(entry) => {
+                let change = RegistryChange::Put(entry);
+                upstreams.extend(gateway.registry.borrow_mut().apply(change, trusted, now));
             }
+            Err(error) => log::warn!("the entry of upstream {id} is malformed: {error}"),
         }
-    });
-    apply_changes(gateway, changes, trusted);
+    }
+    upstreams_changed(gateway, upstreams, STORE_SOURCE);
 }
 
-/// Applies changes to the registry, and records and propagates their effects. If `trusted` is
-/// false, a missing entry is not proof that its upstream has left.
-pub fn apply_changes(
-    gateway: &Gateway,
-    changes: impl IntoIterator<Item = RegistryChange>,
-    trusted: bool,
-) {
-    let now = gateway.now();
-    let mut upstreams = Vec::new();
-    for change in changes {
-        let keys = gateway.registry.borrow_mut().apply(change, trusted, now);
-        upstreams.extend(keys);
-    }
+/// Records and propagates the new states of upstreams. `source` is `store` or the node that they came
+/// from.
+pub fn upstreams_changed(gateway: &Gateway, upstreams: Vec<UpstreamKey>, source: &str) {
     let is_loaded = gateway.knows_all_upstreams();
     if !upstreams.is_empty() && is_loaded && gateway.is_reader() {
         gateway.propagate(GossipUrgency::All);
     }
     for key in upstreams {
-        upstream_changed(gateway, key);
+        upstream_changed(gateway, key, source);
     }
 }
 
 /// Records the new state of an upstream, and closes idle connections to one that leaves.
-pub fn upstream_changed(gateway: &Gateway, key: UpstreamKey) {
+pub fn upstream_changed(gateway: &Gateway, key: UpstreamKey, source: &str) {
     let registry = gateway.registry.borrow();
     let Some(upstream) = registry.get(key) else {
         return;
@@ -455,6 +535,9 @@
         software: &upstream.entry.version,
         left: left.as_deref(),
         lapsed: upstream.lapsed_at.is_some(),
+        source,
+        written: upstream.entry.written,
+        missing: upstream.missing,
     });
     if upstream.left.is_some() {
         gateway.connections.close(key);
@@ -477,7 +560,7 @@
             .borrow_mut()
             .expire_lapsed(health.recovered_at, gateway.clock.now());
         for key in gone {
-            upstream_changed(&gateway, key);
+            upstream_changed(&gateway, key, STORE_SOURCE);
         }
     }
 }
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod departures;
 mod duties;
 mod endless;
+mod entries;
 mod heartbeats;
 mod input;
 mod leaving;
--- a/daemon/tests/gateway/thin.rs
+++ b/daemon/tests/gateway/thin.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::heartbeat::NodeHeartbeat;
-use monsoonbank_kernel::gateway::registry::{RegistryChange, UpstreamRegistry};
+use monsoonbank_kernel::gateway::registry::{EntryRecord, RegistryChange, UpstreamRegistry};
 use monsoonbank_platform::entry;
 use monsoonbank_standin::keyed::StoreCondition;
 use monsoonbank_standin::link::SlowLink;
@@ -187,7 +187,7 @@
             "coldLeftMs": 0, "sequence": 1, "born": 1_790_000_000_000_u64 + index });
         let bytes = entry.to_string().into_bytes();
         world.store.put("keyed.servers", &id, &bytes);
-        let entry = entry::decode(&id, &bytes).expect("an entry");
+        let entry = entry::decode(&id, &bytes, EntryRecord::default()).expect("an entry");
         registry.apply(RegistryChange::Put(entry), true, Duration::ZERO);
     }
     registry.digest()
--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
 use monsoonbank_standin::keyed::KeyedStore;
@@ -143,6 +143,8 @@
     pub nodes: Vec<NodeProcess>,
     /// Additional settings of the nodes.
     pub settings: String,
+    /// Sequence number of the newest entry that was written.
+    sequence: AtomicU64,
 }
 
 impl World {
@@ -167,6 +169,7 @@
             upstreams,
             nodes: Vec::new(),
             settings: settings.into(),
+            sequence: AtomicU64::new(0),
         };
         world.publish(&configuration(1));
         for index in 0..world.upstreams.len() {
@@ -233,7 +236,8 @@
 
     /// Writes an upstream's entry under another id, as after a restart.
     pub fn register_as(&self, index: usize, id: &str, state: &str) {
-        let entry = entry(self.upstreams[index].address(), state);
+        let mut entry = entry(self.upstreams[index].address(), state);
+        entry["sequence"] = (self.sequence.fetch_add(1, Ordering::Relaxed) + 1).into();
         self.store
             .put("keyed.servers", id, entry.to_string().as_bytes());
     }
--- a/kernel/benches/registry.rs
+++ b/kernel/benches/registry.rs
@@ -23,6 +23,7 @@
         slots: 64,
         leaving: false,
         spot: false,
+        written: None,
     }
 }
 
@@ -43,7 +44,7 @@
         let mut registry = filled(count);
         let ids: Vec<Box<str>> = (0..count).map(|number| entry(number).id).collect();
         group.bench_function(BenchmarkId::new("compare", count), |bencher| {
-            bencher.iter(|| registry.retain(black_box(&ids), true, NOW));
+            bencher.iter(|| registry.retain(black_box(&ids), None, true, NOW));
         });
         group.bench_function(BenchmarkId::new("digest", count), |bencher| {
             bencher.iter(|| black_box(&registry).digest());
--- a/kernel/src/gateway/heartbeat.rs
+++ b/kernel/src/gateway/heartbeat.rs
@@ -14,6 +14,7 @@
 use crate::gateway::crashes::news::CrashNews;
 use crate::gateway::fairness::WorkspaceReport;
 use crate::gateway::load::WorkCount;
+use crate::gateway::registry::RunNews;
 use crate::gateway::speed::SpeedReport;
 use crate::gateway::throttle::LimitReport;
 use crate::gateway::usage::WindowUsage;
@@ -133,7 +134,8 @@
     pub work: Option<Vec<WorkReport>>,
     /// Hashes of the runs of upstreams that it found failing or unreachable and backs off from.
     pub failing: Vec<u64>,
-    /// Hashes of the runs of upstreams that recently began to leave.
+    /// Hashes of the runs of upstreams that recently began to leave. Nodes that send `news` say more
+    /// there.
     pub departures: Vec<u64>,
     /// Recent changes of what it knows of crashes of upstreams and of what causes them.
     pub crashes: CrashNews,
@@ -159,6 +161,10 @@
     pub unreached: Vec<u64>,
     /// Recent refusals of its calls by brittle upstreams.
     pub refusals: Vec<RefusalReport>,
+    /// Runs of upstreams that recently left or returned. Nodes of earlier releases do not send it, and
+    /// ignore what comes after the fields that they know.
+    #[serde(default)]
+    pub news: Option<Vec<RunNews>>,
 }
 
 impl NodeHeartbeat {
@@ -192,6 +198,7 @@
             workspaces: Vec::new(),
             unreached: Vec::new(),
             refusals: Vec::new(),
+            news: None,
         }
     }
 
--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -3,23 +3,31 @@
 mod candidates;
 mod digest;
 mod entry;
+mod merge;
+mod news;
 mod order;
 mod preferred;
+mod record;
 mod upstream;
 
 use std::cell::RefCell;
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 pub use crate::gateway::registry::candidates::CandidateWindow;
 use crate::gateway::registry::digest::{BucketDigests, DIGEST_BUCKETS};
-pub use crate::gateway::registry::entry::{RegistryChange, SoftwareKey, UpstreamEntry};
+pub use crate::gateway::registry::entry::{
+    EntryReport, RegistryChange, SoftwareKey, UpstreamEntry,
+};
+use crate::gateway::registry::news::RecentNews;
+pub use crate::gateway::registry::news::{RunClaim, RunNews};
 use crate::gateway::registry::order::UpstreamOrder;
 pub use crate::gateway::registry::preferred::PreferredPart;
 use crate::gateway::registry::preferred::PreferredSet;
+pub use crate::gateway::registry::record::{EntryRecord, LogPlace};
 pub use crate::gateway::registry::upstream::{LeavingCause, Upstream};
 
 /// Identifies one run of an upstream within this process; never reused.
@@ -30,12 +38,16 @@
 /// return. The platform guarantees about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
-/// Time for which a departure is sent to other nodes: two of the longest intervals between
-/// heartbeats, so that one heartbeat may be lost.
-const DEPARTURE_TTL: Duration = Duration::from_millis(1500);
-/// Maximum number of departures in one heartbeat, five bytes each. Others are learned from the
-/// whole registry.
-const MAX_DEPARTURES: usize = 24;
+/// What is known of the newest run of an id, compared with the run of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KnownRun {
+    /// It is the same run.
+    Same(UpstreamKey),
+    /// It is an older run, or there is none.
+    Older,
+    /// It is a later run, or the entry is not its own.
+    Other,
+}
 
 /// Every upstream that this process has learned of. `keys` and `hashes` map to the newest run of
 /// each id, `places` to the newest run of a pool at an address; calls at an older run still end
@@ -58,8 +70,10 @@
     active: BTreeSet<UpstreamKey>,
     /// Upstreams whose entries expired during an outage of the registry, or did so earlier.
     lapsed: BTreeSet<UpstreamKey>,
-    departures: VecDeque<(Duration, u64)>,
+    news: RecentNews,
     next_key: u32,
+    /// Number of changes of what is sent to other nodes.
+    revision: u64,
 }
 
 impl UpstreamRegistry {
@@ -73,132 +87,119 @@
     ) -> Vec<UpstreamKey> {
         let changed = match change {
             RegistryChange::Put(entry) => self.put(entry, now),
-            RegistryChange::Removed(id) => self.remove(&id, trusted, now).into_iter().collect(),
+            RegistryChange::Removed { id, at } => {
+                self.remove(&id, at, trusted, now).into_iter().collect()
+            }
         };
-        for key in &changed {
-            self.record_departure(*key, now);
-        }
+        self.record_news(&changed, now);
         changed
     }
 
-    /// Applies another node's report that the run with this hash leaves. Returns the upstream if
-    /// that is a change.
-    pub fn receive_departure(&mut self, hash: u64, now: Duration) -> Option<UpstreamKey> {
-        let key = self.by_hash(hash)?;
-        if !self.leave(key, LeavingCause::Removed, now) {
-            return None;
-        }
-        self.record_departure(key, now);
-        Some(key)
-    }
-
     /// Records that an upstream announced in an answer that it leaves. Returns whether that is new.
     pub fn record_announcement(&mut self, key: UpstreamKey, now: Duration) -> bool {
         let is_change = self.leave(key, LeavingCause::Announced, now);
         if is_change {
-            self.record_departure(key, now);
+            self.record_news(&[key], now);
         }
         is_change
     }
 
-    /// Hashes of runs of upstreams that recently began to leave, the newest first.
-    pub fn departures(&self, now: Duration) -> Vec<u64> {
-        let fresh = |(at, _): &&(Duration, u64)| *at + DEPARTURE_TTL > now;
-        let newest = self.departures.iter().rev().take_while(fresh);
-        newest.map(|(_, hash)| *hash).take(MAX_DEPARTURES).collect()
-    }
-
-    fn record_departure(&mut self, key: UpstreamKey, now: Duration) {
-        let Some(upstream) = self.upstreams.get(&key) else {
-            return;
-        };
-        // A lapsed entry may return.
-        if matches!(
-            upstream.left,
-            Some(LeavingCause::Draining | LeavingCause::Announced | LeavingCause::Removed)
-        ) {
-            self.departures.push_back((now, upstream.entry.run_hash()));
-            if self.departures.len() > MAX_DEPARTURES {
-                self.departures.pop_front();
-            }
+    fn put(&mut self, entry: UpstreamEntry, now: Duration) -> Vec<UpstreamKey> {
+        match self.known_run(&entry) {
+            KnownRun::Other => Vec::new(),
+            KnownRun::Older => self.add(Upstream::new(entry, now), now),
+            KnownRun::Same(key) => self.refresh(key, entry, now),
         }
     }
 
-    fn put(&mut self, entry: UpstreamEntry, now: Duration) -> Vec<UpstreamKey> {
-        let known = self.keys.get(&entry.id).copied();
-        let Some((key, upstream)) =
-            known.and_then(|key| Some((key, self.upstreams.get_mut(&key)?)))
+    /// Compares an entry's run with the newest one that is known of its id.
+    fn known_run(&self, entry: &UpstreamEntry) -> KnownRun {
+        let key = self.keys.get(&entry.id).copied();
+        let Some((key, upstream)) = key.and_then(|key| Some((key, self.upstreams.get(&key)?)))
         else {
-            return self.add(entry, now);
+            return KnownRun::Older;
         };
-        match entry.born.cmp(&upstream.entry.born) {
+        let known = &upstream.entry;
+        match entry.born.cmp(&known.born) {
             // A late heartbeat of an older run, or an entry of another writer.
-            Ordering::Less => return Vec::new(),
-            Ordering::Greater => return self.add(entry, now),
+            Ordering::Less => return KnownRun::Other,
+            Ordering::Greater => return KnownRun::Older,
             Ordering::Equal => {}
         }
         // The pool and address of a run never change: an entry with others was not published by the
         // upstream itself.
-        if (&entry.pool, entry.address) != (&upstream.entry.pool, upstream.entry.address) {
-            return Vec::new();
+        if (&entry.pool, entry.address) != (&known.pool, known.address) {
+            return KnownRun::Other;
         }
-        // The version of a run never changes either, so this is a later run.
-        if entry.version != upstream.entry.version {
-            return self.add(entry, now);
+        if entry.version == known.version {
+            return KnownRun::Same(key);
         }
-        let changed = self.update(key, |upstream| {
-            upstream.lapsed_at = None;
-            let returns = upstream.left == Some(LeavingCause::Lapsed) && !entry.leaving;
-            if returns {
-                upstream.left = None;
-                upstream.left_at = None;
-            }
-            let leaves = entry.leaving && upstream.leave(LeavingCause::Draining, now);
-            let differs = upstream.entry != entry;
-            upstream.entry = entry;
-            returns || leaves || differs
-        });
-        if changed == Some(true) {
-            vec![key]
-        } else {
-            Vec::new()
+        // The version of a run never changes either, so one of them is a later run.
+        match (entry.written, known.written) {
+            (Some(record), Some(known)) if record.place() < known.place() => KnownRun::Other,
+            _ => KnownRun::Older,
         }
     }
 
+    /// Applies an entry of a known run. Returns the upstreams whose state changed.
+    fn refresh(
+        &mut self,
+        key: UpstreamKey,
+        entry: UpstreamEntry,
+        now: Duration,
+    ) -> Vec<UpstreamKey> {
+        let changed = self.update(key, |upstream| upstream.receive_entry(entry, now));
+        if changed != Some(true) {
+            return Vec::new();
+        }
+        self.revision += 1;
+        let mut changed = vec![key];
+        changed.extend(self.settle_place(key, now));
+        changed
+    }
+
     /// Adds a run, without any load or cache of earlier ones. Returns it and the runs that it
     /// replaces: of the same id, and of the same pool at the same address. Another pool's entry for
     /// the address replaces nothing: it may be false, and an upstream rejects a call that is meant
     /// for another one.
-    fn add(&mut self, entry: UpstreamEntry, now: Duration) -> Vec<UpstreamKey> {
+    fn add(&mut self, upstream: Upstream, now: Duration) -> Vec<UpstreamKey> {
         let key = UpstreamKey(self.next_key);
         self.next_key += 1;
+        self.revision += 1;
         let mut changed = vec![key];
-        // Older runs of the same id or place have already left.
-        let place = (entry.address, entry.pool.clone());
-        let older_run = self.keys.get(&entry.id).copied();
+        let entry = &upstream.entry;
+        let older_run = self.keys.insert(entry.id.clone(), key);
         if let Some(older) = older_run.and_then(|older| self.upstreams.get(&older)) {
             self.hashes.remove(&older.entry.run_hash());
             self.digests.toggle(older.bucket(), older.state_hash());
         }
-        self.keys.insert(entry.id.clone(), key);
-        let older_there = self.places.insert(place, key);
-        for older_key in older_run.into_iter().chain(older_there) {
-            if self.leave(older_key, LeavingCause::Replaced, now) {
-                changed.push(older_key);
-            }
-        }
         self.hashes.insert(entry.run_hash(), key);
-        let upstream = Upstream::new(entry, now);
         self.digests
             .toggle(upstream.bucket(), upstream.state_hash());
         let is_usable = upstream.left.is_none();
         self.upstreams.insert(key, upstream);
+        if let Some(older_key) = older_run
+            && self.leave(older_key, LeavingCause::Replaced, now)
+        {
+            changed.push(older_key);
+        }
         if is_usable {
             self.set_usable(key, true);
         }
+        changed.extend(self.settle_place(key, now));
         changed
     }
 
+    /// Makes a run the newest of its pool at its address. Returns the run that it replaces there, if
+    /// that accepted calls.
+    fn settle_place(&mut self, key: UpstreamKey, now: Duration) -> Option<UpstreamKey> {
+        let entry = &self.upstreams.get(&key)?.entry;
+        let place = (entry.address, entry.pool.clone());
+        let older_key = self.places.insert(place, key)?;
+        let is_replaced = older_key != key && self.leave(older_key, LeavingCause::Replaced, now);
+        is_replaced.then_some(older_key)
+    }
+
     /// Adds an upstream to those that accept new calls, or removes it from them.
     fn set_usable(&mut self, key: UpstreamKey, usable: bool) {
         let Some(upstream) = self.upstreams.get(&key) else {
@@ -264,15 +265,27 @@
 
     /// Records that an upstream accepts no new calls. Returns whether that is a change.
     fn leave(&mut self, key: UpstreamKey, cause: LeavingCause, now: Duration) -> bool {
-        self.update(key, |upstream| upstream.leave(cause, now)) == Some(true)
+        let is_change = self.update(key, |upstream| upstream.leave(cause, now)) == Some(true);
+        if is_change {
+            self.revision += 1;
+        }
+        is_change
     }
 
-    fn remove(&mut self, id: &str, trusted: bool, now: Duration) -> Option<UpstreamKey> {
+    fn remove(
+        &mut self,
+        id: &str,
+        at: Option<LogPlace>,
+        trusted: bool,
+        now: Duration,
+    ) -> Option<UpstreamKey> {
         let key = *self.keys.get(id)?;
         let upstream = self.upstreams.get_mut(&key)?;
-        if upstream.left.is_some() {
+        let is_missing = upstream.record_missing(at.map(EntryRecord::at));
+        if !is_missing || upstream.left.is_some() {
             return None;
         }
+        self.revision += 1;
         if !trusted {
             upstream.lapsed_at.get_or_insert(now);
             self.lapsed.insert(key);
@@ -282,9 +295,16 @@
         Some(key)
     }
 
-    /// Treats every upstream whose id is not in `ids` as removed. `trusted` is as in `apply`.
-    /// Returns the upstreams whose state changed.
-    pub fn retain(&mut self, ids: &[Box<str>], trusted: bool, now: Duration) -> Vec<UpstreamKey> {
+    /// Treats every upstream whose id is not in `ids` as removed. `at` is the end of the log from
+    /// which the ids were read, and `trusted` is as in `apply`. Returns the upstreams whose state
+    /// changed.
+    pub fn retain(
+        &mut self,
+        ids: &[Box<str>],
+        at: Option<LogPlace>,
+        trusted: bool,
+        now: Duration,
+    ) -> Vec<UpstreamKey> {
         let ids: BTreeSet<&str> = ids.iter().map(|id| &**id).collect();
         let missing: Vec<Box<str>> = self
             .keys
@@ -294,10 +314,46 @@
             .collect();
         missing
             .iter()
-            .filter_map(|id| self.remove(id, trusted, now))
+            .filter_map(|id| self.remove(id, at, trusted, now))
             .collect()
     }
 
+    /// Records that the store has kept the entries that were read in its era for longer than it keeps
+    /// those of silent upstreams. Returns the upstreams whose state changed.
+    pub fn confirm_era(&mut self, era: u64, now: Duration) -> Vec<UpstreamKey> {
+        let unconfirmed: Vec<UpstreamEntry> = self
+            .newest()
+            .filter_map(|upstream| {
+                let record = upstream.entry.written?;
+                let kept = EntryRecord {
+                    is_current: true,
+                    ..record
+                };
+                let is_listed = upstream.missing.is_none_or(|missing| kept.follows(missing));
+                (record.era == era && !record.is_current && is_listed).then(|| UpstreamEntry {
+                    written: Some(kept),
+                    ..upstream.entry.clone()
+                })
+            })
+            .collect();
+        let mut returned = Vec::new();
+        for entry in unconfirmed {
+            let key = self.key(&entry.id);
+            let was_usable = key.is_some_and(|key| self.is_usable(key));
+            let changed = self.put(entry, now);
+            if !was_usable {
+                self.record_news(&changed, now);
+                returned.extend(changed);
+            }
+        }
+        returned
+    }
+
+    fn is_usable(&self, key: UpstreamKey) -> bool {
+        let upstream = self.upstreams.get(&key);
+        upstream.is_some_and(|upstream| upstream.left.is_none())
+    }
+
     /// Marks upstreams as left whose entries expired and did not return in time after
     /// `returned_at`, when the registry recovered. Returns them.
     pub fn expire_lapsed(&mut self, returned_at: Duration, now: Duration) -> Vec<UpstreamKey> {
@@ -320,7 +376,17 @@
 
     /// Records that another upstream answers at this one's address.
     pub fn record_replacement(&mut self, key: UpstreamKey, now: Duration) {
-        self.leave(key, LeavingCause::Replaced, now);
+        self.revision += 1;
+        self.update(key, |upstream| {
+            let after = |record: EntryRecord| {
+                EntryRecord::at(LogPlace {
+                    offset: record.offset + 1,
+                    ..record.place()
+                })
+            };
+            upstream.record_missing(upstream.entry.written.map(after));
+            upstream.leave(LeavingCause::Replaced, now)
+        });
     }
 
     /// Software version of all upstreams of a pool that accepted calls at some time since `since`, as
@@ -364,6 +430,11 @@
         self.digests.total()
     }
 
+    /// Number that grows with each change of what is sent to other nodes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Digest of each bucket of ids, so that two nodes can find the buckets in which they differ.
     pub fn bucket_digests(&self) -> &[u32] {
         self.digests.buckets()
--- a/kernel/src/gateway/registry/entry.rs
+++ b/kernel/src/gateway/registry/entry.rs
@@ -2,9 +2,12 @@
 
 use std::net::SocketAddr;
 
+use derive_more::{From, Into};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::gateway::registry::record::{EntryRecord, LogPlace};
+
 /// Identifies a version of a pool's software, by a hash of both names: 32 bits, five bytes on the
 /// wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -33,6 +36,10 @@
     /// Whether the platform may reclaim it at any time.
     #[serde(default)]
     pub spot: bool,
+    /// Its newest record in the store; `None` if that is not known. Nodes of earlier releases do not
+    /// send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub written: Option<EntryRecord>,
 }
 
 impl UpstreamEntry {
@@ -56,6 +63,22 @@
 pub enum RegistryChange {
     /// An entry was added or updated.
     Put(UpstreamEntry),
-    /// The entry with this id was removed.
-    Removed(Box<str>),
+    /// An entry is missing.
+    Removed {
+        /// Id of the upstream.
+        id: Box<str>,
+        /// Place in the log of the record that removed it; `None` if that is not known.
+        at: Option<LogPlace>,
+    },
+}
+
+/// State of an upstream's newest run, as nodes send it to each other: a bare pair.
+#[derive(Clone, Debug, PartialEq, Eq, From, Into, Serialize, Deserialize)]
+#[serde(from = "(UpstreamEntry, bool)", into = "(UpstreamEntry, bool)")]
+pub struct EntryReport {
+    /// Its entry. If the run left without saying so, `written` is the place at which its entry was
+    /// missing.
+    pub entry: UpstreamEntry,
+    /// Whether it accepts no new calls.
+    pub left: bool,
 }
--- a/kernel/src/gateway/registry/upstream.rs
+++ b/kernel/src/gateway/registry/upstream.rs
@@ -8,8 +8,10 @@
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::load::UpstreamLoad;
 use crate::gateway::pause::UpstreamPause;
-use crate::gateway::registry::UpstreamEntry;
 use crate::gateway::registry::digest::DIGEST_BUCKETS;
+use crate::gateway::registry::news::RunClaim;
+use crate::gateway::registry::record::EntryRecord;
+use crate::gateway::registry::{EntryReport, UpstreamEntry};
 use crate::gateway::throttle::UpstreamThrottle;
 
 /// Reason why an upstream accepts no new calls.
@@ -32,19 +34,32 @@
     Replaced,
 }
 
+impl LeavingCause {
+    /// Whether the upstream itself said that it leaves, which is final for a run. Any other cause is an
+    /// inference, which ends once its entry is written again.
+    pub fn is_stated(self) -> bool {
+        match self {
+            Self::Draining | Self::Announced => true,
+            Self::Removed | Self::Lapsed | Self::Replaced => false,
+        }
+    }
+}
+
 /// An upstream and this node's state for it.
 #[derive(Clone, Debug)]
 pub struct Upstream {
     /// Its newest registry entry.
     pub entry: UpstreamEntry,
-    /// Reason why it accepts no new calls; `None` if it accepts them. Never cleared for a run,
-    /// except for `Lapsed`.
+    /// Reason why it accepts no new calls; `None` if it accepts them.
     pub left: Option<LeavingCause>,
     /// Time at which this node learned that it accepts no new calls.
     pub left_at: Option<Duration>,
     /// Time since when its entry has been missing while the registry was not trusted; `None` if it
     /// is not.
     pub lapsed_at: Option<Duration>,
+    /// Newest evidence that its entry is missing: a record in the log that follows it shows that the
+    /// upstream lives. `None` if there is none.
+    pub missing: Option<EntryRecord>,
     /// Work in flight at it.
     pub load: UpstreamLoad,
     /// Health, derived from its answers.
@@ -66,6 +81,7 @@
             left_at: entry.leaving.then_some(now),
             entry,
             lapsed_at: None,
+            missing: None,
             load: UpstreamLoad::default(),
             health: UpstreamHealth::default(),
             throttle: UpstreamThrottle::default(),
@@ -98,10 +114,13 @@
             || self.pause.left(now).is_some()
     }
 
-    /// Records that it accepts no new calls. Returns whether that is a change. A lapsed entry may
-    /// return, so any other cause replaces that one.
+    /// Records that it accepts no new calls. Returns whether that is a change. What the upstream
+    /// states replaces what was inferred, and a lapsed entry may be found to have left for good.
     pub(super) fn leave(&mut self, cause: LeavingCause, now: Duration) -> bool {
-        if self.left.is_some_and(|left| left != LeavingCause::Lapsed) {
+        let replaceable = self.left.is_none_or(|left| {
+            left == LeavingCause::Lapsed || cause.is_stated() && !left.is_stated()
+        });
+        if !replaceable {
             return false;
         }
         let is_change = self.left != Some(cause);
@@ -110,4 +129,79 @@
         self.lapsed_at = None;
         is_change
     }
+
+    /// Records that its entry was missing. Returns whether that is still so as far as is known: not if
+    /// a later record of it is.
+    pub(super) fn record_missing(&mut self, missing: Option<EntryRecord>) -> bool {
+        let Some(missing) = missing else {
+            return true;
+        };
+        if self
+            .entry
+            .written
+            .is_some_and(|record| record.follows(missing))
+        {
+            return false;
+        }
+        self.missing = self.missing.max(Some(missing));
+        true
+    }
+
+    /// Applies an entry of this run. Returns whether that is a change.
+    pub(super) fn receive_entry(&mut self, entry: UpstreamEntry, now: Duration) -> bool {
+        let leaves = entry.leaving && self.leave(LeavingCause::Draining, now);
+        if entry.written < self.entry.written {
+            return leaves;
+        }
+        let shows_life = self.missing.is_none_or(|missing| {
+            let record = entry.written;
+            record.is_some_and(|record| record.follows(missing))
+        });
+        if shows_life {
+            self.lapsed_at = None;
+        }
+        let returns = shows_life
+            && match self.left {
+                Some(LeavingCause::Lapsed) => true,
+                // What has no record in the store is another node's word, which may be old.
+                Some(LeavingCause::Removed | LeavingCause::Replaced) => entry.written.is_some(),
+                Some(LeavingCause::Draining | LeavingCause::Announced) | None => false,
+            };
+        if returns {
+            self.left = None;
+            self.left_at = None;
+        }
+        let differs = self.entry != entry;
+        self.entry = entry;
+        returns || leaves || differs
+    }
+
+    /// What other nodes have to know of its state at once; `None` if they infer it themselves.
+    pub(super) fn claim(&self) -> Option<RunClaim> {
+        match self.left {
+            Some(LeavingCause::Draining | LeavingCause::Announced) => Some(RunClaim::Stated),
+            Some(LeavingCause::Removed) => self.missing.map(RunClaim::Missing),
+            // A lapsed entry may return, and all nodes see which run is the last at an address.
+            Some(LeavingCause::Lapsed | LeavingCause::Replaced) => None,
+            None => {
+                let returned = self.missing.and(self.entry.written);
+                returned.map(RunClaim::Written)
+            }
+        }
+    }
+
+    /// Its state as sent to other nodes.
+    pub fn report(&self) -> EntryReport {
+        let mut entry = self.entry.clone();
+        if let Some(cause) = self.left {
+            entry.leaving = cause.is_stated();
+            if !cause.is_stated() {
+                entry.written = self.missing;
+            }
+        }
+        EntryReport {
+            entry,
+            left: self.left.is_some(),
+        }
+    }
 }
--- a/kernel/tests/gateway/engines.rs
+++ b/kernel/tests/gateway/engines.rs
@@ -24,6 +24,7 @@
             slots,
             leaving: false,
             spot: false,
+            written: None,
         };
         registry.apply(RegistryChange::Put(entry), true, NOW);
     }
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod duty;
 mod eligibility;
 mod engines;
+mod evidence;
 mod fairness;
 mod fleet;
 mod forecast;
--- a/kernel/tests/gateway/preferred.rs
+++ b/kernel/tests/gateway/preferred.rs
@@ -32,6 +32,7 @@
         slots: 64,
         leaving: false,
         spot: false,
+        written: None,
     }
 }
 
@@ -112,7 +113,7 @@
             put(whole, entry(*next, 5));
         }
         1 => {
-            whole.apply(RegistryChange::Removed(id), true, NOW);
+            whole.apply(RegistryChange::Removed { id, at: None }, true, NOW);
         }
         2 => {
             let leaving = UpstreamEntry {
--- a/kernel/tests/gateway/registry.rs
+++ b/kernel/tests/gateway/registry.rs
@@ -5,7 +5,7 @@
 use monsoonbank_kernel::gateway::cache::CacheMoment;
 use monsoonbank_kernel::gateway::prompt::{PromptPart, PromptShape};
 use monsoonbank_kernel::gateway::registry::{
-    LeavingCause, RegistryChange, UpstreamEntry, UpstreamRegistry,
+    EntryReport, LeavingCause, RegistryChange, Upstream, UpstreamEntry, UpstreamRegistry,
 };
 
 pub fn entry(id: &str, port: u16, leaving: bool) -> UpstreamEntry {
@@ -19,6 +19,7 @@
         slots: 10,
         leaving,
         spot: false,
+        written: None,
     }
 }
 
@@ -48,7 +49,14 @@
 fn a_trusted_removal_applies_at_once() {
     let mut registry = UpstreamRegistry::default();
     put(&mut registry, "a", 1, false);
-    registry.apply(RegistryChange::Removed("a".into()), true, START);
+    registry.apply(
+        RegistryChange::Removed {
+            id: "a".into(),
+            at: None,
+        },
+        true,
+        START,
+    );
     assert!(usable(&registry).is_empty());
 }
 
@@ -59,7 +67,10 @@
     put(&mut registry, "b", 2, false);
     for id in ["a", "b"] {
         registry.apply(
-            RegistryChange::Removed(id.into()),
+            RegistryChange::Removed {
+                id: id.into(),
+                at: None,
+            },
             false,
             Duration::from_secs(5),
         );
@@ -232,7 +243,14 @@
 fn an_entry_that_may_come_back_is_no_departure() {
     let mut registry = UpstreamRegistry::default();
     registry.apply(RegistryChange::Put(entry("i-1", 1, false)), true, SECOND);
-    registry.apply(RegistryChange::Removed("i-1".into()), false, SECOND);
+    registry.apply(
+        RegistryChange::Removed {
+            id: "i-1".into(),
+            at: None,
+        },
+        false,
+        SECOND,
+    );
     assert!(registry.departures(SECOND).is_empty());
 }
 
@@ -257,7 +275,14 @@
         let mut registry = UpstreamRegistry::default();
         put(&mut registry, "a", 1, false);
         let key = registry.key("a").expect("known");
-        registry.apply(RegistryChange::Removed("a".into()), false, START);
+        registry.apply(
+            RegistryChange::Removed {
+                id: "a".into(),
+                at: None,
+            },
+            false,
+            START,
+        );
         if announced_first {
             registry.record_announcement(key, SECOND);
         }
@@ -312,11 +337,19 @@
     differs(&registry, "replaced");
     registry.retain(
         &["a".into(), "b".into(), "c".into(), "e".into()],
+        None,
         true,
         START,
     );
     differs(&registry, "not listed");
-    registry.apply(RegistryChange::Removed("e".into()), false, START);
+    registry.apply(
+        RegistryChange::Removed {
+            id: "e".into(),
+            at: None,
+        },
+        false,
+        START,
+    );
     registry.expire_lapsed(START, SECOND * 3);
     differs(&registry, "lapsed");
 }
@@ -343,16 +376,11 @@
     newer.record_announcement(key, START);
     let few = sent(&newer, &full);
     assert!((1..=usize::from(COUNT) / 50).contains(&few), "{few}");
-    let changes: Vec<RegistryChange> = newer
+    let reports: Vec<EntryReport> = newer
         .differing(full.bucket_digests())
-        .map(|upstream| match upstream.left {
-            Some(_) => RegistryChange::Removed(upstream.entry.id.clone()),
-            None => RegistryChange::Put(upstream.entry.clone()),
-        })
+        .map(Upstream::report)
         .collect();
-    for change in changes {
-        full.apply(change, true, START);
-    }
+    full.merge(reports, START);
     assert_eq!(full.digest(), newer.digest());
 }
 
--- a/kernel/tests/gateway/software.rs
+++ b/kernel/tests/gateway/software.rs
@@ -144,7 +144,7 @@
             let left_at = NOW + Duration::from_secs(1);
             let left: &[&str] = &$left;
             for id in left {
-                registry.apply(RegistryChange::Removed((*id).into()), true, left_at);
+                registry.apply(RegistryChange::Removed { id: (*id).into(), at: None }, true, left_at);
             }
             let since = NOW + Duration::from_millis($since);
             assert_eq!(registry.sole_software("model", since), $sole);
@@ -170,7 +170,7 @@
             let mut registry = pool(&$versions);
             let left: &[&str] = &$left;
             for id in left {
-                registry.apply(RegistryChange::Removed((*id).into()), true, NOW);
+                registry.apply(RegistryChange::Removed { id: (*id).into(), at: None }, true, NOW);
             }
             assert_eq!(registry.has_other_software("model", software("model", "v1")), $bound);
         }
