Take the later of two upstreams at an address by its record, not by when a node hears of it

Cause: a node that starts takes all runs from another one in the order of their ids, and the run that was added last at an address counted as the newest there, also one that had left. Live engines became `replaced`, and `removed` at other nodes. Change: a run that left replaces nothing. Of two that accept calls the one that started later counts, else the one with the later record in the store's log: a run writes nothing after the next one at its address has started.

--- a/kernel/src/gateway/registry.rs
+++ b/kernel/src/gateway/registry.rs
@@ -51,7 +51,7 @@
 
 /// Every upstream that this process has learned of. `keys` and `hashes` map to the newest run of
 /// each id, `places` to the newest run of a pool at an address; calls at an older run still end
-/// there.
+/// there. Runs are ordered by what their entries and the store's log say, not by arrival here.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     upstreams: BTreeMap<UpstreamKey, Upstream>,
@@ -185,19 +185,44 @@
         }
         if is_usable {
             self.set_usable(key, true);
+            changed.extend(self.settle_place(key, now));
         }
-        changed.extend(self.settle_place(key, now));
         changed
     }
 
-    /// Makes a run the newest of its pool at its address. Returns the run that it replaces there, if
-    /// that accepted calls.
+    /// Lets a run that accepts calls be the only one of its pool at its address, or a later one that
+    /// is known there. Returns the run that is replaced, if it is another one.
     fn settle_place(&mut self, key: UpstreamKey, now: Duration) -> Option<UpstreamKey> {
-        let entry = &self.upstreams.get(&key)?.entry;
-        let place = (entry.address, entry.pool.clone());
-        let older_key = self.places.insert(place, key)?;
-        let is_replaced = older_key != key && self.leave(older_key, LeavingCause::Replaced, now);
-        is_replaced.then_some(older_key)
+        let upstream = self.upstreams.get(&key)?;
+        if upstream.left.is_some() {
+            return None;
+        }
+        let place = (upstream.entry.address, upstream.entry.pool.clone());
+        let holder_key = self.places.get(&place).copied().filter(|held| *held != key);
+        let holder = holder_key.and_then(|held| self.upstreams.get(&held));
+        let holder = holder.filter(|holder| holder.left.is_none());
+        if holder.is_some_and(|holder| holder.entry.starts_after(&upstream.entry)) {
+            self.replace(key, holder_key?, now);
+            return None;
+        }
+        let is_held = holder.is_some();
+        self.places.insert(place, key);
+        let holder_key = holder_key.filter(|_| is_held)?;
+        self.replace(holder_key, key, now);
+        Some(holder_key)
+    }
+
+    /// Records that a run was replaced by a later one at its address.
+    fn replace(&mut self, key: UpstreamKey, later: UpstreamKey, now: Duration) {
+        let record = self
+            .upstreams
+            .get(&later)
+            .and_then(|later| later.entry.written);
+        let missing = record.map(|record| EntryRecord::at(record.place()));
+        self.update(key, |upstream| {
+            upstream.record_missing(missing);
+            upstream.leave(LeavingCause::Replaced, now)
+        });
     }
 
     /// Adds an upstream to those that accept new calls, or removes it from them.
--- a/kernel/src/gateway/registry/entry.rs
+++ b/kernel/src/gateway/registry/entry.rs
@@ -51,6 +51,19 @@
         xxh3_64_with_seed(self.id.as_bytes(), run) >> 32
     }
 
+    /// Whether this run, at the same address as another one, started after it; `false` if that is not
+    /// known. A run writes nothing after the next one at its address has started.
+    pub(super) fn starts_after(&self, other: &Self) -> bool {
+        match (self.born, other.born) {
+            (Some(born), Some(other_born)) if born != other_born => return born > other_born,
+            _ => {}
+        }
+        match (self.written, other.written) {
+            (Some(record), Some(other_record)) => record.place() > other_record.place(),
+            _ => false,
+        }
+    }
+
     /// Version of the software that it runs.
     pub fn software(&self) -> SoftwareKey {
         let pool = xxh3_64(self.pool.as_bytes());
--- a/kernel/tests/gateway/evidence.rs
+++ b/kernel/tests/gateway/evidence.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::registry::{
-    EntryRecord, LeavingCause, LogPlace, RegistryChange, RunClaim, RunNews, UpstreamEntry,
-    UpstreamRegistry,
+    EntryRecord, LeavingCause, LogPlace, RegistryChange, RunClaim, RunNews, Upstream,
+    UpstreamEntry, UpstreamRegistry,
 };
 
 use crate::registry::entry;
@@ -191,3 +191,55 @@
     an_undated_departure_does_not_count_beside_a_record: [Read(FIRST), ToldLeftUndated] => None;
     a_mark_that_the_upstream_never_wrote_is_not_final: [ToldLeftUndated, Read(FIRST)] => None;
 }
+
+/// Defines a case: the entries of two upstreams at one address in the order of arrival, each with
+/// whether it had left, and which of them is used.
+macro_rules! same_address {
+    ($($name:ident: [$($id:literal $record:expr, $left:expr);*] => $used:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut registry = UpstreamRegistry::default();
+            $(
+                let written = Some($record);
+                let arriving = UpstreamEntry { written, ..entry($id, 1, false) };
+                registry.merge([(arriving, $left).into()], NOW);
+            )*
+            let used: Vec<&str> = registry.usable("model").map(|(_, upstream)| &*upstream.entry.id).collect();
+            assert_eq!(used, $used);
+        }
+    )*};
+}
+
+// Guards against a live upstream that counts as replaced by an earlier one at its address, because a
+// node learned of that one later.
+same_address! {
+    the_later_one_is_used: ["a" FIRST, false; "b" record(0, 9), false] => ["b"];
+    the_order_of_arrival_does_not_matter: ["b" record(0, 9), false; "a" FIRST, false] => ["b"];
+    one_that_had_left_replaces_nothing: ["b" record(0, 9), false; "a" record(0, 10), true] => ["b"];
+    one_that_had_left_is_replaced: ["a" record(0, 10), true; "b" record(0, 9), false] => ["b"];
+    one_that_was_thought_replaced_returns: ["b" record(0, 4), false; "a" record(0, 5), false; "b" record(0, 6), false] => ["b"];
+}
+
+/// A node that starts gets all runs from another one, in the order of their ids.
+#[test]
+fn a_node_that_starts_uses_what_its_source_uses() {
+    let mut source = UpstreamRegistry::default();
+    let mut offset = 0;
+    for start in 0..10_u64 {
+        for port in 1..=20_u16 {
+            // Ids are in no order.
+            let id = format!("i-{:x}", (u64::from(port) * 31 + start * 7919) % 1009);
+            offset += 1;
+            let entry = UpstreamEntry {
+                written: Some(record(0, offset)),
+                ..entry(&id, port, false)
+            };
+            source.apply(RegistryChange::Put(entry), true, NOW);
+        }
+    }
+    assert_eq!(source.usable_count("model"), 20);
+    let mut fresh = UpstreamRegistry::default();
+    fresh.merge(source.newest().map(Upstream::report), NOW);
+    assert_eq!(fresh.usable_digest(), source.usable_digest());
+    assert_eq!(fresh.digest(), source.digest());
+}
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod duty;
 mod eligibility;
 mod engines;
+mod entry_days;
 mod evidence;
 mod fairness;
 mod fleet;
