--- a/kernel/tests/gateway/heartbeat.rs
+++ b/kernel/tests/gateway/heartbeat.rs
@@ -9,6 +9,10 @@
 use monsoonbank_kernel::gateway::crashes::news::CrashNews;
 use monsoonbank_kernel::gateway::crashes::suspect::SuspectKey;
 use monsoonbank_kernel::gateway::heartbeat::{NodeCard, NodeHeartbeat, NodeState};
+use monsoonbank_kernel::gateway::message::NodeMessage;
+use monsoonbank_kernel::gateway::registry::{
+    EntryRecord, EntryReport, RunClaim, RunNews, UpstreamEntry,
+};
 
 /// Most pools out of reach in one heartbeat.
 const MOST_UNREACHED: usize = 8;
@@ -98,3 +102,90 @@
         assert!(most > empty);
     }
 }
+
+/// Number of upstreams in the news of one heartbeat.
+const MOST_RUNS: usize = 24;
+
+fn heartbeat_with_news() -> NodeHeartbeat {
+    let record = EntryRecord {
+        era: 3,
+        offset: 70_000,
+        is_current: true,
+    };
+    let news = RunNews {
+        run: u64::from(u32::MAX),
+        claim: RunClaim::Written(record),
+    };
+    let card = NodeCard {
+        name: "node".into(),
+        incarnation: 1,
+        zone: "zone".into(),
+        callers: ([10, 0, 0, 1], 1).into(),
+        peers: ([10, 0, 0, 1], 2).into(),
+        capacity: 1,
+        state: NodeState::Ready,
+    };
+    NodeHeartbeat {
+        news: Some(vec![news; MOST_RUNS]),
+        ..NodeHeartbeat::new(card)
+    }
+}
+
+#[test]
+fn news_of_upstreams_adds_few_bytes() {
+    let heartbeat = heartbeat_with_news();
+    let without = NodeHeartbeat {
+        news: Some(Vec::new()),
+        ..heartbeat.clone()
+    };
+    let bytes = size(&heartbeat) - size(&without);
+    println!("{bytes} B for {MOST_RUNS} upstreams");
+    assert!(bytes <= 25 * MOST_RUNS);
+}
+
+// Guards against nodes of two releases that do not hear each other.
+#[test]
+fn nodes_of_an_earlier_release_send_and_read_heartbeats_without_news() {
+    let heartbeat = heartbeat_with_news();
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&heartbeat, &mut bytes).expect("written");
+    let value: ciborium::Value = ciborium::from_reader(&bytes[..]).expect("a value");
+    let ciborium::Value::Array(mut fields) = value else {
+        panic!("a heartbeat is a list");
+    };
+    // A field that this release does not know.
+    fields.push(1.into());
+    let message = |fields: Vec<ciborium::Value>| {
+        let tagged = ciborium::Value::Map(vec![("h".into(), ciborium::Value::Array(fields))]);
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&tagged, &mut bytes).expect("written");
+        let message: NodeMessage = ciborium::from_reader(&bytes[..]).expect("a heartbeat");
+        match message {
+            NodeMessage::Heartbeat(heartbeat) => heartbeat.into_owned(),
+            NodeMessage::Start(_) => panic!("a heartbeat"),
+        }
+    };
+    assert_eq!(message(fields.clone()), heartbeat);
+    fields.truncate(fields.len() - 2);
+    let earlier = message(fields);
+    assert_eq!(earlier.news, None);
+    assert_eq!(earlier.card, heartbeat.card);
+}
+
+// Guards against registries that nodes of two releases cannot read from each other.
+#[test]
+fn nodes_of_an_earlier_release_send_and_read_entries_without_records() {
+    let entry = UpstreamEntry {
+        written: Some(EntryRecord::default()),
+        ..crate::registry::entry("a", 1, false)
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&EntryReport { entry, left: true }, &mut bytes).expect("written");
+    let mut value: ciborium::Value = ciborium::from_reader(&bytes[..]).expect("a value");
+    let pair = value.as_array_mut().expect("a pair");
+    assert_eq!(pair[1], ciborium::Value::Bool(true));
+    let fields = pair[0].as_map_mut().expect("fields by name");
+    fields.retain(|(name, _)| name.as_text() != Some("written"));
+    let report: EntryReport = value.deserialized().expect("a report");
+    assert_eq!(report.entry, crate::registry::entry("a", 1, false));
+}
