Check in drawn histories that a lapse hides no second use of an upstream that left

The check let any upstream be used while its entry was missing in a store that had just come back, also one that the node had already taken to have left.

--- a/kernel/tests/gateway/entry_days.rs
+++ b/kernel/tests/gateway/entry_days.rs
@@ -357,10 +357,13 @@
                         .missing
                         .is_some_and(|missing| missing.place() >= *place),
                 };
-                if knows {
+                let is_used = upstream.left.is_none();
+                // A store that just came back is not trusted, and an entry that it lacks has time to
+                // return, unless it was already known to have left.
+                let has_time = is_used && upstream.lapsed_at.is_some();
+                if knows && !has_time {
                     node.finally_left.insert(id.clone());
                 }
-                let is_used = upstream.left.is_none() && upstream.lapsed_at.is_none();
                 let again = is_used && node.finally_left.contains(id);
                 assert!(!again, "used after it left: {upstream:?}");
             }
