Let the settings say how much memory a host has

Cause: no setting gave the host's memory, so nothing that holds bytes could be bounded by it. A size of 0 is an error with file, line and field (test a_host_without_memory_is_refused). The tests' node process moves to common/, for further tests. Nothing uses the figure yet.

--- a/daemon/src/gateway/settings.rs
+++ b/daemon/src/gateway/settings.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Deserializer};
 
 use crate::error::NodeError;
+use crate::settings::default_memory;
 
 /// Settings that the operator gives a gateway.
 #[derive(Clone, Debug, Deserialize)]
@@ -158,6 +159,13 @@
     /// Bandwidth of the host's link, in Mbit/s.
     #[serde(default = "default_link")]
     pub link_mbps: f64,
+    /// Memory, in bytes; in MB in the settings file.
+    #[serde(
+        rename = "memory_mb",
+        default = "default_memory",
+        deserialize_with = "crate::settings::megabytes"
+    )]
+    pub memory: usize,
 }
 
 /// Time limits of the node, in milliseconds in the settings file.
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -4,11 +4,14 @@
 use std::path::Path;
 use std::time::Duration;
 
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::de::{DeserializeOwned, Error};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::error::NodeError;
 
+/// Bytes in one MB of memory.
+const MEGABYTE: usize = 1 << 20;
+
 /// Settings of a node, as written by its operator.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -74,6 +77,13 @@
 pub struct BoundSettings {
     /// Maximum size of a request body, in bytes.
     pub body_bytes: usize,
+    /// Memory of the host, in bytes; in MB in the settings file.
+    #[serde(
+        rename = "memory_mb",
+        serialize_with = "as_megabytes",
+        deserialize_with = "megabytes"
+    )]
+    pub memory: usize,
     /// Maximum number of open calls.
     pub open_calls: usize,
     /// Maximum number of open connections on each of the HTTP listen addresses.
@@ -92,6 +102,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 4 << 20,
+            memory: default_memory(),
             open_calls: 20_000,
             connections: 20_000,
             waiting_bytes: 4 << 20,
@@ -105,6 +116,28 @@
     log::LevelFilter::Info
 }
 
+/// Memory of the smallest hosts that are supported, in bytes.
+pub fn default_memory() -> usize {
+    120 * MEGABYTE
+}
+
+/// Reads a size in MB, fractions allowed, as bytes.
+pub fn megabytes<'de, D: Deserializer<'de>>(source: D) -> Result<usize, D::Error> {
+    let value = f64::deserialize(source)?;
+    let bytes = value * MEGABYTE as f64;
+    if bytes.is_finite() && bytes >= 1.0 {
+        Ok(bytes as usize)
+    } else {
+        Err(D::Error::custom("expected a size in MB above 0"))
+    }
+}
+
+// The signature is serde's.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn as_megabytes<S: Serializer>(bytes: &usize, target: S) -> Result<S::Ok, S::Error> {
+    target.serialize_f64(*bytes as f64 / MEGABYTE as f64)
+}
+
 fn default_poll() -> Duration {
     Duration::from_secs(1)
 }
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod process;
+
 use std::time::Duration;
 
 use monsoonbank_daemon::node::{self, NodeHandle, NodeListeners};
@@ -86,6 +88,11 @@
     /// Starts `engines` engines, one plain service and `nodes` nodes in three availability zones, and
     /// waits until the nodes are ready.
     pub async fn start(nodes: usize, engines: usize) -> Self {
+        Self::start_with_engines(nodes, vec![EngineSettings::default(); engines]).await
+    }
+
+    /// Starts a fleet as [`Self::start`] does, with engines of these settings.
+    pub async fn start_with_engines(nodes: usize, engines: Vec<EngineSettings>) -> Self {
         let log = log::start(ANY_PORT, LogSettings::default())
             .await
             .expect("log");
@@ -94,10 +101,10 @@
         };
         let hosts = hosts::start(ANY_PORT, settings).await.expect("hosts");
         let mut started = Vec::new();
-        for _ in 0..engines {
+        for settings in engines {
             let settings = EngineSettings {
                 models: vec!["writer".into()],
-                ..Default::default()
+                ..settings
             };
             started.push(engine::start(ANY_PORT, settings).await.expect("engine"));
         }
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -3,113 +3,12 @@
 mod common;
 
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus};
-use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::process::Command;
 
-use common::{TOKEN, TestFleet, chat_request, settings, streamed_text, wait_until};
+use common::process::NodeProcess;
+use common::{TestFleet, streamed_text, wait_until};
 use monsoonbank_standin::answer::expected_answer;
-use monsoonbank_standin::hosts::{HostRole, HostRow};
-
-/// A loopback address (127.0.0.0/8) for one node, different for each node and test process.
-fn unique_host() -> IpAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let host = NEXT.fetch_add(1, Ordering::Relaxed);
-    IpAddr::V4(Ipv4Addr::new(127, high | 1, low, host))
-}
-
-/// A node that runs in its own process; dropping it kills the process.
-struct NodeProcess {
-    child: Child,
-    callers: String,
-}
-
-impl NodeProcess {
-    /// Starts a node on its own loopback address, adds it to the host list and waits until it is ready.
-    async fn start(fleet: &TestFleet, name: &str, zone: &str) -> Self {
-        let mut settings = settings(name, zone, &fleet.log, &fleet.hosts);
-        let host = unique_host();
-        let [callers, peers, operators] =
-            [4_000, 4_001, 4_002].map(|port| SocketAddr::new(host, port));
-        settings.listen.callers = callers;
-        settings.listen.peers = peers;
-        settings.listen.operators = operators;
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{host}.yaml"));
-        let text = serde_yaml_ng::to_string(&settings).expect("YAML");
-        fs::write(&file, text).expect("a settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_monsoonbankd"))
-            .arg("--config")
-            .arg(file)
-            .spawn()
-            .expect("a process");
-        let mut rows = fleet.hosts.rows();
-        rows.push(HostRow {
-            name: name.into(),
-            zone: zone.into(),
-            role: HostRole::Node,
-            peer_address: peers.to_string().into(),
-            caller_address: callers.to_string().into(),
-            leaving: false,
-        });
-        fleet.hosts.set_rows(rows);
-        let node = Self {
-            child,
-            callers: callers.to_string(),
-        };
-        node.wait_until_ready(fleet, &operators.to_string()).await;
-        node
-    }
-
-    async fn wait_until_ready(&self, fleet: &TestFleet, operators: &str) {
-        for _ in 0..1_000 {
-            let url = format!("http://{operators}/readyz");
-            let answer = fleet.client.get(url).send().await;
-            if answer.is_ok_and(|answer| answer.status().is_success()) {
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        panic!("the process is not ready");
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").arg(name).arg(id).status();
-        assert!(status.expect("kill").success());
-    }
-
-    async fn wait_for_exit(&mut self) -> ExitStatus {
-        let child = &mut self.child;
-        let mut status = None;
-        wait_until("the process ends", || {
-            status = child.try_wait().expect("a child");
-            status.is_some()
-        })
-        .await;
-        status.expect("an exit status")
-    }
-
-    async fn stream_answer(&self, fleet: &TestFleet, prompt: &str, tokens: u32) -> String {
-        let url = format!("http://{}/v1/chat/completions", self.callers);
-        let request = fleet.client.post(url).bearer_auth(TOKEN);
-        let answer = request
-            .json(&chat_request(prompt, tokens, true))
-            .send()
-            .await;
-        answer.expect("an answer").text().await.expect("text")
-    }
-}
-
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        // Fails if the process has already ended, which is no error.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_terminated_process_finishes_its_streams_and_exits_with_0() {
@@ -188,3 +87,23 @@
         "{error}"
     );
 }
+
+#[test]
+fn a_host_without_memory_is_refused() {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("no-memory.yaml");
+    let text = "limits: {descriptors: 4096, cores: 0.25, memory_mb: 0}\n";
+    fs::write(&file, text).expect("a file");
+    let output = Command::new(env!("CARGO_BIN_EXE_monsoonbankd"))
+        .args(["gateway", "--check", "--config"])
+        .arg(&file)
+        .output()
+        .expect("a process");
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    for expected in [
+        "no-memory.yaml:1: field `limits.memory_mb`",
+        "expected a size in MB above 0",
+    ] {
+        assert!(error.contains(expected), "{error}");
+    }
+}
