--- /dev/null
+++ b/daemon/tests/crowds/interface.rs
@@ -0,0 +1,126 @@
+//! Crowds at the product's own interface.
+
+use std::time::Duration;
+
+use monsoonbank_standin::engine::EngineSettings;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::clients::{ClientScript, Crowd, open_chunks, plain, press};
+use crate::common::process::NodeProcess;
+use crate::common::{TOKEN, TestFleet, settings};
+use crate::{BODY_BYTES, HOST_MEMORY_MB, alone, check_resources};
+
+/// Pause after which a client that sends nothing has stopped.
+const STOP_PAUSE: Duration = Duration::from_secs(2);
+/// Time for a token of the slow engine.
+const SLOW_STEP: Duration = Duration::from_mins(5);
+
+/// A fleet whose only node runs in a process, and whose engine does not come to its first token.
+struct PressedNode {
+    fleet: TestFleet,
+    node: NodeProcess,
+}
+
+impl PressedNode {
+    async fn start() -> Self {
+        let engine = EngineSettings {
+            step: SLOW_STEP,
+            ..EngineSettings::default()
+        };
+        let fleet = TestFleet::start_with_engines(0, vec![engine]).await;
+        let mut settings = settings("node-0", "zone-0", &fleet.log, &fleet.hosts);
+        settings.bounds.body_bytes = BODY_BYTES;
+        settings.bounds.memory = HOST_MEMORY_MB << 20;
+        settings.bounds.body_timeout = Duration::from_mins(2);
+        let node = NodeProcess::start_with(&fleet, settings).await;
+        Self { fleet, node }
+    }
+
+    async fn press(&self, script: ClientScript) -> Crowd {
+        press(self.node.callers, script).await
+    }
+
+    /// Checks that the process lives within its host's memory and answers an ordinary call.
+    async fn check(&mut self) {
+        let url = format!("http://{}/services/gate/passes/7", self.node.callers);
+        let request = self.fleet.client.post(url).bearer_auth(TOKEN);
+        let answer = request.json(&json!({ "guest": "Kim" })).send().await;
+        let answer = answer.expect("an answer");
+        let status = answer.status();
+        let text = answer.text().await.expect("text");
+        assert_eq!(status, 200, "{text}");
+        let child = &mut self.node.child;
+        assert!(child.try_wait().expect("a child").is_none(), "it ended");
+        check_resources(child.id());
+    }
+}
+
+/// Builds the head of a crowd's requests.
+fn head(framing: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer {TOKEN}\r\n\
+         Content-Type: application/json\r\n{framing}\r\n"
+    )
+}
+
+fn announced(clients: usize, length: usize, sent: usize) -> ClientScript {
+    ClientScript {
+        clients,
+        head: head(&format!("Content-Length: {length}")),
+        id_header: "X-Client",
+        body: plain(sent),
+        pieces: 1,
+    }
+}
+
+fn chunked(clients: usize, size: usize, chunk_size: usize) -> ClientScript {
+    ClientScript {
+        clients,
+        head: head("Transfer-Encoding: chunked"),
+        id_header: "X-Client",
+        body: open_chunks(size, chunk_size),
+        pieces: 1,
+    }
+}
+
+/// Requests of the largest size whose prompts fill them.
+fn whole(clients: usize) -> ClientScript {
+    let text = |prompt: &str| {
+        json!({ "model": "writer", "stream": true,
+            "messages": [{ "role": "user", "content": prompt }] })
+        .to_string()
+    };
+    let rest = BODY_BYTES - text("").len();
+    let body = text(&"x".repeat(rest));
+    ClientScript {
+        body: body.into_bytes().into(),
+        ..announced(clients, BODY_BYTES, 0)
+    }
+}
+
+/// Defines a case: what the clients of a crowd send. All stay open.
+macro_rules! presses {
+    ($($name:ident: $script:expr;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+        // The guard lets one test run at a time, each on a runtime of its own.
+        #[allow(clippy::await_holding_lock)]
+        async fn $name() {
+            let _alone = alone();
+            let mut node = PressedNode::start().await;
+            let _crowd = node.press($script).await;
+            sleep(STOP_PAUSE).await;
+            node.check().await;
+        }
+    )*};
+}
+
+// Guards against bodies that are held without a bound in total: a node ran out of memory.
+presses! {
+    bodies_that_stop_short: announced(80, BODY_BYTES, BODY_BYTES - 1);
+    large_chunks_without_end: chunked(80, BODY_BYTES - 1, 256 << 10);
+    chunks_of_one_byte_without_end: chunked(16, BODY_BYTES / 2, 1);
+    far_too_large_bodies_that_stop: announced(80, 64 * BODY_BYTES, BODY_BYTES - 1);
+    far_too_many_chunks: chunked(80, 4 * BODY_BYTES, 64 << 10);
+    whole_bodies_at_a_slow_engine: whole(80);
+}
--- a/daemon/tests/gateway/world.rs
+++ b/daemon/tests/gateway/world.rs
@@ -49,14 +49,18 @@
         let host = own_host();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("'{seed}:4003'")).collect();
+        let limits = if more.contains("limits:") {
+            ""
+        } else {
+            "limits: {descriptors: 4096, cores: 0.25}\n"
+        };
         let text = format!(
             "name: {name}\nzone: {zone}\n\
              listen: {{callers: '{host}:4000', ready: '{host}:4001', lookup: '{host}:4002', \
              operators: '{host}:4003', metrics_port: 4004}}\n\
              peers: {{ip: {host}, ports: [4010, 4020], seeds: [{}]}}\n\
              store: {{address: '{store}'}}\n\
-             limits: {{descriptors: 4096, cores: 0.25}}\n\
-             times: {{trust_ms: 3000, grace_ms: 8000}}\n\
+             {limits}times: {{trust_ms: 3000, grace_ms: 8000}}\n\
              retries: {{ratio: 0.2, slack: 50, window_s: 10}}\n{more}",
             seeds.join(", ")
         );
@@ -141,7 +145,7 @@
     pub store: KeyedStore,
     pub upstreams: Vec<ScriptedUpstream>,
     pub nodes: Vec<NodeProcess>,
-    /// Additional settings of the nodes.
+    /// Additional settings of the nodes; `limits` among them replace the usual ones.
     pub settings: String,
     /// Sequence number of the newest entry that was written.
     sequence: AtomicU64,
