Bound the memory of all request bodies at a gateway, and let those that stopped give way

What callers saw: crowds of clients with legal bodies ended a process, which ran out of memory. Cause: each body had a limit, all together had none. They were held from the first byte to the end of the call in whatever memory the connection had read them into: a chunk of one byte kept a buffer, and a whole body was copied while it was held. An announced length over the limit was read up to the limit. Change: bodies are copied into pieces of 16 to 64 KiB that are charged to one ledger before they are allocated, until the last use of them ends, also while their call waits, is retried or goes through another node. All together take a quarter of the host's memory. Without room, clients without a byte for a second give way, then the largest unsent call above the newcomer's size; otherwise the newcomer is refused: 503 as not run, with a Retry-After from what was released lately. A call that is about to be sent is pinned first, so a refusal is true. The port for nodes declines, so that the sender can ask a third. The pieces are sent as they are. An announced length over the limit is refused unread. The line no_memory, two metrics, the state dump and monsoon why tell of it.

--- a/cli/src/why.rs
+++ b/cli/src/why.rs
@@ -101,6 +101,14 @@
         needs_ms: u64,
         left_ms: u64,
     },
+    #[display(
+        "{bodies} bodies took {held_bytes} of the {limit_bytes} bytes that they may take at the node; it did not run"
+    )]
+    NoMemory {
+        bodies: u64,
+        held_bytes: u64,
+        limit_bytes: u64,
+    },
     #[display(
         "{crashes} upstreams broke off under calls with its {cause}, which are no longer sent; it did not run"
     )]
@@ -161,6 +169,7 @@
             Self::Refused { .. } => "refused",
             Self::NoCapacity { .. } => "no room",
             Self::TooLate { .. } => "too late",
+            Self::NoMemory { .. } => "no memory",
             Self::Quarantined { .. } => "quarantined",
             Self::Paused { .. } => "pool paused",
             Self::StartUnknown { .. } => "stream not known",
@@ -249,6 +258,13 @@
             crashes: number(line, "crashes"),
         };
     }
+    if let Some(line) = last("no_memory") {
+        return CallCause::NoMemory {
+            bodies: number(line, "bodies"),
+            held_bytes: number(line, "held_bytes"),
+            limit_bytes: number(line, "limit_bytes"),
+        };
+    }
     if let Some(line) = last("start_looked_up").filter(|line| line["known"] == false) {
         return CallCause::StartUnknown {
             reason: text(line, "reason"),
--- a/cli/tests/tool/main.rs
+++ b/cli/tests/tool/main.rs
@@ -21,12 +21,14 @@
 
 const DECISION_LOG: &str = "cli/tests/tool/decisions.log";
 const RESUMPTION_LOG: &str = "cli/tests/tool/resumptions.log";
+const BODY_LOG: &str = "cli/tests/tool/bodies.log";
 const PAYER_LOG: &str = "cli/tests/tool/payers.log";
 
 golden!(why_no_room, "why", "c1", "--logs", DECISION_LOG);
 golden!(why_quarantined, "why", "c7", "--logs", DECISION_LOG);
 golden!(why_pool_paused, "why", "c8", "--logs", DECISION_LOG);
 golden!(why_too_late, "why", "c6", "--logs", DECISION_LOG);
+golden!(why_no_memory, "why", "c1", "--logs", BODY_LOG);
 golden!(why_answer_lost, "why", "c2", "--logs", DECISION_LOG);
 golden!(why_stream_cut, "why", "c3", "--logs", DECISION_LOG);
 golden!(
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -56,6 +56,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use monsoonbank_kernel::clock::{Clock, MonotonicClock};
@@ -78,6 +79,7 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::account::BodyAccount;
 use crate::error::NodeError;
 use crate::gateway::admission::Call;
 use crate::gateway::buffers::AnswerBuffers;
@@ -141,6 +143,8 @@
     pub waiting: RefCell<WaitList>,
     /// Bytes of upstreams' answers that are being read.
     pub buffers: Rc<AnswerBuffers>,
+    /// Memory that the bodies of callers' requests take.
+    pub bodies: Arc<BodyAccount>,
     /// Attempts that this node refused and whose callers may come back.
     pub returns: RefCell<ReturnList>,
     /// Recent use of pools whose slots run out, by workspace.
@@ -385,6 +389,7 @@
         speeds: RefCell::default(),
         waiting: RefCell::default(),
         buffers: Rc::default(),
+        bodies: Arc::new(BodyAccount::new(settings.limits.memory, clock)),
         returns: RefCell::default(),
         shares: RefCell::default(),
         share_names: RefCell::default(),
--- a/daemon/src/gateway/admission.rs
+++ b/daemon/src/gateway/admission.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::http::uri::PathAndQuery;
@@ -19,12 +17,16 @@
 };
 use monsoonbank_platform::head::{self, CallHead, ResumedAttempt};
 
+use crate::account::MemoryError;
+use crate::body::{self, BodyError, BodyLimits, RequestBody};
 use crate::gateway::Gateway;
 use crate::gateway::decisions::{self, CallDecision, millis};
 use crate::gateway::reply::{self, Reply};
 
 /// `Retry-After` for callers of a node without a configuration, which is usually loaded by then.
 const START_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Phase of a call whose body was being read, in lines and metrics.
+const NO_MEMORY_READING: &str = "reading";
 /// Time for a call that states no deadline.
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -54,7 +56,7 @@
     /// End-to-end headers, which are forwarded to the upstream.
     pub headers: HeaderMap,
     /// Whole body of the request, which is kept for further attempts.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Digest of the call's content, the same for each attempt at the same call.
     pub content: ContentDigest,
     /// What it may crash upstreams with.
@@ -110,6 +112,8 @@
 struct Rejection {
     status: StatusCode,
     reason: Box<str>,
+    /// `Retry-After` of a request that may be sent again.
+    pause: Option<Duration>,
 }
 
 impl Rejection {
@@ -117,6 +121,14 @@
         Self {
             status,
             reason: reason.into(),
+            pause: None,
+        }
+    }
+
+    fn not_run(reason: impl Into<Box<str>>, pause: Duration) -> Self {
+        Self {
+            pause: Some(pause),
+            ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason)
         }
     }
 }
@@ -143,7 +155,9 @@
         answer(&rejection)
     };
     let head = check_head(&parts.headers, &parts.uri).map_err(rejected)?;
-    let body = read_body(gateway, body).await.map_err(rejected)?;
+    let body = read_body(gateway, body, &id, origin)
+        .await
+        .map_err(rejected)?;
     let rules = gateway
         .rules()
         .ok_or_else(|| rejected(no_configuration()))?;
@@ -156,12 +170,12 @@
         .unwrap_or(DEFAULT_TIMEOUT)
         .min(rule.class.timeout);
     let target = parts.uri.path_and_query();
-    let content = ContentDigest::of(ContentParts {
+    let content = ContentDigest::of(&ContentParts {
         host: &head.host,
         method: parts.method.as_str(),
         target: target.map_or("/", PathAndQuery::as_str),
         workspace: workspace.map(|workspace| &*workspace.name),
-        body: &body,
+        body: body.segments(),
     });
     let first_started = first_started(gateway, content, started, head.time_left, rule);
     let call = Call {
@@ -231,14 +245,14 @@
 }
 
 fn answer(rejection: &Rejection) -> Reply {
-    match rejection.status {
-        StatusCode::SERVICE_UNAVAILABLE => reply::not_run(&rejection.reason, START_RETRY_AFTER),
-        status => reply::failure(status, &rejection.reason),
+    match rejection.pause {
+        Some(pause) => reply::not_run(&rejection.reason, pause),
+        None => reply::failure(rejection.status, &rejection.reason),
     }
 }
 
 fn no_configuration() -> Rejection {
-    Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet")
+    Rejection::not_run("no configuration yet", START_RETRY_AFTER)
 }
 
 fn check_head(headers: &HeaderMap, uri: &Uri) -> Result<CallHead, Rejection> {
@@ -254,28 +268,60 @@
     head::decode_call(headers).map_err(|error| bad(&error.to_string()))
 }
 
-async fn read_body(gateway: &Gateway, body: Incoming) -> Result<Bytes, Rejection> {
+async fn read_body(
+    gateway: &Gateway,
+    mut body: Incoming,
+    id: &str,
+    origin: CallOrigin,
+) -> Result<RequestBody, Rejection> {
     let Some(rules) = gateway.rules() else {
         return Err(no_configuration());
     };
     let bounds = rules.bounds;
-    let reading = Limited::new(body, bounds.body_bytes).collect();
-    let Ok(read) = tokio::time::timeout(bounds.idle_timeout, reading).await else {
-        return Err(Rejection::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body took too long",
-        ));
+    let limits = BodyLimits {
+        bytes: bounds.body_bytes,
+        timeout: bounds.idle_timeout,
+    };
+    let error = match body::read_whole(&gateway.bodies, limits, &mut body).await {
+        Ok(body) => return Ok(body),
+        Err(error) => error,
     };
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Rejection::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large",
-        )),
-        Err(error) => Err(Rejection::new(StatusCode::BAD_REQUEST, error.to_string())),
+    let reason = error.to_string();
+    match error {
+        BodyError::TooLarge => {
+            gateway.metrics.count_refused_body("too_large");
+            tokio::task::spawn_local(body::discard(body, bounds.body_bytes));
+            Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, reason))
+        }
+        BodyError::Memory(error) => {
+            record_no_memory(gateway, id, NO_MEMORY_READING, error);
+            match origin {
+                CallOrigin::Caller => Err(Rejection::not_run(reason, error.retry_after)),
+                // The other node can ask a third one.
+                CallOrigin::Peer { .. } => {
+                    Err(Rejection::new(StatusCode::MISDIRECTED_REQUEST, reason))
+                }
+            }
+        }
+        BodyError::TimedOut => Err(Rejection::new(StatusCode::REQUEST_TIMEOUT, reason)),
+        BodyError::Unreadable(_) => Err(Rejection::new(StatusCode::BAD_REQUEST, reason)),
     }
 }
 
+/// Reports a call that has not run and is given up, as there is no memory for its body.
+pub fn record_no_memory(gateway: &Gateway, id: &str, phase: &str, error: MemoryError) {
+    let usage = gateway.bodies.usage();
+    gateway.metrics.count_refused_body(phase);
+    gateway.decisions.record(CallDecision::NoMemory {
+        call: id,
+        phase,
+        bodies: usage.bodies,
+        held_bytes: usage.held,
+        limit_bytes: usage.limit,
+        pause_ms: millis(error.retry_after),
+    });
+}
+
 fn find_rule<'a>(
     rules: &'a RuleTable,
     head: &CallHead,
--- a/daemon/src/gateway/caches.rs
+++ b/daemon/src/gateway/caches.rs
@@ -18,6 +18,7 @@
 use monsoonbank_platform::cache::{self, CacheError};
 use thiserror::Error;
 
+use crate::body::SentBody;
 use crate::gateway::connections::{self, ConnectionError};
 use crate::gateway::decisions::UpstreamDecision;
 use crate::gateway::{Gateway, notices};
@@ -130,6 +131,7 @@
     let mut connection = connections::open(engine.key, engine.address).await?;
     eligibility::check(&gateway.registry.borrow(), engine.key, gateway.now())?;
     let request = cache::list_request(&engine.address.to_string())?;
+    let request = request.map(|_| SentBody::default());
     let answer =
         tokio::time::timeout(ANSWER_TIMEOUT, connection.sender.send_request(request)).await;
     let answer = answer.map_err(|_| ListError::TimedOut)??;
--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -6,8 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use monsoonbank_kernel::gateway::registry::UpstreamKey;
@@ -17,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::body::SentBody;
 use crate::gateway::allowance::{BoundedStream, ReadAllowance};
 
 /// Time to establish a connection. Availability zones are 1 ms apart and an engine takes 1 ms to
@@ -57,7 +56,7 @@
 #[derive(Debug)]
 pub struct ClientConnection<K> {
     /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<SentBody>,
     /// Bytes that it may receive before the next part of an answer.
     pub allowance: ReadAllowance,
     task: AbortHandle,
--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -126,6 +126,21 @@
         #[serde(flatten)]
         room: &'a RoomReport,
     },
+    /// A call that has not run is given up, as there is no memory for its body.
+    NoMemory {
+        /// Id of the call.
+        call: &'a str,
+        /// What it was doing: `reading` its body, or `waiting` for an upstream.
+        phase: &'a str,
+        /// Number of bodies that this node holds.
+        bodies: usize,
+        /// Bytes that they take.
+        held_bytes: usize,
+        /// Bytes that they may take.
+        limit_bytes: usize,
+        /// Time after which its caller is told to return, in ms.
+        pause_ms: u64,
+    },
     /// All upstreams of a pool that a call could be sent to pause for longer than it may wait, so
     /// it is rejected.
     PoolPaused {
--- a/daemon/src/gateway/endpoints.rs
+++ b/daemon/src/gateway/endpoints.rs
@@ -138,12 +138,19 @@
             gateway,
             &gateway.crashes.borrow().quarantine_reports(gateway.now()),
         ),
-        "/metrics" => reply::whole(StatusCode::OK, gateway.metrics.text()),
+        "/metrics" => metrics(gateway),
         "/state" => state(gateway),
         _ => reply::failure(StatusCode::NOT_FOUND, "no such question"),
     }
 }
 
+fn metrics(gateway: &Gateway) -> Reply {
+    let held = gateway.bodies.usage().held;
+    let held = i64::try_from(held).unwrap_or(i64::MAX);
+    gateway.metrics.body_bytes.set(held);
+    reply::whole(StatusCode::OK, gateway.metrics.text())
+}
+
 fn json_reply(body: Vec<u8>) -> Reply {
     let mut reply = reply::whole(StatusCode::OK, body);
     let kind = HeaderValue::from_static("application/json");
@@ -397,6 +404,7 @@
             })
         })
         .collect();
+    let usage = gateway.bodies.usage();
     let body = json!({
         "name": gateway.settings.name,
         "ready": gateway.is_ready(),
@@ -405,6 +413,11 @@
         "hub": gateway.is_hub(),
         "fleet_size": gateway.node_count(),
         "open_calls": gateway.open_calls.get(),
+        "bodies": {
+            "count": usage.bodies,
+            "held_bytes": usage.held,
+            "limit_bytes": usage.limit,
+        },
         "stream_starts": gateway.starts.borrow().stream_count(),
         "quarantined": quarantined,
         "upstreams": upstreams,
--- a/daemon/src/gateway/indirect.rs
+++ b/daemon/src/gateway/indirect.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use http_body_util::{BodyExt, Either, Full, StreamBody};
+use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -21,6 +21,7 @@
 use monsoonbank_platform::{answer, head};
 use thiserror::Error;
 
+use crate::body::SentBody;
 use crate::gateway::Gateway;
 use crate::gateway::admission::{self, Call, CallOrigin};
 use crate::gateway::attempt::{self, CallProgress, FailedAttempt};
@@ -28,7 +29,7 @@
 use crate::gateway::decisions::CallDecision;
 use crate::gateway::reply::{self, CutError, Reply};
 use crate::gateway::tracker::{CallOutcome, CallTracker};
-use crate::gateway::{buffers, relay};
+use crate::gateway::{buffers, relay, sending};
 
 /// Version of the sender's configuration. A node with an older one declines the call.
 const VERSION: HeaderName = HeaderName::from_static("x-monsoonbank-version");
@@ -110,6 +111,8 @@
     if call.origin != CallOrigin::Caller {
         return Err(failed);
     }
+    let pinned = call.body.hold().pin();
+    pinned.map_err(|error| sending::no_memory(gateway, call, error))?;
     let mut tried = Vec::new();
     while tried.len() < MAX_PEERS
         && let Some(peer) = next_peer(gateway, call, &tried)
@@ -273,8 +276,8 @@
     waited.map_err(|_| PeerError::TimedOut)
 }
 
-fn request(gateway: &Gateway, call: &Call, progress: &CallProgress) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn request(gateway: &Gateway, call: &Call, progress: &CallProgress) -> Request<SentBody> {
+    let mut request = Request::new(SentBody::from(&call.body));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     let headers = request.headers_mut();
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -58,6 +58,10 @@
     pub workspace_slots: GaugeVec,
     /// Windows of usage whose report was not accepted in time.
     pub duty_calls_missed: IntCounter,
+    /// Bytes that the bodies of requests take.
+    pub body_bytes: IntGauge,
+    /// Calls that were refused for their body, by reason.
+    refused_bodies: IntCounterVec,
 }
 
 /// Metrics of calls that wait for room.
@@ -187,6 +191,15 @@
                 "Calls that resume a stream, by whether its software version was known",
                 &["start"],
             ),
+            body_bytes: gauge(
+                "monsoonbank_body_bytes",
+                "Bytes that the bodies of requests take",
+            ),
+            refused_bodies: counter(
+                "monsoonbank_refused_bodies_total",
+                "Calls that were refused for their body",
+                &["reason"],
+            ),
             duty_calls_missed: plain_counter(
                 "monsoonbank_usage_reports_missed_total",
                 "Windows of usage whose report was not accepted in time",
@@ -241,6 +254,12 @@
         self.notices.with_label_values(&[notice]).inc();
     }
 
+    /// Counts a call that was refused as its body is `too_large`, or as no memory was left while it was
+    /// `reading` its body or `waiting`.
+    pub fn count_refused_body(&self, reason: &str) {
+        self.refused_bodies.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a call that resumes a stream whose start is `known` or `unknown`.
     pub fn count_resumption(&self, start: &str) {
         self.resumptions.with_label_values(&[start]).inc();
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use monsoonbank_kernel::gateway::choice::UpstreamChoice;
 use monsoonbank_kernel::gateway::eligibility;
@@ -15,8 +13,10 @@
 use monsoonbank_platform::answer::{self, AnswerKind};
 use monsoonbank_platform::head::{self, RoutingHeaders};
 
+use crate::account::MemoryError;
+use crate::body::SentBody;
 use crate::gateway::Gateway;
-use crate::gateway::admission::Call;
+use crate::gateway::admission::{self, Call};
 use crate::gateway::attempt::{
     self, AnswerProgress, CallProgress, FailedAttempt, OpenAttempt, WithheldError,
 };
@@ -26,6 +26,9 @@
 use crate::gateway::work::WorkGuard;
 use crate::gateway::{liveness, notices, quarantine, reach, waiting};
 
+/// Phase of a call that waited for an upstream, in lines and metrics.
+const NO_MEMORY_WAITING: &str = "waiting";
+
 /// Sends the call until the head of an answer to it arrives. `after` is the id of the last event
 /// that the caller has received.
 pub async fn next_attempt(
@@ -36,9 +39,15 @@
 ) -> Result<OpenAttempt, FailedAttempt> {
     loop {
         quarantine::check(gateway, call).map_err(|error| FailedAttempt::withheld(error.into()))?;
-        let choice = waiting::wait_for_capacity(gateway, call, progress)
-            .await
-            .map_err(|error| FailedAttempt::new(wait_end(error), &error))?;
+        let choice = tokio::select! {
+            biased;
+            error = call.body.hold().evicted() => return Err(no_memory(gateway, call, error)),
+            found = waiting::wait_for_capacity(gateway, call, progress) => {
+                found.map_err(|error| FailedAttempt::new(wait_end(error), &error))?
+            }
+        };
+        let pinned = call.body.hold().pin();
+        pinned.map_err(|error| no_memory(gateway, call, error))?;
         progress.tried.push(choice.key);
         match send(gateway, call, progress, &choice, after).await {
             Ok(attempt) => return Ok(attempt),
@@ -51,6 +60,15 @@
     }
 }
 
+/// Creates the failure of a call that gave way to another one while it waited. It has not run.
+pub fn no_memory(gateway: &Gateway, call: &Call, error: MemoryError) -> FailedAttempt {
+    admission::record_no_memory(gateway, &call.head.id, NO_MEMORY_WAITING, error);
+    FailedAttempt {
+        pause: Some(error.retry_after),
+        ..FailedAttempt::new(AttemptEnd::NotSent, &error)
+    }
+}
+
 async fn send(
     gateway: &Rc<Gateway>,
     call: &Rc<Call>,
@@ -198,8 +216,8 @@
     fetch_from: Option<SocketAddr>,
     time_left: Duration,
     after: Option<u64>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+) -> Request<SentBody> {
+    let mut request = Request::new(SentBody::from(&call.body));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = call.headers.clone();
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! A monsoonbank node: the network interfaces that connect the kernel to callers, upstreams, the
 //! platform, other nodes and operators.
 
+pub mod account;
 pub mod answers;
 pub mod assembler;
 pub mod body;
--- a/kernel/src/gateway/content.rs
+++ b/kernel/src/gateway/content.rs
@@ -26,21 +26,23 @@
 
 impl ContentDigest {
     /// Computes the digest of a call's parts.
-    pub fn of(parts: ContentParts) -> Self {
+    pub fn of<T: AsRef<[u8]>>(parts: &ContentParts<T>) -> Self {
         let mut hasher = Xxh3::new();
         let workspace = parts.workspace.unwrap_or_default();
         for text in [parts.host, parts.method, parts.target, workspace] {
             hasher.update(&(text.len() as u64).to_le_bytes());
             hasher.update(text.as_bytes());
         }
-        hasher.update(parts.body);
+        for piece in parts.body {
+            hasher.update(piece.as_ref());
+        }
         Self(hasher.digest())
     }
 }
 
 /// Parts of a call that have to be equal for two calls to have the same content.
 #[derive(Clone, Copy, Debug)]
-pub struct ContentParts<'a> {
+pub struct ContentParts<'a, T> {
     /// Host that is called.
     pub host: &'a str,
     /// HTTP method, such as `POST`.
@@ -49,6 +51,6 @@
     pub target: &'a str,
     /// Name of the calling workspace; `None` if the call has none.
     pub workspace: Option<&'a str>,
-    /// Body of the request.
-    pub body: &'a [u8],
+    /// Body of the request, in pieces of any size.
+    pub body: &'a [T],
 }
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -5,6 +5,7 @@
 //! virtual time run the same code.
 
 pub mod addresses;
+pub mod bodies;
 pub mod call;
 pub mod clock;
 pub mod config;
