Let a new connection take the place of a client that stopped in its body

What callers saw: while clients hold all connections of a gateway with bodies that they never finish, however small, an ordinary caller's connection is closed, until the idle timeout. Cause: beyond the limit each new connection was closed, whatever the others did. The count was also taken when a connection's task first ran, so that many accepted at a time passed the limit by more than a hundred. Change: a new connection ends the call whose client stopped first in the middle of its body, and takes its place; connections are counted when they are accepted. Clients of the tests' crowds connect one after the other: the kernel refused some of those that came at once, so that the crowd was smaller than stated.

--- a/daemon/src/gateway/listener.rs
+++ b/daemon/src/gateway/listener.rs
@@ -20,6 +20,9 @@
 
 /// File descriptors reserved for files, upstreams, peers and the store.
 const RESERVED_DESCRIPTORS: usize = 1200;
+/// Number of connections beyond the limit that may be open while those in whose place they come are
+/// being closed.
+const MAX_EXCESS: usize = 64;
 /// Smallest limit that the HTTP parser accepts for a request head, in bytes.
 const MIN_HEAD_BYTES: usize = 8192;
 /// Idle timeout of a caller's connection until a configuration sets one.
@@ -75,10 +78,13 @@
         if !gateway.accepts_calls() {
             return;
         }
-        if gateway.open_connections.get() >= max_connections {
+        let excess = (gateway.open_connections.get() + 1).saturating_sub(max_connections);
+        if excess > 0 && (excess > MAX_EXCESS || !gateway.bodies.evict_stalled()) {
             continue;
         }
-        tokio::task::spawn_local(serve_caller(gateway.clone(), stream));
+        // Counted before the task runs, as many connections may be accepted until then.
+        let count = ConnectionCount::new(&gateway);
+        tokio::task::spawn_local(serve_caller(count, stream));
     }
 }
 
@@ -101,14 +107,14 @@
     }
 }
 
-async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream) {
-    let _count = ConnectionCount::new(&gateway);
+async fn serve_caller(count: ConnectionCount, stream: TcpStream) {
+    let gateway = &count.0;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot disable Nagle's algorithm on a caller's connection: {error}");
     }
     let bounds = gateway.rules().map(|rules| rules.bounds);
     let idle = bounds.map_or(DEFAULT_IDLE_TIMEOUT, |bounds| bounds.idle_timeout);
-    let head = head_bytes(&gateway);
+    let head = head_bytes(gateway);
     let service = service_fn(|request| answer(gateway.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/daemon/tests/crowds/clients.rs
+++ b/daemon/tests/crowds/clients.rs
@@ -55,11 +55,12 @@
     let mut clients = JoinSet::new();
     for number in 0..script.clients {
         let (script, sent, answers) = (script.clone(), sent.clone(), answers.clone());
+        // One after the other, since the kernel refuses connections that come faster than it queues them.
+        let Ok(mut stream) = TcpStream::connect(address).await else {
+            continue;
+        };
         clients.spawn(async move {
             let id = format!("crowd-{number}");
-            let Ok(mut stream) = TcpStream::connect(address).await else {
-                return;
-            };
             // The node may close the connection before all is written.
             let _ = write(&mut stream, &script, &id).await;
             drop(sent);
--- a/daemon/tests/crowds/gateway.rs
+++ b/daemon/tests/crowds/gateway.rs
@@ -168,6 +168,12 @@
     bodies_of_nodes_that_stop_short: NODES, by_node(announced(80, BODY_BYTES, BODY_BYTES - 1, 1));
 }
 
+// Guards against clients that keep all connections with bodies that they never finish, however small.
+presses! {
+    tiny_bodies_that_stop_short: CALLERS, announced(1800, 100, 99, 1);
+    empty_bodies_that_stop_short: CALLERS, announced(1800, 100, 0, 1);
+}
+
 /// Answers well, but holds calls with large bodies.
 fn slow() -> AnswerScript {
     let good = good();
