Bound the memory of request bodies on the product's own interface, and at nodes that others send them to

What callers saw: the same crowds ended a node of the product's own interface. Besides, a completion's body was parsed into values twice, once for as long as its call lasted, and held again as it was written for the engine; a body from another node was held without a bound; each connection read ahead up to 400 kB; a body over the limit was read for as long as its client sent. Change: the interface charges the same ledger as the gateway; a completion counts twice, for the copy that goes to the engine. Only the fields that the router reads are parsed (fields.rs); the others stay text, here and in the body for the engine. Bodies from other nodes are charged; without room the attempt ends as not sent. Connections read 64 KiB ahead.

--- a/daemon/src/account.rs
+++ b/daemon/src/account.rs
@@ -49,6 +49,8 @@
 pub struct BodyAccount {
     clock: MonotonicClock,
     state: Mutex<AccountState>,
+    /// Wakes bodies that wait for the memory of those that give way.
+    released: Notify,
 }
 
 impl BodyAccount {
@@ -61,6 +63,7 @@
         Self {
             clock,
             state: Mutex::new(state),
+            released: Notify::new(),
         }
     }
 
@@ -111,12 +114,31 @@
         }
     }
 
-    /// Sets the memory that the body's bytes take.
+    /// Sets the memory that the body's bytes take, and waits until it may be allocated.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room for more, or if the call gives way to another meanwhile.
+    pub async fn allocate(&self, bytes: usize) -> Result<(), MemoryError> {
+        self.charge(bytes)?;
+        loop {
+            let released = self.account.released.notified();
+            if self.account.lock().ledger.is_settled() {
+                return Ok(());
+            }
+            tokio::select! {
+                () = released => {}
+                error = self.evicted() => return Err(error),
+            }
+        }
+    }
+
+    /// Sets the memory that the body's bytes take, which is allocated already.
     ///
     /// # Errors
     ///
     /// If there is no room for more.
-    pub fn allocate(&self, bytes: usize) -> Result<(), MemoryError> {
+    pub fn charge(&self, bytes: usize) -> Result<(), MemoryError> {
         let mut state = self.account.lock();
         let now = self.account.clock.now();
         match state.ledger.allocate(self.key, bytes, now) {
@@ -168,5 +190,7 @@
         let mut state = self.account.lock();
         state.ledger.close(self.key, now);
         state.waiting.remove(&self.key);
+        drop(state);
+        self.account.released.notify_waiters();
     }
 }
--- a/daemon/src/body.rs
+++ b/daemon/src/body.rs
@@ -6,17 +6,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::{Buf, Bytes};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
-use salvo::http::StatusCode;
-use salvo::prelude::Request;
 use thiserror::Error;
 
 use crate::account::{BodyAccount, BodyHold, MemoryError};
-use crate::refusal::CallerError;
-use crate::shared::NodeShared;
 
 /// Size of the first piece of memory that a body is read into, in bytes. A prompt usually fits.
 const FIRST_SEGMENT_BYTES: usize = 16 << 10;
@@ -72,44 +67,66 @@
         &self.hold
     }
 
-    /// Returns the bytes in one piece, which holds the body's part of the account.
+    /// Returns the bytes in one piece, which holds the body's part of the account until its call ends. Room
+    /// for `copies` more of the same size is charged as well.
     ///
     /// # Errors
     ///
-    /// If there is no room for a copy.
-    pub fn into_bytes(self) -> Result<Bytes, MemoryError> {
-        if let [only] = &*self.segments {
-            return Ok(only.clone());
-        }
+    /// If there is no room.
+    pub async fn into_bytes(self, copies: usize) -> Result<Bytes, MemoryError> {
         let size = self.len();
-        self.hold.allocate(size * 2)?;
-        let bytes = held(self.segments.concat(), &self.hold);
+        self.hold.allocate(size * copies.max(1) + size).await?;
+        let bytes = match &*self.segments {
+            [only] => only.clone(),
+            segments => hold_bytes(segments.concat(), &self.hold),
+        };
         let hold = Arc::clone(&self.hold);
         drop(self);
-        hold.allocate(size)?;
+        hold.charge(size * copies + size)?;
+        hold.pin()?;
         Ok(bytes)
     }
 }
 
 /// Bytes that hold a part of the account as long as they are used.
-struct HeldBytes {
-    bytes: Vec<u8>,
+struct HeldBytes<T> {
+    bytes: T,
     _hold: Arc<BodyHold>,
 }
 
-impl AsRef<[u8]> for HeldBytes {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for HeldBytes<T> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
-fn held(bytes: Vec<u8>, hold: &Arc<BodyHold>) -> Bytes {
+fn hold_bytes<T>(bytes: T, hold: &Arc<BodyHold>) -> Bytes
+where
+    T: AsRef<[u8]> + Send + 'static,
+{
     Bytes::from_owner(HeldBytes {
         bytes,
         _hold: Arc::clone(hold),
     })
 }
 
+/// Charges a whole body that another node sent, and room for `copies` more of the same size, until its
+/// last use.
+///
+/// # Errors
+///
+/// If there is no room.
+pub fn charge_received(
+    account: &Arc<BodyAccount>,
+    body: Bytes,
+    copies: usize,
+) -> Result<Bytes, MemoryError> {
+    let hold = Arc::new(BodyHold::open(account));
+    hold.charge(body.len() * copies + body.len())?;
+    hold.pin()?;
+    Ok(hold_bytes(body, &hold))
+}
+
 /// Memory that a body is being read into.
 struct SegmentBuffer {
     hold: Arc<BodyHold>,
@@ -135,11 +152,11 @@
         }
     }
 
-    fn extend(&mut self, mut data: &[u8]) -> Result<(), MemoryError> {
+    async fn extend(&mut self, mut data: &[u8]) -> Result<(), MemoryError> {
         self.hold.progress();
         while !data.is_empty() {
             if self.last.len() == self.capacity {
-                self.add_segment()?;
+                self.add_segment().await?;
             }
             let (part, rest) = data.split_at(data.len().min(self.capacity - self.last.len()));
             self.last.extend_from_slice(part);
@@ -149,11 +166,11 @@
         Ok(())
     }
 
-    fn add_segment(&mut self) -> Result<(), MemoryError> {
+    async fn add_segment(&mut self) -> Result<(), MemoryError> {
         let doubled = (self.capacity * 2).clamp(FIRST_SEGMENT_BYTES, MAX_SEGMENT_BYTES);
         let left = self.announced.map(|announced| announced - self.received);
         let size = left.map_or(doubled, |left| left.min(doubled));
-        self.hold.allocate(self.allocated + size)?;
+        self.hold.allocate(self.allocated + size).await?;
         self.allocated += size;
         self.seal();
         self.last = Vec::with_capacity(size);
@@ -164,13 +181,13 @@
     fn seal(&mut self) {
         if !self.last.is_empty() {
             let bytes = std::mem::take(&mut self.last);
-            self.full.push(held(bytes, &self.hold));
+            self.full.push(hold_bytes(bytes, &self.hold));
         }
     }
 
     fn finish(mut self) -> Result<RequestBody, MemoryError> {
         self.last.shrink_to_fit();
-        self.hold.allocate(self.received)?;
+        self.hold.charge(self.received)?;
         self.seal();
         self.hold.complete();
         Ok(RequestBody {
@@ -215,7 +232,7 @@
             if buffer.received + data.len() > limits.bytes {
                 return Err(BodyError::TooLarge);
             }
-            buffer.extend(&data)?;
+            buffer.extend(&data).await?;
         }
         Ok(buffer.finish()?)
     };
@@ -281,42 +298,3 @@
         SizeHint::with_exact(left as u64)
     }
 }
-
-/// Maximum number of bytes beyond the limit that are read and discarded, so that a client which reads
-/// only after writing its whole request receives the error. After them the connection is closed.
-const DISCARDED_BYTES: usize = 64 << 20;
-
-/// Reads a request's body, up to the `body_bytes` limit of the settings.
-pub async fn read_body(shared: &NodeShared, request: &mut Request) -> Result<Bytes, CallerError> {
-    let bound = shared.settings.bounds.body_bytes;
-    let mut body = request.take_body();
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.next().await {
-        let frame = frame.map_err(|error| unreadable(&error))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if read.len() + data.len() > bound {
-            discard(body, DISCARDED_BYTES).await;
-            return Err(too_large(bound));
-        }
-        read.extend_from_slice(&data);
-    }
-    Ok(read.freeze())
-}
-
-fn too_large(bound: usize) -> CallerError {
-    CallerError::not_run(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        "too_large",
-        format!("the body is larger than {bound} bytes"),
-    )
-}
-
-fn unreadable(error: &std::io::Error) -> CallerError {
-    CallerError::not_run(
-        StatusCode::BAD_REQUEST,
-        "unreadable_body",
-        format!("the body cannot be read: {error}"),
-    )
-}
--- a/daemon/src/completions.rs
+++ b/daemon/src/completions.rs
@@ -8,19 +8,16 @@
 use monsoonbank_kernel::call::CallOutcome;
 use salvo::http::{HeaderValue, StatusCode};
 use salvo::prelude::{Json, Request, Response, handler};
-use serde_json::{Map, Value};
-use xxhash_rust::xxh3::xxh3_64;
+use serde_json::Value;
 
 use crate::assembler::CompletionAssembler;
-use crate::body::read_body;
+use crate::fields::CompletionFields;
 use crate::frame::{Chunk, RequestParts};
 use crate::refusal::CallerError;
 use crate::requests::{self, CallHandle, RequestShape};
 use crate::shared::NodeShared;
 use crate::sink::CallerEvent;
-
-/// Length of the prompt prefix that determines cache affinity, in bytes.
-const PREFIX_BYTES: usize = 256;
+use crate::upstreams::BODY_COPIES;
 
 /// One of the two completion endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,9 +85,14 @@
         response: &mut Response,
     ) -> Result<(), CallerError> {
         let caller = requests::authenticate(&self.shared, request)?;
-        let body = read_body(&self.shared, request).await?;
-        let fields = parse(&body)?;
-        let shape = shape(self.kind, &fields)?;
+        let body = requests::read_body(&self.shared, request, BODY_COPIES).await?;
+        let fields = CompletionFields::parse(self.kind, &body)?;
+        let shape = RequestShape {
+            model: &fields.model,
+            streamed: fields.streamed,
+            max_tokens: fields.max_tokens,
+            prefix: fields.prefix,
+        };
         let classification = requests::classify(&caller, request, &shape, body.len())?;
         let class = caller
             .config
@@ -105,20 +107,15 @@
             body,
         };
         let handle = requests::open_call(&self.shared, &caller, classification, &shape, parts)?;
-        let include_usage = fields
-            .get("stream_options")
-            .and_then(|options| options.get("include_usage"))
-            .and_then(Value::as_bool)
-            .unwrap_or(false);
         let metadata = CompletionMetadata {
             kind: self.kind,
             id: format!("cmpl-{}", handle.call).into(),
-            model: shape.model.into(),
+            model: fields.model,
             created: unix_seconds(),
             class: class.unwrap_or_default(),
-            include_usage,
+            include_usage: fields.include_usage,
         };
-        if shape.streamed {
+        if fields.streamed {
             self.stream(handle, metadata, response).await
         } else {
             self.whole(handle, &metadata, response).await
@@ -262,82 +259,6 @@
     }
 }
 
-fn parse(body: &[u8]) -> Result<Map<String, Value>, CallerError> {
-    serde_json::from_slice(body).map_err(|error| {
-        CallerError::not_run(
-            StatusCode::BAD_REQUEST,
-            "invalid_json",
-            format!("the body is not a JSON object: {error}"),
-        )
-    })
-}
-
-fn shape(
-    kind: CompletionKind,
-    fields: &Map<String, Value>,
-) -> Result<RequestShape<'_>, CallerError> {
-    let model = fields.get("model").and_then(Value::as_str);
-    let model = model.ok_or_else(|| wrong_field("model", "a string"))?;
-    let streamed = match fields.get("stream") {
-        None | Some(Value::Null) => false,
-        Some(Value::Bool(streamed)) => *streamed,
-        Some(_) => return Err(wrong_field("stream", "a boolean")),
-    };
-    if fields
-        .get("n")
-        .is_some_and(|n| !n.is_null() && n.as_u64() != Some(1))
-    {
-        return Err(wrong_field("n", "1 (one answer a call)"));
-    }
-    let bound = fields
-        .get("max_completion_tokens")
-        .or_else(|| fields.get("max_tokens"));
-    let max_tokens = match bound {
-        None | Some(Value::Null) => 0,
-        Some(bound) => {
-            let bound = bound.as_u64().and_then(|bound| u32::try_from(bound).ok());
-            bound.ok_or_else(|| wrong_field("max_tokens", "a whole number"))?
-        }
-    };
-    Ok(RequestShape {
-        model,
-        streamed,
-        max_tokens,
-        prefix: prefix(kind, fields)?,
-    })
-}
-
-/// Hash of the first bytes of the prompt's text, by which engines identify cached prefixes.
-fn prefix(kind: CompletionKind, fields: &Map<String, Value>) -> Result<u64, CallerError> {
-    let text = match kind {
-        CompletionKind::Chat => match fields.get("messages").and_then(Value::as_array) {
-            Some(messages) if !messages.is_empty() => join_contents(messages),
-            _ => return Err(wrong_field("messages", "a list with at least one message")),
-        },
-        CompletionKind::Text => match fields.get("prompt").and_then(Value::as_str) {
-            Some(prompt) => prompt.to_owned(),
-            None => return Err(wrong_field("prompt", "a string")),
-        },
-    };
-    let bytes = text.as_bytes();
-    Ok(xxh3_64(&bytes[..bytes.len().min(PREFIX_BYTES)]))
-}
-
-fn join_contents(messages: &[Value]) -> String {
-    let contents = messages
-        .iter()
-        .filter_map(|message| message.get("content")?.as_str());
-    contents.collect::<Vec<_>>().join("\n")
-}
-
-fn wrong_field(field: &str, expected: &str) -> CallerError {
-    CallerError::not_run(
-        StatusCode::BAD_REQUEST,
-        "invalid_field",
-        format!("field `{field}`: expected {expected}"),
-    )
-}
-
 /// Collects the body of an answer that is forwarded unchanged.
 pub async fn collect_body(handle: &mut CallHandle) -> Vec<u8> {
     let mut body = Vec::new();
--- a/daemon/src/driver.rs
+++ b/daemon/src/driver.rs
@@ -11,9 +11,9 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::calls::{Delivery, LostAttempt};
-use crate::frame::{Chunk, Frame};
+use crate::frame::{Chunk, Frame, RequestParts};
 use crate::shared::{Input, NodeShared};
-use crate::{links, orders, platform, upstreams};
+use crate::{body, links, orders, platform, upstreams};
 
 /// Interval of the kernel's tick events.
 pub const TICK: Duration = Duration::from_millis(20);
@@ -76,15 +76,7 @@
             kernel.handle(shared.now(), Event::PeerMessage { from, message }, actions);
         }
         Frame::Request(message, parts) => {
-            match &message {
-                Message::Work(WorkMessage::Offer(work)) => {
-                    shared.add_work(work.attempt, from, Arc::new(parts));
-                }
-                Message::Relay(RelayMessage::Call { spec, .. }) => {
-                    shared.calls.open_relayed(spec.call, parts, from);
-                }
-                _ => {}
-            }
+            store_parts(shared, from, &message, parts);
             kernel.handle(shared.now(), Event::PeerMessage { from, message }, actions);
         }
         Frame::Chunk(attempt, index, chunk) => {
@@ -97,6 +89,28 @@
     }
 }
 
+/// Stores the request that a message refers to. Without room for it the attempt ends as not sent.
+fn store_parts(shared: &Arc<NodeShared>, from: NodeId, message: &Message, parts: RequestParts) {
+    let body = body::charge_received(&shared.bodies, parts.body, upstreams::BODY_COPIES);
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            log::warn!("event=no_memory node={from} reason=\"{error}\"");
+            return;
+        }
+    };
+    let parts = RequestParts { body, ..parts };
+    match message {
+        Message::Work(WorkMessage::Offer(work)) => {
+            shared.add_work(work.attempt, from, Arc::new(parts));
+        }
+        Message::Relay(RelayMessage::Call { spec, .. }) => {
+            shared.calls.open_relayed(spec.call, parts, from);
+        }
+        _ => {}
+    }
+}
+
 fn execute(shared: &Arc<NodeShared>, action: Action) {
     match action {
         Action::Send { to, message } => send(shared, to, message),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod driver;
 pub mod error;
 pub mod exit_codes;
+pub mod fields;
 pub mod frame;
 pub mod gateway;
 pub mod links;
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
 
+use crate::account::BodyAccount;
 use crate::error::NodeError;
 use crate::settings::Settings;
 use crate::shared::{NodeShared, SharedParts};
@@ -23,6 +24,8 @@
 /// Maximum number of connections in a listening socket's accept queue.
 const BACKLOG: u32 = 1024;
 
+/// Maximum number of bytes that are read ahead on a connection, which also bounds the head of a request.
+const CONNECTION_BUFFER_BYTES: usize = 64 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Handle of a running node. Dropping it leaves the node running.
@@ -131,8 +134,10 @@
     let [callers, peers, operators] = listeners
         .addresses()
         .map_err(error("nodes", listen.peers))?;
+    let clock = MonotonicClock::new();
     let shared = Arc::new(NodeShared::new(SharedParts {
-        clock: Box::new(MonotonicClock::new()),
+        clock: Box::new(clock),
+        bodies: Arc::new(BodyAccount::new(settings.bounds.memory, clock)),
         client: client().build()?,
         single_use_client: client().pool_max_idle_per_host(0).build()?,
         inputs,
@@ -170,9 +175,10 @@
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(bounds.head_timeout)
         .with_request_body_timeout(bounds.body_timeout);
-    let server = Server::new(acceptor)
+    let mut server = Server::new(acceptor)
         .fuse_config(fuse)
         .max_connections(bounds.connections);
+    server.http1_mut().max_buf_size(CONNECTION_BUFFER_BYTES);
     shared.spawn(async move {
         if let Err(error) = server.try_serve(router).await {
             log::error!("event=server_ended reason=\"{error}\"");
--- a/daemon/src/requests.rs
+++ b/daemon/src/requests.rs
@@ -3,7 +3,9 @@
 
 use std::fmt::Write;
 use std::sync::Arc;
+use std::time::Duration;
 
+use bytes::Bytes;
 use monsoonbank_kernel::call::CallSpec;
 use monsoonbank_kernel::config::{Classification, Config, RequestFacts, WorkspaceSpec};
 use monsoonbank_kernel::event::Event;
@@ -14,11 +16,16 @@
 use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::account::MemoryError;
+use crate::body::{self, BodyError, BodyLimits};
 use crate::frame::RequestParts;
 use crate::refusal::CallerError;
 use crate::shared::NodeShared;
 use crate::sink::{CallReceiver, CallerEvent};
 
+/// Maximum number of bytes beyond the limit that are read and discarded, so that a client which reads
+/// only after writing its whole request receives the error. After them the connection is closed.
+const DISCARDED_BYTES: usize = 64 << 20;
 /// Bytes per token for estimating the size of a prompt.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -73,6 +80,53 @@
     }
 }
 
+/// Reads a request's body, up to the `body_bytes` limit of the settings. Room for `copies` more of the same
+/// size is charged as well, for a body that is written anew for its upstream.
+pub async fn read_body(
+    shared: &NodeShared,
+    request: &mut Request,
+    copies: usize,
+) -> Result<Bytes, CallerError> {
+    let bound = shared.settings.bounds.body_bytes;
+    let limits = BodyLimits {
+        bytes: bound,
+        // The server bounds each pause.
+        timeout: Duration::MAX,
+    };
+    let mut body = request.take_body();
+    let read = body::read_whole(&shared.bodies, limits, &mut body).await;
+    let read = match read {
+        Ok(read) => read.into_bytes(copies).await.map_err(BodyError::from),
+        Err(error) => Err(error),
+    };
+    let error = match read {
+        Ok(bytes) => return Ok(bytes),
+        Err(error) => error,
+    };
+    let message = error.to_string();
+    Err(match error {
+        BodyError::TooLarge => {
+            shared.spawn(body::discard(body, DISCARDED_BYTES));
+            let message = format!("the body is larger than {bound} bytes");
+            CallerError::not_run(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+        }
+        BodyError::Memory(MemoryError { retry_after }) => {
+            log::info!("event=no_memory retry_after={retry_after:?}");
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            CallerError {
+                retry_after: Some(retry_after),
+                ..CallerError::not_run(status, "no_memory", message)
+            }
+        }
+        BodyError::TimedOut => {
+            CallerError::not_run(StatusCode::REQUEST_TIMEOUT, "slow_body", message)
+        }
+        BodyError::Unreadable(_) => {
+            CallerError::not_run(StatusCode::BAD_REQUEST, "unreadable_body", message)
+        }
+    })
+}
+
 /// Authenticates a request by its bearer token. An error means that no configuration is in force yet,
 /// or that the token is missing or unknown.
 pub fn authenticate(
--- a/daemon/src/services.rs
+++ b/daemon/src/services.rs
@@ -7,7 +7,6 @@
 use salvo::http::StatusCode;
 use salvo::prelude::{Request, Response, handler};
 
-use crate::body::read_body;
 use crate::completions::render_raw;
 use crate::frame::{Chunk, RequestParts};
 use crate::refusal::CallerError;
@@ -42,7 +41,7 @@
         response: &mut Response,
     ) -> Result<(), CallerError> {
         let caller = requests::authenticate(&self.shared, request)?;
-        let body = read_body(&self.shared, request).await?;
+        let body = requests::read_body(&self.shared, request, 0).await?;
         let target = request
             .uri()
             .path_and_query()
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::account::BodyAccount;
 use crate::calls::CallTable;
 use crate::changes::ChangeTable;
 use crate::counters::NodeCounters;
@@ -86,6 +87,8 @@
     pub changes: ChangeTable,
     /// Outgoing links to other nodes.
     pub links: LinkTable,
+    /// Memory that the bodies of requests take.
+    pub bodies: Arc<BodyAccount>,
     /// Metrics counted by the daemon itself.
     pub counters: NodeCounters,
     /// HTTP client for repeatable calls and the platform.
@@ -114,6 +117,8 @@
     pub profile: NodeProfile,
     /// Monotonic clock, used for all of the kernel's times.
     pub clock: Box<dyn Clock>,
+    /// Memory that the bodies of requests take.
+    pub bodies: Arc<BodyAccount>,
     /// HTTP client for repeatable calls and the platform.
     pub client: reqwest::Client,
     /// HTTP client without connection reuse, for calls that may not be repeated.
@@ -130,6 +135,7 @@
             mint: KeyMint::new(&parts.profile),
             changes: ChangeTable::default(),
             links: LinkTable::default(),
+            bodies: parts.bodies,
             counters: NodeCounters::default(),
             settings: parts.settings,
             profile: parts.profile,
--- a/daemon/src/upstreams.rs
+++ b/daemon/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! Attempts at upstreams: sends the request, forwards the answer's chunks to the entry node and reports
 //! to the kernel how the attempt ended.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use reqwest::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use reqwest::{Method, Response, StatusCode};
 use serde_json::Value;
+use serde_json::value::{RawValue, to_raw_value};
 use tokio_util::sync::CancellationToken;
 
 use crate::calls::Delivery;
@@ -29,6 +31,10 @@
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Number of tokens between two progress reports to the kernel. The first token is reported, too.
 const PROGRESS_TOKENS: u32 = 16;
+/// Number of copies of a request body that an attempt makes: one that is rewritten for an engine.
+pub const BODY_COPIES: usize = 1;
+/// Largest size of the fields that are added to a request body for an engine, in bytes.
+const ADDED_BYTES: usize = 128;
 /// Maximum size of an engine's error response that is forwarded, in bytes.
 const MAX_ERROR_BYTES: usize = 64 * 1024;
 
@@ -206,18 +212,21 @@
 /// Rewrites a request body for an engine. The answer is always streamed, whatever the caller asked for,
 /// so that a broken answer can be resumed after the tokens received so far.
 fn engine_body(body: &[u8], tier: Tier, resume_from: u32) -> Option<Bytes> {
-    let mut value: Value = serde_json::from_slice(body).ok()?;
-    let fields = value.as_object_mut()?;
-    fields.insert("stream".into(), Value::Bool(true));
-    fields.insert(
-        "stream_options".into(),
-        serde_json::json!({ "include_usage": true }),
-    );
-    fields.insert("priority".into(), tier.0.into());
+    let stream = to_raw_value(&true).ok()?;
+    let options = to_raw_value(&serde_json::json!({ "include_usage": true })).ok()?;
+    let priority = to_raw_value(&tier.0).ok()?;
+    let resumed = to_raw_value(&resume_from).ok()?;
+    // The values stay text: a parsed value takes many times the memory of its text.
+    let mut fields: BTreeMap<Box<str>, &RawValue> = serde_json::from_slice(body).ok()?;
+    fields.insert("stream".into(), &stream);
+    fields.insert("stream_options".into(), &options);
+    fields.insert("priority".into(), &priority);
     if resume_from > 0 {
-        fields.insert("resume_tokens".into(), resume_from.into());
+        fields.insert("resume_tokens".into(), &resumed);
     }
-    serde_json::to_vec(&value).ok().map(Bytes::from)
+    let mut text = Vec::with_capacity(body.len() + ADDED_BYTES);
+    serde_json::to_writer(&mut text, &fields).ok()?;
+    Some(text.into())
 }
 
 async fn forward_stream(running: &mut RunningAttempt, response: Response) -> AttemptEnd {
--- a/daemon/tests/crowds/interface.rs
+++ b/daemon/tests/crowds/interface.rs
@@ -16,43 +16,53 @@
 /// Time for a token of the slow engine.
 const SLOW_STEP: Duration = Duration::from_mins(5);
 
-/// A fleet whose only node runs in a process, and whose engine does not come to its first token.
-struct PressedNode {
+/// A fleet whose nodes run in processes, and whose engine does not come to its first token.
+struct PressedFleet {
     fleet: TestFleet,
-    node: NodeProcess,
+    nodes: Vec<NodeProcess>,
 }
 
-impl PressedNode {
-    async fn start() -> Self {
+impl PressedFleet {
+    async fn start(nodes: usize) -> Self {
         let engine = EngineSettings {
             step: SLOW_STEP,
             ..EngineSettings::default()
         };
         let fleet = TestFleet::start_with_engines(0, vec![engine]).await;
-        let mut settings = settings("node-0", "zone-0", &fleet.log, &fleet.hosts);
-        settings.bounds.body_bytes = BODY_BYTES;
-        settings.bounds.memory = HOST_MEMORY_MB << 20;
-        settings.bounds.body_timeout = Duration::from_mins(2);
-        let node = NodeProcess::start_with(&fleet, settings).await;
-        Self { fleet, node }
+        let mut started = Vec::new();
+        for number in 0..nodes {
+            let name = format!("node-{number}");
+            let mut settings = settings(&name, "zone-0", &fleet.log, &fleet.hosts);
+            settings.bounds.body_bytes = BODY_BYTES;
+            settings.bounds.memory = HOST_MEMORY_MB << 20;
+            settings.bounds.body_timeout = Duration::from_mins(2);
+            started.push(NodeProcess::start_with(&fleet, settings).await);
+        }
+        Self {
+            fleet,
+            nodes: started,
+        }
     }
 
+    /// Presses the first node.
     async fn press(&self, script: ClientScript) -> Crowd {
-        press(self.node.callers, script).await
+        press(self.nodes[0].callers, script).await
     }
 
-    /// Checks that the process lives within its host's memory and answers an ordinary call.
+    /// Checks that each process lives within its host's memory and answers an ordinary call.
     async fn check(&mut self) {
-        let url = format!("http://{}/services/gate/passes/7", self.node.callers);
-        let request = self.fleet.client.post(url).bearer_auth(TOKEN);
-        let answer = request.json(&json!({ "guest": "Kim" })).send().await;
-        let answer = answer.expect("an answer");
-        let status = answer.status();
-        let text = answer.text().await.expect("text");
-        assert_eq!(status, 200, "{text}");
-        let child = &mut self.node.child;
-        assert!(child.try_wait().expect("a child").is_none(), "it ended");
-        check_resources(child.id());
+        for node in &mut self.nodes {
+            let url = format!("http://{}/services/gate/passes/7", node.callers);
+            let request = self.fleet.client.post(url).bearer_auth(TOKEN);
+            let answer = request.json(&json!({ "guest": "Kim" })).send().await;
+            let answer = answer.expect("an answer");
+            let status = answer.status();
+            let text = answer.text().await.expect("text");
+            assert_eq!(status, 200, "{text}");
+            let child = &mut node.child;
+            assert!(child.try_wait().expect("a child").is_none(), "it ended");
+            check_resources(child.id());
+        }
     }
 }
 
@@ -99,6 +109,23 @@
     }
 }
 
+/// Requests of the largest size that are lists of small values, which take many times their text once
+/// they are parsed.
+fn whole_of_values(clients: usize) -> ClientScript {
+    let text = |values: &str| {
+        format!(
+            "{{\"model\":\"writer\",\"stream\":true,\"messages\":[{{\"content\":\"x\"}}],\"v\":[0{values}]}}"
+        )
+    };
+    let rest = BODY_BYTES - text("").len();
+    let mut body = text(&",0".repeat(rest / 2)).into_bytes();
+    body.resize(BODY_BYTES, b' ');
+    ClientScript {
+        body: body.into(),
+        ..announced(clients, BODY_BYTES, 0)
+    }
+}
+
 /// Defines a case: what the clients of a crowd send. All stay open.
 macro_rules! presses {
     ($($name:ident: $script:expr;)*) => {$(
@@ -107,10 +134,10 @@
         #[allow(clippy::await_holding_lock)]
         async fn $name() {
             let _alone = alone();
-            let mut node = PressedNode::start().await;
-            let _crowd = node.press($script).await;
+            let mut fleet = PressedFleet::start(1).await;
+            let _crowd = fleet.press($script).await;
             sleep(STOP_PAUSE).await;
-            node.check().await;
+            fleet.check().await;
         }
     )*};
 }
@@ -123,4 +150,17 @@
     far_too_large_bodies_that_stop: announced(80, 64 * BODY_BYTES, BODY_BYTES - 1);
     far_too_many_chunks: chunked(80, 4 * BODY_BYTES, 64 << 10);
     whole_bodies_at_a_slow_engine: whole(80);
+    whole_bodies_of_small_values: whole_of_values(80);
+}
+
+// Guards against bodies that are held without a bound at the node that owns the engine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[allow(clippy::await_holding_lock)]
+async fn whole_bodies_that_go_to_another_node() {
+    let _alone = alone();
+    let mut fleet = PressedFleet::start(2).await;
+    let _first = press(fleet.nodes[0].callers, whole(80)).await;
+    let _second = press(fleet.nodes[1].callers, whole(80)).await;
+    sleep(STOP_PAUSE).await;
+    fleet.check().await;
 }
--- a/kernel/src/bodies.rs
+++ b/kernel/src/bodies.rs
@@ -36,6 +36,17 @@
     Waiting,
     /// The call was sent to an upstream, so it keeps its body until it ends.
     Sent,
+    /// The call gives way, and its memory is not released yet.
+    Leaving,
+}
+
+impl BodyPhase {
+    fn gives_way(self) -> bool {
+        match self {
+            Self::Reading(_) | Self::Waiting => true,
+            Self::Sent | Self::Leaving => false,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -47,7 +58,8 @@
 /// Whether a body got the memory that it asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BodyGrant {
-    /// It did. These bodies give way: their calls have not run and are refused.
+    /// It did, once the bodies that give way are closed. These give way now: their calls have not run and
+    /// are refused.
     Granted(Vec<BodyKey>),
     /// There is no room, and the call is refused.
     Refused {
@@ -107,6 +119,7 @@
 pub struct BodyLedger {
     limit: usize,
     held: usize,
+    leaving: usize,
     bodies: BTreeMap<BodyKey, BodyEntry>,
     released: ReleaseCount,
     next_key: u64,
@@ -118,6 +131,7 @@
         Self {
             limit: memory / MEMORY_DIVISOR,
             held: 0,
+            leaving: 0,
             bodies: BTreeMap::new(),
             released: ReleaseCount::default(),
             next_key: 0,
@@ -129,6 +143,11 @@
         self.held
     }
 
+    /// Whether granted memory may be allocated: enough of the bodies that give way are closed.
+    pub fn is_settled(&self) -> bool {
+        self.held <= self.limit || self.leaving == 0
+    }
+
     /// Bytes that all bodies may take.
     pub fn limit(&self) -> usize {
         self.limit
@@ -159,9 +178,10 @@
 
     /// Sets the memory that is allocated for a body's bytes. If it grows beyond what is left, clients that
     /// have stopped give way, the one that stopped first before the others; then bodies that are larger
-    /// and were not sent yet, the largest first. A refused body is removed.
+    /// and were not sent yet, the largest first. A refused body gives way itself.
     pub fn allocate(&mut self, key: BodyKey, bytes: usize, now: Duration) -> BodyGrant {
-        let Some(entry) = self.bodies.get_mut(&key) else {
+        let entry = self.bodies.get_mut(&key);
+        let Some(entry) = entry.filter(|entry| entry.phase != BodyPhase::Leaving) else {
             let retry_after = self.retry_after(now);
             return BodyGrant::Refused { retry_after };
         };
@@ -169,37 +189,40 @@
         if matches!(entry.phase, BodyPhase::Reading(_)) {
             entry.phase = BodyPhase::Reading(now);
         }
-        let grows = bytes > entry.bytes;
-        self.held = self.held - entry.bytes + bytes;
+        let before = entry.bytes;
+        let grows = bytes > before;
+        self.held = self.held - before + bytes;
         entry.bytes = bytes;
         let spare = (bytes * SPARE_BODIES).min(self.limit / SPARE_DIVISOR);
-        let excess = self.held.saturating_sub(self.limit.saturating_sub(spare));
+        let staying = self.held - self.leaving;
+        let excess = staying.saturating_sub(self.limit.saturating_sub(spare));
         let evicted = if grows && excess > 0 {
             self.victims(bytes, excess, now)
         } else {
             Some(Vec::new())
         };
         let Some(evicted) = evicted else {
-            self.remove(key);
+            self.set_bytes(key, before);
+            self.leave(key);
             let retry_after = self.retry_after(now);
             return BodyGrant::Refused { retry_after };
         };
         for victim in &evicted {
-            self.remove(*victim);
+            self.leave(*victim);
         }
         BodyGrant::Granted(evicted)
     }
 
     /// Records that a byte of a body arrived.
     pub fn progress(&mut self, key: BodyKey, now: Duration) {
-        if let Some(entry) = self.bodies.get_mut(&key) {
+        if let Some(entry) = self.staying(key) {
             entry.phase = BodyPhase::Reading(now);
         }
     }
 
     /// Records that a body is whole.
     pub fn complete(&mut self, key: BodyKey) {
-        if let Some(entry) = self.bodies.get_mut(&key) {
+        if let Some(entry) = self.staying(key) {
             entry.phase = BodyPhase::Waiting;
         }
     }
@@ -210,28 +233,48 @@
     ///
     /// If it gave way before.
     pub fn pin(&mut self, key: BodyKey) -> Result<(), BodyEvicted> {
-        let entry = self.bodies.get_mut(&key).ok_or(BodyEvicted)?;
+        let entry = self.staying(key).ok_or(BodyEvicted)?;
         entry.phase = BodyPhase::Sent;
         Ok(())
     }
 
-    /// Removes a body whose call has ended. Has no effect on one that gave way.
+    /// Removes a body whose memory is released.
     pub fn close(&mut self, key: BodyKey, now: Duration) {
-        let bytes = self.remove(key);
-        self.released.add(bytes, now);
+        let Some(entry) = self.bodies.remove(&key) else {
+            return;
+        };
+        self.held -= entry.bytes;
+        if entry.phase == BodyPhase::Leaving {
+            self.leaving -= entry.bytes;
+        } else {
+            self.released.add(entry.bytes, now);
+        }
     }
 
-    fn remove(&mut self, key: BodyKey) -> usize {
-        let bytes = self.bodies.remove(&key).map_or(0, |entry| entry.bytes);
-        self.held -= bytes;
-        bytes
+    fn staying(&mut self, key: BodyKey) -> Option<&mut BodyEntry> {
+        let entry = self.bodies.get_mut(&key)?;
+        (entry.phase != BodyPhase::Leaving).then_some(entry)
+    }
+
+    fn leave(&mut self, key: BodyKey) {
+        if let Some(entry) = self.staying(key) {
+            entry.phase = BodyPhase::Leaving;
+            self.leaving += entry.bytes;
+        }
+    }
+
+    fn set_bytes(&mut self, key: BodyKey, bytes: usize) {
+        if let Some(entry) = self.bodies.get_mut(&key) {
+            self.held = self.held - entry.bytes + bytes;
+            entry.bytes = bytes;
+        }
     }
 
-    /// Removes the body of the client that stopped first, so that another client can have its
+    /// Lets the body of the client that stopped first give way, so that another client can have its
     /// connection; `None` if no client has stopped.
     pub fn evict_stalled(&mut self, now: Duration) -> Option<BodyKey> {
         let ((_, stalled), _) = self.stalled(now).pop_first()?;
-        self.remove(stalled);
+        self.leave(stalled);
         Some(stalled)
     }
 
@@ -266,7 +309,7 @@
         let mut larger: Vec<(usize, BodyKey)> = self
             .bodies
             .iter()
-            .filter(|(_, entry)| entry.phase != BodyPhase::Sent && entry.bytes > bytes)
+            .filter(|(_, entry)| entry.phase.gives_way() && entry.bytes > bytes)
             .map(|(key, entry)| (entry.bytes, *key))
             .collect();
         larger.sort_unstable_by_key(|(size, key)| (Reverse(*size), *key));
--- a/kernel/tests/bodies.rs
+++ b/kernel/tests/bodies.rs
@@ -32,6 +32,14 @@
     ledger.allocate(key, size * KIB, now)
 }
 
+/// Closes bodies that gave way, and returns the memory that is held then.
+fn evicted_are_closed(ledger: &mut BodyLedger, places: &[usize], keys: &[BodyKey]) -> usize {
+    for place in places {
+        ledger.close(keys[*place], at(10));
+    }
+    ledger.held()
+}
+
 /// Defines a case: bodies that are being read (KiB, second of the last byte), and those of them that
 /// give way to a new body of a size at 10 s.
 macro_rules! evicts {
@@ -42,7 +50,8 @@
             let evicted: &[usize] = &$evicted;
             let evicted = evicted.iter().map(|place| keys[*place]).collect();
             assert_eq!(allocate(&mut ledger, $size, at(10)), BodyGrant::Granted(evicted));
-            assert!(ledger.held() <= LIMIT);
+            assert!(evicted_are_closed(&mut ledger, &$evicted, &keys) <= LIMIT);
+            assert!(ledger.is_settled());
         }
     )*};
 }
@@ -66,8 +75,10 @@
 #[test]
 fn a_body_is_refused_rather_than_a_smaller_one() {
     let (mut ledger, _) = ledger(&[(250, 10), (250, 10), (250, 10)]);
-    let granted = allocate(&mut ledger, 300, at(10));
+    let key = ledger.open(at(10));
+    let granted = ledger.allocate(key, 300 * KIB, at(10));
     assert!(matches!(granted, BodyGrant::Refused { .. }), "{granted:?}");
+    ledger.close(key, at(10));
     assert_eq!(ledger.len(), 3);
 }
 
@@ -110,6 +121,16 @@
     assert_eq!(ledger.pin(keys[0]), Ok(()));
 }
 
+#[test]
+fn memory_that_gives_way_counts_until_it_is_released() {
+    let (mut ledger, keys) = ledger(&[(600, 1), (150, 10)]);
+    let granted = allocate(&mut ledger, 400, at(10));
+    assert_eq!(granted, BodyGrant::Granted(vec![keys[0]]));
+    assert!(!ledger.is_settled(), "{} bytes are held", ledger.held());
+    ledger.close(keys[0], at(10));
+    assert!(ledger.is_settled());
+}
+
 #[test]
 fn a_connection_is_taken_from_the_client_that_stopped_first() {
     let (mut ledger, keys) = ledger(&[(1, 5), (1, 2), (1, 10)]);
@@ -220,11 +241,15 @@
                             prop_assert!(bodies[place].live);
                             for key in evicted {
                                 end(&mut bodies, key);
+                                prop_assert!(ledger.held() > 0);
+                                ledger.close(key, now);
                             }
+                            prop_assert!(ledger.is_settled());
                         }
                         BodyGrant::Refused { retry_after } => {
                             prop_assert!(retry_after >= at(1) && retry_after <= at(10));
                             bodies[place].live = false;
+                            ledger.close(key, now);
                         }
                     }
                     // Only the heads of calls may exceed the limit.
@@ -248,6 +273,7 @@
                 HistoryStep::EvictStalled => {
                     if let Some(key) = ledger.evict_stalled(now) {
                         end(&mut bodies, key);
+                        ledger.close(key, now);
                     }
                 }
                 _ => {}
