Refuse a body that finds no room on an idle node as too large

What callers would see: where the limit of one body is above what the host can hold, 503 with a Retry-After after which the same happens again. Cause: the limit of one body knew nothing of the bound on all. Change: a body over the largest that an idle node has room for is refused with 413, unread if it is announced. Found by reading, no run showed it; the_largest_body_is_granted_in_calm holds the size.

--- a/daemon/src/account.rs
+++ b/daemon/src/account.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Returns the largest size of a body that finds room if it is the only one, in bytes.
+    pub fn largest(&self) -> usize {
+        self.lock().ledger.largest()
+    }
+
     /// Ends the call whose client stopped first in the middle of its body. Returns whether there was
     /// one.
     pub fn evict_stalled(&self) -> bool {
--- a/daemon/src/gateway/admission.rs
+++ b/daemon/src/gateway/admission.rs
@@ -279,7 +279,7 @@
     };
     let bounds = rules.bounds;
     let limits = BodyLimits {
-        bytes: bounds.body_bytes,
+        bytes: bounds.body_bytes.min(gateway.bodies.largest()),
         timeout: bounds.idle_timeout,
     };
     let error = match body::read_whole(&gateway.bodies, limits, &mut body).await {
--- a/daemon/src/requests.rs
+++ b/daemon/src/requests.rs
@@ -87,7 +87,8 @@
     request: &mut Request,
     copies: usize,
 ) -> Result<Bytes, CallerError> {
-    let bound = shared.settings.bounds.body_bytes;
+    let largest = shared.bodies.largest() / (copies.max(1) + 1);
+    let bound = shared.settings.bounds.body_bytes.min(largest);
     let limits = BodyLimits {
         bytes: bound,
         // The server bounds each pause.
--- a/kernel/src/bodies.rs
+++ b/kernel/src/bodies.rs
@@ -153,6 +153,16 @@
         self.limit
     }
 
+    /// Largest size of a body that finds room if it is the only one, in bytes.
+    pub fn largest(&self) -> usize {
+        self.ceiling().saturating_sub(CALL_BYTES)
+    }
+
+    /// Bytes that all bodies may take beside one that leaves as much free as any.
+    fn ceiling(&self) -> usize {
+        self.limit - self.limit / SPARE_DIVISOR
+    }
+
     /// Number of bodies.
     pub fn len(&self) -> usize {
         self.bodies.len()
@@ -286,9 +296,8 @@
             .values()
             .filter(|entry| entry.phase == BodyPhase::Sent);
         let sent: usize = sent.map(|entry| entry.bytes).sum();
-        let ceiling = self.limit - self.limit / SPARE_DIVISOR;
-        self.released
-            .time_for(sent.saturating_sub(ceiling / 2), now)
+        let excess = sent.saturating_sub(self.ceiling() / 2);
+        self.released.time_for(excess, now)
     }
 
     /// Returns the bodies whose clients have stopped, by the time of their last byte.
--- a/kernel/tests/bodies.rs
+++ b/kernel/tests/bodies.rs
@@ -66,10 +66,16 @@
 }
 
 #[test]
-fn one_body_of_three_quarters_of_the_limit_is_granted_in_calm() {
+fn the_largest_body_is_granted_in_calm() {
     let mut ledger = BodyLedger::new(MEMORY);
-    let granted = allocate(&mut ledger, 767, at(1));
-    assert_eq!(granted, BodyGrant::Granted(Vec::new()));
+    assert_eq!(ledger.largest(), 767 * KIB);
+    assert_eq!(
+        allocate(&mut ledger, 767, at(1)),
+        BodyGrant::Granted(Vec::new())
+    );
+    let mut ledger = BodyLedger::new(MEMORY);
+    let granted = allocate(&mut ledger, 768, at(1));
+    assert!(matches!(granted, BodyGrant::Refused { .. }), "{granted:?}");
 }
 
 #[test]
