--- a/daemon/tests/crowds/interface.rs
+++ b/daemon/tests/crowds/interface.rs
@@ -84,6 +84,13 @@
     }
 }
 
+fn in_pieces(script: ClientScript) -> ClientScript {
+    ClientScript {
+        pieces: 64,
+        ..script
+    }
+}
+
 fn chunked(clients: usize, size: usize, chunk_size: usize) -> ClientScript {
     ClientScript {
         clients,
@@ -145,6 +152,8 @@
 // Guards against bodies that are held without a bound in total: a node ran out of memory.
 presses! {
     bodies_that_stop_short: announced(80, BODY_BYTES, BODY_BYTES - 1);
+    bodies_in_pieces_that_stop_short: in_pieces(announced(80, BODY_BYTES, BODY_BYTES - 1));
+    far_too_large_bodies: announced(80, 4 * BODY_BYTES, 4 * BODY_BYTES);
     large_chunks_without_end: chunked(80, BODY_BYTES - 1, 256 << 10);
     chunks_of_one_byte_without_end: chunked(16, BODY_BYTES / 2, 1);
     far_too_large_bodies_that_stop: announced(80, 64 * BODY_BYTES, BODY_BYTES - 1);
