--- a/review/standins-2/src/bin/case-crowd.rs
+++ b/review/standins-2/src/bin/case-crowd.rs
@@ -163,6 +163,7 @@
     let mut number = 0;
     let mut ended = false;
     let mut held = 0;
+    let (mut checks, mut ready) = (0, 0);
     while start.elapsed() < PLAYED {
         number += 1;
         let results = results.clone();
@@ -174,6 +175,12 @@
                 results.push((at, seen.contains(&200)));
             }
         }));
+        if number % 10 == 0 {
+            checks += 1;
+            let is_ready = machine.is_ready();
+            ready += usize::from(is_ready);
+            record::line(&format!("GET /readyz: {}", if is_ready { "200" } else { "not ready" }));
+        }
         if number % 20 == 0 {
             record::line(&format!(
                 "the crowd has {} channels; the process holds {} kB, {held} kB at most",
@@ -211,6 +218,7 @@
     let served = results.iter().filter(|(_, served)| *served).count();
     record::say(&format!(
         "{served} of {} ordinary requests were answered; in the worst {} s, from {:.1} s on, {} of {}; \
+         ready at {ready} of {checks} checks; \
          memory {held} kB at most without what files back, {peak} kB with it, of {} kB; the process {}",
         results.len(),
         WINDOW.as_secs(),
