--- a/review/standins-2/src/bin/case-resume.rs
+++ b/review/standins-2/src/bin/case-resume.rs
@@ -1,7 +1,8 @@
-//! Streams that were begun before a change of weights are taken up again after it.
+//! Streams that broke off are taken up again, after a change of weights or after the loss of all machines.
 //!
-//! TROUBLE=0: no change of weights and no machine is killed. CHANGE=0: a machine is killed, but the
-//! weights stay.
+//! `case-resume RECORD weights`: the weights change, later one machine of three is killed. TROUBLE=0:
+//! neither; CHANGE=0: a machine is killed, but the weights stay.
+//! `case-resume RECORD killed`: all machines are killed at once, and start again. TROUBLE=0: they aren't.
 
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -21,6 +22,10 @@
 /// more than `configApplyMs` (2,000).
 const CHANGE_AT: Duration = Duration::from_millis(1000);
 const KILL_AT: Duration = Duration::from_millis(3500);
+/// Time after which machines that were killed start again, and time from then on until they are in touch
+/// (`contactMs` is 3,000).
+const DOWN: Duration = Duration::from_millis(500);
+const IN_TOUCH: Duration = Duration::from_millis(3500);
 
 /// The first sheet's `lease-digest` route, split between two services as in the bench's example.
 fn config(version: u64, weights: [u32; 2]) -> String {
@@ -115,7 +120,8 @@
 fn main() {
     let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".into());
     record::open(&path);
-    let change = trouble() && std::env::var("CHANGE").map_or(true, |value| value != "0");
+    let all = std::env::args().nth(2).as_deref() == Some("killed");
+    let change = !all && trouble() && std::env::var("CHANGE").map_or(true, |value| value != "0");
     let folder = node::folder("case-resume");
     let store = Store::start(SocketAddr::new(node::host(200), 0));
     let runs = Runs::default();
@@ -132,11 +138,14 @@
         ));
     }
     let hosts = [node::host(1), node::host(2), node::host(3)];
-    let machines: Vec<Node> = hosts
-        .iter()
-        .enumerate()
-        .map(|(number, host)| Node::start(&folder, &format!("front-akl-east-{}", number + 1), "akl-east", *host, &hosts, store.address, node::SMALL))
-        .collect();
+    let start_all = || -> Vec<Node> {
+        let hosts_and_numbers = hosts.iter().enumerate();
+        let start = |(number, host): (usize, &std::net::IpAddr)| {
+            Node::start(&folder, &format!("front-akl-east-{}", number + 1), "akl-east", *host, &hosts, store.address, node::SMALL)
+        };
+        hosts_and_numbers.map(start).collect()
+    };
+    let mut machines = start_all();
     if !until(Duration::from_secs(20), || machines.iter().all(Node::is_ready)) {
         cannot_run("the machines aren't ready");
     }
@@ -158,6 +167,10 @@
                 return;
             }
             let server = runs.lock().map(|runs| runs.get(&id).cloned()).ok().flatten().unwrap_or_default();
+            // They are taken up at machines that are in touch, which takes a while if all were killed.
+            if all {
+                std::thread::sleep(DOWN + IN_TOUCH);
+            }
             let again = format!("b{number}");
             let left = limit.saturating_sub(since.elapsed());
             record::line(&format!("consumer takes {id} (begun at {server}) up as {again} after event {}", begun.last));
@@ -174,7 +187,20 @@
         record::line("the operator changes the weights from 90 and 10 to 10 and 90; the store has acknowledged it");
     }
     std::thread::sleep(KILL_AT.saturating_sub(start.elapsed()));
-    if trouble() {
+    if trouble() && all {
+        for machine in &machines {
+            machine.signal(node::SIGKILL);
+        }
+        record::line("SIGKILL to all machines");
+        drop(std::mem::take(&mut machines));
+        std::thread::sleep(DOWN);
+        machines = start_all();
+        record::line("all machines start again");
+        if !until(IN_TOUCH, || machines.iter().all(Node::is_ready)) {
+            cannot_run("the machines aren't ready again");
+        }
+        std::thread::sleep((KILL_AT + DOWN + IN_TOUCH).saturating_sub(start.elapsed()));
+    } else if trouble() {
         machines[0].signal(node::SIGKILL);
         record::line("SIGKILL to front-akl-east-1");
     }
