--- a/review/standins-2/src/bin/case-resume.rs
+++ b/review/standins-2/src/bin/case-resume.rs
@@ -1,6 +1,6 @@
 //! Streams that broke off are taken up again, after a change of weights or after the loss of all machines.
 //!
-//! `case-resume RECORD weights`: the weights change, later one machine of three is killed. TROUBLE=0:
+//! `case-resume RECORD weights`: the weights change, later one machine of six is killed. TROUBLE=0:
 //! neither; CHANGE=0: a machine is killed, but the weights stay.
 //! `case-resume RECORD killed`: all machines are killed at once, and start again. TROUBLE=0: they aren't.
 
@@ -137,11 +137,14 @@
             r#"{{"service":"{service}","address":"{at}","zone":"akl-east","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"stage":"colocated","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":4}}"#
         ));
     }
-    let hosts = [node::host(1), node::host(2), node::host(3)];
+    // The sheet's six machines in three zones.
+    let hosts: Vec<std::net::IpAddr> = (1..=6).map(node::host).collect();
     let start_all = || -> Vec<Node> {
         let hosts_and_numbers = hosts.iter().enumerate();
         let start = |(number, host): (usize, &std::net::IpAddr)| {
-            Node::start(&folder, &format!("front-akl-east-{}", number + 1), "akl-east", *host, &hosts, store.address, node::SMALL)
+            let zone = ["akl-east", "akl-north", "akl-west"][number / 2];
+            let name = format!("front-{zone}-{}", number % 2 + 1);
+            Node::start(&folder, &name, zone, *host, &hosts[..3], store.address, node::SMALL)
         };
         hosts_and_numbers.map(start).collect()
     };
@@ -151,7 +154,7 @@
     }
     std::thread::sleep(Duration::from_secs(5));
     let first = machines[0].callers();
-    let others = [machines[1].callers(), machines[2].callers()];
+    let others: [SocketAddr; 5] = std::array::from_fn(|number| machines[number + 1].callers());
     let taken: Arc<Mutex<Vec<(String, Attempt)>>> = Arc::default();
     let mut threads = Vec::new();
     let start = Instant::now();
@@ -174,7 +177,7 @@
             let again = format!("b{number}");
             let left = limit.saturating_sub(since.elapsed());
             record::line(&format!("consumer takes {id} (begun at {server}) up as {again} after event {}", begun.last));
-            let resumed = attempt(others[number % 2], &again, Some((&id, begun.last)), left);
+            let resumed = attempt(others[number % 5], &again, Some((&id, begun.last)), left);
             record::line(&format!("consumer: {again} got {}, {} events, up to {}, complete: {}", resumed.status, resumed.events, resumed.last, resumed.complete));
             if let Ok(mut taken) = taken.lock() {
                 taken.push((server, resumed));
@@ -208,7 +211,7 @@
         .map(|number| {
             std::thread::spawn(move || {
                 let id = format!("n{number}");
-                let begun = attempt(others[number % 2], &id, None, Duration::from_secs(15));
+                let begun = attempt(others[number % 5], &id, None, Duration::from_secs(15));
                 record::line(&format!("consumer: new stream {id} got {}, {} events, complete: {}", begun.status, begun.events, begun.complete));
                 begun.events > 0
             })
