Review stand-ins: no process outlives a case

A case that couldn't run, or was ended from outside, left its nodes behind. They are now killed, and end with the case.

--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -24,6 +24,7 @@
 /// Ends the case: 2 means that it couldn't run.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("cannot run: {reason}");
+    node::kill_all();
     std::process::exit(2)
 }
 
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -1,14 +1,30 @@
 //! Starts the project's program as the deploy file does.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use crate::http;
 
 extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+
+/// Processes that were started and not waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all processes that were started, for a case that can't run.
+pub fn kill_all() {
+    for process in RUNNING.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+        // SAFETY: the process was started here and has not been waited for.
+        unsafe { kill(process as i32, SIGKILL) };
+    }
 }
 
 pub const SIGTERM: i32 = 15;
@@ -42,6 +58,8 @@
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = self.child.kill();
+        let process = self.child.id();
+        RUNNING.lock().unwrap_or_else(PoisonError::into_inner).retain(|known| *known != process);
         let _ = self.child.wait();
     }
 }
@@ -68,13 +86,22 @@
         }
         let log = std::fs::File::options().create(true).append(true).open(log);
         let output = log.map_or_else(|_| Stdio::null(), Stdio::from);
-        let child = Command::new("target/release/monsoonbankd")
+        let mut command = Command::new("target/release/monsoonbankd");
+        // SAFETY: only a system call is made. The process ends with the case, also if that is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let child = command
             .arg("gateway")
             .env("MONSOONBANK_BOOT", &settings)
             .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|error| crate::cannot_run(&format!("monsoonbankd: {error}")));
+        RUNNING.lock().unwrap_or_else(PoisonError::into_inner).push(child.id());
         Self { child, host, name: name.into() }
     }
 
