--- a/cli/src/why.rs
+++ b/cli/src/why.rs
@@ -290,7 +290,7 @@
     let waited = last("waited").filter(|line| line["found"] == false);
     if let (Some(waited), Some(matched)) = (waited, last("matched")) {
         return CallCause::NoCapacity {
-            pool: text(matched, "pool"),
+            pool: text(last("pool_kept").unwrap_or(matched), "pool"),
             tier: number(matched, "tier"),
             waited_ms: number(waited, "waited_ms"),
         };
--- a/daemon/src/gateway/admission.rs
+++ b/daemon/src/gateway/admission.rs
@@ -43,7 +43,7 @@
 }
 
 /// A call that was admitted by the rules.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Call {
     /// Where it came from.
     pub origin: CallOrigin,
@@ -101,6 +101,18 @@
         }
     }
 
+    /// Returns the call as it is served by another pool of its rule.
+    #[must_use]
+    pub fn at_pool(&self, rules: &RuleTable, pool: &str) -> Self {
+        Self {
+            pool: pool.into(),
+            engine: rules.pool(pool).and_then(|pool| pool.engine),
+            shortest_target: rules.shortest_target(pool, self.class.tier),
+            yielding_target: rules.yielding_target(pool, self.tier),
+            ..self.clone()
+        }
+    }
+
     /// Returns a uniform number that is the same for each attempt at this call.
     pub fn turn(&self) -> u64 {
         id_hash(&self.head.id)
--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -84,6 +84,15 @@
         /// Time that it took, in ms.
         took_ms: u64,
     },
+    /// A call that resumes a stream goes to the pool that began it.
+    PoolKept {
+        /// Id of the call.
+        call: &'a str,
+        /// Name of that pool.
+        pool: &'a str,
+        /// Name of the pool that the weights in force select for it.
+        drawn: &'a str,
+    },
     /// No upstream that a call was not sent to is left of the software version that began its stream.
     VersionGone {
         /// Id of the call.
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -26,7 +26,7 @@
 const RANK_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Sends a call to upstreams and returns the answer for the caller.
-pub async fn forward(gateway: Rc<Gateway>, call: Rc<Call>) -> Reply {
+pub async fn forward(gateway: Rc<Gateway>, mut call: Rc<Call>) -> Reply {
     let mut tracker = CallTracker::new(&gateway, &call);
     let mut progress = CallProgress::new(call.origin);
     match starts::find(&gateway, &call).await {
@@ -36,6 +36,10 @@
             return give_up(&gateway, tracker, &progress, failed);
         }
     }
+    if let Some(bound) = starts::at_first_pool(&gateway, &call, progress.software) {
+        call = Rc::new(bound);
+        tracker.set_call(&call);
+    }
     loop {
         let attempt = match sending::next_attempt(&gateway, &call, &mut progress, None).await {
             Ok(attempt) => attempt,
--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -147,6 +147,32 @@
     found.map(Some)
 }
 
+/// Returns a call as it is served by the pool that began its stream, if that is another one than was
+/// drawn for it and the call's rule allows it. The draw follows the weights, which may have changed
+/// since.
+pub fn at_first_pool(
+    gateway: &Gateway,
+    call: &Call,
+    software: Option<SoftwareKey>,
+) -> Option<Call> {
+    let software = software?;
+    let rules = gateway.rules()?;
+    let rule = rules.find(&call.head.host, call.target.path())?;
+    let registry = gateway.registry.borrow();
+    let pool = rule
+        .allowed_pools()
+        .find(|pool| registry.has_software(pool, software))?;
+    if *pool == *call.pool {
+        return None;
+    }
+    gateway.decisions.record(CallDecision::PoolKept {
+        call: &call.head.id,
+        pool,
+        drawn: &call.pool,
+    });
+    Some(call.at_pool(&rules, pool))
+}
+
 /// Returns the software version that must have begun a call's stream, whichever attempt that was: the
 /// only one that its pool had while the stream can have begun.
 fn sole_version(gateway: &Gateway, call: &Call) -> Option<SoftwareKey> {
--- a/daemon/src/gateway/tracker.rs
+++ b/daemon/src/gateway/tracker.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Tracks the call as it is served by another pool.
+    pub fn set_call(&mut self, call: &Rc<Call>) {
+        self.call = call.clone();
+    }
+
     /// Sets the outcome that is recorded. Without one, the caller counts as having left.
     pub fn set(&mut self, outcome: CallOutcome) {
         self.outcome = outcome;
--- a/daemon/tests/gateway/versions.rs
+++ b/daemon/tests/gateway/versions.rs
@@ -1,6 +1,7 @@
 //! Upstreams of two software versions: a stream goes on only at the version that began it.
 
 mod losses;
+mod pools;
 mod unknown;
 mod upstreams;
 
--- a/kernel/src/gateway/registry/candidates.rs
+++ b/kernel/src/gateway/registry/candidates.rs
@@ -59,6 +59,12 @@
         keys.filter_map(|key| self.upstreams.get(&key).map(|upstream| (key, upstream)))
     }
 
+    /// Whether a pool has upstreams that accept new calls and run this software version.
+    pub fn has_software(&self, pool: &str, software: SoftwareKey) -> bool {
+        let mut upstreams = self.usable(pool);
+        upstreams.any(|(_, upstream)| upstream.entry.software() == software)
+    }
+
     /// Whether a pool has upstreams that accept new calls and run another software version.
     pub fn has_other_software(&self, pool: &str, software: SoftwareKey) -> bool {
         let mut upstreams = self.usable(pool);
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -355,4 +355,13 @@
         }
         &self.pools[0].pool
     }
+
+    /// Pools that calls may be given to: those with a weight, or the first one if none has any.
+    pub fn allowed_pools(&self) -> impl Iterator<Item = &str> {
+        let weighs = |share: &&PoolShare| share.weight > 0;
+        let any_weighs = self.pools.iter().any(|share| share.weight > 0);
+        let first = self.pools.first().filter(|_| !any_weighs);
+        let allowed = self.pools.iter().filter(weighs).chain(first);
+        allowed.map(|share| &*share.pool)
+    }
 }
