--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -68,6 +68,7 @@
 use monsoonbank_kernel::gateway::heartbeat::NodeState;
 use monsoonbank_kernel::gateway::lag::VersionLag;
 use monsoonbank_kernel::gateway::pace::{StreamKind, StreamPace};
+use monsoonbank_kernel::gateway::pool_changes::PoolChanges;
 use monsoonbank_kernel::gateway::reach::ReachMonitor;
 use monsoonbank_kernel::gateway::registry::{UpstreamKey, UpstreamRegistry};
 use monsoonbank_kernel::gateway::returns::ReturnList;
@@ -112,6 +113,8 @@
     pub clock: MonotonicClock,
     /// Rules of the configuration in force; `None` until the first configuration is applied.
     pub table: RefCell<Option<Rc<RuleTable>>>,
+    /// Rules that have changed their pools.
+    pub pool_changes: RefCell<PoolChanges>,
     /// Text of the configuration in force and its recent predecessors, from which patches for other
     /// nodes are made.
     pub texts: RefCell<ConfigurationHistory>,
@@ -374,6 +377,7 @@
         reach_notify: tokio::sync::Notify::new(),
         clock,
         table: RefCell::default(),
+        pool_changes: RefCell::default(),
         texts: RefCell::default(),
         registry: RefCell::default(),
         scope_since: Cell::default(),
--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -182,12 +182,14 @@
     let answered_at = gateway.fleet.borrow().store_answered_at()?;
     let is_known =
         rule.pools.len() == 1 && gateway.knows_all_upstreams() && answered_at + REGISTRY_AGE >= now;
-    if !is_known {
+    // A stream lasts no longer than its rule allows.
+    let longest = rule.class.timeout;
+    let changes = gateway.pool_changes.borrow();
+    if !is_known || !changes.unchanged_for(&call.head.host, call.target.path(), longest, now) {
         return None;
     }
     let registry = gateway.registry.borrow();
-    // A stream lasts no longer than its rule allows.
-    let since = now.saturating_sub(rule.class.timeout);
+    let since = now.saturating_sub(longest);
     if gateway.scope_since.get() <= since {
         return registry.sole_software(&call.pool, since);
     }
--- a/daemon/src/gateway/sync.rs
+++ b/daemon/src/gateway/sync.rs
@@ -334,6 +334,10 @@
         .metrics
         .version
         .set(i64::try_from(rules.version).unwrap_or(i64::MAX));
+    if let Some(current) = gateway.rules() {
+        let changes = &mut *gateway.pool_changes.borrow_mut();
+        changes.record(&current, &rules, gateway.now());
+    }
     *gateway.table.borrow_mut() = Some(Rc::new(rules));
     gateway.texts.borrow_mut().put(bytes.clone());
     if source == STORE_SOURCE || gateway.is_hub() {
--- a/daemon/tests/gateway/versions/pools.rs
+++ b/daemon/tests/gateway/versions/pools.rs
@@ -2,6 +2,7 @@
 
 use monsoonbank_standin::scripted::ScriptedUpstream;
 use serde_json::{Value, json};
+use tokio::time::sleep;
 
 use crate::versions::{
     BEGUN, BegunStream, EVENTS, STREAMS, all_events, all_know, assert_complete, assert_refused,
@@ -162,3 +163,21 @@
     a_stream_is_refused_once_its_pool_is_taken_out_of_its_route: [("spare", 1)];
     a_stream_is_refused_once_its_pool_has_no_weight: [("model", 0), ("spare", 1)];
 }
+
+/// Header line of a caller that does not name the attempt which began its stream.
+const UNNAMED: &str = "Last-Event-Id: 3\r\n";
+/// A little more than the timeout of the rules, which is the longest time that a stream lasts.
+const STREAM_TIME: std::time::Duration = std::time::Duration::from_millis(3200);
+
+// Guards against an unnamed stream that goes on at another pool, to which its route was moved just now.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unnamed_stream_is_refused_where_its_route_has_just_moved_to_another_pool() {
+    let mut world = start().await;
+    sleep(STREAM_TIME).await;
+    change_shares(&mut world, "resume", &[("spare", 1)]).await;
+    assert_refused(&world, &world.nodes[1], UNNAMED).await;
+    sleep(STREAM_TIME).await;
+    let text = request("/resume/x", "later", UNNAMED);
+    let answer = send(world.nodes[1].address(4000), text.as_bytes()).await;
+    assert_complete(&answer);
+}
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -28,6 +28,7 @@
 pub mod pace;
 pub mod partition;
 pub mod pause;
+pub mod pool_changes;
 pub mod prompt;
 pub mod reach;
 pub mod registry;
--- a/kernel/src/gateway/rules.rs
+++ b/kernel/src/gateway/rules.rs
@@ -218,6 +218,16 @@
         }
     }
 
+    /// Indexed rules, in order of their hosts and prefixes.
+    pub fn rules(&self) -> impl Iterator<Item = &CallRule> {
+        self.rules.values().flat_map(BTreeMap::values)
+    }
+
+    /// Rule with the same host and path prefix as this one of another table; `None` if there is none.
+    pub fn rule_at(&self, other: &CallRule) -> Option<&CallRule> {
+        self.rules.get(&other.host)?.get(&other.path_prefix)
+    }
+
     /// Whether there are workspaces, so that callers need a key unless a rule is public.
     pub fn has_workspaces(&self) -> bool {
         !self.workspaces.is_empty()
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod outcome;
 mod pace;
 mod partition;
+mod pool_changes;
 mod preferred;
 mod reach;
 mod registry;
