--- a/cli/src/why.rs
+++ b/cli/src/why.rs
@@ -280,6 +280,9 @@
             pool: text(line, "pool"),
         };
     }
+    if last("exits_before").is_some() {
+        return CallCause::NodeLeaving;
+    }
     if let Some(line) = last("too_late") {
         return CallCause::TooLate {
             events: number(line, "expected_events"),
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -335,6 +335,24 @@
             .is_none_or(|since| self.now() < since + LINGER)
     }
 
+    /// Returns the time by which calls have to be answered, since this node exits soon after; `None`
+    /// while it runs normally.
+    pub fn answers_until(&self) -> Option<Duration> {
+        let grace = self.settings.times.grace.mul_f64(ANSWER_FRACTION);
+        self.leaving_since.get().map(|since| since + grace)
+    }
+
+    /// Waits until calls have to be answered, which never happens while this node runs normally.
+    pub async fn answer_time_over(&self) {
+        loop {
+            let notice = self.shutdown_notify.notified();
+            if let Some(until) = self.answers_until() {
+                return tokio::time::sleep(until.saturating_sub(self.now())).await;
+            }
+            notice.await;
+        }
+    }
+
     /// Returns the observed pace of streams of the same kind as the call's.
     pub fn pace(&self, call: &Call) -> StreamPace {
         let paces = self.paces.borrow();
@@ -352,6 +370,9 @@
 const LINGER: Duration = Duration::from_millis(2500);
 /// Rotation in bits that derives the lease's random seed from that of the process.
 const DUTY_SEED_ROTATION: u32 = 17;
+/// Fraction of the grace period after which calls without an answer are given up, so that their
+/// callers receive that before the process exits.
+const ANSWER_FRACTION: f64 = 0.9;
 /// Fraction of the grace period after which calls that are still open are cut off. The rest is left
 /// for the process to exit.
 const GRACE_FRACTION: f64 = 0.93;
--- a/daemon/src/gateway/attempt.rs
+++ b/daemon/src/gateway/attempt.rs
@@ -37,6 +37,8 @@
     pub here_only: bool,
     /// How far the answer to the last attempt has come.
     pub answer: AnswerProgress,
+    /// Whether it was sent in an attempt that has not ended.
+    pub in_flight: bool,
     connects: usize,
 }
 
@@ -170,6 +172,7 @@
     failed: &FailedAttempt,
 ) -> bool {
     let now = gateway.now();
+    progress.in_flight = false;
     progress.history.may_have_run |= failed.end.may_have_run();
     // All connections of a node that is cut off break, whatever they carry.
     if failed.connection_lost && !gateway.reach.borrow().is_lost(&call.pool) {
--- a/daemon/src/gateway/decisions/call.rs
+++ b/daemon/src/gateway/decisions/call.rs
@@ -172,6 +172,15 @@
         /// Time left until the call's deadline, in ms.
         left_ms: u64,
     },
+    /// A call is not sent, since this node is expected to exit before it would end.
+    ExitsBefore {
+        /// Id of the call.
+        call: &'a str,
+        /// Time that it is expected to need, with a margin, in ms.
+        needs_ms: u64,
+        /// Time left until calls are given up here, in ms.
+        left_ms: u64,
+    },
     /// A call is sent to an upstream.
     Sent {
         /// Id of the call.
--- a/daemon/src/gateway/indirect.rs
+++ b/daemon/src/gateway/indirect.rs
@@ -118,7 +118,10 @@
         && let Some(peer) = next_peer(gateway, call, &tried)
     {
         tried.push(peer.peers);
-        let error = match ask(gateway, call, progress, &peer).await {
+        progress.in_flight = true;
+        let answered = ask(gateway, call, progress, &peer).await;
+        progress.in_flight = false;
+        let error = match answered {
             Ok(answer) => return Ok(answer),
             Err(error) => error,
         };
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -14,7 +14,9 @@
 use crate::gateway::admission::{Call, CallOrigin};
 use crate::gateway::attempt::{self, AnswerProgress, CallProgress, FailedAttempt, OpenAttempt};
 use crate::gateway::buffers::{self, BufferError};
+use crate::gateway::indirect::PeerAnswer;
 use crate::gateway::reply::{self, Reply};
+use crate::gateway::stream::OpenStream;
 use crate::gateway::tracker::{CallOutcome, CallTracker};
 use crate::gateway::{indirect, liveness, quarantine, sending, starts, stream, usage};
 
@@ -25,68 +27,100 @@
 /// Added to `Retry-After` for each tier if a whole pool pauses, so that urgent callers come first.
 const RANK_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Answer to a call.
+enum CallAnswer {
+    /// An upstream's, complete in memory.
+    Whole(Reply),
+    /// An upstream's stream, of which the first event has arrived.
+    Stream(Box<OpenStream>),
+    /// Another node's.
+    Peer(PeerAnswer),
+}
+
 /// Sends a call to upstreams and returns the answer for the caller.
 pub async fn forward(gateway: Rc<Gateway>, mut call: Rc<Call>) -> Reply {
     let mut tracker = CallTracker::new(&gateway, &call);
     let mut progress = CallProgress::new(call.origin);
-    match starts::find(&gateway, &call).await {
-        Ok(software) => progress.software = software,
-        Err(error) => {
-            let failed = FailedAttempt::new(AttemptEnd::NotSent, &error);
-            return give_up(&gateway, tracker, &progress, failed);
+    let answered = tokio::select! {
+        biased;
+        answered = find_answer(&gateway, &mut call, &mut tracker, &mut progress) => answered,
+        () = gateway.answer_time_over() => Err(interrupt(&mut progress)),
+    };
+    match answered {
+        Ok(CallAnswer::Whole(reply)) => reply,
+        Ok(CallAnswer::Stream(opened)) => {
+            tracker.first_piece();
+            tracker.status = opened.status().as_u16();
+            stream::forward(gateway, call, tracker, progress, *opened)
         }
+        Ok(CallAnswer::Peer(answer)) => indirect::pass_on(gateway, tracker, &progress, answer),
+        Err(failed) if is_declined(&call, &progress, &failed) => indirect::decline(tracker),
+        Err(failed) => give_up(&gateway, tracker, &progress, failed),
     }
-    if let Some(bound) = starts::at_first_pool(&gateway, &call, progress.software) {
-        call = Rc::new(bound);
-        tracker.set_call(&call);
+}
+
+/// Ends a call that has no answer when the node is about to exit.
+fn interrupt(progress: &mut CallProgress) -> FailedAttempt {
+    progress.history.may_have_run |= progress.in_flight;
+    FailedAttempt::new(AttemptEnd::Unreached, &"this node shuts down")
+}
+
+/// Returns whether a call is left to the node that sent it, which may ask another one.
+fn is_declined(call: &Call, progress: &CallProgress, failed: &FailedAttempt) -> bool {
+    failed.end == AttemptEnd::Unreached
+        && call.origin != CallOrigin::Caller
+        && !progress.history.may_have_run
+}
+
+async fn find_answer(
+    gateway: &Rc<Gateway>,
+    call: &mut Rc<Call>,
+    tracker: &mut CallTracker,
+    progress: &mut CallProgress,
+) -> Result<CallAnswer, FailedAttempt> {
+    let software = starts::find(gateway, call).await;
+    progress.software =
+        software.map_err(|error| FailedAttempt::new(AttemptEnd::NotSent, &error))?;
+    if let Some(bound) = starts::at_first_pool(gateway, call, progress.software) {
+        *call = Rc::new(bound);
+        tracker.set_call(call);
     }
     loop {
-        let attempt = match sending::next_attempt(&gateway, &call, &mut progress, None).await {
+        let attempt = match sending::next_attempt(gateway, call, progress, None).await {
             Ok(attempt) => attempt,
             Err(failed) if failed.end == AttemptEnd::Unreached => {
-                match indirect::ask_others(&gateway, &call, &mut progress).await {
-                    Ok(answer) => return indirect::pass_on(gateway, tracker, &progress, answer),
-                    Err(failed) if failed.end.was_sent() => {
-                        return give_up(&gateway, tracker, &progress, failed);
-                    }
-                    Err(failed) if call.origin != CallOrigin::Caller => {
-                        return if progress.history.may_have_run {
-                            give_up(&gateway, tracker, &progress, failed)
-                        } else {
-                            indirect::decline(tracker)
-                        };
+                match indirect::ask_others(gateway, call, progress).await {
+                    Ok(answer) => return Ok(CallAnswer::Peer(answer)),
+                    Err(failed) if failed.end.was_sent() || call.origin != CallOrigin::Caller => {
+                        return Err(failed);
                     }
                     Err(_) => progress.here_only = true,
                 }
                 continue;
             }
-            Err(failed) => return give_up(&gateway, tracker, &progress, failed),
+            Err(failed) => return Err(failed),
         };
         let key = attempt.work.key;
         let answered = match call.class.form {
             AnswerForm::Whole => {
                 let answer = progress.answer;
-                forward_whole(&gateway, &call, attempt, &mut tracker, &answer).await
+                let reply = forward_whole(gateway, call, attempt, tracker, &answer).await;
+                reply.map(CallAnswer::Whole)
             }
-            AnswerForm::Events { .. } => {
-                match stream::first_event(&gateway, &call, attempt).await {
-                    Ok(opened) => {
-                        starts::record(&gateway, &call, opened.software()).await;
-                        tracker.first_piece();
-                        tracker.status = opened.status().as_u16();
-                        return stream::forward(gateway, call, tracker, progress, opened);
-                    }
-                    Err(failed) => Err(failed),
+            AnswerForm::Events { .. } => match stream::first_event(gateway, call, attempt).await {
+                Ok(opened) => {
+                    starts::record(gateway, call, opened.software()).await;
+                    Ok(CallAnswer::Stream(Box::new(opened)))
                 }
-            }
+                Err(failed) => Err(failed),
+            },
         };
-        match answered {
-            Ok(reply) => return reply,
-            Err(failed) => {
-                if !attempt::record_failure(&gateway, &call, &mut progress, key, &failed) {
-                    return give_up(&gateway, tracker, &progress, failed);
-                }
-            }
+        let failed = match answered {
+            Ok(answer) => return Ok(answer),
+            Err(failed) => failed,
+        };
+        if !attempt::record_failure(gateway, call, progress, key, &failed) {
+            return Err(failed);
         }
     }
 }
--- a/daemon/src/gateway/sending.rs
+++ b/daemon/src/gateway/sending.rs
@@ -16,7 +16,7 @@
 use crate::account::MemoryError;
 use crate::body::SentBody;
 use crate::gateway::Gateway;
-use crate::gateway::admission::{self, Call};
+use crate::gateway::admission::{self, Call, CallOrigin};
 use crate::gateway::attempt::{
     self, AnswerProgress, CallProgress, FailedAttempt, OpenAttempt, WithheldError,
 };
@@ -43,7 +43,7 @@
             biased;
             error = call.body.hold().evicted() => return Err(no_memory(gateway, call, error)),
             found = waiting::wait_for_capacity(gateway, call, progress) => {
-                found.map_err(|error| FailedAttempt::new(wait_end(error), &error))?
+                found.map_err(|error| FailedAttempt::new(wait_end(error, call.origin), &error))?
             }
         };
         let pinned = call.body.hold().pin();
@@ -171,12 +171,16 @@
     Ok(())
 }
 
-fn wait_end(error: WaitError) -> AttemptEnd {
+fn wait_end(error: WaitError, origin: CallOrigin) -> AttemptEnd {
     match error {
         WaitError::Unreached => AttemptEnd::Unreached,
-        WaitError::NoRoom | WaitError::Paused | WaitError::TooLate | WaitError::NoVersion => {
-            AttemptEnd::NotSent
-        }
+        // The node that sent it may ask another one.
+        WaitError::Leaving if origin != CallOrigin::Caller => AttemptEnd::Unreached,
+        WaitError::NoRoom
+        | WaitError::Paused
+        | WaitError::TooLate
+        | WaitError::NoVersion
+        | WaitError::Leaving => AttemptEnd::NotSent,
     }
 }
 
@@ -201,6 +205,7 @@
 
 fn count_send(gateway: &Gateway, call: &Call, progress: &mut CallProgress) {
     progress.history.sends += 1;
+    progress.in_flight = true;
     if progress.history.sends == 1 {
         let mut budgets = gateway.budgets.borrow_mut();
         budgets
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -22,6 +22,10 @@
 /// other nodes finish is only visible with their next heartbeat.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Multiple of its expected duration that a call has to have left when it is sent by a node that shuts
+/// down. Estimates of streams' lengths are medians.
+const EXIT_MARGIN: f64 = 1.5;
+
 /// Number of nodes that a line names.
 const MAX_NAMED_NODES: usize = 8;
 
@@ -62,11 +66,49 @@
     /// The call's stream is not expected to end before the deadline.
     #[display("its stream would not end in time")]
     TooLate,
+    /// This node shuts down before the call would end.
+    #[display("this node shuts down")]
+    Leaving,
     /// The call's stream began at a software version of which no further upstream is left.
     #[display("no upstream of its stream's software version is left")]
     NoVersion,
 }
 
+/// Returns the number of events that a call's stream is expected to bring; `None` if it gets none from
+/// an engine.
+fn expected_events(call: &Call) -> Option<f64> {
+    let (Some(engine), AnswerForm::Events { .. }) = (call.engine, call.class.form) else {
+        return None;
+    };
+    let received = call.head.last_event.unwrap_or(0) as f64;
+    Some(call.head.prompt.expected_events(engine.event_tokens) - received)
+}
+
+/// Returns whether this node exits before a call that is sent now would end. A stream that has begun
+/// continues.
+fn exits_before(gateway: &Gateway, call: &Call, progress: &CallProgress) -> bool {
+    let until = gateway.answers_until().filter(|_| !progress.here_only);
+    let Some(until) = until else {
+        return false;
+    };
+    let pace = gateway.pace(call);
+    let stream = expected_events(call).map(|events| pace.expected_duration(events));
+    let needed = stream
+        .unwrap_or_default()
+        .mul_f64(EXIT_MARGIN)
+        .max(call.class.target);
+    let left = until.saturating_sub(gateway.now());
+    if needed <= left {
+        return false;
+    }
+    gateway.decisions.record(CallDecision::ExitsBefore {
+        call: &call.head.id,
+        needs_ms: millis(needed),
+        left_ms: millis(left),
+    });
+    true
+}
+
 /// Returns whether a call has missed its target and is not expected to end before its deadline
 /// either. Such a call would use an engine's time and then be cut off. A call that was sent before
 /// continues.
@@ -80,11 +122,9 @@
     if send_by > now || progress.history.sends > 0 {
         return false;
     }
-    let (Some(engine), AnswerForm::Events { .. }) = (call.engine, call.class.form) else {
+    let Some(events) = expected_events(call) else {
         return false;
     };
-    let received = call.head.last_event.unwrap_or(0) as f64;
-    let events = call.head.prompt.expected_events(engine.event_tokens) - received;
     let left = call.deadline.saturating_sub(now);
     let pace = gateway.pace(call);
     if pace.can_finish(events, left) {
@@ -314,6 +354,9 @@
     if cannot_finish(gateway, call, progress, send_by) {
         return Err(WaitError::TooLate);
     }
+    if exits_before(gateway, call, progress) {
+        return Err(WaitError::Leaving);
+    }
     let mut turn = CallTurn {
         gateway,
         call,
@@ -353,6 +396,10 @@
             found = Err(WaitError::TooLate);
             break;
         }
+        if exits_before(gateway, call, progress) {
+            found = Err(WaitError::Leaving);
+            break;
+        }
         if pauses_beyond(gateway, call, progress, until) {
             found = Err(WaitError::Paused);
             break;
--- a/daemon/tests/faults.rs
+++ b/daemon/tests/faults.rs
@@ -5,6 +5,7 @@
 use common::{OPERATOR_TOKEN, TestFleet, chat_request, streamed_text, wait_until};
 use monsoonbank_standin::answer::expected_answer;
 use monsoonbank_standin::faults::{CrashFault, EngineFaults, LogFaults};
+use reqwest::header::HeaderValue;
 use serde_json::Value;
 
 fn crash_after(tokens: u32) -> EngineFaults {
@@ -91,6 +92,44 @@
     }
 }
 
+// Guards against waiting calls whose connections are closed without an answer when the only node stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_waiting_call_gets_an_answer_when_the_only_node_stops() {
+    let fleet = TestFleet::start(1, 1).await;
+    let prompts: Vec<String> = (0..60).map(|index| format!("wait {index}")).collect();
+    let calls = prompts.iter().map(|prompt| {
+        let fleet = &fleet;
+        async move {
+            let body = chat_request(prompt, 150, false);
+            let response = fleet.post(0, "/v1/chat/completions", &body).await;
+            let status = response.status().as_u16();
+            let outcome = response.headers().get("x-monsoonbank-outcome").cloned();
+            response.bytes().await.expect("a whole answer");
+            (status, outcome)
+        }
+    });
+    let stop = async {
+        wait_until("calls run", || fleet.engines[0].totals().tokens > 20).await;
+        fleet.nodes[0].drain();
+        fleet.nodes[0].finished().await;
+    };
+    let (answers, ()) = tokio::join!(futures_util::future::join_all(calls), stop);
+    let refused = answers.iter().filter(|(status, _)| *status == 503);
+    for (_, outcome) in refused.clone() {
+        assert_eq!(
+            outcome.as_ref().map(HeaderValue::as_bytes),
+            Some(&b"not_run"[..])
+        );
+    }
+    let served = answers.iter().filter(|(status, _)| *status == 200);
+    assert_eq!(
+        served.count() + refused.clone().count(),
+        answers.len(),
+        "{answers:?}"
+    );
+    assert!(refused.count() > 0, "all calls found a slot: {answers:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_node_is_not_listed_for_callers() {
     let fleet = TestFleet::start(3, 1).await;
--- a/daemon/tests/gateway/main.rs
+++ b/daemon/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod reach;
 mod room;
 mod scope;
+mod stopping;
 mod store;
 mod streams;
 mod thin;
