--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod fairness;
 pub mod fetch;
 pub mod frame;
+pub mod history;
 pub mod indirect;
 pub mod limits;
 pub mod listener;
@@ -89,6 +90,7 @@
 use crate::gateway::duties::DutyState;
 use crate::gateway::fairness::ShareName;
 use crate::gateway::frame::AnswerCache;
+use crate::gateway::history::HistoryBook;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::patch::ConfigurationHistory;
 use crate::gateway::scope::RegistryScope;
@@ -132,6 +134,8 @@
     pub peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Software versions that began the streams which callers may resume.
     pub starts: RefCell<StartBook>,
+    /// The registry's log as it was after the start.
+    pub history: HistoryBook,
     /// Digests of the contents of calls under which upstreams crashed.
     pub crashes: RefCell<CrashLedger>,
     /// Retry budgets, by pool.
@@ -407,6 +411,7 @@
         fleet: RefCell::new(FleetView::new(own, clock.now())),
         peer_socket: OnceCell::new(),
         starts: RefCell::default(),
+        history: HistoryBook::default(),
         crashes: RefCell::default(),
         budgets: RefCell::default(),
         sent_parts: RefCell::default(),
--- a/daemon/src/gateway/decisions/store.rs
+++ b/daemon/src/gateway/decisions/store.rs
@@ -25,6 +25,13 @@
         /// New era of the store, which grows each time.
         era: u64,
     },
+    /// The registry's log was read for the software versions of the time before this node started.
+    HistoryRead {
+        /// Time that it covers, in ms; `None` if it covers all, or could not be read.
+        covered_ms: Option<u64>,
+        /// Reason why it shows nothing; `None` if it does.
+        error: Option<&'a str>,
+    },
     /// This node acquired the lease on the platform's duties.
     DutiesHeld {
         /// Fencing token of the lease.
--- a/daemon/src/gateway/settings.rs
+++ b/daemon/src/gateway/settings.rs
@@ -179,6 +179,13 @@
     /// Time between the signal to stop and the end of the process.
     #[serde(rename = "grace_ms", deserialize_with = "millis")]
     pub grace: Duration,
+    /// Interval at which upstreams write their entries; `None` if it is not known.
+    #[serde(
+        default,
+        rename = "entry_interval_ms",
+        deserialize_with = "some_millis"
+    )]
+    pub entry_interval: Option<Duration>,
 }
 
 /// Retry budget of the fleet, for each pool.
@@ -210,6 +217,10 @@
     Duration::try_from_secs_f64(value / 1000.0).map_err(serde::de::Error::custom)
 }
 
+fn some_millis<'de, D: Deserializer<'de>>(source: D) -> Result<Option<Duration>, D::Error> {
+    millis(source).map(Some)
+}
+
 fn seconds<'de, D: Deserializer<'de>>(source: D) -> Result<Duration, D::Error> {
     let value = f64::deserialize(source)?;
     Duration::try_from_secs_f64(value).map_err(serde::de::Error::custom)
--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -17,7 +17,7 @@
 
 use crate::gateway::admission::{Call, DEFAULT_TIMEOUT};
 use crate::gateway::decisions::{CallDecision, millis};
-use crate::gateway::{Gateway, peers};
+use crate::gateway::{Gateway, history, peers};
 
 /// Time without an answer after which the nodes that have not answered are asked again.
 const QUERY_INTERVAL: Duration = Duration::from_millis(50);
@@ -131,7 +131,10 @@
     }
     let since = gateway.now();
     let found = match &call.head.resumes {
-        ResumedAttempt::Missing => sole_version(gateway, call).ok_or(StartError::Missing),
+        ResumedAttempt::Missing => {
+            let software = sole_version(gateway, call).await;
+            software.ok_or(StartError::Missing)
+        }
         ResumedAttempt::Malformed => Err(StartError::Malformed),
         ResumedAttempt::Named(attempt) => find_named(gateway, StreamKey::new(attempt)).await,
     };
@@ -175,7 +178,7 @@
 
 /// Returns the software version that must have begun a call's stream, whichever attempt that was: the
 /// only one that its pool had while the stream can have begun.
-fn sole_version(gateway: &Gateway, call: &Call) -> Option<SoftwareKey> {
+async fn sole_version(gateway: &Gateway, call: &Call) -> Option<SoftwareKey> {
     let now = gateway.now();
     let rules = gateway.rules()?;
     let rule = rules.find(&call.head.host, call.target.path())?;
@@ -184,18 +187,27 @@
         rule.pools.len() == 1 && gateway.knows_all_upstreams() && answered_at + REGISTRY_AGE >= now;
     // A stream lasts no longer than its rule allows.
     let longest = rule.class.timeout;
-    let changes = gateway.pool_changes.borrow();
-    if !is_known || !changes.unchanged_for(&call.head.host, call.target.path(), longest, now) {
+    let changes = &gateway.pool_changes;
+    let is_unchanged = |now| {
+        let changes = changes.borrow();
+        changes.unchanged_for(&call.head.host, call.target.path(), longest, now)
+    };
+    if !is_known || !is_unchanged(now) {
         return None;
     }
-    let registry = gateway.registry.borrow();
     let since = now.saturating_sub(longest);
     if gateway.scope_since.get() <= since {
-        return registry.sole_software(&call.pool, since);
+        return gateway.registry.borrow().sole_software(&call.pool, since);
     }
+    // The streams may have begun before this node knew the registry.
+    let history = history::get(gateway).await?;
+    let now = gateway.now();
+    let earlier = history.sole_software(&call.pool, longest, now)?;
+    let registry = gateway.registry.borrow();
     // Nodes that have been there for longer may know upstreams that have left.
-    agrees_with_peers(gateway, &registry)
-        .then(|| registry.sole_software(&call.pool, Duration::ZERO))?
+    let known = agrees_with_peers(gateway, &registry)
+        .then(|| registry.sole_software(&call.pool, Duration::ZERO))??;
+    (known == earlier && is_unchanged(now)).then_some(known)
 }
 
 /// Returns whether no other node knows upstreams that this one does not know.
--- a/daemon/tests/gateway/versions.rs
+++ b/daemon/tests/gateway/versions.rs
@@ -2,6 +2,7 @@
 
 mod losses;
 mod pools;
+mod restarted;
 mod unknown;
 mod upstreams;
 
--- a/daemon/tests/gateway/versions/unknown.rs
+++ b/daemon/tests/gateway/versions/unknown.rs
@@ -46,7 +46,7 @@
 }
 
 /// Header line of a caller that does not name the attempt which began its stream.
-const UNNAMED: &str = "Last-Event-Id: 3\r\n";
+pub const UNNAMED: &str = "Last-Event-Id: 3\r\n";
 /// A little more than the timeout of the rules, which is the longest time that a stream lasts.
 const STREAM_TIME: Duration = Duration::from_millis(3200);
 
@@ -122,6 +122,15 @@
 
 /// Starts two nodes of a zone with one upstream, for streams that last as long as `timeout_ms`.
 async fn start_pair(timeout_ms: u64) -> World {
+    start_for(&["east", "east"], timeout_ms).await
+}
+
+/// Starts nodes of these zones with one upstream, for streams that last a minute.
+pub async fn start_nodes(zones: &[&str]) -> World {
+    start_for(zones, 60_000).await
+}
+
+async fn start_for(zones: &[&str], timeout_ms: u64) -> World {
     let world = World::start(&[], vec![begins_and_serves_rest(); 2]).await;
     world.deregister(1);
     let mut long = configuration(2);
@@ -129,7 +138,7 @@
         route["timeoutMs"] = timeout_ms.into();
     }
     world.publish(&long);
-    let world = world.with_nodes(&["east", "east"]).await;
+    let world = world.with_nodes(zones).await;
     all_know(&world, 1).await;
     world
 }
--- a/kernel/src/gateway.rs
+++ b/kernel/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod gossip;
 pub mod health;
 pub mod heartbeat;
+pub mod history;
 pub mod lag;
 pub mod load;
 pub mod message;
--- a/kernel/tests/gateway/main.rs
+++ b/kernel/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod gossip;
 mod health;
 mod heartbeat;
+mod history;
 mod lag;
 mod large_pool;
 mod limit_fuzz;
