--- a/daemon/src/upstreams.rs
+++ b/daemon/src/upstreams.rs
@@ -11,6 +11,7 @@
 use monsoonbank_kernel::config::{PoolKind, Upstream};
 use monsoonbank_kernel::event::Event;
 use monsoonbank_kernel::ids::{AttemptId, NodeId};
+use monsoonbank_platform::answer;
 use reqwest::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use reqwest::{Method, Response, StatusCode};
 use serde_json::Value;
@@ -126,6 +127,14 @@
             return AttemptEnd::Broken { tokens: 0 };
         }
     };
+    if !answer::is_final(response.status()) {
+        let status = response.status();
+        log::warn!(
+            "attempt={} event=bad_status status={status}",
+            running.attempt
+        );
+        return AttemptEnd::Broken { tokens: 0 };
+    }
     report_leaving(running, start, &response);
     if refused(&response) {
         report_pause(running, start, &response);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod brittle;
 mod cache;
 mod chat;
+pub mod early;
 pub mod engine;
 pub mod faults;
 pub mod fragile;
