--- a/daemon/src/gateway/history.rs
+++ b/daemon/src/gateway/history.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use monsoonbank_kernel::gateway::history::{LogHistory, LogPart};
-use monsoonbank_kernel::gateway::registry::{EntryRecord, LogPlace, UpstreamEntry};
+use monsoonbank_kernel::gateway::registry::{EntryRecord, LogPlace, RegistryChange};
 use monsoonbank_platform::store::{KeyedRecord, StoreClient, StoreError};
 use monsoonbank_platform::{entry, names};
 use thiserror::Error;
@@ -104,8 +104,8 @@
             return Err(HistoryError::OlderCopy);
         }
         if batch.records.is_empty() {
-            let entries = records.iter().filter_map(decode);
-            return Ok(LogHistory::new(entries, part, gateway.now()));
+            let changes = records.iter().filter_map(decode);
+            return Ok(LogHistory::new(changes, part, gateway.now()));
         }
         from = batch.next;
         records.extend(batch.records);
@@ -113,15 +113,20 @@
     Err(HistoryError::TooLong)
 }
 
-fn decode(record: &KeyedRecord) -> Option<UpstreamEntry> {
-    let value = record.value.as_ref()?;
+fn decode(record: &KeyedRecord) -> Option<RegistryChange> {
     let id = String::from_utf8_lossy(&record.key);
     let place = LogPlace {
         era: 0,
         offset: record.offset,
     };
+    let Some(value) = &record.value else {
+        return Some(RegistryChange::Removed {
+            id: id.into(),
+            at: Some(place),
+        });
+    };
     match entry::decode(&id, value, EntryRecord::at(place)) {
-        Ok(entry) => Some(entry),
+        Ok(entry) => Some(RegistryChange::Put(entry)),
         Err(error) => {
             log::warn!("the entry of upstream {id} is malformed: {error}");
             None
--- a/kernel/src/gateway/history.rs
+++ b/kernel/src/gateway/history.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::gateway::registry::{SoftwareKey, UpstreamEntry};
+use crate::gateway::registry::{RegistryChange, SoftwareKey};
 
 /// Time beyond the longest stream that the log has to cover: some nodes begin streams at an upstream for
 /// so long after its entry is gone.
@@ -34,21 +34,29 @@
 }
 
 impl LogHistory {
-    /// Collects the versions in the entries of a log that was read at `now`, in any order.
+    /// Collects the versions in the records of a log, in its order, that was read at `now`.
     pub fn new(
-        entries: impl IntoIterator<Item = UpstreamEntry>,
+        records: impl IntoIterator<Item = RegistryChange>,
         part: LogPart,
         now: Duration,
     ) -> Self {
         let mut versions: BTreeMap<Box<str>, BTreeSet<SoftwareKey>> = BTreeMap::new();
         let mut writes: BTreeMap<Box<str>, u32> = BTreeMap::new();
-        for entry in entries {
-            let software = entry.software();
-            versions.entry(entry.pool).or_default().insert(software);
-            *writes.entry(entry.id).or_default() += 1;
+        let mut has_gap = false;
+        for record in records {
+            match record {
+                RegistryChange::Put(entry) => {
+                    let software = entry.software();
+                    versions.entry(entry.pool).or_default().insert(software);
+                    *writes.entry(entry.id).or_default() += 1;
+                }
+                // What an upstream wrote before it was removed is gone.
+                RegistryChange::Removed { id, .. } => has_gap |= !writes.contains_key(&id),
+            }
         }
         let covered = match part {
             LogPart::Whole => None,
+            LogPart::Retained { .. } if has_gap => Some(Duration::ZERO),
             LogPart::Retained { interval } => Some(covered_time(writes, interval)),
         };
         Self {
