--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -4,7 +4,7 @@
 //! finds an upstream with capacity, in the order of `fairness` where workspaces share slots,
 //! `sending` sends it there through `connections`, `attempt` says how that ended, and `stream`
 //! forwards a streamed answer; `starts` knows which software version began a stream that a caller
-//! resumes; `reach` watches whether connections come about, and `indirect` sends
+//! resumes, and `history` reads what the store's log shows of the versions before this node started; `reach` watches whether connections come about, and `indirect` sends
 //! calls through another node while they do not; `notices` applies what the heads of answers report about upstreams.
 //! `sync` reads the platform's store, `startup` determines when a
 //! node that starts does so, and `scope` whether it knows all upstreams. `peers` exchanges
